Add build, wire format, RPC connection, shared headers and the design page

The library starts with the parts that every daemon needs: status, clock, log, and an RPC connection that carries ONC RPC calls both ways over GIO. docs/design.md states the requirements and the design they lead to. libtirpc's client and server were ruled out because they block or use an fd set; only its codecs are used.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,136 @@
+# make            builds the library, the daemons and the command
+# make demo       installs packages, builds, runs one job through a small system
+# make check      installs packages, builds and runs all tests
+# make bench      measures policies and costs, see docs/POLICY.md
+# make install    installs to $(DESTDIR)$(PREFIX)
+# SANITIZE=1 builds with address and undefined-behaviour sanitizers.
+
+CC = gcc
+PREFIX = /usr/local
+VERSION = 0.1.0
+PACKAGES = glib-2.0 gio-2.0 gio-unix-2.0 libsoup-3.0 json-c libtirpc
+
+ifdef SANITIZE
+B = build-sanitize
+SANFLAGS = -fsanitize=address,undefined -fno-sanitize-recover=undefined \
+    -fno-omit-frame-pointer
+else
+B = build
+endif
+
+WARNINGS = -Wall -Wextra -Wstrict-prototypes -Wmissing-prototypes -Wshadow \
+    -Wno-cast-function-type -Werror
+CFLAGS = -O2 -g -std=gnu11
+# Asked for only by the rules below, since "make deps" runs before it works.
+PKG_CFLAGS = $(shell pkg-config --cflags $(PACKAGES))
+PKG_LIBS = $(shell pkg-config --libs $(PACKAGES))
+ALL_CFLAGS = $(CFLAGS) $(SANFLAGS) -MMD -MP -Isrc -Iinclude -Itests \
+    -D_GNU_SOURCE -fPIC
+LIBS = $(PKG_LIBS) -lm
+
+LIB_SRCS = $(wildcard src/process/*.c src/version/*.c src/connection/*.c \
+    src/request/*.c)
+DAEMON_SRCS = $(wildcard src/daemons/*.c)
+TEST_SRCS = $(wildcard tests/test_*.c)
+STANDIN_SRCS = $(wildcard tests/standin_*.c tests/fault_proxy.c)
+BENCH_SRCS = $(wildcard bench/bench_*.c)
+SUPPORT_SRCS = $(filter-out $(TEST_SRCS) $(STANDIN_SRCS), \
+    $(wildcard tests/*.c))
+
+LIB_OBJS = $(LIB_SRCS:%.c=$(B)/%.o)
+SUPPORT_OBJS = $(SUPPORT_SRCS:%.c=$(B)/%.o)
+LIB = $(B)/libsequoiaplank.a
+SHARED_LIB = $(B)/libsequoiaplank.so
+PROGRAMS = $(DAEMON_SRCS:src/daemons/%.c=$(B)/%)
+STANDINS = $(STANDIN_SRCS:tests/%.c=$(B)/%)
+TESTS = $(TEST_SRCS:tests/%.c=$(B)/%)
+BENCHES = $(BENCH_SRCS:bench/%.c=$(B)/%)
+
+C_FILES = $(filter-out %/wire_xdr.c %/wire_xdr.h, \
+    $(wildcard src/*/*.c src/*/*.h include/*.h tests/*.c tests/*.h \
+    bench/*.c bench/*.h))
+
+all: $(PROGRAMS) $(SHARED_LIB)
+test-programs: all $(STANDINS) $(TESTS) $(BENCHES)
+
+$(B)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(ALL_CFLAGS) $(PKG_CFLAGS) $(WARNINGS) -c -o $@ $<
+
+# rpcgen output is committed as generated and leaves unused variables.
+$(B)/src/connection/wire_xdr.o: WARNINGS = -Wall -Wno-unused-variable
+
+$(LIB): $(LIB_OBJS)
+	@rm -f $@
+	ar rcs $@ $(LIB_OBJS)
+
+$(SHARED_LIB): $(LIB_OBJS)
+	$(CC) $(SANFLAGS) -shared -Wl,-soname,libsequoiaplank.so.0 -o $@ \
+	    $(LIB_OBJS) $(LIBS)
+
+$(PROGRAMS): $(B)/%: $(B)/src/daemons/%.o $(LIB)
+	$(CC) $(SANFLAGS) -o $@ $< $(LIB) $(LIBS)
+
+$(STANDINS): $(B)/%: $(B)/tests/%.o $(SUPPORT_OBJS) $(LIB)
+	$(CC) $(SANFLAGS) -o $@ $< $(SUPPORT_OBJS) $(LIB) $(LIBS)
+
+$(TESTS): $(B)/%: $(B)/tests/%.o $(SUPPORT_OBJS) $(LIB)
+	$(CC) $(SANFLAGS) -o $@ $< $(SUPPORT_OBJS) $(LIB) $(LIBS) \
+	    $(shell pkg-config --libs check)
+
+$(BENCHES): $(B)/%: $(B)/bench/%.o $(SUPPORT_OBJS) $(LIB)
+	$(CC) $(SANFLAGS) -o $@ $< $(SUPPORT_OBJS) $(LIB) $(LIBS)
+
+# The committed src/connection/wire_xdr.[ch] come from this.
+wire:
+	cd src/connection && rm -f wire_xdr.c wire_xdr.h && \
+	    rpcgen -M -h -o wire_xdr.h wire.x && \
+	    rpcgen -M -c -o wire_xdr.c wire.x && \
+	    sed -i 's/"wire.h"/"wire_xdr.h"/' wire_xdr.c
+
+deps:
+	tools/install-packages
+
+demo: deps
+	$(MAKE) test-programs
+	tools/demo $(B)
+
+check: deps
+	$(MAKE) test-programs
+	tools/run-tests $(B)
+
+bench: deps
+	$(MAKE) test-programs
+	tools/bench $(B)
+
+format:
+	clang-format -i $(C_FILES)
+
+format-check:
+	clang-format --dry-run --Werror $(C_FILES)
+
+lint:
+	printf '%s\n' $(filter %.c,$(C_FILES)) | xargs -P 8 -n 4 sh -c \
+	    'clang-tidy --quiet "$$@" -- -std=gnu11 -Isrc -Iinclude -Itests \
+	    -D_GNU_SOURCE $(PKG_CFLAGS) 2>/dev/null' lint
+
+install: all
+	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/lib/pkgconfig \
+	    $(DESTDIR)$(PREFIX)/include
+	install $(PROGRAMS) $(DESTDIR)$(PREFIX)/bin
+	install -m 644 $(LIB) $(DESTDIR)$(PREFIX)/lib
+	install $(SHARED_LIB) $(DESTDIR)$(PREFIX)/lib/libsequoiaplank.so.0
+	ln -sf libsequoiaplank.so.0 $(DESTDIR)$(PREFIX)/lib/libsequoiaplank.so
+	install -m 644 include/sequoiaplank.h $(DESTDIR)$(PREFIX)/include
+	sed -e 's|@PREFIX@|$(PREFIX)|' -e 's|@VERSION@|$(VERSION)|' \
+	    tools/sequoiaplank.pc.in \
+	    > $(DESTDIR)$(PREFIX)/lib/pkgconfig/sequoiaplank.pc
+
+clean:
+	rm -rf build build-sanitize
+
+.PHONY: all test-programs wire deps demo check bench format format-check \
+    lint install clean
+.SECONDARY:
+
+-include $(shell find $(B) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/src/connection/rpc.c
@@ -0,0 +1,604 @@
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+
+#include "connection/rpc.h"
+#include "process/clock.h"
+
+#define LAST_FRAGMENT	    0x80000000U
+#define MARK_BYTES	    4
+#define CALL_HEADER_BYTES   40 /* call with null credentials */
+#define REPLY_HEADER_BYTES  64
+#define READ_CHUNK_BYTES    65536
+#define READS_PER_WAKEUP    16 /* lets other connections of the loop run */
+#define TICK_MS		    100
+#define DEFAULT_RECORD_MAX  (4 * 1024 * 1024 + 65536)
+#define DEFAULT_QUEUE_MAX   (64 * 1024 * 1024)
+#define RPC_PROGRAM_VERSION 1
+
+struct pending {
+	rpc_reply_fn on_reply;
+	void *ctx;
+	int64_t deadline_ms;
+};
+
+struct rpc_conn {
+	int refs;
+	struct rpc_options opts;
+	GSocketConnection *stream;
+	GSocket *socket;
+	GSource *read_source;
+	GSource *write_source;
+	guint tick_id;
+	guint closed_id;
+	bool open;
+	struct status why;
+	GByteArray *in;	    /* bytes received and not yet parsed */
+	GByteArray *record; /* fragments of the record being read */
+	GByteArray *out;
+	size_t out_pos;
+	uint64_t bytes_out;
+	uint32_t next_xid;
+	int64_t last_input_ms;
+	GHashTable *pending; /* xid -> struct pending */
+};
+
+/* Adds a reference. */
+struct rpc_conn *
+rpc_ref(struct rpc_conn *conn)
+{
+	conn->refs++;
+	return conn;
+}
+
+/* Drops a reference; the last one frees the connection. */
+void
+rpc_unref(struct rpc_conn *conn)
+{
+	if (--conn->refs > 0)
+		return;
+	if (conn->open)
+		g_io_stream_close(G_IO_STREAM(conn->stream), NULL, NULL);
+	g_clear_handle_id(&conn->tick_id, g_source_remove);
+	g_clear_handle_id(&conn->closed_id, g_source_remove);
+	if (conn->read_source != NULL) {
+		g_source_destroy(conn->read_source);
+		g_source_unref(conn->read_source);
+	}
+	if (conn->write_source != NULL) {
+		g_source_destroy(conn->write_source);
+		g_source_unref(conn->write_source);
+	}
+	g_hash_table_unref(conn->pending);
+	g_byte_array_unref(conn->in);
+	g_byte_array_unref(conn->record);
+	g_byte_array_unref(conn->out);
+	g_object_unref(conn->stream);
+	g_free(conn);
+}
+
+static void
+clear_source(GSource **source)
+{
+	if (*source == NULL)
+		return;
+	g_source_destroy(*source);
+	g_source_unref(*source);
+	*source = NULL;
+}
+
+static void
+fail_pending(struct rpc_conn *conn, const struct status *why)
+{
+	GHashTableIter iter;
+	gpointer value;
+	GPtrArray *all = g_ptr_array_new_with_free_func(g_free);
+	guint i;
+
+	g_hash_table_iter_init(&iter, conn->pending);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		g_ptr_array_add(all, value);
+		g_hash_table_iter_steal(&iter);
+	}
+	for (i = 0; i < all->len; i++) {
+		struct pending *p = all->pdata[i];
+
+		p->on_reply(conn, why, NULL, p->ctx);
+	}
+	g_ptr_array_unref(all);
+}
+
+static gboolean
+deliver_closed(gpointer data)
+{
+	struct rpc_conn *conn = data;
+
+	conn->closed_id = 0;
+	fail_pending(conn, &conn->why);
+	if (conn->opts.on_closed != NULL)
+		conn->opts.on_closed(conn, &conn->why, conn->opts.ctx);
+	rpc_unref(conn);
+	return G_SOURCE_REMOVE;
+}
+
+/*
+ * Closes the socket at once.  Replies still awaited fail and on_closed runs
+ * from the main loop, so that a caller is never re-entered.
+ */
+void
+rpc_close(struct rpc_conn *conn, enum st_code code, const char *why)
+{
+	if (!conn->open)
+		return;
+	conn->open = false;
+	st_set(&conn->why, code, "%s", why);
+	clear_source(&conn->read_source);
+	clear_source(&conn->write_source);
+	g_clear_handle_id(&conn->tick_id, g_source_remove);
+	g_io_stream_close(G_IO_STREAM(conn->stream), NULL, NULL);
+	conn->closed_id = g_idle_add_full(
+	    G_PRIORITY_DEFAULT, deliver_closed, rpc_ref(conn), NULL);
+}
+
+/*
+ * Closes the connection and drops every callback, for an owner that is about
+ * to free its context.
+ */
+void
+rpc_detach(struct rpc_conn *conn)
+{
+	rpc_close(conn, ST_UNAVAILABLE, "closed locally");
+	g_hash_table_remove_all(conn->pending);
+	conn->opts.on_call = NULL;
+	conn->opts.on_closed = NULL;
+}
+
+/* Reports whether the connection can still send. */
+bool
+rpc_is_open(const struct rpc_conn *conn)
+{
+	return conn->open;
+}
+
+/* Returns the milliseconds since the last byte arrived. */
+int64_t
+rpc_silent_ms(const struct rpc_conn *conn)
+{
+	return clk_now_ms() - conn->last_input_ms;
+}
+
+/* Returns the number of bytes queued for sending since the start. */
+uint64_t
+rpc_bytes_out(const struct rpc_conn *conn)
+{
+	return conn->bytes_out;
+}
+
+static void
+handle_call(struct rpc_conn *conn, XDR *xdrs, struct rpc_msg *msg)
+{
+	struct rpc_call call = {
+	    .xid = msg->rm_xid,
+	    .prog = msg->rm_call.cb_prog,
+	    .proc = msg->rm_call.cb_proc,
+	    .args = xdrs,
+	};
+
+	if (call.prog != conn->opts.prog ||
+	    msg->rm_call.cb_vers != RPC_PROGRAM_VERSION) {
+		rpc_close(conn, ST_INVALID, "call for another program");
+		return;
+	}
+	if (conn->opts.on_call == NULL) {
+		rpc_close(conn, ST_INVALID, "unexpected call");
+		return;
+	}
+	conn->opts.on_call(conn, &call, conn->opts.ctx);
+}
+
+static void
+handle_reply(struct rpc_conn *conn, uint32_t xid, char *data, u_int len)
+{
+	char verf[MAX_AUTH_BYTES];
+	struct rpc_msg msg;
+	struct status st = {.code = ST_OK};
+	struct pending *p;
+	gpointer value;
+	XDR xdrs;
+
+	memset(&msg, 0, sizeof(msg));
+	msg.acpted_rply.ar_verf.oa_base = verf;
+	msg.acpted_rply.ar_results.proc = (xdrproc_t)(void (*)(void))xdr_void;
+	xdrmem_create(&xdrs, data, len, XDR_DECODE);
+	if (!xdr_replymsg(&xdrs, &msg)) {
+		rpc_close(conn, ST_INVALID, "malformed reply");
+		return;
+	}
+	if (!g_hash_table_steal_extended(
+		conn->pending, GUINT_TO_POINTER(xid), NULL, &value))
+		return; /* timed out before */
+	p = value;
+	if (msg.rm_reply.rp_stat != MSG_ACCEPTED ||
+	    msg.acpted_rply.ar_stat != SUCCESS)
+		st_set(&st, ST_INVALID, "peer rejected the call");
+	p->on_reply(conn, &st, st.code == ST_OK ? &xdrs : NULL, p->ctx);
+	g_free(p);
+}
+
+static void
+handle_record(struct rpc_conn *conn, char *data, u_int len)
+{
+	char cred[MAX_AUTH_BYTES], verf[MAX_AUTH_BYTES];
+	struct rpc_msg msg;
+	uint32_t head[2];
+	XDR xdrs;
+
+	if (len < sizeof(head)) {
+		rpc_close(conn, ST_INVALID, "record too short");
+		return;
+	}
+	memcpy(head, data, sizeof(head));
+	if (ntohl(head[1]) == REPLY) {
+		handle_reply(conn, ntohl(head[0]), data, len);
+		return;
+	}
+	memset(&msg, 0, sizeof(msg));
+	msg.rm_call.cb_cred.oa_base = cred;
+	msg.rm_call.cb_verf.oa_base = verf;
+	xdrmem_create(&xdrs, data, len, XDR_DECODE);
+	if (!xdr_callmsg(&xdrs, &msg)) {
+		rpc_close(conn, ST_INVALID, "malformed call");
+		return;
+	}
+	handle_call(conn, &xdrs, &msg);
+}
+
+/* Consumes one fragment from the input; returns false when more is needed. */
+static bool
+parse_fragment(struct rpc_conn *conn, size_t *pos)
+{
+	size_t avail = conn->in->len - *pos;
+	uint32_t mark, len;
+	bool last;
+
+	if (avail < MARK_BYTES)
+		return false;
+	memcpy(&mark, conn->in->data + *pos, MARK_BYTES);
+	mark = ntohl(mark);
+	last = (mark & LAST_FRAGMENT) != 0;
+	len = mark & ~LAST_FRAGMENT;
+	/* Empty fragments carry nothing but would keep the connection busy. */
+	if (len == 0 ||
+	    (uint64_t)conn->record->len + len > conn->opts.max_record_bytes) {
+		rpc_close(conn, ST_INVALID, "record length out of range");
+		return false;
+	}
+	if (avail - MARK_BYTES < len)
+		return false;
+	*pos += MARK_BYTES;
+	if (last && conn->record->len == 0) {
+		handle_record(conn, (char *)conn->in->data + *pos, len);
+	} else {
+		g_byte_array_append(conn->record, conn->in->data + *pos, len);
+		if (last) {
+			handle_record(conn, (char *)conn->record->data,
+			    conn->record->len);
+			g_byte_array_set_size(conn->record, 0);
+		}
+	}
+	*pos += len;
+	return conn->open;
+}
+
+static void
+parse_input(struct rpc_conn *conn)
+{
+	size_t pos = 0;
+
+	while (parse_fragment(conn, &pos))
+		continue;
+	if (pos > 0)
+		g_byte_array_remove_range(conn->in, 0, pos);
+}
+
+static gboolean
+on_readable(GSocket *socket, GIOCondition condition, gpointer data)
+{
+	struct rpc_conn *conn = rpc_ref(data);
+	GError *error = NULL;
+	gssize n = 0;
+	guint used;
+	int i;
+
+	(void)condition;
+	for (i = 0; i < READS_PER_WAKEUP && conn->open; i++) {
+		used = conn->in->len;
+		g_byte_array_set_size(conn->in, used + READ_CHUNK_BYTES);
+		n = g_socket_receive_with_blocking(socket,
+		    (char *)conn->in->data + used, READ_CHUNK_BYTES, FALSE,
+		    NULL, &error);
+		g_byte_array_set_size(conn->in, used + (n > 0 ? n : 0));
+		if (n <= 0)
+			break;
+		conn->last_input_ms = clk_now_ms();
+		parse_input(conn);
+		if (n < READ_CHUNK_BYTES)
+			break;
+	}
+	if (error != NULL) {
+		if (!g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
+			rpc_close(conn, ST_UNAVAILABLE, error->message);
+		g_error_free(error);
+	} else if (n == 0) {
+		rpc_close(conn, ST_UNAVAILABLE, "closed by the peer");
+	}
+	rpc_unref(conn);
+	return G_SOURCE_CONTINUE;
+}
+
+static void flush_output(struct rpc_conn *conn);
+
+static gboolean
+on_writable(GSocket *socket, GIOCondition condition, gpointer data)
+{
+	struct rpc_conn *conn = rpc_ref(data);
+
+	(void)socket;
+	(void)condition;
+	clear_source(&conn->write_source);
+	flush_output(conn);
+	rpc_unref(conn);
+	return G_SOURCE_REMOVE;
+}
+
+static void
+wait_writable(struct rpc_conn *conn)
+{
+	conn->write_source =
+	    g_socket_create_source(conn->socket, G_IO_OUT, NULL);
+	g_source_set_callback(
+	    conn->write_source, G_SOURCE_FUNC(on_writable), conn, NULL);
+	g_source_attach(
+	    conn->write_source, g_main_context_get_thread_default());
+}
+
+static void
+flush_output(struct rpc_conn *conn)
+{
+	GError *error = NULL;
+	gssize n;
+
+	if (!conn->open || conn->write_source != NULL)
+		return;
+	while (conn->out_pos < conn->out->len) {
+		n = g_socket_send_with_blocking(conn->socket,
+		    (char *)conn->out->data + conn->out_pos,
+		    conn->out->len - conn->out_pos, FALSE, NULL, &error);
+		if (n < 0)
+			break;
+		conn->out_pos += n;
+	}
+	if (error != NULL) {
+		if (g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
+			wait_writable(conn);
+		else
+			rpc_close(conn, ST_UNAVAILABLE, error->message);
+		g_error_free(error);
+		return;
+	}
+	g_byte_array_set_size(conn->out, 0);
+	conn->out_pos = 0;
+}
+
+/* Appends one record, whose header is already encoded by the caller. */
+static bool
+queue_record(struct rpc_conn *conn, char *record, u_int len)
+{
+	uint32_t mark = htonl(LAST_FRAGMENT | (len - MARK_BYTES));
+
+	if (len - MARK_BYTES > conn->opts.max_record_bytes)
+		return false;
+	if (conn->out->len - conn->out_pos + len > conn->opts.max_queue_bytes) {
+		rpc_close(conn, ST_LIMIT, "peer does not read its input");
+		return false;
+	}
+	memcpy(record, &mark, MARK_BYTES);
+	g_byte_array_append(conn->out, (guint8 *)record, len);
+	conn->bytes_out += len;
+	flush_output(conn);
+	return conn->open;
+}
+
+static bool
+send_call(struct rpc_conn *conn, uint32_t xid, uint32_t proc, xdrproc_t encode,
+    void *args)
+{
+	struct rpc_msg msg;
+	u_int size;
+	char *record;
+	XDR xdrs;
+	bool ok;
+
+	if (!conn->open)
+		return false;
+	size = MARK_BYTES + CALL_HEADER_BYTES + xdr_sizeof(encode, args);
+	record = g_malloc(size);
+	memset(&msg, 0, sizeof(msg));
+	msg.rm_xid = xid;
+	msg.rm_direction = CALL;
+	msg.rm_call.cb_rpcvers = RPC_MSG_VERSION;
+	msg.rm_call.cb_prog = conn->opts.prog;
+	msg.rm_call.cb_vers = RPC_PROGRAM_VERSION;
+	msg.rm_call.cb_proc = proc;
+	xdrmem_create(
+	    &xdrs, record + MARK_BYTES, size - MARK_BYTES, XDR_ENCODE);
+	ok = xdr_callmsg(&xdrs, &msg) && encode(&xdrs, args) &&
+	     queue_record(conn, record, MARK_BYTES + xdr_getpos(&xdrs));
+	g_free(record);
+	return ok;
+}
+
+/*
+ * Sends a call that has no reply (batching, RFC 5531 section 8).  Returns
+ * false when it was not queued: the connection is closed, or the arguments
+ * are invalid or larger than a record.
+ */
+bool
+rpc_send(struct rpc_conn *conn, uint32_t proc, xdrproc_t encode, void *args)
+{
+	return send_call(conn, conn->next_xid++, proc, encode, args);
+}
+
+/*
+ * Sends a call and runs on_reply once: with the reply, with ST_TIMEOUT after
+ * timeout_ms, or with the reason when the connection closes.  Returns false,
+ * without a callback, when the call was not queued.
+ */
+bool
+rpc_request(struct rpc_conn *conn, uint32_t proc, xdrproc_t encode, void *args,
+    int64_t timeout_ms, rpc_reply_fn on_reply, void *ctx)
+{
+	uint32_t xid = conn->next_xid++;
+	struct pending *p;
+
+	if (!send_call(conn, xid, proc, encode, args))
+		return false;
+	p = g_new0(struct pending, 1);
+	p->on_reply = on_reply;
+	p->ctx = ctx;
+	p->deadline_ms = clk_now_ms() + timeout_ms;
+	g_hash_table_replace(conn->pending, GUINT_TO_POINTER(xid), p);
+	return true;
+}
+
+/* Sends the reply to a call; returns false when it could not be queued. */
+bool
+rpc_reply(struct rpc_conn *conn, uint32_t xid, xdrproc_t encode, void *result)
+{
+	struct rpc_msg msg;
+	u_int size;
+	char *record;
+	XDR xdrs;
+	bool ok;
+
+	if (!conn->open)
+		return false;
+	size = MARK_BYTES + REPLY_HEADER_BYTES + xdr_sizeof(encode, result);
+	record = g_malloc(size);
+	memset(&msg, 0, sizeof(msg));
+	msg.rm_xid = xid;
+	msg.rm_direction = REPLY;
+	msg.rm_reply.rp_stat = MSG_ACCEPTED;
+	msg.acpted_rply.ar_stat = SUCCESS;
+	msg.acpted_rply.ar_results.proc = encode;
+	msg.acpted_rply.ar_results.where = result;
+	xdrmem_create(
+	    &xdrs, record + MARK_BYTES, size - MARK_BYTES, XDR_ENCODE);
+	ok = xdr_replymsg(&xdrs, &msg) &&
+	     queue_record(conn, record, MARK_BYTES + xdr_getpos(&xdrs));
+	g_free(record);
+	return ok;
+}
+
+/* Answers a call with an RPC error such as PROC_UNAVAIL or GARBAGE_ARGS. */
+void
+rpc_reply_error(struct rpc_conn *conn, uint32_t xid, enum accept_stat stat)
+{
+	char record[MARK_BYTES + REPLY_HEADER_BYTES];
+	struct rpc_msg msg;
+	XDR xdrs;
+
+	if (!conn->open)
+		return;
+	memset(&msg, 0, sizeof(msg));
+	msg.rm_xid = xid;
+	msg.rm_direction = REPLY;
+	msg.rm_reply.rp_stat = MSG_ACCEPTED;
+	msg.acpted_rply.ar_stat = stat;
+	xdrmem_create(
+	    &xdrs, record + MARK_BYTES, REPLY_HEADER_BYTES, XDR_ENCODE);
+	if (xdr_replymsg(&xdrs, &msg))
+		queue_record(conn, record, MARK_BYTES + xdr_getpos(&xdrs));
+}
+
+static gboolean
+is_expired(gpointer key, gpointer value, gpointer data)
+{
+	struct pending *p = value;
+
+	(void)key;
+	return p->deadline_ms <= *(int64_t *)data;
+}
+
+/* Runs the callback of one expired request; returns false when none is left. */
+static bool
+expire_one(struct rpc_conn *conn, int64_t now_ms)
+{
+	struct status st;
+	struct pending *p;
+	GHashTableIter iter;
+	gpointer key, value;
+
+	g_hash_table_iter_init(&iter, conn->pending);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		if (!is_expired(key, value, &now_ms))
+			continue;
+		p = value;
+		g_hash_table_iter_steal(&iter);
+		st_set(&st, ST_TIMEOUT, "no reply in time");
+		p->on_reply(conn, &st, NULL, p->ctx);
+		g_free(p);
+		return true;
+	}
+	return false;
+}
+
+static gboolean
+on_tick(gpointer data)
+{
+	struct rpc_conn *conn = rpc_ref(data);
+	int64_t now_ms = clk_now_ms();
+
+	while (conn->open && expire_one(conn, now_ms))
+		continue;
+	if (conn->open && conn->opts.silence_ms > 0 &&
+	    now_ms - conn->last_input_ms > conn->opts.silence_ms)
+		rpc_close(conn, ST_TIMEOUT, "no input from the peer");
+	rpc_unref(conn);
+	return G_SOURCE_CONTINUE;
+}
+
+/*
+ * Takes over a connected socket and starts reading.  The caller holds the
+ * first reference.
+ */
+struct rpc_conn *
+rpc_new(const struct rpc_options *opts)
+{
+	struct rpc_conn *conn = g_new0(struct rpc_conn, 1);
+
+	conn->refs = 1;
+	conn->opts = *opts;
+	if (conn->opts.max_record_bytes == 0)
+		conn->opts.max_record_bytes = DEFAULT_RECORD_MAX;
+	if (conn->opts.max_queue_bytes == 0)
+		conn->opts.max_queue_bytes = DEFAULT_QUEUE_MAX;
+	conn->stream = g_object_ref(opts->socket);
+	conn->socket = g_socket_connection_get_socket(conn->stream);
+	g_socket_set_blocking(conn->socket, FALSE);
+	g_socket_set_option(conn->socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
+	conn->open = true;
+	conn->in = g_byte_array_new();
+	conn->record = g_byte_array_new();
+	conn->out = g_byte_array_new();
+	conn->next_xid = 1;
+	conn->last_input_ms = clk_now_ms();
+	conn->pending =
+	    g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
+	conn->read_source = g_socket_create_source(conn->socket, G_IO_IN, NULL);
+	g_source_set_callback(
+	    conn->read_source, G_SOURCE_FUNC(on_readable), conn, NULL);
+	g_source_attach(conn->read_source, g_main_context_get_thread_default());
+	conn->tick_id = g_timeout_add(TICK_MS, on_tick, conn);
+	return conn;
+}
--- /dev/null
+++ b/src/process/settings.h
@@ -0,0 +1,66 @@
+#ifndef SP_SETTINGS_H
+#define SP_SETTINGS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "process/status.h"
+
+/* Settings of spentryd.  Strings and arrays are owned by the struct. */
+struct set_entry {
+	char *name;
+	char *failure_domain;
+	char *region;
+	char *listen;		/* "ip:port", callers' HTTP */
+	char *operator_listen;	/* "ip:port", operators' HTTP */
+	char *rpc_listen;	/* "ip:port", agents and peers */
+	char *rpc_address;	/* as others reach it; default rpc_listen */
+	char *operator_address; /* default operator_listen */
+	char *store;		/* "http://ip:port" */
+	char *cluster_key;
+	char **peers; /* rpc seeds, NULL-terminated; may be empty */
+	char *log_level;
+	char *policy; /* placement policy, see docs/POLICY.md */
+	int64_t freshness_ms;
+	int64_t store_poll_ms;
+	int64_t members_poll_ms;
+	int64_t lease_s;
+	int64_t store_timeout_ms;
+	int64_t silence_ms;
+	int64_t job_retention_s;
+	int64_t drain_timeout_ms;
+	uint32_t max_jobs;
+	uint32_t max_tasks; /* in one job */
+	uint64_t max_answer_bytes;
+	uint64_t max_body_bytes;
+	uint32_t agent_queue; /* tasks sent ahead of a free slot */
+	uint32_t trace_spans;
+};
+
+/* Settings of spagentd.  Strings and arrays are owned by the struct. */
+struct set_agent {
+	char *worker;
+	char *failure_domain;
+	char *region;
+	char *rack;
+	char *listen;	/* "ip:port", local HTTP */
+	char **entries; /* rpc seeds, NULL-terminated */
+	char *cluster_key;
+	char *log_level;
+	int64_t freshness_ms;
+	int64_t heartbeat_ms;
+	int64_t silence_ms;
+	int64_t drain_timeout_ms;
+	uint32_t entry_connections;
+	uint32_t max_queue; /* starts waiting for a slot */
+	uint64_t max_answer_bytes;
+	uint32_t trace_spans;
+};
+
+/* NULL on error, with file, line, key and what was expected in st. */
+struct set_entry *set_entry_load(const char *path, struct status *st);
+struct set_agent *set_agent_load(const char *path, struct status *st);
+void set_entry_free(struct set_entry *set);
+void set_agent_free(struct set_agent *set);
+
+#endif
--- /dev/null
+++ b/src/request/place.h
@@ -0,0 +1,94 @@
+#ifndef SP_PLACE_H
+#define SP_PLACE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * Choice of a worker for a task, from loads reported by the workers, the
+ * entry's own dispatches since, and measured run times.  Holds no sockets and
+ * reads no clock.
+ */
+struct place;
+
+#define PLACE_NONE UINT32_MAX
+
+enum place_policy {
+	PLACE_RANDOM,
+	PLACE_LEAST_OUTSTANDING,
+	PLACE_TWO_CHOICES,
+	PLACE_LEAST_WAIT
+};
+
+struct place_options {
+	enum place_policy policy;
+	const char *failure_domain; /* of the entry; copied */
+	uint32_t ahead;		    /* tasks sent beyond a worker's slots */
+	uint32_t seed;
+	bool prefer_local;
+	bool ramp; /* limit a returned worker by its measured rate */
+};
+
+/* Strings are copied. */
+struct place_worker {
+	const char *name;
+	const char *failure_domain;
+	const char *service;
+	uint32_t slots;
+	uint32_t cores;
+	uint64_t memory_mb;
+};
+
+struct place_load {
+	uint32_t slots;
+	uint32_t busy;
+	uint32_t queued;
+	bool draining;
+};
+
+struct place_task {
+	const char *service;
+	int64_t declared_ms; /* 0: not declared */
+	uint32_t cores;
+	uint64_t memory_mb;
+};
+
+bool place_policy_parse(const char *name, enum place_policy *policy);
+struct place *place_new(const struct place_options *opts);
+void place_free(struct place *place);
+
+/* Returns the id of the worker, valid until it is removed. */
+uint32_t place_add(
+    struct place *place, const struct place_worker *worker, int64_t now_ms);
+void place_remove(struct place *place, uint32_t id);
+/* outstanding: this entry's dispatches that the worker had not yet seen. */
+void place_report(struct place *place, uint32_t id,
+    const struct place_load *load, uint32_t outstanding, int64_t now_ms);
+/* An unusable worker (out, stale, disconnected) gets no work. */
+void place_set_usable(struct place *place, uint32_t id, bool usable);
+
+/* PLACE_NONE: no worker can take the task now; it waits at the entry. */
+uint32_t place_choose(
+    struct place *place, const struct place_task *task, int64_t now_ms);
+/* Whether any worker, busy or not, could ever run the task. */
+bool place_can_ever_run(
+    const struct place *place, const struct place_task *task);
+void place_dispatched(struct place *place, uint32_t id,
+    const struct place_task *task, int64_t now_ms);
+
+enum place_outcome {
+	PLACE_OK,
+	PLACE_FAILED,	  /* ran and failed */
+	PLACE_NOT_STARTED /* returned without running */
+};
+void place_finished(struct place *place, uint32_t id,
+    const struct place_task *task, enum place_outcome outcome, int64_t run_us,
+    int64_t now_ms);
+
+/* Expected wait of a new task before it starts; -1 with no usable worker. */
+int64_t place_expected_wait_ms(const struct place *place, const char *service,
+    uint32_t waiting, int64_t now_ms);
+uint32_t place_free_slots(const struct place *place, const char *service);
+bool place_has_live(const struct place *place, const char *service);
+
+#endif
--- /dev/null
+++ b/src/version/config.h
@@ -0,0 +1,67 @@
+#ifndef SP_CONFIG_H
+#define SP_CONFIG_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "process/status.h"
+
+/* One version of the configuration document: immutable, reference counted. */
+struct cfg;
+
+enum cfg_kind { CFG_FAILURE_DOMAIN, CFG_WORKER, CFG_SERVICE };
+
+/* Limits are 0 when the text does not set them. */
+struct cfg_service {
+	const char *name;
+	const char *const *depends_on; /* NULL-terminated */
+	bool external;
+	uint32_t max_in_flight;
+	uint32_t max_queue;
+	uint32_t max_cores;
+	uint64_t max_memory_mb;
+};
+
+struct cfg_team {
+	const char *name;
+	uint32_t max_in_flight;
+};
+
+/* The entry incarnation that votes for a failure domain. */
+struct cfg_voter {
+	const char *failure_domain;
+	uint64_t incarnation;
+};
+
+/* Parses a document as stored; NULL on error. */
+struct cfg *cfg_parse(const char *document, size_t len, struct status *st);
+/* Checks an operators' text; name is used in the message. */
+bool cfg_check_text(
+    const char *name, const char *text, size_t len, struct status *st);
+struct cfg *cfg_ref(struct cfg *cfg);
+void cfg_unref(struct cfg *cfg);
+
+/* Everything returned below lives as long as cfg. */
+uint64_t cfg_version(const struct cfg *cfg);
+const char *cfg_document(const struct cfg *cfg, size_t *len);
+const char *cfg_text(const struct cfg *cfg);
+const char *cfg_change_id(const struct cfg *cfg);
+bool cfg_is_out(const struct cfg *cfg, enum cfg_kind kind, const char *name);
+const struct cfg_service *cfg_services(const struct cfg *cfg, size_t *n);
+const struct cfg_service *cfg_service(const struct cfg *cfg, const char *name);
+const struct cfg_team *cfg_team(const struct cfg *cfg, const char *name);
+size_t cfg_voter_sets(const struct cfg *cfg);
+const struct cfg_voter *cfg_voters(
+    const struct cfg *cfg, size_t set, size_t *n);
+
+typedef bool (*cfg_is_live_fn)(const char *service, void *ctx);
+/*
+ * Returns the first service that blocks the given one: the service itself or
+ * a direct or indirect dependency that is out, or a dependency that is
+ * neither external nor live.  NULL when nothing blocks it.
+ */
+const char *cfg_blocked_by(const struct cfg *cfg, const char *service,
+    cfg_is_live_fn is_live, void *ctx);
+
+#endif
--- /dev/null
+++ b/src/version/fresh.h
@@ -0,0 +1,35 @@
+#ifndef SP_FRESH_H
+#define SP_FRESH_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "version/config.h"
+
+/*
+ * The newest configuration that a process holds, and when it was last known
+ * to be the newest accepted one.  Times are CLOCK_BOOTTIME milliseconds.
+ */
+struct fresh;
+
+typedef void (*fresh_changed_fn)(struct cfg *cfg, void *ctx);
+
+struct fresh *fresh_new(int64_t limit_ms);
+void fresh_free(struct fresh *fresh);
+/* Runs fn after each newer configuration; several may be added. */
+void fresh_on_changed(struct fresh *fresh, fresh_changed_fn fn, void *ctx);
+
+/* Takes cfg when it is newer than the one held; adds its own reference. */
+void fresh_take(struct fresh *fresh, struct cfg *cfg);
+/*
+ * Notes that no version above the given one was accepted as of as_of_ms.
+ * Ignored while the version held is lower.
+ */
+void fresh_confirm(struct fresh *fresh, uint64_t version, int64_t as_of_ms);
+
+struct cfg *fresh_config(const struct fresh *fresh); /* borrowed, or NULL */
+uint64_t fresh_version(const struct fresh *fresh);   /* 0: none */
+int64_t fresh_age_ms(const struct fresh *fresh, int64_t now_ms); /* -1: never */
+bool fresh_is_current(const struct fresh *fresh, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/tests/test_status.c
@@ -0,0 +1,40 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "process/status.h"
+
+/* A wrapped message must keep the cause and never overflow its buffer. */
+START_TEST(wrap_keeps_cause)
+{
+	struct status st;
+	char longest[2 * ST_MESSAGE_MAX];
+
+	st_set(&st, ST_TIMEOUT, "no reply in %d ms", 5);
+	ck_assert_int_eq(
+	    st_wrap(&st, ST_UNAVAILABLE, "store read"), ST_UNAVAILABLE);
+	ck_assert_str_eq(st.message, "store read: no reply in 5 ms");
+	memset(longest, 'x', sizeof(longest) - 1);
+	longest[sizeof(longest) - 1] = '\0';
+	st_wrap(&st, ST_INTERNAL, "%s", longest);
+	st_wrap(&st, ST_INTERNAL, "%s", longest);
+	ck_assert_uint_lt(strlen(st.message), ST_MESSAGE_MAX);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("status");
+	TCase *tc = tcase_create("status");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_test(tc, wrap_keeps_cause);
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
