--- a/src/version/config.h
+++ b/src/version/config.h
@@ -34,6 +34,38 @@
 	uint64_t incarnation;
 };
 
+struct cfg_out {
+	enum cfg_kind kind;
+	const char *name;
+};
+
+struct cfg_domain {
+	const char *name;
+	const char *region; /* empty: not given */
+	bool entries;	    /* holds entries, so it has a voter */
+};
+
+struct cfg_voter_set {
+	const struct cfg_voter *voters;
+	size_t n;
+};
+
+/* What cfg_write() turns into a stored document. */
+struct cfg_parts {
+	uint64_t version;
+	const char *change_id;
+	const char *text;
+	const struct cfg_out *outs;
+	size_t n_outs;
+	const struct cfg_voter_set *voter_sets;
+	size_t n_voter_sets;
+};
+
+/* The document as JSON; the caller frees it with g_free(). */
+char *cfg_write(const struct cfg_parts *parts);
+const char *cfg_kind_name(enum cfg_kind kind);
+bool cfg_kind_parse(const char *name, enum cfg_kind *kind);
+
 /* Parses a document as stored; NULL on error. */
 struct cfg *cfg_parse(const char *document, size_t len, struct status *st);
 /* Checks an operators' text; name is used in the message. */
@@ -51,6 +83,8 @@
 const struct cfg_service *cfg_services(const struct cfg *cfg, size_t *n);
 const struct cfg_service *cfg_service(const struct cfg *cfg, const char *name);
 const struct cfg_team *cfg_team(const struct cfg *cfg, const char *name);
+const struct cfg_domain *cfg_domains(const struct cfg *cfg, size_t *n);
+const struct cfg_out *cfg_outs(const struct cfg *cfg, size_t *n);
 size_t cfg_voter_sets(const struct cfg *cfg);
 const struct cfg_voter *cfg_voters(
     const struct cfg *cfg, size_t set, size_t *n);
--- /dev/null
+++ b/src/version/reader.h
@@ -0,0 +1,35 @@
+#ifndef SP_READER_H
+#define SP_READER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "fresh.h"
+#include "store.h"
+
+/* Poller of the configuration key; feeds a struct fresh. */
+struct rdr;
+
+typedef void (*rdr_done_fn)(const struct status *st, void *ctx);
+
+struct rdr_options {
+	struct store *store; /* both must outlive the reader */
+	struct fresh *fresh;
+	int64_t poll_ms;
+};
+
+struct rdr *rdr_new(const struct rdr_options *opts);
+void rdr_free(struct rdr *rdr);
+
+/* Reads outside the schedule; fn runs once with the outcome. */
+void rdr_read(struct rdr *rdr, rdr_done_fn fn, void *ctx);
+/* No done callback with this ctx runs any more. */
+void rdr_cancel(struct rdr *rdr, const void *ctx);
+/* Mod revision of the document held from the store; 0: no document. */
+int64_t rdr_mod_revision(const struct rdr *rdr);
+/* Version of that document; 0: none. */
+uint64_t rdr_version(const struct rdr *rdr);
+/* Time since the last answered read was sent; -1: never. */
+int64_t rdr_store_age_ms(const struct rdr *rdr, int64_t now_ms);
+
+#endif
