--- /dev/null
+++ b/src/request/place.c
@@ -0,0 +1,530 @@
+#include <glib.h>
+#include <math.h>
+#include <string.h>
+
+#include "place.h"
+
+/* Used until the first task of a service has been measured or declared. */
+#define DEFAULT_RUN_US 200000.0
+/*
+ * Weight of a new sample.  Run times vary by about their own mean, so 1/64
+ * leaves an error of about a tenth in a speed.
+ */
+#define SAMPLE_WEIGHT (1.0 / 64)
+/* A worker's speed counts half as much as the mean with this many samples. */
+#define PRIOR_SAMPLES 4.0
+/* Slots that a returned worker may use before its first task finishes. */
+#define RAMP_START 1U
+
+struct mean {
+	double value;
+	uint64_t samples;
+};
+
+struct service {
+	char *name;
+	GPtrArray *workers; /* struct worker, borrowed */
+	struct mean run_us;
+	struct mean log_run; /* natural logarithm of the run time in us */
+};
+
+struct worker {
+	uint32_t id;
+	bool local;
+	bool usable;
+	bool draining;
+	bool ramping;
+	uint32_t ramp_limit;
+	uint32_t slots;
+	uint32_t cores;
+	uint64_t memory_mb;
+	uint32_t reported; /* busy and queued in the last report */
+	uint32_t unseen;   /* own dispatches that the report left out */
+	uint32_t own;	   /* own dispatches that have not finished */
+	int64_t report_ms;
+	struct mean log_run;
+	struct service *service;
+};
+
+struct place {
+	enum place_policy policy;
+	char *failure_domain;
+	uint32_t ahead;
+	bool prefer_local;
+	bool ramp;
+	uint64_t random;
+	uint32_t next_id;
+	GHashTable *services; /* name to struct service */
+	GHashTable *workers;  /* id to struct worker */
+};
+
+static void
+mean_add(struct mean *mean, double value)
+{
+	double weight;
+
+	mean->samples++;
+	weight = MAX(1.0 / (double)mean->samples, SAMPLE_WEIGHT);
+	mean->value += weight * (value - mean->value);
+}
+
+static uint32_t
+random_below(struct place *place, uint32_t n)
+{
+	place->random ^= place->random << 13;
+	place->random ^= place->random >> 7;
+	place->random ^= place->random << 17;
+	return (uint32_t)((place->random >> 32) % n);
+}
+
+static void
+service_free(gpointer data)
+{
+	struct service *service = data;
+
+	g_ptr_array_unref(service->workers);
+	g_free(service->name);
+	g_free(service);
+}
+
+static struct service *
+find_service(const struct place *place, const char *name)
+{
+	return g_hash_table_lookup(place->services, name);
+}
+
+static struct worker *
+find_worker(const struct place *place, uint32_t id)
+{
+	return g_hash_table_lookup(place->workers, GUINT_TO_POINTER(id));
+}
+
+static struct service *
+make_service(struct place *place, const char *name)
+{
+	struct service *service = find_service(place, name);
+
+	if (service != NULL)
+		return service;
+	service = g_new0(struct service, 1);
+	service->name = g_strdup(name);
+	service->workers = g_ptr_array_new();
+	g_hash_table_insert(place->services, service->name, service);
+	return service;
+}
+
+static uint32_t
+load_of(const struct worker *w)
+{
+	return MAX(w->own, w->reported + w->unseen);
+}
+
+static uint32_t
+limit_of(const struct place *place, const struct worker *w)
+{
+	uint32_t limit = w->slots + place->ahead;
+
+	return w->ramping ? MIN(limit, w->ramp_limit) : limit;
+}
+
+static bool
+fits(const struct worker *w, const struct place_task *task)
+{
+	return task->cores <= w->cores && task->memory_mb <= w->memory_mb;
+}
+
+static bool
+is_live(const struct worker *w)
+{
+	return w->usable && !w->draining && w->slots > 0;
+}
+
+static bool
+has_room(const struct place *place, const struct worker *w)
+{
+	return is_live(w) && load_of(w) < limit_of(place, w);
+}
+
+static double
+service_run_us(const struct service *service, const struct place_task *task)
+{
+	if (service->run_us.samples > 0)
+		return service->run_us.value;
+	if (task != NULL && task->declared_ms > 0)
+		return (double)task->declared_ms * 1000;
+	return DEFAULT_RUN_US;
+}
+
+/* Run time of the worker relative to the mean of its service. */
+static double
+slowness(const struct worker *w)
+{
+	double n = (double)w->log_run.samples;
+
+	return exp((w->log_run.value - w->service->log_run.value) * n /
+		   (n + PRIOR_SAMPLES));
+}
+
+static double
+worker_run_us(const struct worker *w, const struct place_task *task)
+{
+	return service_run_us(w->service, task) * slowness(w);
+}
+
+static double
+expected_finish_us(const struct worker *w, const struct place_task *task)
+{
+	double run_us = worker_run_us(w, task);
+	uint32_t load = load_of(w);
+
+	if (load < w->slots)
+		return run_us;
+	return run_us + run_us * (load - w->slots + 1) / w->slots;
+}
+
+/* Smaller is better; compared only within one choice. */
+static double
+cost_of(const struct place *place, const struct worker *w,
+    const struct place_task *task)
+{
+	switch (place->policy) {
+	case PLACE_RANDOM:
+		return 0;
+	case PLACE_LEAST_OUTSTANDING:
+	case PLACE_TWO_CHOICES:
+		return (double)load_of(w) / w->slots;
+	case PLACE_LEAST_WAIT:
+		break;
+	}
+	return expected_finish_us(w, task);
+}
+
+/* Workers that can take the task now; only local ones when asked for. */
+static GPtrArray *
+candidates(const struct place *place, const struct service *service,
+    const struct place_task *task, bool local_only)
+{
+	GPtrArray *found = g_ptr_array_sized_new(service->workers->len);
+	guint i;
+
+	for (i = 0; i < service->workers->len; i++) {
+		struct worker *w = service->workers->pdata[i];
+
+		if (has_room(place, w) && fits(w, task) &&
+		    (!local_only || (w->local && load_of(w) < w->slots)))
+			g_ptr_array_add(found, w);
+	}
+	return found;
+}
+
+static struct worker *
+take_random(struct place *place, GPtrArray *from)
+{
+	return g_ptr_array_remove_index_fast(
+	    from, random_below(place, from->len));
+}
+
+/* The cheapest of a random sample; equal costs are decided by the order. */
+static struct worker *
+cheapest(struct place *place, GPtrArray *from, guint sample,
+    const struct place_task *task)
+{
+	struct worker *best = take_random(place, from);
+	double best_cost = cost_of(place, best, task);
+
+	while (--sample > 0 && from->len > 0) {
+		struct worker *w = take_random(place, from);
+		double cost = cost_of(place, w, task);
+
+		if (cost < best_cost) {
+			best = w;
+			best_cost = cost;
+		}
+	}
+	return best;
+}
+
+static guint
+sample_size(const struct place *place, const GPtrArray *from)
+{
+	switch (place->policy) {
+	case PLACE_RANDOM:
+		return 1;
+	case PLACE_TWO_CHOICES:
+		return 2;
+	case PLACE_LEAST_OUTSTANDING:
+	case PLACE_LEAST_WAIT:
+		break;
+	}
+	return from->len;
+}
+
+/* Reads the name of a policy as the settings write it. */
+bool
+place_policy_parse(const char *name, enum place_policy *policy)
+{
+	static const char *const names[] = {[PLACE_RANDOM] = "random",
+	    [PLACE_LEAST_OUTSTANDING] = "least_outstanding",
+	    [PLACE_TWO_CHOICES] = "two_choices",
+	    [PLACE_LEAST_WAIT] = "least_wait"};
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(names); i++) {
+		if (strcmp(name, names[i]) == 0) {
+			*policy = (enum place_policy)i;
+			return true;
+		}
+	}
+	return false;
+}
+
+/* Makes an empty set of workers. */
+struct place *
+place_new(const struct place_options *opts)
+{
+	struct place *place = g_new0(struct place, 1);
+
+	place->policy = opts->policy;
+	place->failure_domain = g_strdup(opts->failure_domain);
+	place->ahead = opts->ahead;
+	place->prefer_local = opts->prefer_local;
+	place->ramp = opts->ramp;
+	/* An odd multiplier spreads small seeds; the state must not be 0. */
+	place->random = (opts->seed + 1ULL) * 0x9e3779b97f4a7c15ULL;
+	place->services =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, service_free);
+	place->workers =
+	    g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
+	return place;
+}
+
+void
+place_free(struct place *place)
+{
+	if (place == NULL)
+		return;
+	g_hash_table_unref(place->workers);
+	g_hash_table_unref(place->services);
+	g_free(place->failure_domain);
+	g_free(place);
+}
+
+/*
+ * Adds a usable worker.  It counts as returned, and is ramped when the
+ * options say so, if tasks of its service have been measured elsewhere.
+ */
+uint32_t
+place_add(
+    struct place *place, const struct place_worker *worker, int64_t now_ms)
+{
+	struct worker *w = g_new0(struct worker, 1);
+
+	w->id = place->next_id++;
+	w->local =
+	    g_strcmp0(worker->failure_domain, place->failure_domain) == 0;
+	w->usable = true;
+	w->slots = worker->slots;
+	w->cores = worker->cores;
+	w->memory_mb = worker->memory_mb;
+	w->report_ms = now_ms - 1;
+	w->service = make_service(place, worker->service);
+	w->ramping = place->ramp && w->service->run_us.samples > 0;
+	w->ramp_limit = RAMP_START;
+	g_ptr_array_add(w->service->workers, w);
+	g_hash_table_insert(place->workers, GUINT_TO_POINTER(w->id), w);
+	return w->id;
+}
+
+/* Forgets a worker.  An id that is no longer known is ignored everywhere. */
+void
+place_remove(struct place *place, uint32_t id)
+{
+	struct worker *w = find_worker(place, id);
+
+	if (w == NULL)
+		return;
+	g_ptr_array_remove(w->service->workers, w);
+	g_hash_table_remove(place->workers, GUINT_TO_POINTER(id));
+}
+
+/*
+ * Takes the load that a worker reported.  outstanding counts this entry's
+ * dispatches that are not yet in that load.
+ */
+void
+place_report(struct place *place, uint32_t id, const struct place_load *load,
+    uint32_t outstanding, int64_t now_ms)
+{
+	struct worker *w = find_worker(place, id);
+
+	if (w == NULL)
+		return;
+	w->slots = load->slots;
+	w->reported = load->busy + load->queued;
+	w->unseen = outstanding;
+	w->draining = load->draining;
+	w->report_ms = now_ms;
+}
+
+void
+place_set_usable(struct place *place, uint32_t id, bool usable)
+{
+	struct worker *w = find_worker(place, id);
+
+	if (w != NULL)
+		w->usable = usable;
+}
+
+/*
+ * Returns the worker that the policy prefers among those with room.  The
+ * caller reports the dispatch with place_dispatched().
+ */
+uint32_t
+place_choose(struct place *place, const struct place_task *task, int64_t now_ms)
+{
+	const struct service *service = find_service(place, task->service);
+	GPtrArray *from = NULL;
+	uint32_t id = PLACE_NONE;
+
+	(void)now_ms;
+	if (service == NULL)
+		return PLACE_NONE;
+	if (place->prefer_local) {
+		from = candidates(place, service, task, true);
+		if (from->len == 0)
+			g_clear_pointer(&from, g_ptr_array_unref);
+	}
+	if (from == NULL)
+		from = candidates(place, service, task, false);
+	if (from->len > 0)
+		id = cheapest(place, from, sample_size(place, from), task)->id;
+	g_ptr_array_unref(from);
+	return id;
+}
+
+bool
+place_can_ever_run(const struct place *place, const struct place_task *task)
+{
+	const struct service *service = find_service(place, task->service);
+	guint i;
+
+	for (i = 0; service != NULL && i < service->workers->len; i++) {
+		if (fits(service->workers->pdata[i], task))
+			return true;
+	}
+	return false;
+}
+
+void
+place_dispatched(struct place *place, uint32_t id,
+    const struct place_task *task, int64_t now_ms)
+{
+	struct worker *w = find_worker(place, id);
+
+	(void)task;
+	(void)now_ms;
+	if (w == NULL)
+		return;
+	w->own++;
+	w->unseen++;
+}
+
+/* A failure counts as a run only when it took longer than the mean. */
+static void
+measure(struct worker *w, enum place_outcome outcome, int64_t run_us)
+{
+	double log_run = log((double)MAX(run_us, 1));
+
+	if (outcome == PLACE_FAILED &&
+	    (w->log_run.samples == 0 || log_run < w->log_run.value))
+		return;
+	mean_add(&w->log_run, log_run);
+	mean_add(&w->service->log_run, log_run);
+	mean_add(&w->service->run_us, (double)run_us);
+}
+
+/*
+ * Takes the end of a dispatch.  run_us is the run time at the worker.  The
+ * load falls by one, except when a report at the same now_ms already left
+ * the task out, so results and load of one message may come in either order.
+ */
+void
+place_finished(struct place *place, uint32_t id, const struct place_task *task,
+    enum place_outcome outcome, int64_t run_us, int64_t now_ms)
+{
+	struct worker *w = find_worker(place, id);
+
+	(void)task;
+	if (w == NULL)
+		return;
+	if (w->own > 0)
+		w->own--;
+	if (w->report_ms != now_ms) {
+		if (w->reported > 0)
+			w->reported--;
+		else if (w->unseen > 0)
+			w->unseen--;
+	}
+	if (outcome == PLACE_NOT_STARTED)
+		return;
+	measure(w, outcome, run_us);
+	if (outcome == PLACE_OK && ++w->ramp_limit > w->slots + place->ahead)
+		w->ramping = false;
+}
+
+/*
+ * Returns the time until a task behind "waiting" others would start, from
+ * the measured rate of all usable workers.
+ */
+int64_t
+place_expected_wait_ms(const struct place *place, const char *service_name,
+    uint32_t waiting, int64_t now_ms)
+{
+	const struct service *service = find_service(place, service_name);
+	double rate = 0;
+	double excess = waiting;
+	guint i;
+
+	(void)now_ms;
+	for (i = 0; service != NULL && i < service->workers->len; i++) {
+		const struct worker *w = service->workers->pdata[i];
+
+		if (!is_live(w))
+			continue;
+		rate += w->slots / worker_run_us(w, NULL);
+		excess += (double)load_of(w) - w->slots;
+	}
+	if (rate <= 0)
+		return -1;
+	return excess < 0 ? 0 : llround((excess + 1) / rate / 1000);
+}
+
+uint32_t
+place_free_slots(const struct place *place, const char *service_name)
+{
+	const struct service *service = find_service(place, service_name);
+	uint32_t slots = 0;
+	guint i;
+
+	for (i = 0; service != NULL && i < service->workers->len; i++) {
+		const struct worker *w = service->workers->pdata[i];
+
+		if (is_live(w) && load_of(w) < w->slots)
+			slots += w->slots - load_of(w);
+	}
+	return slots;
+}
+
+/* Whether the service has a worker that may get work. */
+bool
+place_has_live(const struct place *place, const char *service_name)
+{
+	const struct service *service = find_service(place, service_name);
+	guint i;
+
+	for (i = 0; service != NULL && i < service->workers->len; i++) {
+		if (is_live(service->workers->pdata[i]))
+			return true;
+	}
+	return false;
+}
