--- a/src/connection/rpc.c
+++ b/src/connection/rpc.c
@@ -153,6 +153,19 @@
 	conn->opts.on_closed = NULL;
 }
 
+/*
+ * Replaces the callbacks and their context, once the first call has shown
+ * who the peer is.
+ */
+void
+rpc_set_owner(struct rpc_conn *conn, rpc_call_fn on_call,
+    rpc_closed_fn on_closed, void *ctx)
+{
+	conn->opts.on_call = on_call;
+	conn->opts.on_closed = on_closed;
+	conn->opts.ctx = ctx;
+}
+
 /* Reports whether the connection can still send. */
 bool
 rpc_is_open(const struct rpc_conn *conn)
@@ -184,6 +197,8 @@
 	    .args = xdrs,
 	};
 
+	if (conn->opts.prog == 0)
+		conn->opts.prog = call.prog;
 	if (call.prog != conn->opts.prog ||
 	    msg->rm_call.cb_vers != RPC_PROGRAM_VERSION) {
 		rpc_close(conn, ST_INVALID, "call for another program");
--- a/src/connection/rpc.h
+++ b/src/connection/rpc.h
@@ -33,7 +33,7 @@
 
 struct rpc_options {
 	GSocketConnection *socket; /* a reference is taken */
-	uint32_t prog;		   /* program that this connection speaks */
+	uint32_t prog; /* program spoken here; 0: that of the first call */
 	uint32_t max_record_bytes; /* 0: 4 MB + 64 KB */
 	uint32_t max_queue_bytes;  /* unsent output; 0: 64 MB */
 	int64_t silence_ms; /* close after this without input; 0: never */
@@ -46,6 +46,9 @@
 struct rpc_conn *rpc_ref(struct rpc_conn *conn);
 void rpc_unref(struct rpc_conn *conn);
 void rpc_close(struct rpc_conn *conn, enum st_code code, const char *why);
+/* Hands an open connection to another owner, from within on_call too. */
+void rpc_set_owner(struct rpc_conn *conn, rpc_call_fn on_call,
+    rpc_closed_fn on_closed, void *ctx);
 /* After this no callback runs; a reply ctx stays with its owner. */
 void rpc_detach(struct rpc_conn *conn);
 bool rpc_is_open(const struct rpc_conn *conn);
--- /dev/null
+++ b/src/request/job.c
@@ -0,0 +1,702 @@
+#include <string.h>
+
+#include "request/job.h"
+
+struct waiter {
+	uint64_t number;
+	job_done_fn fn;
+	void *ctx;
+};
+
+struct job {
+	int refs;
+	struct job_table *table; /* NULL after the table is freed */
+	struct job_spec spec;	 /* strings owned by the job */
+	struct job_task *tasks;
+	uint32_t n_waiting;
+	uint32_t n_placed;
+	uint32_t cursor; /* no task before it waits */
+	enum job_state state;
+	enum job_cause cause;
+	int64_t finished_ms;
+	uint64_t answer_bytes;
+	uint64_t bytes; /* payloads and results, as counted by the table */
+	GArray *waiters;
+	uint64_t next_waiter;
+};
+
+struct job_table {
+	struct job_options opts;
+	GHashTable *jobs; /* id -> job, holds a reference */
+	GQueue finished;  /* oldest first; no reference */
+	uint32_t n_open;
+	uint64_t bytes;
+};
+
+/* Makes an empty table. */
+struct job_table *
+job_table_new(const struct job_options *opts)
+{
+	struct job_table *table = g_new0(struct job_table, 1);
+
+	table->opts = *opts;
+	table->jobs = g_hash_table_new(g_str_hash, g_str_equal);
+	g_queue_init(&table->finished);
+	return table;
+}
+
+/* Frees the table; jobs that others still refer to outlive it. */
+void
+job_table_free(struct job_table *table)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, table->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct job *job = value;
+
+		g_hash_table_iter_remove(&iter);
+		job->table = NULL;
+		job_unref(job);
+	}
+	g_hash_table_unref(table->jobs);
+	g_queue_clear(&table->finished);
+	g_free(table);
+}
+
+/* Returns the number of records. */
+uint32_t
+job_table_count(const struct job_table *table)
+{
+	return g_hash_table_size(table->jobs);
+}
+
+/* Returns the number of jobs that are not finished. */
+uint32_t
+job_table_open(const struct job_table *table)
+{
+	return table->n_open;
+}
+
+/* Returns the bytes of payloads and results held. */
+uint64_t
+job_table_bytes(const struct job_table *table)
+{
+	return table->bytes;
+}
+
+static void
+add_bytes(struct job *job, uint64_t bytes)
+{
+	job->bytes += bytes;
+	if (job->table != NULL)
+		job->table->bytes += bytes;
+}
+
+static void
+drop_bytes(struct job *job, uint64_t bytes)
+{
+	job->bytes -= bytes;
+	if (job->table != NULL)
+		job->table->bytes -= bytes;
+}
+
+static struct job_header *
+copy_headers(const struct job_header *headers, uint32_t n)
+{
+	struct job_header *copy = g_new0(struct job_header, n + 1);
+	uint32_t i;
+
+	for (i = 0; i < n; i++) {
+		copy[i].name = g_strdup(headers[i].name);
+		copy[i].value = g_strdup(headers[i].value);
+	}
+	return copy;
+}
+
+static void
+free_headers(struct job_header *headers, uint32_t n)
+{
+	uint32_t i;
+
+	for (i = 0; headers != NULL && i < n; i++) {
+		g_free(headers[i].name);
+		g_free(headers[i].value);
+	}
+	g_free(headers);
+}
+
+static void
+free_payload(struct job *job, struct job_task *task)
+{
+	if (task->spec.payload == NULL)
+		return;
+	drop_bytes(job, g_bytes_get_size(task->spec.payload));
+	g_clear_pointer(&task->spec.payload, g_bytes_unref);
+}
+
+static void
+free_result(struct job *job, struct job_task *task)
+{
+	if (task->body != NULL)
+		drop_bytes(job, g_bytes_get_size(task->body));
+	g_clear_pointer(&task->body, g_bytes_unref);
+	free_headers(task->headers, task->n_headers);
+	task->headers = NULL;
+	task->n_headers = 0;
+}
+
+/* Adds a reference. */
+struct job *
+job_ref(struct job *job)
+{
+	job->refs++;
+	return job;
+}
+
+/* Drops a reference. */
+void
+job_unref(struct job *job)
+{
+	uint32_t i;
+
+	if (--job->refs > 0)
+		return;
+	for (i = 0; i < job->spec.n_tasks; i++) {
+		free_payload(job, &job->tasks[i]);
+		free_result(job, &job->tasks[i]);
+	}
+	g_free(job->tasks);
+	free_headers(
+	    (struct job_header *)job->spec.headers, job->spec.n_headers);
+	g_free((char *)job->spec.id);
+	g_free((char *)job->spec.service);
+	g_free((char *)job->spec.team);
+	g_free((char *)job->spec.traceparent);
+	g_free((char *)job->spec.method);
+	g_free((char *)job->spec.path);
+	g_array_unref(job->waiters);
+	g_free(job);
+}
+
+/* Removes the record; the id, if it has one, is expired from now on. */
+static void
+drop_record(struct job_table *table, struct job *job)
+{
+	if (job->spec.counter != 0)
+		id_raise_low_water(table->opts.ids, job->spec.counter + 1);
+	g_hash_table_remove(table->jobs, job->spec.id);
+	table->bytes -= job->bytes;
+	job->table = NULL;
+	job_unref(job);
+}
+
+static bool
+drop_oldest(struct job_table *table)
+{
+	struct job *job = g_queue_pop_head(&table->finished);
+
+	if (job == NULL)
+		return false;
+	drop_record(table, job);
+	return true;
+}
+
+/* Drops finished records that are older than the retention time. */
+void
+job_expire(struct job_table *table, int64_t now_ms)
+{
+	struct job *job;
+
+	while ((job = g_queue_peek_head(&table->finished)) != NULL &&
+	       now_ms - job->finished_ms >= table->opts.retention_ms)
+		drop_oldest(table);
+}
+
+/* Finds the record of a job, finished or not. */
+struct job *
+job_find(struct job_table *table, const char *id)
+{
+	return g_hash_table_lookup(table->jobs, id);
+}
+
+/* Says whether an id with this body is new, known, or refused. */
+enum job_put
+job_peek(struct job_table *table, const char *id, uint64_t counter,
+    const uint8_t digest[JOB_DIGEST_BYTES])
+{
+	struct job *job = job_find(table, id);
+
+	if (job != NULL)
+		return memcmp(job->spec.digest, digest, JOB_DIGEST_BYTES) == 0
+			   ? JOB_SAME
+			   : JOB_CONFLICT;
+	if (counter != 0 && counter < id_low_water(table->opts.ids))
+		return JOB_EXPIRED;
+	return JOB_CREATED;
+}
+
+static uint64_t
+spec_bytes(const struct job_spec *spec)
+{
+	uint64_t bytes = 0;
+	uint32_t i;
+
+	for (i = 0; i < spec->n_tasks; i++)
+		bytes += g_bytes_get_size(spec->tasks[i].payload);
+	return bytes;
+}
+
+static struct job *
+new_job(struct job_table *table, const struct job_spec *spec)
+{
+	struct job *job = g_new0(struct job, 1);
+	uint32_t i;
+
+	job->refs = 1;
+	job->table = table;
+	job->spec = *spec;
+	job->spec.id = g_strdup(spec->id);
+	job->spec.service = g_strdup(spec->service);
+	job->spec.team = g_strdup(spec->team);
+	job->spec.traceparent = g_strdup(spec->traceparent);
+	job->spec.method = g_strdup(spec->method);
+	job->spec.path = g_strdup(spec->path);
+	job->spec.headers = copy_headers(spec->headers, spec->n_headers);
+	job->spec.tasks = NULL;
+	job->tasks = g_new0(struct job_task, spec->n_tasks);
+	for (i = 0; i < spec->n_tasks; i++) {
+		job->tasks[i].spec = spec->tasks[i];
+		g_bytes_ref(job->tasks[i].spec.payload);
+	}
+	job->n_waiting = spec->n_tasks;
+	job->waiters = g_array_new(FALSE, FALSE, sizeof(struct waiter));
+	job->next_waiter = 1;
+	return job;
+}
+
+/*
+ * Creates the job, or finds the one with the same id.  A second body for an
+ * id is a conflict, so an id never stands for two submissions.
+ */
+enum job_put
+job_put(struct job_table *table, const struct job_spec *spec, struct job **job)
+{
+	enum job_put put;
+	uint64_t bytes;
+
+	put = job_peek(table, spec->id, spec->counter, spec->digest);
+	*job = put == JOB_SAME ? job_find(table, spec->id) : NULL;
+	if (put != JOB_CREATED)
+		return put;
+	bytes = spec_bytes(spec);
+	while (job_table_count(table) >= table->opts.max_jobs ||
+	       table->bytes + bytes > table->opts.max_bytes) {
+		if (!drop_oldest(table))
+			return JOB_FULL;
+	}
+	/* Dropping records may have raised the mark past this id. */
+	if (spec->counter != 0 && spec->counter < id_low_water(table->opts.ids))
+		return JOB_EXPIRED;
+	*job = new_job(table, spec);
+	add_bytes(*job, bytes);
+	g_hash_table_insert(table->jobs, (char *)(*job)->spec.id, *job);
+	table->n_open++;
+	return JOB_CREATED;
+}
+
+/* Returns the submission id, owned by the job. */
+const char *
+job_id(const struct job *job)
+{
+	return job->spec.id;
+}
+
+/* Returns the service, owned by the job. */
+const char *
+job_service(const struct job *job)
+{
+	return job->spec.service;
+}
+
+/* Returns the team, owned by the job. */
+const char *
+job_team(const struct job *job)
+{
+	return job->spec.team;
+}
+
+/* Returns what was asked for, without the tasks. */
+const struct job_spec *
+job_request(const struct job *job)
+{
+	return &job->spec;
+}
+
+/* Returns the state. */
+enum job_state
+job_state(const struct job *job)
+{
+	return job->state;
+}
+
+/* Reports whether the answer is final. */
+bool
+job_is_finished(const struct job *job)
+{
+	return job->state == JOB_COMPLETE || job->state == JOB_FAILED;
+}
+
+/* Returns why the job fails or failed. */
+enum job_cause
+job_cause(const struct job *job)
+{
+	return job->cause;
+}
+
+/* Returns the error code of a cause as callers see it. */
+const char *
+job_cause_name(enum job_cause cause)
+{
+	switch (cause) {
+	case JOB_CAUSE_NONE:
+		break;
+	case JOB_CAUSE_TASK_FAILED:
+		return "task_failed";
+	case JOB_CAUSE_TASK_UNKNOWN:
+		return "task_unknown";
+	case JOB_CAUSE_DEADLINE:
+		return "deadline";
+	case JOB_CAUSE_CANCELLED:
+		return "cancelled";
+	case JOB_CAUSE_ANSWER_TOO_LARGE:
+		return "answer_too_large";
+	}
+	return "none";
+}
+
+/*
+ * Returns what is known about the execution of a failed job: not run only
+ * when every task is proved not to have started.
+ */
+enum job_ran
+job_ran(const struct job *job)
+{
+	enum job_ran ran = JOB_RAN_NOT;
+	uint32_t i;
+
+	for (i = 0; i < job->spec.n_tasks; i++) {
+		switch (job->tasks[i].state) {
+		case JOB_TASK_PLACED:
+		case JOB_TASK_UNKNOWN:
+			return JOB_RAN_UNKNOWN;
+		case JOB_TASK_DONE:
+		case JOB_TASK_FAILED:
+			ran = JOB_RAN_FAILED;
+			break;
+		case JOB_TASK_WAITING:
+		case JOB_TASK_NOT_RUN:
+			break;
+		}
+	}
+	return ran;
+}
+
+/* Returns the name of what is known, as callers see it. */
+const char *
+job_ran_name(enum job_ran ran)
+{
+	switch (ran) {
+	case JOB_RAN_NOT:
+		return "not_run";
+	case JOB_RAN_FAILED:
+		return "failed";
+	case JOB_RAN_UNKNOWN:
+		break;
+	}
+	return "unknown";
+}
+
+/* Returns the number of tasks. */
+uint32_t
+job_n_tasks(const struct job *job)
+{
+	return job->spec.n_tasks;
+}
+
+/* Returns a task, owned by the job. */
+const struct job_task *
+job_task(const struct job *job, uint32_t index)
+{
+	return &job->tasks[index];
+}
+
+/* Returns the number of tasks that wait at the entry. */
+uint32_t
+job_n_waiting(const struct job *job)
+{
+	return job->n_waiting;
+}
+
+/* Returns the number of tasks whose start has no outcome yet. */
+uint32_t
+job_n_placed(const struct job *job)
+{
+	return job->n_placed;
+}
+
+/* Returns the index of the first waiting task. */
+uint32_t
+job_next_waiting(struct job *job)
+{
+	if (job->n_waiting == 0)
+		return JOB_NO_TASK;
+	while (job->tasks[job->cursor].state != JOB_TASK_WAITING)
+		job->cursor++;
+	return job->cursor;
+}
+
+/* Notes that a waiting task was sent to an agent under seq. */
+void
+job_placed(struct job *job, uint32_t index, uint64_t seq)
+{
+	struct job_task *task = &job->tasks[index];
+
+	g_return_if_fail(task->state == JOB_TASK_WAITING);
+	task->state = JOB_TASK_PLACED;
+	task->seq = seq;
+	task->attempts++;
+	job->n_waiting--;
+	job->n_placed++;
+}
+
+static void
+tell_waiters(struct job *job)
+{
+	struct waiter w;
+
+	/* A callback may remove other waiters. */
+	while (job->waiters->len > 0) {
+		w = g_array_index(job->waiters, struct waiter, 0);
+		g_array_remove_index(job->waiters, 0);
+		w.fn(job, w.ctx);
+	}
+}
+
+static void
+finish(struct job *job, enum job_state state, int64_t now_ms)
+{
+	struct job_table *table = job->table;
+	uint32_t i;
+
+	job_ref(job);
+	job->state = state;
+	job->finished_ms = now_ms;
+	for (i = 0; i < job->spec.n_tasks; i++) {
+		free_payload(job, &job->tasks[i]);
+		/* A failed job answers without results, never with some. */
+		if (state == JOB_FAILED && job->spec.method == NULL)
+			free_result(job, &job->tasks[i]);
+	}
+	if (table != NULL) {
+		table->n_open--;
+		if (job->spec.counter == 0)
+			drop_record(table, job);
+		else
+			g_queue_push_tail(&table->finished, job);
+	}
+	tell_waiters(job);
+	/* Results grow after admission, so the bound is restored here. */
+	if (table != NULL && table->bytes > table->opts.max_bytes &&
+	    g_queue_peek_head(&table->finished) != job)
+		drop_oldest(table);
+	job_unref(job);
+}
+
+static void
+check_finished(struct job *job, int64_t now_ms)
+{
+	if (job_is_finished(job) || job->n_placed > 0)
+		return;
+	if (job->state == JOB_FAILING)
+		finish(job, JOB_FAILED, now_ms);
+	else if (job->n_waiting == 0)
+		finish(job, JOB_COMPLETE, now_ms);
+}
+
+/*
+ * Makes the job fail as a whole.  Tasks that wait will not run; the job ends
+ * when every start in progress has an outcome, or by job_give_up().
+ */
+void
+job_fail(struct job *job, enum job_cause cause, int64_t now_ms)
+{
+	uint32_t i;
+
+	if (job->state != JOB_RUNNING)
+		return;
+	job->state = JOB_FAILING;
+	job->cause = cause;
+	for (i = 0; i < job->spec.n_tasks; i++) {
+		if (job->tasks[i].state == JOB_TASK_WAITING)
+			job->tasks[i].state = JOB_TASK_NOT_RUN;
+	}
+	job->n_waiting = 0;
+	check_finished(job, now_ms);
+}
+
+/* Ends a failing job without waiting longer for outcomes. */
+void
+job_give_up(struct job *job, int64_t now_ms)
+{
+	uint32_t i;
+
+	if (job->state != JOB_FAILING)
+		return;
+	for (i = 0; i < job->spec.n_tasks; i++) {
+		if (job->tasks[i].state == JOB_TASK_PLACED)
+			job->tasks[i].state = JOB_TASK_UNKNOWN;
+	}
+	job->n_placed = 0;
+	finish(job, JOB_FAILED, now_ms);
+}
+
+/* Returns the task if seq is its start in progress, else NULL. */
+static struct job_task *
+placed_task(struct job *job, uint32_t index, uint64_t seq)
+{
+	struct job_task *task;
+
+	if (index >= job->spec.n_tasks || job_is_finished(job))
+		return NULL;
+	task = &job->tasks[index];
+	return task->state == JOB_TASK_PLACED && task->seq == seq ? task : NULL;
+}
+
+static void
+wait_again(struct job *job, uint32_t index)
+{
+	job->tasks[index].state = JOB_TASK_WAITING;
+	job->n_waiting++;
+	job->cursor = MIN(job->cursor, index);
+}
+
+/* Notes that a start is proved not to have happened; the task waits again. */
+bool
+job_not_started(struct job *job, uint32_t index, uint64_t seq, int64_t now_ms)
+{
+	struct job_task *task = placed_task(job, index, seq);
+
+	if (task == NULL)
+		return false;
+	job->n_placed--;
+	if (job->state == JOB_FAILING)
+		task->state = JOB_TASK_NOT_RUN;
+	else
+		wait_again(job, index);
+	check_finished(job, now_ms);
+	return true;
+}
+
+/* Lets a task whose start has an unknown outcome wait for a second start. */
+bool
+job_retry(struct job *job, uint32_t index, uint64_t seq)
+{
+	if (job->state != JOB_RUNNING || placed_task(job, index, seq) == NULL)
+		return false;
+	job->n_placed--;
+	wait_again(job, index);
+	return true;
+}
+
+/* Notes a start whose outcome can't be known; the job fails. */
+bool
+job_unknown(struct job *job, uint32_t index, uint64_t seq, int64_t now_ms)
+{
+	struct job_task *task = placed_task(job, index, seq);
+
+	if (task == NULL)
+		return false;
+	job->n_placed--;
+	task->state = JOB_TASK_UNKNOWN;
+	if (job->state == JOB_RUNNING)
+		job_fail(job, JOB_CAUSE_TASK_UNKNOWN, now_ms);
+	else
+		check_finished(job, now_ms);
+	return true;
+}
+
+static bool
+is_success(const struct job *job, uint32_t status)
+{
+	/* A passed-through request returns the endpoint's own status. */
+	return job->spec.method != NULL || (status >= 200 && status < 300);
+}
+
+static void
+keep_result(
+    struct job *job, struct job_task *task, const struct job_result *result)
+{
+	task->body = g_bytes_new(result->body, result->body_len);
+	task->headers = copy_headers(result->headers, result->n_headers);
+	task->n_headers = result->n_headers;
+	add_bytes(job, result->body_len);
+	job->answer_bytes += result->body_len;
+}
+
+/* Stores the answer of a task; a failed task makes the job fail. */
+bool
+job_done(struct job *job, uint32_t index, uint64_t seq,
+    const struct job_result *result, int64_t now_ms)
+{
+	struct job_task *task = placed_task(job, index, seq);
+	bool fits = true;
+
+	if (task == NULL)
+		return false;
+	job->n_placed--;
+	task->status = result->status;
+	task->state =
+	    is_success(job, result->status) ? JOB_TASK_DONE : JOB_TASK_FAILED;
+	if (job->table != NULL)
+		fits = job->answer_bytes + result->body_len <=
+		       job->table->opts.max_answer_bytes;
+	if (job->state == JOB_RUNNING && fits)
+		keep_result(job, task, result);
+	if (task->state == JOB_TASK_FAILED)
+		job_fail(job, JOB_CAUSE_TASK_FAILED, now_ms);
+	else if (!fits)
+		job_fail(job, JOB_CAUSE_ANSWER_TOO_LARGE, now_ms);
+	check_finished(job, now_ms);
+	return true;
+}
+
+/* Registers a callback for the end of the job; returns its number. */
+uint64_t
+job_wait(struct job *job, job_done_fn fn, void *ctx)
+{
+	struct waiter waiter = {.fn = fn, .ctx = ctx};
+
+	if (job_is_finished(job) || job->table == NULL ||
+	    job->waiters->len >= job->table->opts.max_waiters)
+		return 0;
+	waiter.number = job->next_waiter++;
+	g_array_append_val(job->waiters, waiter);
+	return waiter.number;
+}
+
+/* Removes a callback that has not run yet. */
+void
+job_unwait(struct job *job, uint64_t waiter)
+{
+	guint i;
+
+	for (i = 0; i < job->waiters->len; i++) {
+		if (g_array_index(job->waiters, struct waiter, i).number ==
+		    waiter) {
+			g_array_remove_index(job->waiters, i);
+			return;
+		}
+	}
+}
