Add admission, the job interface, and the callers' HTTP

Needed for the entry daemon. Every refusal has a typed code with what is known about the execution; job requests are separate from HTTP so that another entry can forward them.

Compiled; not run yet.

--- /dev/null
+++ b/src/request/callers.c
@@ -0,0 +1,323 @@
+#include <string.h>
+
+#include "request/callers.h"
+#include "request/http_reply.h"
+
+#define JOBS_PREFIX "/v1/jobs/"
+#define REQUEST_KEY "sequoiaplank-request"
+
+struct http {
+	struct http_options opts;
+	SoupServer *server;
+	uint32_t in_progress;
+	int64_t *requests;
+	int64_t *refused;
+	int64_t *gauge;
+};
+
+/* Bookkeeping of one request, from its headers to its answer. */
+struct request {
+	struct http *http;
+	uint64_t received; /* bytes of the body */
+	enum ref_code refusal;
+	struct api_call *call;
+	SoupServerMessage *paused; /* holds a reference */
+};
+
+static void
+on_finished(SoupServerMessage *msg, gpointer data)
+{
+	struct request *req = data;
+
+	if (req->call != NULL)
+		api_cancel(req->call);
+	req->http->in_progress--;
+	*req->http->gauge = req->http->in_progress;
+	if (soup_server_message_get_status(msg) >= 400)
+		(*req->http->refused)++;
+	g_signal_handlers_disconnect_by_data(msg, req);
+	g_clear_object(&req->paused);
+	g_free(req);
+}
+
+/* Stops storing a body that will be refused. */
+static void
+refuse_body(SoupServerMessage *msg, struct request *req, enum ref_code refusal)
+{
+	SoupMessageBody *body = soup_server_message_get_request_body(msg);
+
+	req->refusal = refusal;
+	soup_message_body_set_accumulate(body, FALSE);
+	soup_message_body_truncate(body);
+	soup_message_headers_replace(
+	    soup_server_message_get_response_headers(msg), "Connection",
+	    "close");
+}
+
+static void
+on_chunk(SoupServerMessage *msg, GBytes *chunk, gpointer data)
+{
+	struct request *req = data;
+
+	req->received += g_bytes_get_size(chunk);
+	if (req->refusal == REF_NONE &&
+	    req->received > req->http->opts.max_body_bytes)
+		refuse_body(msg, req, REF_TOO_LARGE);
+}
+
+static void
+check_length(struct http *http, SoupServerMessage *msg, struct request *req)
+{
+	SoupMessageHeaders *headers =
+	    soup_server_message_get_request_headers(msg);
+
+	if (http->in_progress > http->opts.max_requests)
+		refuse_body(msg, req, REF_OVERLOADED);
+	else if (soup_message_headers_get_encoding(headers) ==
+		     SOUP_ENCODING_CONTENT_LENGTH &&
+		 (uint64_t)soup_message_headers_get_content_length(headers) >
+		     http->opts.max_body_bytes)
+		refuse_body(msg, req, REF_TOO_LARGE);
+}
+
+/* Runs when the headers are there, before any of the body is stored. */
+static void
+on_headers(SoupServer *server, SoupServerMessage *msg, const char *path,
+    GHashTable *query, gpointer data)
+{
+	struct http *http = data;
+	struct request *req = g_new0(struct request, 1);
+
+	(void)server;
+	(void)path;
+	(void)query;
+	req->http = http;
+	http->in_progress++;
+	*http->gauge = http->in_progress;
+	(*http->requests)++;
+	g_object_set_data(G_OBJECT(msg), REQUEST_KEY, req);
+	g_signal_connect(msg, "got-chunk", G_CALLBACK(on_chunk), req);
+	g_signal_connect(msg, "finished", G_CALLBACK(on_finished), req);
+	check_length(http, msg, req);
+}
+
+static void
+on_answer(uint32_t status, const char *body, size_t len, void *ctx)
+{
+	SoupServerMessage *msg = ctx;
+	struct request *req = g_object_get_data(G_OBJECT(msg), REQUEST_KEY);
+
+	hr_json(msg, status, body, len);
+	req->call = NULL;
+	if (req->paused != NULL) {
+		soup_server_message_unpause(msg);
+		g_clear_object(&req->paused);
+	}
+}
+
+static bool
+read_wait(GHashTable *query, int64_t *wait_ms)
+{
+	const char *text =
+	    query != NULL ? g_hash_table_lookup(query, "wait_ms") : NULL;
+	gint64 value = 0;
+
+	if (text != NULL && !g_ascii_string_to_signed(
+				text, 10, 0, API_MAX_WAIT_MS, &value, NULL))
+		return false;
+	*wait_ms = value;
+	return true;
+}
+
+static void
+handle_job(struct http *http, SoupServerMessage *msg, const char *id,
+    GHashTable *query)
+{
+	struct request *req = g_object_get_data(G_OBJECT(msg), REQUEST_KEY);
+	GBytes *body = soup_message_body_flatten(
+	    soup_server_message_get_request_body(msg));
+	struct api_request request = {
+	    .method = soup_server_message_get_method(msg),
+	    .id = id,
+	    .traceparent = soup_message_headers_get_one(
+		soup_server_message_get_request_headers(msg), "traceparent"),
+	};
+
+	request.body = g_bytes_get_data(body, &request.body_len);
+	if (request.body == NULL)
+		request.body = "";
+	if (!read_wait(query, &request.wait_ms)) {
+		hr_refuse(msg, REF_BAD_REQUEST,
+		    "wait_ms: expected 0 to " G_STRINGIFY(API_MAX_WAIT_MS));
+	} else {
+		req->call =
+		    api_handle(http->opts.api, &request, on_answer, msg);
+		if (req->call != NULL) {
+			req->paused = g_object_ref(msg);
+			soup_server_message_pause(msg);
+		}
+	}
+	g_bytes_unref(body);
+}
+
+static void
+handle_ids(struct http *http, SoupServerMessage *msg)
+{
+	GBytes *body = soup_message_body_flatten(
+	    soup_server_message_get_request_body(msg));
+	struct status why;
+	enum ref_code code;
+	uint32_t count;
+	gsize len;
+	const char *data = g_bytes_get_data(body, &len);
+	char *answer;
+
+	code = jf_parse_count(data, len, &count, &why);
+	if (strcmp(soup_server_message_get_method(msg), "POST") != 0) {
+		hr_refuse(msg, REF_METHOD, "expected POST");
+	} else if (code != REF_NONE) {
+		hr_refuse(msg, code, why.message);
+	} else if (api_is_closed(http->opts.api)) {
+		hr_refuse(
+		    msg, REF_SHUTTING_DOWN, "this entry is shutting down");
+	} else {
+		answer = api_mint(http->opts.api, count);
+		hr_json(msg, 200, answer, strlen(answer));
+		g_free(answer);
+	}
+	g_bytes_unref(body);
+}
+
+static bool
+handle_service_pages(struct http *http, SoupServerMessage *msg,
+    const char *path, GHashTable *query)
+{
+	bool ready;
+	char *text;
+
+	if (strcmp(path, "/healthz") == 0) {
+		hr_text(msg, 200, "ok\n");
+	} else if (strcmp(path, "/readyz") == 0) {
+		ready = http->opts.is_ready(http->opts.ctx);
+		hr_text(msg, ready ? 200 : 503, ready ? "ready\n" : "no\n");
+	} else if (strcmp(path, "/metrics") == 0) {
+		text = ctr_text(http->opts.counters);
+		hr_text(msg, 200, text);
+		g_free(text);
+	} else if (strcmp(path, "/v1/traces") == 0) {
+		text = trc_json(http->opts.traces,
+		    query != NULL ? g_hash_table_lookup(query, "trace_id")
+				  : NULL);
+		hr_json(msg, 200, text, strlen(text));
+		g_free(text);
+	} else {
+		return false;
+	}
+	return true;
+}
+
+static void
+on_request(SoupServer *server, SoupServerMessage *msg, const char *path,
+    GHashTable *query, gpointer data)
+{
+	struct http *http = data;
+	struct request *req = g_object_get_data(G_OBJECT(msg), REQUEST_KEY);
+
+	(void)server;
+	if (req == NULL)
+		hr_refuse(msg, REF_BAD_REQUEST, "malformed request");
+	else if (req->refusal != REF_NONE)
+		hr_refuse(msg, req->refusal,
+		    req->refusal == REF_TOO_LARGE
+			? "the body is too large"
+			: "too many requests in progress");
+	else if (g_str_has_prefix(path, JOBS_PREFIX))
+		handle_job(http, msg, path + strlen(JOBS_PREFIX), query);
+	else if (g_str_has_prefix(path, PASS_PREFIX))
+		pass_handle(http->opts.pass, msg);
+	else if (strcmp(path, "/v1/ids") == 0)
+		handle_ids(http, msg);
+	else if (!handle_service_pages(http, msg, path, query))
+		hr_refuse(msg, REF_NOT_FOUND, "no such path");
+}
+
+static bool
+start_listening(struct http *http, struct status *st)
+{
+	GError *error = NULL;
+	GSocketConnectable *parsed;
+	GSocketAddress *address = NULL;
+	GSocketAddressEnumerator *each;
+	bool ok = false;
+
+	parsed = g_network_address_parse(http->opts.listen, 0, &error);
+	if (parsed != NULL) {
+		each = g_socket_connectable_enumerate(parsed);
+		address = g_socket_address_enumerator_next(each, NULL, &error);
+		g_object_unref(each);
+		g_object_unref(parsed);
+	}
+	if (address != NULL) {
+		ok = soup_server_listen(http->server, address, 0, &error);
+		g_object_unref(address);
+	}
+	if (!ok)
+		st_set(st, ST_UNAVAILABLE, "listen on %s: %s",
+		    http->opts.listen,
+		    error != NULL ? error->message : "no such address");
+	g_clear_error(&error);
+	return ok;
+}
+
+/* Starts to listen on the default main context. */
+struct http *
+http_new(const struct http_options *opts, struct status *st)
+{
+	struct http *http = g_new0(struct http, 1);
+
+	http->opts = *opts;
+	http->requests = ctr_counter(opts->counters, "sp_http_requests_total",
+	    "requests received from callers");
+	http->refused = ctr_counter(opts->counters, "sp_http_errors_total",
+	    "requests answered with a status of 400 or above");
+	http->gauge = ctr_gauge(opts->counters, "sp_http_in_progress",
+	    "requests from callers in progress");
+	/* Paths go to endpoints as the caller wrote them. */
+	http->server = g_object_new(SOUP_TYPE_SERVER, "raw-paths", TRUE,
+	    "server-header", "sequoiaplank", NULL);
+	soup_server_add_early_handler(
+	    http->server, NULL, on_headers, http, NULL);
+	soup_server_add_handler(http->server, NULL, on_request, http, NULL);
+	if (!start_listening(http, st)) {
+		http_free(http);
+		return NULL;
+	}
+	return http;
+}
+
+/* Closes the listener and every connection. */
+void
+http_free(struct http *http)
+{
+	soup_server_disconnect(http->server);
+	g_object_unref(http->server);
+	g_free(http);
+}
+
+/* Returns the port that the listener got. */
+uint16_t
+http_port(const struct http *http)
+{
+	GSList *uris = soup_server_get_uris(http->server);
+	int port = uris != NULL ? g_uri_get_port(uris->data) : 0;
+
+	g_slist_free_full(uris, (GDestroyNotify)g_uri_unref);
+	return (uint16_t)port;
+}
+
+/* Returns the number of requests without a whole answer. */
+uint32_t
+http_in_progress(const struct http *http)
+{
+	return http->in_progress;
+}
--- a/src/request/dispatch.c
+++ b/src/request/dispatch.c
@@ -6,8 +6,6 @@
 #define BATCH_BYTES    (1024 * 1024) /* well under the record limit */
 #define START_OVERHEAD 512
 #define SCAN_JOBS      16 /* jobs tried behind one that fits no worker */
-#define HOLD_MS	       100
-#define HOLD_MAX_MS    2000
 
 /* A submitted job that is not finished. */
 struct djob {
@@ -24,20 +22,12 @@
 	uint32_t waiting;
 };
 
-struct dagent {
+/* Starts of one job for one agent, collected into one message. */
+struct batch {
 	void *agent;
-	uint32_t place_id;
-	char *name;
-	char *failure_domain;
-	char *service;
-	uint32_t cores;
-	uint64_t memory_mb;
-	bool up;
-	int64_t hold_ms;       /* length of the next hold */
-	int64_t held_until_ms; /* 0: not held */
-	GArray *batch;	       /* wire_start being collected */
-	GPtrArray *batch_ids;
-	size_t batch_bytes;
+	GArray *starts; /* wire_start */
+	GPtrArray *ids; /* the strings they point to */
+	size_t bytes;
 };
 
 /* A start whose outcome is not known. */
@@ -50,15 +40,14 @@
 
 struct dispatch {
 	struct dsp_options opts;
-	GHashTable *queues; /* service -> struct queue */
-	GHashTable *jobs;   /* struct job -> struct djob */
-	GHashTable *agents; /* agent -> struct dagent */
-	GHashTable *places; /* place id -> struct dagent */
-	GHashTable *outs;   /* &seq -> struct out */
-	GSequence *timers;  /* struct djob by at_ms */
+	GHashTable *queues;  /* service -> struct queue */
+	GHashTable *jobs;    /* struct job -> struct djob */
+	GHashTable *batches; /* agent -> struct batch, while a job is placed */
+	GHashTable *outs;    /* &seq -> struct out */
+	GSequence *timers;   /* struct djob by at_ms */
 	uint64_t next_seq;
 	int64_t *started, *not_started, *unknown, *done, *dropped, *retried;
-	int64_t *batches;
+	int64_t *messages;
 };
 
 static void
@@ -80,16 +69,13 @@
 }
 
 static void
-free_agent(gpointer data)
+free_batch(gpointer data)
 {
-	struct dagent *da = data;
+	struct batch *batch = data;
 
-	g_free(da->name);
-	g_free(da->failure_domain);
-	g_free(da->service);
-	g_array_unref(da->batch);
-	g_ptr_array_unref(da->batch_ids);
-	g_free(da);
+	g_array_unref(batch->starts);
+	g_ptr_array_unref(batch->ids);
+	g_free(batch);
 }
 
 static void
@@ -107,7 +93,7 @@
 	const char *help = "outcomes of starts";
 
 	dsp->started = ctr_counter(reg, "sp_starts_total", "starts sent");
-	dsp->batches =
+	dsp->messages =
 	    ctr_counter(reg, "sp_start_messages_total", "START messages sent");
 	dsp->done =
 	    ctr_counter(reg, "sp_outcomes_total{outcome=\"done\"}", help);
@@ -131,8 +117,7 @@
 	dsp->queues =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_queue);
 	dsp->jobs = g_hash_table_new_full(NULL, NULL, NULL, free_djob);
-	dsp->agents = g_hash_table_new_full(NULL, NULL, NULL, free_agent);
-	dsp->places = g_hash_table_new(NULL, NULL);
+	dsp->batches = g_hash_table_new_full(NULL, NULL, NULL, free_batch);
 	dsp->outs = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, g_free, free_out);
 	dsp->timers = g_sequence_new(NULL);
@@ -149,8 +134,7 @@
 	g_hash_table_unref(dsp->outs);
 	g_hash_table_unref(dsp->jobs);
 	g_hash_table_unref(dsp->queues);
-	g_hash_table_unref(dsp->places);
-	g_hash_table_unref(dsp->agents);
+	g_hash_table_unref(dsp->batches);
 	g_free(dsp);
 }
 
@@ -225,11 +209,10 @@
 
 /* Queues a job that was admitted; the dispatcher takes a reference. */
 void
-dsp_submit(struct dispatch *dsp, struct job *job, int64_t now_ms)
+dsp_submit(struct dispatch *dsp, struct job *job)
 {
 	struct djob *dj = g_new0(struct djob, 1);
 
-	(void)now_ms;
 	dj->job = job_ref(job);
 	dj->queue = get_queue(dsp, job_service(job));
 	g_hash_table_insert(dsp->jobs, job, dj);
@@ -329,20 +312,19 @@
 			end_if_finished(dsp, dj);
 		}
 	}
+	pool_refresh(dsp->opts.pool, now_ms);
 	dsp_run(dsp, now_ms);
 }
 
 static void
-fill_start(struct dispatch *dsp, struct dagent *da, struct job *job,
+fill_start(struct dispatch *dsp, struct batch *batch, struct job *job,
     uint32_t index, wire_start *start, int64_t now_ms)
 {
 	const struct job_spec *spec = job_request(job);
-	const struct job_task *task = job_task(job, index);
-	char *id;
+	char *id = g_strdup_printf("%s/%u", spec->id, index);
 	gsize len;
 
-	id = g_strdup_printf("%s/%u", spec->id, index);
-	g_ptr_array_add(da->batch_ids, id);
+	g_ptr_array_add(batch->ids, id);
 	memset(start, 0, sizeof(*start));
 	start->seq = dsp->next_seq++;
 	start->task_id = id;
@@ -354,7 +336,7 @@
 	start->headers.headers_val = (wire_header *)spec->headers;
 	start->headers.headers_len = spec->n_headers;
 	start->payload.wire_payload_val =
-	    (char *)g_bytes_get_data(task->spec.payload, &len);
+	    (char *)g_bytes_get_data(job_task(job, index)->spec.payload, &len);
 	start->payload.wire_payload_len = len;
 	start->traceparent =
 	    (char *)(spec->traceparent != NULL ? spec->traceparent : "");
@@ -373,117 +355,122 @@
 
 /* Undoes starts of a batch that was not sent. */
 static void
-return_batch(
-    struct dispatch *dsp, struct dagent *da, struct djob *dj, int64_t now_ms)
+return_batch(struct dispatch *dsp, struct batch *batch, int64_t now_ms)
 {
 	struct place_task need;
 	struct out *out;
 	uint64_t *seq;
 	guint i;
 
-	for (i = 0; i < da->batch->len; i++) {
-		seq = &g_array_index(da->batch, wire_start, i).seq;
+	for (i = 0; i < batch->starts->len; i++) {
+		seq = &g_array_index(batch->starts, wire_start, i).seq;
 		out = g_hash_table_lookup(dsp->outs, seq);
 		task_need(out->job, out->task, &need);
-		place_finished(dsp->opts.place, da->place_id, &need,
-		    PLACE_NOT_STARTED, 0, now_ms);
-		job_not_started(dj->job, out->task, *seq, now_ms);
+		pool_unsent(
+		    dsp->opts.pool, out->agent, out->place_id, &need, now_ms);
+		job_not_started(out->job, out->task, *seq, now_ms);
 		g_hash_table_remove(dsp->outs, seq);
 	}
-	place_set_usable(dsp->opts.place, da->place_id, false);
-	da->held_until_ms = now_ms + HOLD_MS;
-	update_queue(dj, true);
 }
 
 static void
-send_batch(
-    struct dispatch *dsp, struct dagent *da, struct djob *dj, int64_t now_ms)
+send_batch(struct dispatch *dsp, struct batch *batch, int64_t now_ms)
 {
-	if (da->batch->len == 0)
-		return;
-	if (dsp->opts.start(da->agent, (wire_start *)(void *)da->batch->data,
-		da->batch->len, dsp->opts.ctx)) {
-		*dsp->started += da->batch->len;
-		(*dsp->batches)++;
+	if (dsp->opts.start(batch->agent,
+		(wire_start *)(void *)batch->starts->data, batch->starts->len,
+		dsp->opts.ctx)) {
+		*dsp->started += batch->starts->len;
+		(*dsp->messages)++;
 	} else {
-		return_batch(dsp, da, dj, now_ms);
+		return_batch(dsp, batch, now_ms);
 	}
-	g_array_set_size(da->batch, 0);
-	g_ptr_array_set_size(da->batch_ids, 0);
-	da->batch_bytes = 0;
+	g_array_set_size(batch->starts, 0);
+	g_ptr_array_set_size(batch->ids, 0);
+	batch->bytes = 0;
+}
+
+static struct batch *
+get_batch(struct dispatch *dsp, void *agent)
+{
+	struct batch *batch = g_hash_table_lookup(dsp->batches, agent);
+
+	if (batch != NULL)
+		return batch;
+	batch = g_new0(struct batch, 1);
+	batch->agent = agent;
+	batch->starts = g_array_new(FALSE, FALSE, sizeof(wire_start));
+	batch->ids = g_ptr_array_new_with_free_func(g_free);
+	g_hash_table_insert(dsp->batches, agent, batch);
+	return batch;
 }
 
 static void
-add_start(struct dispatch *dsp, struct dagent *da, struct djob *dj,
-    uint32_t index, int64_t now_ms)
+add_start(struct dispatch *dsp, struct djob *dj, uint32_t index, void *agent,
+    uint32_t place_id, int64_t now_ms)
 {
+	struct batch *batch = get_batch(dsp, agent);
 	struct out *out = g_new0(struct out, 1);
 	wire_start start;
 	size_t bytes;
 
 	bytes = g_bytes_get_size(job_task(dj->job, index)->spec.payload) +
 		START_OVERHEAD;
-	if (da->batch_bytes + bytes > BATCH_BYTES ||
-	    da->batch->len >= WIRE_BATCH_MAX)
-		send_batch(dsp, da, dj, now_ms);
-	fill_start(dsp, da, dj->job, index, &start, now_ms);
+	if (batch->starts->len > 0 && (batch->bytes + bytes > BATCH_BYTES ||
+					  batch->starts->len >= WIRE_BATCH_MAX))
+		send_batch(dsp, batch, now_ms);
+	fill_start(dsp, batch, dj->job, index, &start, now_ms);
 	out->job = job_ref(dj->job);
 	out->task = index;
-	out->agent = da->agent;
-	out->place_id = da->place_id;
+	out->agent = agent;
+	out->place_id = place_id;
 	g_hash_table_insert(
 	    dsp->outs, g_memdup2(&start.seq, sizeof(start.seq)), out);
 	job_placed(dj->job, index, start.seq);
-	g_array_append_val(da->batch, start);
-	da->batch_bytes += bytes;
+	g_array_append_val(batch->starts, start);
+	batch->bytes += bytes;
 }
 
 static void
-flush_batches(
-    struct dispatch *dsp, GPtrArray *touched, struct djob *dj, int64_t now_ms)
+flush_batches(struct dispatch *dsp, int64_t now_ms)
 {
-	guint i;
+	GHashTableIter iter;
+	gpointer value;
 
-	for (i = 0; i < touched->len; i++)
-		send_batch(dsp, touched->pdata[i], dj, now_ms);
-	g_ptr_array_set_size(touched, 0);
+	g_hash_table_iter_init(&iter, dsp->batches);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		send_batch(dsp, value, now_ms);
+		g_hash_table_iter_remove(&iter);
+	}
 }
 
 /* Places tasks of one job; returns false when some task fits no worker now. */
 static bool
-run_job(
-    struct dispatch *dsp, struct djob *dj, GPtrArray *touched, int64_t now_ms)
+run_job(struct dispatch *dsp, struct djob *dj, int64_t now_ms)
 {
 	struct place_task need;
-	struct dagent *da;
-	uint32_t index, id;
+	uint32_t index, place_id;
+	void *agent;
 	bool all = true;
 
 	while ((index = job_next_waiting(dj->job)) != JOB_NO_TASK) {
 		task_need(dj->job, index, &need);
-		id = g_hash_table_size(dsp->outs) < dsp->opts.max_outstanding
-			 ? place_choose(dsp->opts.place, &need, now_ms)
-			 : PLACE_NONE;
-		da = id == PLACE_NONE ? NULL
-				      : g_hash_table_lookup(
-					    dsp->places, GUINT_TO_POINTER(id));
-		if (da == NULL) {
+		agent = NULL;
+		if (g_hash_table_size(dsp->outs) < dsp->opts.max_outstanding)
+			agent = pool_choose(
+			    dsp->opts.pool, &need, &place_id, now_ms);
+		if (agent == NULL) {
 			all = false;
 			break;
 		}
-		place_dispatched(dsp->opts.place, id, &need, now_ms);
-		if (da->batch->len == 0)
-			g_ptr_array_add(touched, da);
-		add_start(dsp, da, dj, index, now_ms);
+		add_start(dsp, dj, index, agent, place_id, now_ms);
 	}
-	flush_batches(dsp, touched, dj, now_ms);
+	flush_batches(dsp, now_ms);
 	update_queue(dj, true);
 	return all && job_n_waiting(dj->job) == 0;
 }
 
 static void
-run_queue(struct dispatch *dsp, struct queue *queue, GPtrArray *touched,
-    int64_t now_ms)
+run_queue(struct dispatch *dsp, struct queue *queue, int64_t now_ms)
 {
 	GList *link = queue->jobs.head, *next;
 	struct djob *dj;
@@ -492,7 +479,7 @@
 	while (link != NULL && scanned < SCAN_JOBS) {
 		next = link->next;
 		dj = link->data;
-		if (!run_job(dsp, dj, touched, now_ms)) {
+		if (!run_job(dsp, dj, now_ms)) {
 			scanned++;
 			if (place_free_slots(
 				dsp->opts.place, job_service(dj->job)) == 0)
@@ -502,35 +489,6 @@
 	}
 }
 
-static bool
-is_usable(const struct dispatch *dsp, const struct dagent *da)
-{
-	const struct cfg *cfg = fresh_config(dsp->opts.fresh);
-
-	return da->up && da->held_until_ms == 0 && cfg != NULL &&
-	       !cfg_is_out(cfg, CFG_FAILURE_DOMAIN, da->failure_domain) &&
-	       !cfg_is_out(cfg, CFG_WORKER, da->name) &&
-	       !cfg_is_out(cfg, CFG_SERVICE, da->service);
-}
-
-static void
-end_holds(struct dispatch *dsp, int64_t now_ms)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, dsp->agents);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct dagent *da = value;
-
-		if (da->held_until_ms == 0 || da->held_until_ms > now_ms)
-			continue;
-		da->held_until_ms = 0;
-		place_set_usable(
-		    dsp->opts.place, da->place_id, is_usable(dsp, da));
-	}
-}
-
 /*
  * Places waiting tasks.  Does nothing while the configuration is not
  * confirmed, since a domain may have been taken out meanwhile.
@@ -539,156 +497,13 @@
 dsp_run(struct dispatch *dsp, int64_t now_ms)
 {
 	GHashTableIter iter;
-	GPtrArray *touched;
 	gpointer value;
 
-	end_holds(dsp, now_ms);
 	if (!fresh_is_current(dsp->opts.fresh, now_ms))
 		return;
-	touched = g_ptr_array_new();
 	g_hash_table_iter_init(&iter, dsp->queues);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		run_queue(dsp, value, touched, now_ms);
-	g_ptr_array_unref(touched);
-}
-
-static struct dagent *
-new_agent(struct dispatch *dsp, void *agent, const struct place_worker *worker,
-    int64_t now_ms)
-{
-	struct dagent *da = g_new0(struct dagent, 1);
-
-	da->agent = agent;
-	da->name = g_strdup(worker->name);
-	da->failure_domain = g_strdup(worker->failure_domain);
-	da->service = g_strdup(worker->service);
-	da->place_id = place_add(dsp->opts.place, worker, now_ms);
-	da->hold_ms = HOLD_MS;
-	da->batch = g_array_new(FALSE, FALSE, sizeof(wire_start));
-	da->batch_ids = g_ptr_array_new_with_free_func(g_free);
-	da->cores = worker->cores;
-	da->memory_mb = worker->memory_mb;
-	g_hash_table_insert(dsp->agents, agent, da);
-	g_hash_table_insert(dsp->places, GUINT_TO_POINTER(da->place_id), da);
-	return da;
-}
-
-/*
- * Makes an agent usable.  A change of its service or size starts its history
- * anew; worker->name and failure_domain never change for an agent.
- */
-void
-dsp_agent_up(struct dispatch *dsp, void *agent,
-    const struct place_worker *worker, int64_t now_ms)
-{
-	struct dagent *da = g_hash_table_lookup(dsp->agents, agent);
-
-	if (da != NULL && (strcmp(da->service, worker->service) != 0 ||
-			      da->cores != worker->cores ||
-			      da->memory_mb != worker->memory_mb)) {
-		dsp_agent_gone(dsp, agent);
-		da = NULL;
-	}
-	if (da == NULL)
-		da = new_agent(dsp, agent, worker, now_ms);
-	da->up = true;
-	place_set_usable(dsp->opts.place, da->place_id, is_usable(dsp, da));
-	dsp->opts.wake(dsp->opts.ctx);
-}
-
-/* Stops placing on an agent; its starts stay open. */
-void
-dsp_agent_down(struct dispatch *dsp, void *agent)
-{
-	struct dagent *da = g_hash_table_lookup(dsp->agents, agent);
-
-	if (da == NULL)
-		return;
-	da->up = false;
-	place_set_usable(dsp->opts.place, da->place_id, false);
-}
-
-/* Forgets an agent. */
-void
-dsp_agent_gone(struct dispatch *dsp, void *agent)
-{
-	struct dagent *da = g_hash_table_lookup(dsp->agents, agent);
-
-	if (da == NULL)
-		return;
-	place_remove(dsp->opts.place, da->place_id);
-	g_hash_table_remove(dsp->places, GUINT_TO_POINTER(da->place_id));
-	g_hash_table_remove(dsp->agents, agent);
-}
-
-/* Takes the load that an agent reported. */
-void
-dsp_agent_load(struct dispatch *dsp, void *agent, const struct place_load *load,
-    uint32_t unseen, int64_t now_ms)
-{
-	struct dagent *da = g_hash_table_lookup(dsp->agents, agent);
-
-	if (da == NULL)
-		return;
-	place_report(dsp->opts.place, da->place_id, load, unseen, now_ms);
-	dsp->opts.wake(dsp->opts.ctx);
-}
-
-/* Checks the out marks of a new configuration. */
-void
-dsp_config_changed(struct dispatch *dsp)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, dsp->agents);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct dagent *da = value;
-
-		place_set_usable(
-		    dsp->opts.place, da->place_id, is_usable(dsp, da));
-	}
-	dsp->opts.wake(dsp->opts.ctx);
-}
-
-/*
- * An agent that returns work at once would be chosen again at once; it gets
- * a pause that doubles.
- */
-static void
-hold_agent(
-    struct dispatch *dsp, struct dagent *da, wire_reason reason, int64_t now_ms)
-{
-	if (reason == WIRE_REASON_WITHDRAWN || reason == WIRE_REASON_DEADLINE ||
-	    reason == WIRE_REASON_SEALED || da->held_until_ms != 0)
-		return;
-	da->held_until_ms = now_ms + da->hold_ms;
-	da->hold_ms = MIN(da->hold_ms * 2, HOLD_MAX_MS);
-	place_set_usable(dsp->opts.place, da->place_id, false);
-}
-
-static void
-note_place(struct dispatch *dsp, struct dagent *da, const struct out *out,
-    const wire_result *result, int64_t now_ms)
-{
-	enum place_outcome outcome = PLACE_FAILED;
-	struct place_task need;
-
-	if (da == NULL)
-		return;
-	if (result->outcome == WIRE_NOT_STARTED) {
-		outcome = PLACE_NOT_STARTED;
-		hold_agent(dsp, da, result->reason, now_ms);
-	} else if (result->outcome == WIRE_DONE) {
-		da->hold_ms = HOLD_MS;
-		if (result->status < 500)
-			outcome = PLACE_OK;
-	}
-	if (da->place_id != out->place_id)
-		return; /* the agent changed its service or size meanwhile */
-	task_need(out->job, out->task, &need);
-	place_finished(dsp->opts.place, da->place_id, &need, outcome,
-	    result->run_us, now_ms);
+		run_queue(dsp, value, now_ms);
 }
 
 static bool
@@ -743,6 +558,7 @@
     int64_t now_ms)
 {
 	struct out *out = g_hash_table_lookup(dsp->outs, &result->seq);
+	struct place_task need;
 	enum job_state before;
 	struct djob *dj;
 	struct out copy;
@@ -754,8 +570,9 @@
 	copy = *out;
 	job_ref(copy.job);
 	g_hash_table_remove(dsp->outs, &result->seq);
-	note_place(dsp, g_hash_table_lookup(dsp->agents, agent), &copy, result,
-	    now_ms);
+	task_need(copy.job, copy.task, &need);
+	pool_outcome(
+	    dsp->opts.pool, agent, copy.place_id, &need, result, now_ms);
 	dj = g_hash_table_lookup(dsp->jobs, copy.job);
 	before = job_state(copy.job);
 	if (!apply_outcome(dsp, &copy, result, now_ms))
--- a/src/request/dispatch.h
+++ b/src/request/dispatch.h
@@ -8,6 +8,7 @@
 #include "process/counters.h"
 #include "request/job.h"
 #include "request/place.h"
+#include "request/pool.h"
 #include "request/retry.h"
 #include "version/fresh.h"
 
@@ -19,6 +20,7 @@
 
 struct dsp_options {
 	struct place *place; /* borrowed, as everything below */
+	struct pool *pool;
 	const struct fresh *fresh;
 	struct retry *retry;
 	struct ctr_registry *counters;
@@ -38,26 +40,15 @@
 struct dispatch *dsp_new(const struct dsp_options *opts);
 void dsp_free(struct dispatch *dsp);
 
-void dsp_submit(struct dispatch *dsp, struct job *job, int64_t now_ms);
+void dsp_submit(struct dispatch *dsp, struct job *job);
 void dsp_cancel(struct dispatch *dsp, struct job *job, int64_t now_ms);
 /* Places what can be placed now. */
 void dsp_run(struct dispatch *dsp, int64_t now_ms);
 /* Ends jobs whose deadline or grace period has passed. */
 void dsp_tick(struct dispatch *dsp, int64_t now_ms);
 
-/* Adds an agent, or replaces what is known of it. */
-void dsp_agent_up(struct dispatch *dsp, void *agent,
-    const struct place_worker *worker, int64_t now_ms);
-/* A disconnected agent gets no work. */
-void dsp_agent_down(struct dispatch *dsp, void *agent);
-void dsp_agent_gone(struct dispatch *dsp, void *agent);
-void dsp_agent_load(struct dispatch *dsp, void *agent,
-    const struct place_load *load, uint32_t unseen, int64_t now_ms);
 void dsp_outcome(struct dispatch *dsp, void *agent, const wire_result *result,
     int64_t now_ms);
-/* Checks again which agents are out. */
-void dsp_config_changed(struct dispatch *dsp);
-
 /* Every start from now on has this seq or a higher one. */
 uint64_t dsp_next_seq(const struct dispatch *dsp);
 uint32_t dsp_waiting(const struct dispatch *dsp, const char *service);
--- /dev/null
+++ b/src/request/http_reply.h
@@ -0,0 +1,14 @@
+#ifndef SP_HTTP_REPLY_H
+#define SP_HTTP_REPLY_H
+
+#include <libsoup/soup.h>
+
+#include "request/refusal.h"
+
+/* Answers of an HTTP listener; the body is copied. */
+void hr_json(
+    SoupServerMessage *msg, uint32_t status, const char *body, size_t len);
+void hr_text(SoupServerMessage *msg, uint32_t status, const char *body);
+void hr_refuse(SoupServerMessage *msg, enum ref_code code, const char *message);
+
+#endif
--- a/src/request/job.c
+++ b/src/request/job.c
@@ -23,6 +23,7 @@
 	uint64_t bytes; /* payloads and results, as counted by the table */
 	GArray *waiters;
 	uint64_t next_waiter;
+	bool delivered;
 };
 
 struct job_table {
@@ -30,6 +31,7 @@
 	GHashTable *jobs; /* id -> job, holds a reference */
 	GQueue finished;  /* oldest first; no reference */
 	uint32_t n_open;
+	uint32_t n_undelivered;
 	uint64_t bytes;
 };
 
@@ -79,6 +81,13 @@
 	return table->n_open;
 }
 
+/* Returns the number of finished jobs whose answer was not fetched. */
+uint32_t
+job_table_undelivered(const struct job_table *table)
+{
+	return table->n_undelivered;
+}
+
 /* Returns the bytes of payloads and results held. */
 uint64_t
 job_table_bytes(const struct job_table *table)
@@ -186,6 +195,8 @@
 {
 	if (job->spec.counter != 0)
 		id_raise_low_water(table->opts.ids, job->spec.counter + 1);
+	if (job->spec.counter != 0 && !job->delivered)
+		table->n_undelivered--;
 	g_hash_table_remove(table->jobs, job->spec.id);
 	table->bytes -= job->bytes;
 	job->table = NULL;
@@ -503,8 +514,10 @@
 		table->n_open--;
 		if (job->spec.counter == 0)
 			drop_record(table, job);
-		else
+		else {
 			g_queue_push_tail(&table->finished, job);
+			table->n_undelivered++;
+		}
 	}
 	tell_waiters(job);
 	/* Results grow after admission, so the bound is restored here. */
@@ -672,6 +685,17 @@
 	return true;
 }
 
+/* Notes that a caller gets the answer of a finished job. */
+void
+job_set_delivered(struct job *job)
+{
+	if (job->delivered || !job_is_finished(job))
+		return;
+	job->delivered = true;
+	if (job->table != NULL)
+		job->table->n_undelivered--;
+}
+
 /* Registers a callback for the end of the job; returns its number. */
 uint64_t
 job_wait(struct job *job, job_done_fn fn, void *ctx)
--- a/src/request/job.h
+++ b/src/request/job.h
@@ -114,6 +114,8 @@
 void job_table_free(struct job_table *table);
 uint32_t job_table_count(const struct job_table *table);
 uint32_t job_table_open(const struct job_table *table);
+/* Finished jobs whose answer no caller has got yet. */
+uint32_t job_table_undelivered(const struct job_table *table);
 uint64_t job_table_bytes(const struct job_table *table);
 
 /* NULL when there is no record. */
@@ -162,6 +164,8 @@
 /* Ends a failing job; outcomes still open become unknown. */
 void job_give_up(struct job *job, int64_t now_ms);
 
+/* Notes that a caller gets the answer. */
+void job_set_delivered(struct job *job);
 /* fn runs once, when the job is finished.  0: already finished or full. */
 uint64_t job_wait(struct job *job, job_done_fn fn, void *ctx);
 void job_unwait(struct job *job, uint64_t waiter);
--- /dev/null
+++ b/src/request/jobform.h
@@ -0,0 +1,45 @@
+#ifndef SP_JOBFORM_H
+#define SP_JOBFORM_H
+
+#include <glib.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "process/status.h"
+#include "request/job.h"
+#include "request/refusal.h"
+
+/* The JSON of a submission, and of the answer to it. */
+struct jobform {
+	char *service;
+	char *team;
+	int64_t deadline_ms; /* from the submission on */
+	struct job_task_spec *tasks;
+	uint32_t n_tasks;
+	uint32_t max_cores; /* the most that one task asks for */
+	uint64_t max_memory_mb;
+};
+
+#define JF_MAX_DEPTH	       32
+#define JF_DEFAULT_DEADLINE_MS 60000
+#define JF_MAX_DEADLINE_MS     3600000
+#define JF_MAX_IDS	       1000
+
+struct jf_limits {
+	uint32_t max_tasks;
+	uint32_t max_payload_bytes;
+};
+
+/* REF_NONE: *form is set, free it with jf_free(); else why says more. */
+enum ref_code jf_parse(const void *body, size_t len,
+    const struct jf_limits *limits, struct jobform **form, struct status *why);
+void jf_free(struct jobform *form);
+/* Reads {"count":n}; an empty body asks for one id. */
+enum ref_code jf_parse_count(
+    const void *body, size_t len, uint32_t *count, struct status *why);
+
+/* Answers with their HTTP status; the caller owns the string. */
+GString *jf_answer(
+    const struct job *job, const char *next_id, uint32_t *http_status);
+
+#endif
--- /dev/null
+++ b/src/request/refusal.h
@@ -0,0 +1,45 @@
+#ifndef SP_REFUSAL_H
+#define SP_REFUSAL_H
+
+#include <stdint.h>
+
+/* Why a request gets no result, as callers see it; see docs/callers.md. */
+enum ref_code {
+	REF_NONE,
+	REF_BAD_REQUEST,
+	REF_BAD_ID,
+	REF_TOO_DEEP,
+	REF_METHOD,
+	REF_NOT_FOUND,
+	REF_CONFLICT,
+	REF_EXPIRED,
+	REF_TOO_LARGE,
+	REF_TOO_MANY_TASKS,
+	REF_UNKNOWN_SERVICE,
+	REF_UNKNOWN_TEAM,
+	REF_OUT,
+	REF_DEPENDENCY,
+	REF_NO_ENDPOINT,
+	REF_CAN_NEVER_RUN,
+	REF_QUEUE_FULL,
+	REF_HOPELESS,
+	REF_TEAM_QUOTA,
+	REF_SERVICE_LIMIT,
+	REF_TABLE_FULL,
+	REF_NOT_CURRENT,
+	REF_SHUTTING_DOWN,
+	REF_OVERLOADED,
+	REF_OWNER_GONE,
+	REF_OWNER_UNREACHABLE,
+	REF_FORWARD_TOO_LARGE,
+	REF_ANSWER_NOT_FORWARDED
+};
+
+uint32_t ref_http_status(enum ref_code code);
+const char *ref_name(enum ref_code code);
+const char *ref_ran(enum ref_code code);
+/* {"error","ran","message"}; the caller frees it with g_free(). */
+char *ref_json(enum ref_code code, const char *message);
+char *ref_json_of(const char *error, const char *ran, const char *message);
+
+#endif
