--- a/src/version/reader.h
+++ b/src/version/reader.h
@@ -27,8 +27,8 @@
 void rdr_cancel(struct rdr *rdr, const void *ctx);
 /* Mod revision of the document held from the store; 0: no document. */
 int64_t rdr_mod_revision(const struct rdr *rdr);
-/* Version of that document; 0: none. */
-uint64_t rdr_version(const struct rdr *rdr);
+/* That document, borrowed; NULL: none. */
+struct cfg *rdr_config(const struct rdr *rdr);
 /* Time since the last answered read was sent; -1: never. */
 int64_t rdr_store_age_ms(const struct rdr *rdr, int64_t now_ms);
 
--- a/src/version/store.h
+++ b/src/version/store.h
@@ -13,7 +13,8 @@
  * cancelled.  Status codes: ST_OK; ST_UNAVAILABLE or ST_TIMEOUT for a read
  * without an answer; ST_UNAVAILABLE for a write that can't have taken effect;
  * ST_UNKNOWN for a write that may or may not have taken effect; ST_CONFLICT
- * for a lost compare-and-swap; ST_NOT_FOUND for a lease that has gone.
+ * for a lost compare-and-swap; ST_NOT_FOUND when the lease has gone, also for
+ * a put under it.
  */
 struct store;
 
