--- a/src/connection/rpc.c
+++ b/src/connection/rpc.c
@@ -32,6 +32,7 @@
 	guint tick_id;
 	guint closed_id;
 	bool open;
+	bool detached;
 	struct status why;
 	GByteArray *in;	    /* bytes received and not yet parsed */
 	GByteArray *record; /* fragments of the record being read */
@@ -100,7 +101,7 @@
 		g_ptr_array_add(all, value);
 		g_hash_table_iter_steal(&iter);
 	}
-	for (i = 0; i < all->len; i++) {
+	for (i = 0; i < all->len && !conn->detached; i++) {
 		struct pending *p = all->pdata[i];
 
 		p->on_reply(conn, why, NULL, p->ctx);
@@ -148,6 +149,7 @@
 rpc_detach(struct rpc_conn *conn)
 {
 	rpc_close(conn, ST_UNAVAILABLE, "closed locally");
+	conn->detached = true;
 	g_hash_table_remove_all(conn->pending);
 	conn->opts.on_call = NULL;
 	conn->opts.on_closed = NULL;
@@ -378,6 +380,11 @@
 			break;
 		conn->out_pos += n;
 	}
+	/* A peer that is never quite done reading must not grow the buffer. */
+	if (conn->out_pos > conn->out->len / 2) {
+		g_byte_array_remove_range(conn->out, 0, conn->out_pos);
+		conn->out_pos = 0;
+	}
 	if (error != NULL) {
 		if (g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
 			wait_writable(conn);
@@ -386,8 +393,6 @@
 		g_error_free(error);
 		return;
 	}
-	g_byte_array_set_size(conn->out, 0);
-	conn->out_pos = 0;
 }
 
 /* Appends one record, whose header is already encoded by the caller. */
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -15,7 +15,7 @@
  */
 
 /* Generous limit for an event that must happen; not a measured figure. */
-#define HN_LIMIT_MS 30000
+#define HN_LIMIT_MS 30000LL
 
 /* A process that the harness started. */
 struct hn_proc;
@@ -48,10 +48,12 @@
 /* Runs the main loop until expr is true; false when the limit passed. */
 #define hn_wait_until(expr, limit_ms)                                          \
 	({                                                                     \
-		int64_t hn_end_ = hn_now_ms() + (limit_ms);                    \
+		int64_t hn_end_ = hn_now_ms() + (limit_ms), hn_step_ = 1;      \
 		bool hn_ok_;                                                   \
-		while (!(hn_ok_ = (expr)) && hn_now_ms() < hn_end_)            \
-			hn_sleep(20);                                          \
+		while (!(hn_ok_ = (expr)) && hn_now_ms() < hn_end_) {          \
+			hn_sleep(hn_step_);                                    \
+			hn_step_ = hn_step_ < 20 ? hn_step_ + 1 : 20;          \
+		}                                                              \
 		hn_ok_;                                                        \
 	})
 int64_t hn_now_ms(void);
