Add the agent daemon

Cause: nothing performs starts at an endpoint yet. The agent keeps one connection to each chosen entry, records starts by entry incarnation and seq, checks the configuration at the moment of each start and calls the endpoint over a fresh connection.

A seq that was accepted is from then on either recorded or below min_seq. min_seq also rises past each acknowledged result, so that no set of finished seqs has to be kept. Forgetting a whole incarnation leaves a mark; its seqs are then reported as unknown, never as unseen.

--- /dev/null
+++ b/src/connection/localhttp.c
@@ -0,0 +1,149 @@
+#include <json-c/json.h>
+#include <libsoup/soup.h>
+#include <string.h>
+
+#include "connection/localhttp.h"
+#include "process/clock.h"
+
+struct lh {
+	struct lh_options opts;
+	SoupServer *server;
+};
+
+static void
+reply_text(
+    SoupServerMessage *msg, guint status, const char *type, const char *text)
+{
+	soup_server_message_set_status(msg, status, NULL);
+	soup_server_message_set_response(
+	    msg, type, SOUP_MEMORY_COPY, text, strlen(text));
+}
+
+static void
+reply_error(
+    SoupServerMessage *msg, guint status, const char *code, const char *text)
+{
+	struct json_object *root = json_object_new_object();
+
+	json_object_object_add(root, "error", json_object_new_string(code));
+	json_object_object_add(root, "message", json_object_new_string(text));
+	reply_text(
+	    msg, status, "application/json", json_object_to_json_string(root));
+	json_object_put(root);
+}
+
+static void
+on_announce(SoupServer *server, SoupServerMessage *msg, const char *path,
+    GHashTable *query, gpointer data)
+{
+	const char *method = soup_server_message_get_method(msg);
+	SoupMessageBody *body = soup_server_message_get_request_body(msg);
+	struct lh *lh = data;
+	struct status st;
+
+	(void)server;
+	(void)query;
+	if (strcmp(path, "/v1/announce") != 0) {
+		reply_error(msg, SOUP_STATUS_NOT_FOUND, "not_found", path);
+	} else if (strcmp(method, "DELETE") == 0) {
+		ann_delete(lh->opts.ann);
+		reply_text(msg, SOUP_STATUS_OK, "application/json", "{}");
+		lh->opts.changed(lh->opts.ctx);
+	} else if (strcmp(method, "PUT") != 0) {
+		reply_error(msg, SOUP_STATUS_METHOD_NOT_ALLOWED,
+		    "method_not_allowed", "expected PUT or DELETE");
+	} else if (!ann_put(lh->opts.ann, body->data, body->length,
+		       lh->opts.running(lh->opts.ctx), clk_now_ms(), &st)) {
+		reply_error(
+		    msg, SOUP_STATUS_BAD_REQUEST, "invalid", st.message);
+	} else {
+		reply_text(msg, SOUP_STATUS_OK, "application/json", "{}");
+		lh->opts.changed(lh->opts.ctx);
+	}
+}
+
+static void
+on_read(SoupServer *server, SoupServerMessage *msg, const char *path,
+    GHashTable *query, gpointer data)
+{
+	struct lh *lh = data;
+	char *text;
+
+	(void)server;
+	if (strcmp(soup_server_message_get_method(msg), "GET") != 0) {
+		reply_error(msg, SOUP_STATUS_METHOD_NOT_ALLOWED,
+		    "method_not_allowed", "expected GET");
+	} else if (strcmp(path, "/healthz") == 0) {
+		reply_text(msg, SOUP_STATUS_OK, "text/plain", "ok\n");
+	} else if (strcmp(path, "/metrics") == 0) {
+		text = ctr_text(lh->opts.counters);
+		reply_text(msg, SOUP_STATUS_OK, "text/plain", text);
+		g_free(text);
+	} else if (strcmp(path, "/v1/traces") == 0) {
+		text = trc_json(lh->opts.traces,
+		    query == NULL ? NULL
+				  : g_hash_table_lookup(query, "trace_id"));
+		reply_text(msg, SOUP_STATUS_OK, "application/json", text);
+		g_free(text);
+	} else {
+		reply_error(msg, SOUP_STATUS_NOT_FOUND, "not_found", path);
+	}
+}
+
+static GSocketAddress *
+parse_address(const char *text, struct status *st)
+{
+	GSocketConnectable *parsed = g_network_address_parse(text, 0, NULL);
+	GSocketAddress *address = NULL;
+	GNetworkAddress *net;
+
+	if (parsed != NULL) {
+		net = G_NETWORK_ADDRESS(parsed);
+		address = g_inet_socket_address_new_from_string(
+		    g_network_address_get_hostname(net),
+		    g_network_address_get_port(net));
+		g_object_unref(parsed);
+	}
+	if (address == NULL)
+		st_set(st, ST_INVALID, "listen \"%s\": expected \"ip:port\"",
+		    text);
+	return address;
+}
+
+/* Binds the address and serves from the main loop. */
+struct lh *
+lh_new(const struct lh_options *opts, struct status *st)
+{
+	GSocketAddress *address = parse_address(opts->listen, st);
+	GError *error = NULL;
+	struct lh *lh;
+
+	if (address == NULL)
+		return NULL;
+	lh = g_new0(struct lh, 1);
+	lh->opts = *opts;
+	lh->server = soup_server_new(NULL, NULL);
+	soup_server_add_handler(
+	    lh->server, "/v1/announce", on_announce, lh, NULL);
+	soup_server_add_handler(lh->server, NULL, on_read, lh, NULL);
+	if (!soup_server_listen(lh->server, address, 0, &error)) {
+		st_set(st, ST_UNAVAILABLE, "listen \"%s\": %s", opts->listen,
+		    error->message);
+		g_error_free(error);
+		lh_free(lh);
+		lh = NULL;
+	}
+	g_object_unref(address);
+	return lh;
+}
+
+/* Closes the listener. */
+void
+lh_free(struct lh *lh)
+{
+	if (lh == NULL)
+		return;
+	soup_server_disconnect(lh->server);
+	g_object_unref(lh->server);
+	g_free(lh);
+}
--- /dev/null
+++ b/src/process/agent.c
@@ -0,0 +1,527 @@
+#include <glib.h>
+#include <glib-unix.h>
+#include <string.h>
+#include <sys/random.h>
+
+#include "connection/announce.h"
+#include "connection/entryset.h"
+#include "connection/localhttp.h"
+#include "process/agent.h"
+#include "process/clock.h"
+#include "process/counters.h"
+#include "process/executor.h"
+#include "process/log.h"
+#include "process/trace.h"
+#include "request/outcome.h"
+#include "version/fresh.h"
+
+#define TICK_MS	     100
+#define PAUSE_MIN_MS 500 /* a busy machine delays ticks by less */
+/* Leaves room for the load and the call header below a 4 MB record. */
+#define RESULTS_MAX_BYTES 3145728
+#define MIN_RECORDS	  4096
+#define MAX_RESULT_BYTES  33554432
+#define MAX_ENTRIES	  32
+/* An entry that is off every list this long has ended. */
+#define GONE_MS 60000
+
+struct agent {
+	const struct set_agent *set;
+	uint64_t incarnation;
+	GMainLoop *loop;
+	struct ctr_registry *counters;
+	struct trc_ring *traces;
+	struct fresh *fresh;
+	struct ann *ann;
+	struct out *out;
+	struct ex *ex;
+	struct es *es;
+	struct lh *lh;
+	struct ann_state told; /* as of the last heartbeat asked for */
+	char *told_service;
+	guint tick_id;
+	guint term_id;
+	guint int_id;
+	int64_t last_tick_ms;
+	int64_t drain_deadline_ms;
+	bool draining;
+	bool clean;
+	int64_t *busy;
+	int64_t *queued;
+	int64_t *open_links;
+	int64_t *version;
+	int64_t *age;
+};
+
+static void
+fill_hello(struct wire_hello_args *args, void *ctx)
+{
+	struct agent *agent = ctx;
+	const struct ann_state *ann = ann_state(agent->ann, clk_now_ms());
+
+	args->worker = agent->set->worker;
+	args->failure_domain = agent->set->failure_domain;
+	args->region = agent->set->region;
+	args->rack = agent->set->rack;
+	args->service = (char *)(ann->service == NULL ? "" : ann->service);
+	args->slots = MIN(ann->slots, ann->connections);
+	args->connections = ann->connections;
+	args->cores = ann->cores;
+	args->memory_mb = ann->memory_mb;
+	ex_load(agent->ex, &args->load);
+}
+
+static bool
+on_opened(struct el *el, const struct wire_member *entry, uint64_t previous,
+    void *ctx)
+{
+	struct agent *agent = ctx;
+
+	(void)el;
+	if (es_find(agent->es, entry->incarnation) != NULL)
+		return false;
+	/* Another process answers at the address: the former one ended. */
+	if (previous != 0 && previous != entry->incarnation &&
+	    es_find(agent->es, previous) == NULL) {
+		ex_drop(agent->ex, previous);
+		out_gone(agent->out, previous);
+	}
+	out_open(agent->out, entry->incarnation);
+	es_choose(agent->es);
+	return true;
+}
+
+static void
+on_closed(struct el *el, uint64_t entry, void *ctx)
+{
+	struct agent *agent = ctx;
+
+	(void)el;
+	out_close(agent->out, entry, clk_now_ms());
+	if (agent->es != NULL)
+		es_choose(agent->es);
+}
+
+static void
+on_members(struct el *el, void *ctx)
+{
+	struct agent *agent = ctx;
+
+	(void)el;
+	es_choose(agent->es);
+}
+
+static void
+on_confirmed(struct el *el, void *ctx)
+{
+	struct agent *agent = ctx;
+
+	(void)el;
+	ex_pump(agent->ex);
+}
+
+static void check_drained(struct agent *agent);
+
+static void
+on_acked(struct el *el, uint64_t number, void *ctx)
+{
+	struct agent *agent = ctx;
+
+	out_ack(agent->out, el_entry(el), number);
+	check_drained(agent);
+}
+
+/* Reports whether this process has just been paused for long. */
+static bool
+was_paused(const struct agent *agent)
+{
+	return clk_now_ms() - agent->last_tick_ms >
+	       MAX(agent->set->silence_ms, PAUSE_MIN_MS);
+}
+
+/*
+ * What waited in the sockets while the process was paused is of unknown age,
+ * and the entries have given up these connections, so it isn't processed.
+ */
+static bool
+on_start(struct el *el, struct wire_start_args *args, void *ctx)
+{
+	struct agent *agent = ctx;
+
+	return !was_paused(agent) && ex_start(agent->ex, el_entry(el), args);
+}
+
+static void
+on_withdraw(struct el *el, const struct wire_withdraw_args *args, void *ctx)
+{
+	struct agent *agent = ctx;
+
+	ex_withdraw(agent->ex, el_entry(el), args);
+}
+
+static void
+on_query(struct el *el, const struct wire_query_args *args, wire_state *states,
+    void *ctx)
+{
+	struct agent *agent = ctx;
+
+	ex_query(agent->ex, el_entry(el), args, states);
+}
+
+static bool
+next_results(struct el *el, struct wire_results_args *args, void *ctx)
+{
+	struct agent *agent = ctx;
+
+	if (!out_batch(agent->out, el_entry(el), RESULTS_MAX_BYTES, args)) {
+		/* The reply to a heartbeat acknowledges the last results. */
+		if (agent->draining)
+			el_changed(el);
+		return false;
+	}
+	ex_load(agent->ex, &args->load);
+	return true;
+}
+
+static const struct el_handlers handlers = {
+    .hello = fill_hello,
+    .opened = on_opened,
+    .closed = on_closed,
+    .members = on_members,
+    .confirmed = on_confirmed,
+    .acked = on_acked,
+    .start = on_start,
+    .withdraw = on_withdraw,
+    .query = on_query,
+    .results = next_results,
+};
+
+static void
+on_results(uint64_t entry, void *ctx)
+{
+	struct agent *agent = ctx;
+	struct el *el = agent->es == NULL ? NULL : es_find(agent->es, entry);
+
+	if (el != NULL)
+		el_flush(el);
+	check_drained(agent);
+}
+
+static bool
+is_idle(uint64_t entry, void *ctx)
+{
+	struct agent *agent = ctx;
+
+	return out_records(agent->out, entry) == 0;
+}
+
+static void
+tell_link(struct el *el, void *ctx)
+{
+	(void)ctx;
+	el_changed(el);
+}
+
+/* Tells the entries at once when the announcement says something new. */
+static void
+tell_changes(struct agent *agent)
+{
+	const struct ann_state *ann = ann_state(agent->ann, clk_now_ms());
+	bool same = g_strcmp0(ann->service, agent->told_service) == 0 &&
+		    ann->slots == agent->told.slots &&
+		    ann->connections == agent->told.connections &&
+		    ann->cores == agent->told.cores &&
+		    ann->memory_mb == agent->told.memory_mb &&
+		    ann->draining == agent->told.draining;
+
+	if (same)
+		return;
+	log_line(LOG_INFO, "endpoint: service \"%s\", %u slots%s",
+	    ann->service == NULL ? "" : ann->service, ann->slots,
+	    ann->draining ? ", draining" : "");
+	agent->told = *ann;
+	g_free(agent->told_service);
+	agent->told_service = g_strdup(ann->service);
+	es_each(agent->es, tell_link, NULL);
+}
+
+static void
+on_announcement(void *ctx)
+{
+	struct agent *agent = ctx;
+
+	tell_changes(agent);
+	ex_pump(agent->ex);
+}
+
+static uint32_t
+running_calls(void *ctx)
+{
+	struct agent *agent = ctx;
+
+	return ex_running(agent->ex);
+}
+
+struct scan {
+	struct agent *agent;
+	GArray *ended; /* incarnations off every list */
+	GArray *gone;  /* those that have been so for long */
+	bool waiting;  /* results that an entry may still acknowledge */
+};
+
+static void
+scan_entry(uint64_t entry, int64_t closed_ms, void *ctx)
+{
+	struct scan *scan = ctx;
+	struct agent *agent = scan->agent;
+
+	if (closed_ms < 0 || es_open_links(agent->es) == 0 ||
+	    es_is_listed(agent->es, entry)) {
+		scan->waiting = true;
+		return;
+	}
+	g_array_append_val(scan->ended, entry);
+	if (clk_now_ms() - closed_ms > GONE_MS)
+		g_array_append_val(scan->gone, entry);
+}
+
+static void
+scan_entries(struct agent *agent, struct scan *scan)
+{
+	scan->agent = agent;
+	scan->ended = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	scan->gone = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	scan->waiting = false;
+	out_each(agent->out, scan_entry, scan);
+}
+
+static void
+scan_clear(struct scan *scan)
+{
+	g_array_unref(scan->ended);
+	g_array_unref(scan->gone);
+}
+
+/* Drops the queued starts of entries that ended, later their records. */
+static void
+drop_ended(struct agent *agent)
+{
+	struct scan scan;
+	guint i;
+
+	scan_entries(agent, &scan);
+	for (i = 0; i < scan.ended->len; i++)
+		ex_drop(agent->ex, g_array_index(scan.ended, uint64_t, i));
+	for (i = 0; i < scan.gone->len; i++)
+		out_gone(agent->out, g_array_index(scan.gone, uint64_t, i));
+	scan_clear(&scan);
+}
+
+/* Ends the loop once nothing runs and every result is acknowledged. */
+static void
+check_drained(struct agent *agent)
+{
+	struct scan scan;
+
+	if (!agent->draining || agent->es == NULL)
+		return;
+	scan_entries(agent, &scan);
+	scan_clear(&scan);
+	agent->clean = ex_running(agent->ex) == 0 && !scan.waiting;
+	if (agent->clean || clk_now_ms() >= agent->drain_deadline_ms)
+		g_main_loop_quit(agent->loop);
+}
+
+static void
+reconnect_link(struct el *el, void *ctx)
+{
+	if (el_is_open(el))
+		el_reconnect(el, ctx);
+}
+
+static void
+update_gauges(struct agent *agent)
+{
+	struct wire_load load;
+
+	ex_load(agent->ex, &load);
+	*agent->busy = load.busy;
+	*agent->queued = load.queued;
+	*agent->open_links = es_open_links(agent->es);
+	*agent->version = (int64_t)fresh_version(agent->fresh);
+	*agent->age = fresh_age_ms(agent->fresh, clk_now_ms());
+}
+
+static gboolean
+on_tick(gpointer data)
+{
+	struct agent *agent = data;
+
+	if (was_paused(agent))
+		es_each(agent->es, reconnect_link, "process was paused");
+	agent->last_tick_ms = clk_now_ms();
+	tell_changes(agent);
+	drop_ended(agent);
+	ex_pump(agent->ex);
+	update_gauges(agent);
+	check_drained(agent);
+	return G_SOURCE_CONTINUE;
+}
+
+/* Tells the entries, returns the queue and lets running tasks finish. */
+void
+agent_drain(struct agent *agent)
+{
+	if (agent->draining)
+		return;
+	log_line(LOG_NOTICE, "draining");
+	agent->draining = true;
+	agent->drain_deadline_ms = clk_now_ms() + agent->set->drain_timeout_ms;
+	ex_drain(agent->ex);
+	es_each(agent->es, tell_link, NULL);
+	check_drained(agent);
+}
+
+static gboolean
+on_signal(gpointer data)
+{
+	agent_drain(data);
+	return G_SOURCE_CONTINUE;
+}
+
+static void
+make_gauges(struct agent *agent)
+{
+	struct ctr_registry *reg = agent->counters;
+
+	agent->busy = ctr_gauge(reg, "slots_busy", "Slots in use.");
+	agent->queued = ctr_gauge(reg, "starts_queued", "Starts waiting.");
+	agent->open_links =
+	    ctr_gauge(reg, "entries_connected", "Entries connected.");
+	agent->version =
+	    ctr_gauge(reg, "config_version", "Configuration held.");
+	agent->age = ctr_gauge(reg, "config_age_ms",
+	    "Time since the configuration was confirmed, -1 never.");
+}
+
+static void
+make_work(struct agent *agent)
+{
+	const struct set_agent *set = agent->set;
+	struct out_options out = {
+	    MAX(MIN_RECORDS, set->max_queue), MAX_RESULT_BYTES, MAX_ENTRIES};
+	struct ex_options ex = {
+	    .worker = set->worker,
+	    .failure_domain = set->failure_domain,
+	    .freshness_ms = set->freshness_ms,
+	    .max_queue = set->max_queue,
+	    .max_answer_bytes = set->max_answer_bytes,
+	    .on_results = on_results,
+	    .ctx = agent,
+	};
+
+	ex.counters = agent->counters = ctr_new();
+	ex.traces = agent->traces = trc_new(set->trace_spans);
+	ex.fresh = agent->fresh = fresh_new(set->freshness_ms);
+	ex.ann = agent->ann = ann_new();
+	ex.out = agent->out = out_new(&out);
+	agent->ex = ex_new(&ex);
+	make_gauges(agent);
+}
+
+static void
+make_links(struct agent *agent)
+{
+	const struct set_agent *set = agent->set;
+	struct es_options opts = {
+	    .seeds = (const char *const *)set->entries,
+	    .worker = set->worker,
+	    .failure_domain = set->failure_domain,
+	    .max_links = set->entry_connections,
+	    .link =
+		{
+		    .cluster_key = set->cluster_key,
+		    .incarnation = agent->incarnation,
+		    .fresh = agent->fresh,
+		    .heartbeat_ms = set->heartbeat_ms,
+		    .silence_ms = set->silence_ms,
+		    .handlers = &handlers,
+		    .ctx = agent,
+		},
+	    .is_idle = is_idle,
+	    .ctx = agent,
+	};
+
+	agent->es = es_new(&opts);
+}
+
+/* Makes the agent and binds its listener. */
+struct agent *
+agent_new(const struct set_agent *set, struct status *st)
+{
+	struct agent *agent = g_new0(struct agent, 1);
+	struct lh_options lh;
+
+	agent->set = set;
+	if (getrandom(&agent->incarnation, sizeof(agent->incarnation), 0) !=
+	    sizeof(agent->incarnation)) {
+		g_free(agent);
+		st_set(st, ST_INTERNAL, "getrandom failed");
+		return NULL;
+	}
+	agent->loop = g_main_loop_new(NULL, FALSE);
+	make_work(agent);
+	lh = (struct lh_options){
+	    .listen = set->listen,
+	    .ann = agent->ann,
+	    .counters = agent->counters,
+	    .traces = agent->traces,
+	    .running = running_calls,
+	    .changed = on_announcement,
+	    .ctx = agent,
+	};
+	agent->lh = lh_new(&lh, st);
+	if (agent->lh == NULL) {
+		agent_free(agent);
+		return NULL;
+	}
+	make_links(agent);
+	agent->last_tick_ms = clk_now_ms();
+	agent->tick_id = g_timeout_add(TICK_MS, on_tick, agent);
+	agent->term_id = g_unix_signal_add(SIGTERM, on_signal, agent);
+	agent->int_id = g_unix_signal_add(SIGINT, on_signal, agent);
+	return agent;
+}
+
+/* Serves until drained. */
+bool
+agent_run(struct agent *agent)
+{
+	g_main_loop_run(agent->loop);
+	if (!agent->clean)
+		log_line(LOG_WARNING, "drain timeout: %u tasks running",
+		    ex_running(agent->ex));
+	return agent->clean;
+}
+
+/* Frees the agent with everything below it. */
+void
+agent_free(struct agent *agent)
+{
+	if (agent == NULL)
+		return;
+	g_clear_handle_id(&agent->tick_id, g_source_remove);
+	g_clear_handle_id(&agent->term_id, g_source_remove);
+	g_clear_handle_id(&agent->int_id, g_source_remove);
+	lh_free(agent->lh);
+	es_free(g_steal_pointer(&agent->es));
+	ex_free(agent->ex);
+	out_free(agent->out);
+	ann_free(agent->ann);
+	fresh_free(agent->fresh);
+	trc_free(agent->traces);
+	ctr_free(agent->counters);
+	g_main_loop_unref(agent->loop);
+	g_free(agent->told_service);
+	g_free(agent);
+}
--- /dev/null
+++ b/src/request/runqueue.c
@@ -0,0 +1,164 @@
+#include <glib.h>
+#include <string.h>
+
+#include "request/runqueue.h"
+
+struct rq {
+	struct rq_options opts;
+	GQueue queue; /* struct rq_task */
+	uint64_t bytes;
+	uint32_t running;
+};
+
+/* Makes an empty queue. */
+struct rq *
+rq_new(const struct rq_options *opts)
+{
+	struct rq *rq = g_new0(struct rq, 1);
+
+	rq->opts = *opts;
+	g_queue_init(&rq->queue);
+	return rq;
+}
+
+/* Frees the queue, not the tasks in it. */
+void
+rq_free(struct rq *rq)
+{
+	if (rq == NULL)
+		return;
+	g_queue_clear(&rq->queue);
+	g_free(rq);
+}
+
+/*
+ * Why a task can't start while the gate stays as it is.  A stale
+ * configuration is no such reason: it may be confirmed again in time.
+ */
+static enum wire_reason
+refusal(const struct rq_task *task, const struct rq_gate *gate, int64_t now_ms)
+{
+	if (task->deadline_ms <= now_ms)
+		return WIRE_REASON_DEADLINE;
+	if (gate->draining)
+		return WIRE_REASON_DRAINING;
+	if (gate->service == NULL || strcmp(gate->service, task->service) != 0)
+		return WIRE_REASON_NO_ENDPOINT;
+	if (gate->out)
+		return WIRE_REASON_OUT;
+	return WIRE_REASON_NONE;
+}
+
+/* Queues a task unless it is already known that it can't run. */
+enum wire_reason
+rq_push(struct rq *rq, struct rq_task *task, const struct rq_gate *gate,
+    int64_t now_ms)
+{
+	enum wire_reason reason = refusal(task, gate, now_ms);
+	uint32_t in_use = rq->running + gate->slots_in_use;
+	uint64_t limit = rq->opts.max_queue;
+
+	if (reason != WIRE_REASON_NONE)
+		return reason;
+	/* Tasks of one batch pass through the queue to the free slots. */
+	if (in_use < gate->slots)
+		limit += gate->slots - in_use;
+	if (rq->queue.length >= limit ||
+	    rq->bytes + task->bytes > rq->opts.max_bytes)
+		return WIRE_REASON_QUEUE_FULL;
+	g_queue_push_tail(&rq->queue, task);
+	rq->bytes += task->bytes;
+	return WIRE_REASON_NONE;
+}
+
+static struct rq_task *
+take(struct rq *rq, GList *link)
+{
+	struct rq_task *task = link->data;
+
+	g_queue_delete_link(&rq->queue, link);
+	rq->bytes -= task->bytes;
+	return task;
+}
+
+/* Takes the next task that must be returned or can be started. */
+struct rq_task *
+rq_step(struct rq *rq, const struct rq_gate *gate, int64_t now_ms,
+    enum wire_reason *reason)
+{
+	uint64_t in_use = (uint64_t)rq->running + gate->slots_in_use;
+	GList *l;
+
+	for (l = rq->queue.head; l != NULL; l = l->next) {
+		*reason = refusal(l->data, gate, now_ms);
+		if (*reason != WIRE_REASON_NONE)
+			return take(rq, l);
+	}
+	if (rq->queue.head == NULL || !gate->fresh || in_use >= gate->slots)
+		return NULL;
+	rq->running++;
+	*reason = WIRE_REASON_NONE;
+	return take(rq, rq->queue.head);
+}
+
+/* Notes that a task returned by rq_step() for a start has ended. */
+void
+rq_finished(struct rq *rq)
+{
+	if (rq->running > 0)
+		rq->running--;
+}
+
+/* Removes a queued task; a running one is not touched. */
+struct rq_task *
+rq_withdraw(struct rq *rq, uint64_t entry, uint64_t seq)
+{
+	GList *l;
+
+	for (l = rq->queue.head; l != NULL; l = l->next) {
+		struct rq_task *task = l->data;
+
+		if (task->entry == entry && task->seq == seq)
+			return take(rq, l);
+	}
+	return NULL;
+}
+
+/* Removes the first queued task of an entry incarnation. */
+struct rq_task *
+rq_drop(struct rq *rq, uint64_t entry)
+{
+	GList *l;
+
+	for (l = rq->queue.head; l != NULL; l = l->next) {
+		struct rq_task *task = l->data;
+
+		if (task->entry == entry)
+			return take(rq, l);
+	}
+	return NULL;
+}
+
+/* Returns the number of tasks that wait. */
+uint32_t
+rq_queued(const struct rq *rq)
+{
+	return rq->queue.length;
+}
+
+/* Returns the number of tasks that run. */
+uint32_t
+rq_running(const struct rq *rq)
+{
+	return rq->running;
+}
+
+/* Describes the load for entries. */
+void
+rq_load(const struct rq *rq, const struct rq_gate *gate, struct wire_load *load)
+{
+	load->slots = gate->service == NULL ? 0 : gate->slots;
+	load->busy = rq->running + gate->slots_in_use;
+	load->queued = rq->queue.length;
+	load->draining = gate->draining;
+}
