Add an offline replay of placement policies

Cause: policies can only be compared on the same arrivals and speeds, which real processes on one machine do not give.

bench_policy replays fixed seeds as discrete events over the placement module: 10 workers in 3 failure domains, 3 entries with their own delayed views, bursts, a tail of long tasks and wrongly declared run times. The ideal is a central scheduler that knows every run time. The placement module gets place_withdraw_from() and place_withdrawn(), so that withdrawal of queued starts can be compared; nothing else uses them yet.

--- a/Makefile
+++ b/Makefile
@@ -34,11 +34,13 @@
 TEST_SRCS = $(wildcard tests/test_*.c)
 STANDIN_SRCS = $(wildcard tests/standin_*.c tests/fault_proxy.c)
 BENCH_SRCS = $(wildcard bench/bench_*.c)
+BENCH_SUPPORT_SRCS = $(filter-out $(BENCH_SRCS), $(wildcard bench/*.c))
 SUPPORT_SRCS = $(filter-out $(TEST_SRCS) $(STANDIN_SRCS), \
     $(wildcard tests/*.c))
 
 LIB_OBJS = $(LIB_SRCS:%.c=$(B)/%.o)
 SUPPORT_OBJS = $(SUPPORT_SRCS:%.c=$(B)/%.o)
+BENCH_SUPPORT_OBJS = $(BENCH_SUPPORT_SRCS:%.c=$(B)/%.o)
 LIB = $(B)/libsequoiaplank.a
 SHARED_LIB = $(B)/libsequoiaplank.so
 PROGRAMS = $(DAEMON_SRCS:src/daemons/%.c=$(B)/%)
@@ -78,8 +80,9 @@
 	$(CC) $(SANFLAGS) -o $@ $< $(SUPPORT_OBJS) $(LIB) $(LIBS) \
 	    $(shell pkg-config --libs check)
 
-$(BENCHES): $(B)/%: $(B)/bench/%.o $(SUPPORT_OBJS) $(LIB)
-	$(CC) $(SANFLAGS) -o $@ $< $(SUPPORT_OBJS) $(LIB) $(LIBS)
+$(BENCHES): $(B)/%: $(B)/bench/%.o $(BENCH_SUPPORT_OBJS) $(SUPPORT_OBJS) $(LIB)
+	$(CC) $(SANFLAGS) -o $@ $< $(BENCH_SUPPORT_OBJS) $(SUPPORT_OBJS) $(LIB) \
+	    $(LIBS)
 
 # The committed src/connection/wire_xdr.[ch] come from this.
 wire:
--- /dev/null
+++ b/bench/bench_policy.c
@@ -0,0 +1,286 @@
+#include <argp.h>
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "replay.h"
+#include "workload.h"
+
+/*
+ * Replays fixed arrivals over the placement module, without sockets, and
+ * prints one figure a line: name, value, unit.  docs/POLICY.md explains the
+ * model and the figures.
+ */
+
+#define MAX_SEEDS      20
+#define QUEUE_AT_AGENT 100000 /* ahead: the entry never holds a task back */
+
+static guint n_seeds = 5;
+static guint n_tasks = 100000;
+
+struct variant {
+	const char *name;
+	struct replay_options opts;
+};
+
+static const struct variant variants[] = {
+    {"random.agent_queue", {.policy = PLACE_RANDOM, .ahead = QUEUE_AT_AGENT}},
+    {"least_outstanding.agent_queue",
+	{.policy = PLACE_LEAST_OUTSTANDING, .ahead = QUEUE_AT_AGENT}},
+    {"two_choices.agent_queue",
+	{.policy = PLACE_TWO_CHOICES, .ahead = QUEUE_AT_AGENT}},
+    {"least_wait.agent_queue",
+	{.policy = PLACE_LEAST_WAIT, .ahead = QUEUE_AT_AGENT}},
+    {"random.ahead0", {.policy = PLACE_RANDOM}},
+    {"least_outstanding.ahead0", {.policy = PLACE_LEAST_OUTSTANDING}},
+    {"two_choices.ahead0", {.policy = PLACE_TWO_CHOICES}},
+    {"least_wait.ahead0", {.policy = PLACE_LEAST_WAIT}},
+    {"least_wait.ahead1", {.policy = PLACE_LEAST_WAIT, .ahead = 1}},
+    {"least_wait.ahead2", {.policy = PLACE_LEAST_WAIT, .ahead = 2}},
+    {"least_wait.ahead8", {.policy = PLACE_LEAST_WAIT, .ahead = 8}},
+    {"least_wait.ahead0.withdraw",
+	{.policy = PLACE_LEAST_WAIT, .withdraw = true}},
+    {"least_wait.ahead2.withdraw",
+	{.policy = PLACE_LEAST_WAIT, .ahead = 2, .withdraw = true}},
+    {"least_wait.agent_queue.withdraw", {.policy = PLACE_LEAST_WAIT,
+					    .ahead = QUEUE_AT_AGENT,
+					    .withdraw = true}},
+    {"least_wait.ahead0.local",
+	{.policy = PLACE_LEAST_WAIT, .prefer_local = true}},
+    {"least_wait.ahead0.heartbeat100",
+	{.policy = PLACE_LEAST_WAIT, .heartbeat_us = 100000}},
+    {"least_wait.ahead0.instant",
+	{.policy = PLACE_LEAST_WAIT, .instant = true}},
+};
+
+/* One figure over the seeds. */
+struct figure {
+	double values[MAX_SEEDS];
+	guint n;
+};
+
+static void
+add(struct figure *f, double value)
+{
+	f->values[f->n++] = value;
+}
+
+static void
+print_figure(
+    const char *prefix, const char *name, const char *unit, struct figure *f)
+{
+	double sum = 0;
+	double low = f->values[0];
+	double high = f->values[0];
+	guint i;
+
+	for (i = 0; i < f->n; i++) {
+		sum += f->values[i];
+		low = MIN(low, f->values[i]);
+		high = MAX(high, f->values[i]);
+	}
+	printf("%s.%s %.3f %s\n", prefix, name, sum / f->n, unit);
+	printf("%s.%s.low %.3f %s\n", prefix, name, low, unit);
+	printf("%s.%s.high %.3f %s\n", prefix, name, high, unit);
+	f->n = 0;
+}
+
+struct figures {
+	struct figure mean_ratio, p99_ratio, mean_ms, p99_ms, free_mean,
+	    free_p99, wasted, agent_wait, lost_jobs, lost_work, return_mean,
+	    return_p99;
+};
+
+static void
+collect(struct figures *f, const struct replay_result *res)
+{
+	add(&f->mean_ratio, res->mean_ratio);
+	add(&f->p99_ratio, res->p99_ratio);
+	add(&f->mean_ms, res->mean_ms);
+	add(&f->p99_ms, res->p99_ms);
+	add(&f->free_mean, res->free_mean_ratio);
+	add(&f->free_p99, res->free_p99_ratio);
+	add(&f->wasted, res->wasted);
+	add(&f->agent_wait, res->agent_wait_ms);
+	add(&f->lost_jobs, res->lost_jobs);
+	add(&f->lost_work, res->lost_work);
+	add(&f->return_mean, res->return_mean_ms);
+	add(&f->return_p99, res->return_p99_ms);
+}
+
+static void
+print_figures(
+    const char *prefix, struct figures *f, guint job_size, bool returns)
+{
+	print_figure(prefix, "mean_ratio", "ratio", &f->mean_ratio);
+	print_figure(prefix, "p99_ratio", "ratio", &f->p99_ratio);
+	print_figure(prefix, "mean", "ms", &f->mean_ms);
+	print_figure(prefix, "p99", "ms", &f->p99_ms);
+	if (job_size == 1) {
+		print_figure(prefix, "free_mean_ratio", "ratio", &f->free_mean);
+		print_figure(prefix, "free_p99_ratio", "ratio", &f->free_p99);
+	}
+	print_figure(prefix, "wasted", "messages/task", &f->wasted);
+	print_figure(prefix, "agent_wait", "ms", &f->agent_wait);
+	print_figure(prefix, "lost_jobs", "share", &f->lost_jobs);
+	print_figure(prefix, "lost_work", "share", &f->lost_work);
+	if (returns) {
+		print_figure(prefix, "return_mean", "ms", &f->return_mean);
+		print_figure(prefix, "return_p99", "ms", &f->return_p99);
+	}
+	fflush(stdout);
+}
+
+static void
+run(const char *name, const struct replay_options *base,
+    struct workload_options wl)
+{
+	struct figures *f = g_new0(struct figures, 1);
+	char *prefix = g_strdup_printf("entries%u.load%.0f.job%u.%s",
+	    wl.entries, wl.load * 100, wl.job_size, name);
+	guint seed;
+
+	for (seed = 1; seed <= n_seeds; seed++) {
+		struct replay_options opts = *base;
+		struct replay_result res;
+		struct workload *load;
+
+		wl.seed = seed;
+		wl.n_tasks = n_tasks;
+		opts.seed = seed;
+		opts.entries = wl.entries;
+		load = workload_new(&wl);
+		res = replay_run(load, &opts);
+		collect(f, &res);
+		workload_free(load);
+	}
+	print_figures(prefix, f, wl.job_size, base->period_us > 0);
+	g_free(prefix);
+	g_free(f);
+}
+
+static struct {
+	const char *only; /* part of the names to run */
+	guint entries;
+	double load;
+	gint job_size;
+	bool returns;
+} args = {.entries = 3, .load = 0, .job_size = -1};
+
+static void
+run_variants(void)
+{
+	static const double loads[] = {0.5, 0.8, 0.95};
+	static const gint sizes[] = {1, 20, 100};
+	guint l;
+	guint k;
+	guint v;
+
+	for (l = 0; l < G_N_ELEMENTS(loads); l++) {
+		for (k = 0; k < G_N_ELEMENTS(sizes); k++) {
+			struct workload_options wl = {.load = loads[l],
+			    .job_size = (uint32_t)sizes[k],
+			    .entries = args.entries};
+
+			if ((args.load > 0 && loads[l] != args.load) ||
+			    (args.job_size >= 0 && sizes[k] != args.job_size))
+				continue;
+			for (v = 0; v < G_N_ELEMENTS(variants); v++) {
+				if (args.only == NULL ||
+				    strstr(variants[v].name, args.only))
+					run(variants[v].name, &variants[v].opts,
+					    wl);
+			}
+		}
+	}
+}
+
+/* A failure domain leaves for 10 s in each 30 s and returns cold. */
+static void
+run_returns(void)
+{
+	static const struct variant returns[] = {
+	    {"return.equal_share",
+		{.policy = PLACE_RANDOM, .ahead = QUEUE_AT_AGENT}},
+	    {"return.least_wait.agent_queue",
+		{.policy = PLACE_LEAST_WAIT, .ahead = QUEUE_AT_AGENT}},
+	    {"return.least_wait.agent_queue.ramp", {.policy = PLACE_LEAST_WAIT,
+						       .ahead = QUEUE_AT_AGENT,
+						       .ramp = true}},
+	    {"return.least_wait.ahead0", {.policy = PLACE_LEAST_WAIT}},
+	    {"return.least_wait.ahead0.ramp",
+		{.policy = PLACE_LEAST_WAIT, .ramp = true}},
+	};
+	static const double loads[] = {0.5, 0.6};
+	guint l;
+	guint v;
+
+	for (l = 0; l < G_N_ELEMENTS(loads); l++) {
+		for (v = 0; v < G_N_ELEMENTS(returns); v++) {
+			struct workload_options wl = {.load = loads[l],
+			    .job_size = 1,
+			    .entries = args.entries};
+			struct replay_options opts = returns[v].opts;
+
+			opts.period_us = 30000000;
+			opts.away_us = 10000000;
+			opts.cold = 0.25;
+			run(returns[v].name, &opts, wl);
+		}
+	}
+}
+
+static error_t
+parse_option(int key, char *arg, struct argp_state *state)
+{
+	(void)state;
+	switch (key) {
+	case 's':
+		n_seeds = MIN((guint)strtoul(arg, NULL, 10), MAX_SEEDS);
+		break;
+	case 't':
+		n_tasks = (guint)strtoul(arg, NULL, 10);
+		break;
+	case 'e':
+		args.entries = CLAMP((guint)strtoul(arg, NULL, 10), 1, 3);
+		break;
+	case 'l':
+		args.load = g_ascii_strtod(arg, NULL) / 100;
+		break;
+	case 'j':
+		args.job_size = (gint)strtol(arg, NULL, 10);
+		break;
+	case 'o':
+		args.only = arg;
+		break;
+	case 'r':
+		args.returns = true;
+		break;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+	return 0;
+}
+
+int
+main(int argc, char **argv)
+{
+	static const struct argp_option options[] = {
+	    {"seeds", 's', "N", 0, "replay seeds 1 to N (5)", 0},
+	    {"tasks", 't', "N", 0, "tasks of a replay (100000)", 0},
+	    {"entries", 'e', "N", 0, "entries (3)", 0},
+	    {"load", 'l', "PERCENT", 0, "only this load", 0},
+	    {"job", 'j', "N", 0, "only jobs of this size", 0},
+	    {"only", 'o', "TEXT", 0, "only variants with this in the name", 0},
+	    {"returns", 'r', NULL, 0, "only the return of a domain", 0}, {0}};
+	static const struct argp argp = {options, parse_option, NULL,
+	    "Replays arrivals over the placement module.", NULL, NULL, NULL};
+
+	if (argp_parse(&argp, argc, argv, 0, NULL, NULL) != 0)
+		return EXIT_FAILURE;
+	if (!args.returns)
+		run_variants();
+	run_returns();
+	return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/bench/replay.c
@@ -0,0 +1,734 @@
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "replay.h"
+
+#define MAX_ENTRIES	3
+#define HEARTBEAT_US	500000
+#define WARM_UP		0.1 /* share of jobs that no figure counts */
+#define SAMPLE_US	1000000
+#define COLD_TASKS	50.0 /* until a returned worker has its full speed */
+#define AFTER_RETURN_US 10000000
+#define NO_TASK		UINT32_MAX
+
+enum event_kind {
+	JOB_ARRIVES,   /* at the entry; index: job */
+	START_ARRIVES, /* at the agent; index: task */
+	RUN_ENDS,      /* index: task */
+	REPORT_ARRIVES,
+	HEARTBEAT, /* index: worker */
+	WITHDRAW_ARRIVES,
+	SAMPLE,
+	DOMAIN_LEAVES,
+	DOMAIN_RETURNS
+};
+
+/* Load of an agent as one message carries it. */
+struct report {
+	uint32_t busy;
+	uint32_t queued;
+	uint32_t received; /* starts from the addressed entry */
+};
+
+struct event {
+	int64_t at_us;
+	uint64_t order;
+	enum event_kind kind;
+	uint32_t index;
+	uint32_t entry;
+	uint32_t worker;
+	bool not_started;
+	struct report report;
+};
+
+enum task_state { WAITING, SENT, QUEUED, RUNNING, DONE };
+
+struct run {
+	enum task_state state;
+	uint32_t worker;
+	uint32_t place_id;
+	bool withdrawn;
+	int64_t arrived_us; /* at the agent */
+	int64_t run_us;
+};
+
+struct progress {
+	uint32_t done;
+	uint32_t started;
+	uint32_t in_domain[DOMAINS]; /* dispatched and not answered */
+	int64_t answered_us;	     /* at the client */
+	int64_t free_ideal_us;
+};
+
+struct agent {
+	uint32_t busy;
+	GQueue queue;
+	uint32_t received[MAX_ENTRIES];
+	double done_cold; /* tasks since the return */
+	bool cold;
+	bool away;
+};
+
+struct entry {
+	struct place *place;
+	uint32_t id[WORKERS];
+	uint32_t sent[WORKERS];
+	GQueue waiting;
+	GQueue outstanding[WORKERS];
+};
+
+struct sim {
+	const struct workload *load;
+	struct replay_options opts;
+	GArray *heap;
+	uint64_t next_order;
+	int64_t now_us;
+	struct run *runs;
+	struct progress *jobs;
+	struct agent agents[WORKERS];
+	struct entry entries[MAX_ENTRIES];
+	uint32_t jobs_done;
+	uint32_t oldest; /* job in flight */
+	uint32_t newest;
+	int64_t wasted;
+	double agent_wait_us;
+	double samples_in_flight;
+	double samples_lost;
+	double started_in_flight;
+	double started_lost;
+	GArray *returns; /* int64_t */
+};
+
+static struct event *
+at(const struct sim *s, guint i)
+{
+	return &g_array_index(s->heap, struct event, i);
+}
+
+static bool
+before(const struct event *a, const struct event *b)
+{
+	return a->at_us != b->at_us ? a->at_us < b->at_us : a->order < b->order;
+}
+
+static void
+swap(struct event *a, struct event *b)
+{
+	struct event copy = *a;
+
+	*a = *b;
+	*b = copy;
+}
+
+static void
+post(struct sim *s, int64_t delay_us, struct event ev)
+{
+	guint i = s->heap->len;
+
+	ev.at_us = s->now_us + delay_us;
+	ev.order = s->next_order++;
+	g_array_append_val(s->heap, ev);
+	while (i > 0 && before(at(s, i), at(s, (i - 1) / 2))) {
+		swap(at(s, i), at(s, (i - 1) / 2));
+		i = (i - 1) / 2;
+	}
+}
+
+static struct event
+next_event(struct sim *s)
+{
+	struct event top = *at(s, 0);
+	guint n = s->heap->len - 1;
+	guint i = 0;
+
+	*at(s, 0) = *at(s, n);
+	g_array_set_size(s->heap, n);
+	while (2 * i + 1 < n) {
+		guint child = 2 * i + 1;
+
+		if (child + 1 < n && before(at(s, child + 1), at(s, child)))
+			child++;
+		if (!before(at(s, child), at(s, i)))
+			break;
+		swap(at(s, i), at(s, child));
+		i = child;
+	}
+	return top;
+}
+
+static int64_t
+now_ms(const struct sim *s)
+{
+	return s->now_us / 1000;
+}
+
+static struct place_task
+place_task(const struct sim *s, uint32_t task)
+{
+	struct place_task t = {.service = "s",
+	    .declared_ms =
+		task == NO_TASK
+		    ? 0
+		    : MAX(s->load->tasks[task].declared_us / 1000, 1)};
+
+	return t;
+}
+
+static uint32_t
+entry_of(const struct sim *s, uint32_t task)
+{
+	return s->load->jobs[s->load->tasks[task].job].entry;
+}
+
+static struct progress *
+progress_of(struct sim *s, uint32_t task)
+{
+	return &s->jobs[s->load->tasks[task].job];
+}
+
+static uint32_t
+worker_by_id(const struct entry *e, uint32_t id)
+{
+	uint32_t w = 0;
+
+	while (e->id[w] != id)
+		w++;
+	return w;
+}
+
+static void
+dispatch(struct sim *s, struct entry *e, uint32_t id, uint32_t task)
+{
+	struct place_task t = place_task(s, task);
+	uint32_t entry = entry_of(s, task);
+	uint32_t w = worker_by_id(e, id);
+	struct run *r = &s->runs[task];
+
+	place_dispatched(e->place, id, &t, now_ms(s));
+	r->state = SENT;
+	r->worker = w;
+	r->place_id = id;
+	e->sent[w]++;
+	progress_of(s, task)->in_domain[worker_domain(w)]++;
+	g_queue_push_tail(&e->outstanding[w], GUINT_TO_POINTER(task));
+	post(s, latency_us(entry, w),
+	    (struct event){.kind = START_ARRIVES, .index = task, .worker = w});
+}
+
+static void
+pump(struct sim *s, uint32_t entry)
+{
+	struct entry *e = &s->entries[entry];
+
+	while (!g_queue_is_empty(&e->waiting)) {
+		uint32_t task = GPOINTER_TO_UINT(e->waiting.head->data);
+		struct place_task t = place_task(s, task);
+		uint32_t id = place_choose(e->place, &t, now_ms(s));
+
+		if (id == PLACE_NONE)
+			break;
+		g_queue_pop_head(&e->waiting);
+		dispatch(s, e, id, task);
+	}
+}
+
+static struct report
+report_of(const struct sim *s, uint32_t worker, uint32_t entry)
+{
+	const struct agent *a = &s->agents[worker];
+	struct report report = {.busy = a->busy,
+	    .queued = a->queue.length,
+	    .received = a->received[entry]};
+
+	return report;
+}
+
+static void
+take_report(
+    struct sim *s, uint32_t entry, uint32_t w, const struct report *report)
+{
+	struct entry *e = &s->entries[entry];
+	struct place_load load = {
+	    .slots = SLOTS, .busy = report->busy, .queued = report->queued};
+
+	place_report(e->place, e->id[w], &load, e->sent[w] - report->received,
+	    now_ms(s));
+}
+
+/* Sends the load, and the outcome of a task when there is one. */
+static void
+send_report(struct sim *s, uint32_t worker, uint32_t entry, uint32_t task,
+    bool not_started)
+{
+	post(s, latency_us(entry, worker),
+	    (struct event){.kind = REPORT_ARRIVES,
+		.index = task,
+		.entry = entry,
+		.worker = worker,
+		.not_started = not_started,
+		.report = report_of(s, worker, entry)});
+}
+
+static void
+tell_all(struct sim *s, uint32_t worker)
+{
+	uint32_t e;
+
+	for (e = 0; s->opts.instant && e < s->opts.entries; e++) {
+		struct report report = report_of(s, worker, e);
+
+		take_report(s, e, worker, &report);
+	}
+	for (e = 0; s->opts.instant && e < s->opts.entries; e++)
+		pump(s, e);
+}
+
+static double
+warmth(const struct sim *s, const struct agent *a)
+{
+	double done = MIN(a->done_cold / COLD_TASKS, 1);
+
+	return a->cold ? s->opts.cold + (1 - s->opts.cold) * done : 1;
+}
+
+static void
+run_next(struct sim *s, uint32_t worker)
+{
+	struct agent *a = &s->agents[worker];
+
+	while (a->busy < SLOTS && !g_queue_is_empty(&a->queue)) {
+		uint32_t task = GPOINTER_TO_UINT(g_queue_pop_head(&a->queue));
+		struct run *r = &s->runs[task];
+
+		a->busy++;
+		r->state = RUNNING;
+		r->run_us =
+		    (int64_t)((double)run_time_us(s->load, task, worker) /
+			      warmth(s, a));
+		s->agent_wait_us += (double)(s->now_us - r->arrived_us);
+		progress_of(s, task)->started++;
+		post(s, r->run_us,
+		    (struct event){
+			.kind = RUN_ENDS, .index = task, .worker = worker});
+	}
+}
+
+static void
+on_start(struct sim *s, const struct event *ev)
+{
+	struct run *r = &s->runs[ev->index];
+	struct agent *a = &s->agents[ev->worker];
+
+	r->state = QUEUED;
+	r->arrived_us = s->now_us;
+	a->received[entry_of(s, ev->index)]++;
+	g_queue_push_tail(&a->queue, GUINT_TO_POINTER(ev->index));
+	run_next(s, ev->worker);
+	tell_all(s, ev->worker);
+}
+
+static void
+on_run_end(struct sim *s, const struct event *ev)
+{
+	struct agent *a = &s->agents[ev->worker];
+
+	a->busy--;
+	a->done_cold++;
+	run_next(s, ev->worker);
+	send_report(s, ev->worker, entry_of(s, ev->index), ev->index, false);
+	tell_all(s, ev->worker);
+}
+
+static void
+on_withdraw(struct sim *s, const struct event *ev)
+{
+	struct agent *a = &s->agents[ev->worker];
+
+	if (!g_queue_remove(&a->queue, GUINT_TO_POINTER(ev->index)))
+		return;
+	s->wasted += 2; /* the start and the answer */
+	send_report(s, ev->worker, entry_of(s, ev->index), ev->index, true);
+	tell_all(s, ev->worker);
+}
+
+static void
+finish_job(struct sim *s, uint32_t job)
+{
+	s->jobs[job].answered_us = s->now_us + CLIENT_US;
+	s->jobs_done++;
+	while (
+	    s->oldest < s->load->n_jobs && s->jobs[s->oldest].answered_us > 0)
+		s->oldest++;
+}
+
+static void
+take_outcome(struct sim *s, const struct event *ev)
+{
+	struct entry *e = &s->entries[ev->entry];
+	struct run *r = &s->runs[ev->index];
+	struct place_task t = place_task(s, ev->index);
+	struct progress *p = progress_of(s, ev->index);
+	uint32_t job = s->load->tasks[ev->index].job;
+
+	place_finished(e->place, r->place_id, &t,
+	    ev->not_started ? PLACE_NOT_STARTED : PLACE_OK, r->run_us,
+	    now_ms(s));
+	g_queue_remove(
+	    &e->outstanding[ev->worker], GUINT_TO_POINTER(ev->index));
+	p->in_domain[worker_domain(ev->worker)]--;
+	if (ev->not_started) {
+		r->state = WAITING;
+		r->withdrawn = false;
+		g_queue_push_head(&e->waiting, GUINT_TO_POINTER(ev->index));
+		return;
+	}
+	r->state = DONE;
+	if (++p->done == s->load->jobs[job].n)
+		finish_job(s, job);
+}
+
+/* Withdraws the latest start at a worker whose queue another one beats. */
+static void
+withdraw(struct sim *s, uint32_t entry)
+{
+	struct entry *e = &s->entries[entry];
+	struct place_task t = place_task(s, NO_TASK);
+	GList *l;
+
+	while (g_queue_is_empty(&e->waiting)) {
+		uint32_t id = place_withdraw_from(e->place, &t, now_ms(s));
+		uint32_t w;
+
+		if (id == PLACE_NONE)
+			return;
+		w = worker_by_id(e, id);
+		for (l = e->outstanding[w].tail; l != NULL; l = l->prev) {
+			if (!s->runs[GPOINTER_TO_UINT(l->data)].withdrawn)
+				break;
+		}
+		if (l == NULL)
+			return;
+		s->runs[GPOINTER_TO_UINT(l->data)].withdrawn = true;
+		place_withdrawn(e->place, id);
+		s->wasted++;
+		post(s, latency_us(entry, w),
+		    (struct event){.kind = WITHDRAW_ARRIVES,
+			.index = GPOINTER_TO_UINT(l->data),
+			.worker = w});
+	}
+}
+
+static void
+on_report(struct sim *s, const struct event *ev)
+{
+	if (ev->index != NO_TASK)
+		take_outcome(s, ev);
+	if (!s->opts.instant)
+		take_report(s, ev->entry, ev->worker, &ev->report);
+	pump(s, ev->entry);
+	if (s->opts.withdraw)
+		withdraw(s, ev->entry);
+}
+
+static void
+on_heartbeat(struct sim *s, const struct event *ev)
+{
+	uint32_t e;
+
+	for (e = 0; e < s->opts.entries && !s->agents[ev->index].away; e++)
+		send_report(s, ev->index, e, NO_TASK, false);
+	post(s, s->opts.heartbeat_us > 0 ? s->opts.heartbeat_us : HEARTBEAT_US,
+	    *ev);
+}
+
+/* 0 when no worker is free. */
+static int64_t
+free_ideal_us(const struct sim *s, uint32_t job)
+{
+	const struct job *j = &s->load->jobs[job];
+	int64_t best_us = INT64_MAX;
+	uint32_t w;
+
+	for (w = 0; w < WORKERS; w++) {
+		int64_t us = 2 * (CLIENT_US + latency_us(j->entry, w)) +
+			     run_time_us(s->load, j->first, w);
+
+		if (s->agents[w].busy < SLOTS)
+			best_us = MIN(best_us, us);
+	}
+	return best_us == INT64_MAX ? 0 : best_us;
+}
+
+static void
+on_job(struct sim *s, const struct event *ev)
+{
+	const struct job *j = &s->load->jobs[ev->index];
+	uint32_t k;
+
+	s->newest = ev->index + 1;
+	s->jobs[ev->index].free_ideal_us = free_ideal_us(s, ev->index);
+	for (k = 0; k < j->n; k++)
+		g_queue_push_tail(&s->entries[j->entry].waiting,
+		    GUINT_TO_POINTER(j->first + k));
+	pump(s, j->entry);
+	if (s->newest < s->load->n_jobs)
+		post(s,
+		    s->load->jobs[s->newest].sent_us + CLIENT_US - s->now_us,
+		    (struct event){.kind = JOB_ARRIVES, .index = s->newest});
+}
+
+/* Counts what the end of each domain would take with it now. */
+static void
+on_sample(struct sim *s, const struct event *ev)
+{
+	uint32_t i;
+	uint32_t d;
+
+	post(s, SAMPLE_US, *ev);
+	if (s->newest < (uint32_t)(WARM_UP * s->load->n_jobs) ||
+	    s->newest == s->load->n_jobs)
+		return;
+	for (i = s->oldest; i < s->newest; i++) {
+		const struct progress *p = &s->jobs[i];
+
+		if (p->answered_us > 0)
+			continue;
+		for (d = 0; d < DOMAINS; d++) {
+			bool lost = s->load->jobs[i].entry % DOMAINS == d ||
+				    p->in_domain[d] > 0;
+
+			s->samples_in_flight++;
+			s->samples_lost += lost ? 1 : 0;
+			s->started_in_flight += p->started;
+			s->started_lost += lost ? p->started : 0;
+		}
+	}
+}
+
+static void
+add_worker(struct sim *s, uint32_t entry, uint32_t w)
+{
+	static const char *const domains[] = {"0", "1", "2"};
+	struct place_worker pw = {.name = "w",
+	    .failure_domain = domains[worker_domain(w)],
+	    .service = "s",
+	    .slots = SLOTS};
+	struct entry *e = &s->entries[entry];
+
+	e->id[w] = place_add(e->place, &pw, now_ms(s));
+}
+
+/* Domain 0 leaves as planned: its running tasks end, it gets no new ones. */
+static void
+on_domain(struct sim *s, const struct event *ev)
+{
+	bool leaves = ev->kind == DOMAIN_LEAVES;
+	uint32_t w;
+	uint32_t e;
+
+	for (w = 0; w < WORKERS; w += DOMAINS) {
+		s->agents[w].away = leaves;
+		s->agents[w].cold = !leaves && s->opts.cold > 0;
+		s->agents[w].done_cold = 0;
+		for (e = 0; e < s->opts.entries; e++) {
+			struct report report = report_of(s, w, e);
+
+			if (leaves) {
+				place_set_usable(s->entries[e].place,
+				    s->entries[e].id[w], false);
+				continue;
+			}
+			place_remove(s->entries[e].place, s->entries[e].id[w]);
+			add_worker(s, e, w);
+			take_report(s, e, w, &report);
+		}
+	}
+	if (!leaves)
+		g_array_append_val(s->returns, s->now_us);
+	post(s, s->opts.period_us, *ev);
+	for (e = 0; e < s->opts.entries; e++)
+		pump(s, e);
+}
+
+static void
+handle(struct sim *s, const struct event *ev)
+{
+	switch (ev->kind) {
+	case JOB_ARRIVES:
+		on_job(s, ev);
+		break;
+	case START_ARRIVES:
+		on_start(s, ev);
+		break;
+	case RUN_ENDS:
+		on_run_end(s, ev);
+		break;
+	case REPORT_ARRIVES:
+		on_report(s, ev);
+		break;
+	case HEARTBEAT:
+		on_heartbeat(s, ev);
+		break;
+	case WITHDRAW_ARRIVES:
+		on_withdraw(s, ev);
+		break;
+	case SAMPLE:
+		on_sample(s, ev);
+		break;
+	case DOMAIN_LEAVES:
+	case DOMAIN_RETURNS:
+		on_domain(s, ev);
+		break;
+	}
+}
+
+static void
+start(struct sim *s)
+{
+	static const char *const domains[] = {"0", "1", "2"};
+	uint32_t e;
+	uint32_t w;
+
+	for (e = 0; e < s->opts.entries; e++) {
+		struct place_options opts = {.policy = s->opts.policy,
+		    .failure_domain = domains[e % DOMAINS],
+		    .ahead = s->opts.ahead,
+		    .seed = (uint32_t)s->opts.seed * MAX_ENTRIES + e,
+		    .prefer_local = s->opts.prefer_local,
+		    .ramp = s->opts.ramp};
+
+		s->entries[e].place = place_new(&opts);
+		for (w = 0; w < WORKERS; w++)
+			add_worker(s, e, w);
+	}
+	for (w = 0; w < WORKERS; w++)
+		post(s, (int64_t)w * HEARTBEAT_US / WORKERS,
+		    (struct event){.kind = HEARTBEAT, .index = w});
+	post(s, s->load->jobs[0].sent_us + CLIENT_US,
+	    (struct event){.kind = JOB_ARRIVES});
+	post(s, SAMPLE_US, (struct event){.kind = SAMPLE});
+	if (s->opts.period_us > 0) {
+		post(s, s->opts.period_us,
+		    (struct event){.kind = DOMAIN_LEAVES});
+		post(s, s->opts.period_us + s->opts.away_us,
+		    (struct event){.kind = DOMAIN_RETURNS});
+	}
+}
+
+static void
+stop(struct sim *s)
+{
+	uint32_t e;
+	uint32_t w;
+
+	for (e = 0; e < s->opts.entries; e++) {
+		place_free(s->entries[e].place);
+		for (w = 0; w < WORKERS; w++)
+			g_queue_clear(&s->entries[e].outstanding[w]);
+	}
+	g_array_unref(s->heap);
+	g_array_unref(s->returns);
+	g_free(s->runs);
+	g_free(s->jobs);
+}
+
+static int
+compare_doubles(gconstpointer a, gconstpointer b)
+{
+	double x = *(const double *)a;
+	double y = *(const double *)b;
+
+	return (x > y) - (x < y);
+}
+
+static void
+mean_p99(GArray *values, double *mean, double *p99)
+{
+	double sum = 0;
+	guint i;
+
+	for (i = 0; i < values->len; i++)
+		sum += g_array_index(values, double, i);
+	g_array_sort(values, compare_doubles);
+	*mean = values->len == 0 ? 0 : sum / values->len;
+	*p99 = values->len == 0 ? 0
+				: g_array_index(values, double,
+				      (guint)(0.99 * (values->len - 1)));
+	g_array_unref(values);
+}
+
+static bool
+sent_after_return(const struct sim *s, int64_t sent_us)
+{
+	guint i;
+
+	for (i = 0; i < s->returns->len; i++) {
+		int64_t since_us =
+		    sent_us - g_array_index(s->returns, int64_t, i);
+
+		if (since_us >= 0 && since_us < AFTER_RETURN_US)
+			return true;
+	}
+	return false;
+}
+
+static struct replay_result
+summarize(const struct sim *s)
+{
+	struct replay_result res = {0};
+	GArray *ratios = g_array_new(FALSE, FALSE, sizeof(double));
+	GArray *times = g_array_new(FALSE, FALSE, sizeof(double));
+	GArray *frees = g_array_new(FALSE, FALSE, sizeof(double));
+	GArray *returned = g_array_new(FALSE, FALSE, sizeof(double));
+	uint32_t i;
+
+	for (i = (uint32_t)(WARM_UP * s->load->n_jobs); i < s->load->n_jobs;
+	     i++) {
+		const struct job *j = &s->load->jobs[i];
+		double us = (double)(s->jobs[i].answered_us - j->sent_us);
+		double ms = us / 1000;
+		double ratio = us / (double)j->ideal_us;
+		double free_us = (double)s->jobs[i].free_ideal_us;
+		double free_ratio = free_us > 0 ? us / free_us : 0;
+
+		g_array_append_val(times, ms);
+		g_array_append_val(ratios, ratio);
+		if (j->n == 1 && free_us > 0)
+			g_array_append_val(frees, free_ratio);
+		if (sent_after_return(s, j->sent_us))
+			g_array_append_val(returned, ms);
+	}
+	mean_p99(ratios, &res.mean_ratio, &res.p99_ratio);
+	mean_p99(times, &res.mean_ms, &res.p99_ms);
+	mean_p99(frees, &res.free_mean_ratio, &res.free_p99_ratio);
+	mean_p99(returned, &res.return_mean_ms, &res.return_p99_ms);
+	res.wasted = (double)s->wasted / s->load->n_tasks;
+	res.agent_wait_ms = s->agent_wait_us / 1000 / s->load->n_tasks;
+	res.lost_jobs = s->samples_lost / MAX(s->samples_in_flight, 1);
+	res.lost_work = s->started_lost / MAX(s->started_in_flight, 1);
+	return res;
+}
+
+/* Replays the arrivals until every job is answered. */
+struct replay_result
+replay_run(const struct workload *load, const struct replay_options *opts)
+{
+	struct sim s = {.load = load, .opts = *opts};
+	struct replay_result result;
+
+	s.heap = g_array_new(FALSE, FALSE, sizeof(struct event));
+	s.returns = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	s.runs = g_new0(struct run, load->n_tasks);
+	s.jobs = g_new0(struct progress, load->n_jobs);
+	start(&s);
+	while (s.jobs_done < load->n_jobs) {
+		struct event ev = next_event(&s);
+
+		s.now_us = ev.at_us;
+		handle(&s, &ev);
+	}
+	result = summarize(&s);
+	stop(&s);
+	return result;
+}
--- a/src/request/place.c
+++ b/src/request/place.c
@@ -38,9 +38,10 @@
 	uint32_t slots;
 	uint32_t cores;
 	uint64_t memory_mb;
-	uint32_t reported; /* busy and queued in the last report */
-	uint32_t unseen;   /* own dispatches that the report left out */
-	uint32_t own;	   /* own dispatches that have not finished */
+	uint32_t reported;  /* busy and queued in the last report */
+	uint32_t unseen;    /* own dispatches that the report left out */
+	uint32_t own;	    /* own dispatches that have not finished */
+	uint32_t withdrawn; /* starts asked back and not yet answered */
 	int64_t report_ms;
 	struct mean log_run;
 	struct service *service;
@@ -364,6 +365,8 @@
 	w->unseen = outstanding;
 	w->draining = load->draining;
 	w->report_ms = now_ms;
+	if (load_of(w) <= w->slots)
+		w->withdrawn = 0;
 }
 
 void
@@ -465,8 +468,11 @@
 		else if (w->unseen > 0)
 			w->unseen--;
 	}
-	if (outcome == PLACE_NOT_STARTED)
+	if (outcome == PLACE_NOT_STARTED) {
+		if (w->withdrawn > 0)
+			w->withdrawn--;
 		return;
+	}
 	measure(w, outcome, run_us);
 	if (outcome == PLACE_OK && ++w->ramp_limit > w->slots + place->ahead)
 		w->ramping = false;
@@ -515,6 +521,52 @@
 	return slots;
 }
 
+/*
+ * Returns the worker with the latest expected finish of its last queued start,
+ * if a free slot elsewhere would finish that start earlier.
+ */
+uint32_t
+place_withdraw_from(
+    const struct place *place, const struct place_task *task, int64_t now_ms)
+{
+	const struct service *service = find_service(place, task->service);
+	const struct worker *from = NULL;
+	double best_us = INFINITY;
+	double worst_us = 0;
+	uint32_t free_slots = 0;
+	uint32_t withdrawn = 0;
+	guint i;
+
+	(void)now_ms;
+	for (i = 0; service != NULL && i < service->workers->len; i++) {
+		const struct worker *w = service->workers->pdata[i];
+		uint32_t load = load_of(w);
+
+		withdrawn += w->withdrawn;
+		if (is_live(w) && load < w->slots) {
+			free_slots += w->slots - load;
+			best_us = MIN(best_us, worker_run_us(w, task));
+		}
+		if (load > w->slots + w->withdrawn && w->own > w->withdrawn &&
+		    expected_finish_us(w, task) > worst_us) {
+			worst_us = expected_finish_us(w, task);
+			from = w;
+		}
+	}
+	if (from == NULL || withdrawn >= free_slots || best_us >= worst_us)
+		return PLACE_NONE;
+	return from->id;
+}
+
+void
+place_withdrawn(struct place *place, uint32_t id)
+{
+	struct worker *w = find_worker(place, id);
+
+	if (w != NULL)
+		w->withdrawn++;
+}
+
 /* Whether the service has a worker that may get work. */
 bool
 place_has_live(const struct place *place, const char *service_name)
