--- a/src/process/jsonc.c
+++ b/src/process/jsonc.c
@@ -290,9 +290,12 @@
 	if (value == NULL)
 		return true;
 	n = json_object_get_int64(value);
+	/* json-c saturates a number beyond 64 bits. */
 	if (n < min || n > max)
 		return jsonc_error(node, key, st, "expected %s, got %s",
-		    expected, json_object_to_json_string(value));
+		    expected,
+		    n == INT64_MAX ? "a larger number"
+				   : json_object_to_json_string(value));
 	*out = n;
 	return true;
 }
--- a/src/process/jsonc_scan.c
+++ b/src/process/jsonc_scan.c
@@ -37,7 +37,7 @@
 static bool
 skip_comment(struct scan *sc)
 {
-	const char *start = sc->p;
+	const struct scan at_start = *sc;
 
 	if (sc->end - sc->p >= 2 && sc->p[1] == '/') {
 		while (sc->p < sc->end && *sc->p != '\n')
@@ -45,15 +45,14 @@
 		return true;
 	}
 	if (sc->end - sc->p < 2 || sc->p[1] != '*')
-		return scan_error(sc, start, "unexpected \"/\"");
+		return scan_error(sc, sc->p, "unexpected \"/\"");
 	for (sc->p += 2; sc->end - sc->p >= 2; next_char(sc)) {
 		if (sc->p[0] == '*' && sc->p[1] == '/') {
 			sc->p += 2;
 			return true;
 		}
 	}
-	sc->p = sc->end;
-	return scan_error(sc, sc->end, "comment is not closed");
+	return scan_error(&at_start, at_start.p, "comment is not closed");
 }
 
 static bool
--- a/src/version/config.c
+++ b/src/version/config.c
@@ -7,9 +7,6 @@
 #include "config_text.h"
 #include "process/jsonc.h"
 
-#define MAX_CHANGE_ID  128
-#define MAX_VOTER_SETS 64
-
 struct cfg {
 	int refs;
 	uint64_t version;
@@ -20,6 +17,7 @@
 	struct cfg_text_parts parsed;
 	GArray *outs;	   /* struct cfg_out */
 	GPtrArray *voters; /* GArray of struct cfg_voter */
+	GArray *changes;   /* struct cfg_change */
 };
 
 static const char *const kind_names[] = {
@@ -63,6 +61,15 @@
 	struct cfg_voter *voter = p;
 
 	g_free((char *)voter->failure_domain);
+	g_free((char *)voter->address);
+}
+
+static void
+clear_change(void *p)
+{
+	struct cfg_change *change = p;
+
+	g_free((char *)change->change_id);
 }
 
 static GArray *
@@ -116,34 +123,66 @@
 	return true;
 }
 
+/* Returns the string under key, or "" when there is none. */
+static const char *
+string_at(struct json_object *object, const char *key)
+{
+	struct json_object *value;
+
+	if (!json_object_is_type(object, json_type_object) ||
+	    !json_object_object_get_ex(object, key, &value) ||
+	    !json_object_is_type(value, json_type_string))
+		return "";
+	return json_object_get_string(value);
+}
+
 static bool
-read_voter(const char *text, const char *domain, struct cfg_voter *voter,
-    struct status *st)
+read_voter(struct json_object *item, struct cfg_voter *voter, struct status *st)
 {
+	const char *domain = string_at(item, "failure_domain");
+	const char *hex = string_at(item, "incarnation");
+	struct json_object *ended = NULL;
 	guint64 incarnation;
 
-	if (!jsonc_is_name(domain) || !g_ascii_string_to_unsigned(text, 16, 1,
+	if (!jsonc_is_name(domain) || !g_ascii_string_to_unsigned(hex, 16, 1,
 					  UINT64_MAX, &incarnation, NULL)) {
 		st_set(st, ST_INVALID, "voter \"%.64s\" \"%.64s\" is malformed",
-		    domain, text);
+		    domain, hex);
 		return false;
 	}
+	json_object_object_get_ex(item, "ended", &ended);
 	voter->failure_domain = g_strdup(domain);
 	voter->incarnation = incarnation;
+	voter->address = g_strdup(string_at(item, "address"));
+	voter->ended = json_object_get_boolean(ended);
 	return true;
 }
 
-/* Returns the string under key, or "" when there is none. */
-static const char *
-string_at(struct json_object *object, const char *key)
+static bool
+read_changes(const struct jsonc_node *root, struct cfg *cfg, struct status *st)
 {
-	struct json_object *value;
+	struct jsonc_node item;
+	size_t i, n;
 
-	if (!json_object_is_type(object, json_type_object) ||
-	    !json_object_object_get_ex(object, key, &value) ||
-	    !json_object_is_type(value, json_type_string))
-		return "";
-	return json_object_get_string(value);
+	if (!jsonc_array(root, "changes", JSONC_OPTIONAL, &n, st))
+		return false;
+	for (i = 0; i < n; i++) {
+		struct cfg_change change;
+		char *id = NULL;
+		int64_t version = 0;
+		bool ok;
+
+		ok = jsonc_item(root, "changes", i, &item, st) &&
+		     jsonc_string(&item, "id", JSONC_REQUIRED, &id, st) &&
+		     jsonc_int(&item, "version", JSONC_REQUIRED, 1, INT64_MAX,
+			 &version, st);
+		change.change_id = id;
+		change.version = (uint64_t)version;
+		g_array_append_val(cfg->changes, change);
+		if (!ok)
+			return false;
+	}
+	return true;
 }
 
 static bool
@@ -155,9 +194,9 @@
 
 	if (!jsonc_array(root, "voter_sets", JSONC_REQUIRED, &n, st))
 		return false;
-	if (n > MAX_VOTER_SETS)
+	if (n > CFG_VOTER_SETS_MAX)
 		return jsonc_error(root, "voter_sets", st,
-		    "expected at most %d sets, got %zu", MAX_VOTER_SETS, n);
+		    "expected at most %d sets, got %zu", CFG_VOTER_SETS_MAX, n);
 	json_object_object_get_ex(root->value, "voter_sets", &sets);
 	for (i = 0; i < n; i++) {
 		GArray *voters =
@@ -172,8 +211,7 @@
 			struct cfg_voter voter;
 
 			item = json_object_array_get_idx(set, j);
-			if (!read_voter(string_at(item, "incarnation"),
-				string_at(item, "failure_domain"), &voter, st))
+			if (!read_voter(item, &voter, st))
 				return false;
 			g_array_append_val(voters, voter);
 		}
@@ -184,8 +222,8 @@
 static bool
 read_document(const struct jsonc_node *root, struct cfg *cfg, struct status *st)
 {
-	static const char *const keys[] = {
-	    "version", "change_id", "text", "out", "voter_sets", NULL};
+	static const char *const keys[] = {"version", "change_id", "text",
+	    "out", "voter_sets", "changes", NULL};
 	int64_t version = 0;
 
 	if (!jsonc_only(root, keys, st) ||
@@ -194,12 +232,13 @@
 	    !jsonc_string(
 		root, "change_id", JSONC_REQUIRED, &cfg->change_id, st) ||
 	    !jsonc_string(root, "text", JSONC_REQUIRED, &cfg->text, st) ||
-	    !read_outs(root, cfg, st) || !read_voter_sets(root, cfg, st))
+	    !read_outs(root, cfg, st) || !read_voter_sets(root, cfg, st) ||
+	    !read_changes(root, cfg, st))
 		return false;
 	cfg->version = (uint64_t)version;
-	if (strlen(cfg->change_id) > MAX_CHANGE_ID)
+	if (strlen(cfg->change_id) > CFG_CHANGE_ID_MAX)
 		return jsonc_error(root, "change_id", st,
-		    "expected at most %d characters", MAX_CHANGE_ID);
+		    "expected at most %d characters", CFG_CHANGE_ID_MAX);
 	return cfg_text_parse(
 	    "config", cfg->text, strlen(cfg->text), &cfg->parsed, st);
 }
@@ -220,6 +259,7 @@
 	cfg->outs = array_new(sizeof(struct cfg_out), clear_out);
 	cfg->voters =
 	    g_ptr_array_new_with_free_func((GDestroyNotify)g_array_unref);
+	cfg->changes = array_new(sizeof(struct cfg_change), clear_change);
 	cfg->document = g_strndup(document, len);
 	cfg->document_len = len;
 	cfg_text_init(&cfg->parsed);
@@ -247,6 +287,31 @@
 		    json_object_new_string(set->voters[i].failure_domain));
 		json_object_object_add(
 		    item, "incarnation", json_object_new_string(hex));
+		if (set->voters[i].address != NULL &&
+		    set->voters[i].address[0] != '\0')
+			json_object_object_add(item, "address",
+			    json_object_new_string(set->voters[i].address));
+		if (set->voters[i].ended)
+			json_object_object_add(
+			    item, "ended", json_object_new_boolean(1));
+		json_object_array_add(array, item);
+	}
+	return array;
+}
+
+static struct json_object *
+write_changes(const struct cfg_parts *parts)
+{
+	struct json_object *array = json_object_new_array();
+	size_t i;
+
+	for (i = 0; i < parts->n_changes; i++) {
+		struct json_object *item = json_object_new_object();
+
+		json_object_object_add(item, "id",
+		    json_object_new_string(parts->changes[i].change_id));
+		json_object_object_add(item, "version",
+		    json_object_new_int64((int64_t)parts->changes[i].version));
 		json_object_array_add(array, item);
 	}
 	return array;
@@ -282,6 +347,7 @@
 	    root, "text", json_object_new_string(parts->text));
 	json_object_object_add(root, "out", outs);
 	json_object_object_add(root, "voter_sets", sets);
+	json_object_object_add(root, "changes", write_changes(parts));
 	document = g_strdup(
 	    json_object_to_json_string_ext(root, JSON_C_TO_STRING_PLAIN));
 	json_object_put(root);
@@ -303,6 +369,7 @@
 	cfg_text_clear(&cfg->parsed);
 	g_array_free(cfg->outs, TRUE);
 	g_ptr_array_free(cfg->voters, TRUE);
+	g_array_free(cfg->changes, TRUE);
 	g_free(cfg->change_id);
 	g_free(cfg->text);
 	g_free(cfg->document);
@@ -376,6 +443,21 @@
 	return (const struct cfg_domain *)cfg->parsed.domains->data;
 }
 
+const struct cfg_change *
+cfg_changes(const struct cfg *cfg, size_t *n)
+{
+	*n = cfg->changes->len;
+	return (const struct cfg_change *)cfg->changes->data;
+}
+
+uint64_t
+cfg_change_version(const struct cfg *cfg, const char *change_id)
+{
+	const struct cfg_change *change = cfg_find(cfg->changes, change_id);
+
+	return change == NULL ? 0 : change->version;
+}
+
 const struct cfg_out *
 cfg_outs(const struct cfg *cfg, size_t *n)
 {
--- a/src/version/config.h
+++ b/src/version/config.h
@@ -32,8 +32,21 @@
 struct cfg_voter {
 	const char *failure_domain;
 	uint64_t incarnation;
+	const char *address; /* rpc; "" when not known */
+	/* Its process is known to have ended, so it answers no round again. */
+	bool ended;
 };
 
+/* A change by operators; the document keeps the latest CFG_CHANGES_MAX. */
+struct cfg_change {
+	const char *change_id;
+	uint64_t version; /* that it made */
+};
+
+#define CFG_CHANGES_MAX	   16
+#define CFG_CHANGE_ID_MAX  128
+#define CFG_VOTER_SETS_MAX 64
+
 struct cfg_out {
 	enum cfg_kind kind;
 	const char *name;
@@ -59,6 +72,8 @@
 	size_t n_outs;
 	const struct cfg_voter_set *voter_sets;
 	size_t n_voter_sets;
+	const struct cfg_change *changes; /* oldest first */
+	size_t n_changes;
 };
 
 /* The document as JSON; the caller frees it with g_free(). */
@@ -84,6 +99,9 @@
 const struct cfg_service *cfg_service(const struct cfg *cfg, const char *name);
 const struct cfg_team *cfg_team(const struct cfg *cfg, const char *name);
 const struct cfg_domain *cfg_domains(const struct cfg *cfg, size_t *n);
+const struct cfg_change *cfg_changes(const struct cfg *cfg, size_t *n);
+/* Version that a recent change made; 0: not among the changes kept. */
+uint64_t cfg_change_version(const struct cfg *cfg, const char *change_id);
 const struct cfg_out *cfg_outs(const struct cfg *cfg, size_t *n);
 size_t cfg_voter_sets(const struct cfg *cfg);
 const struct cfg_voter *cfg_voters(
--- a/src/version/quorum.h
+++ b/src/version/quorum.h
@@ -34,7 +34,7 @@
 /* Whether an entry may answer as a voter: its own document lists it. */
 bool quo_vouches(const struct cfg *held, uint64_t incarnation);
 
-/* What the latest answers prove about the configuration held. */
+/* What the latest answers prove; as_of_ms is at most freshness_ms ago. */
 struct quo_proof {
 	bool confirmed;
 	uint64_t version; /* arguments for fresh_confirm() */
@@ -45,12 +45,12 @@
     const struct quo *quo, const struct cfg *held, int64_t now_ms);
 
 /*
- * Whether version is accepted as far as is known: for every voter set of
- * cfg, whose version it must be or an earlier one that cfg succeeds, a
- * majority holds at least that version.  Appends the incarnations of the
- * voters not known to hold it to missing (up to max); *n_missing is set.
+ * Whether a version is accepted as far as is known.  cfg is a document of
+ * that version or a later one; every one of its voter sets must have a
+ * majority that holds at least the version or has ended.  Writes the voters
+ * that are not known to hold it to missing, which has room for max.
  */
 bool quo_accepted(const struct quo *quo, const struct cfg *cfg,
-    uint64_t *missing, size_t max, size_t *n_missing);
+    uint64_t version, struct cfg_voter *missing, size_t max, size_t *n_missing);
 
 #endif
--- /dev/null
+++ b/tests/casefile.c
@@ -0,0 +1,66 @@
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "casefile.h"
+
+static void
+add_case(GArray *cases, const char *block)
+{
+	struct text_case tc = {0};
+	const char *newline = strchr(block, '\n');
+	const char *mark;
+
+	if (newline == NULL)
+		g_error("case without a body: %s", block);
+	mark = strstr(newline, "\n--- expected\n");
+	if (mark == NULL)
+		g_error("case without \"--- expected\": %s", block);
+	tc.name = g_strndup(block, (gsize)(newline - block));
+	tc.input = mark == newline
+		       ? g_strdup("")
+		       : g_strndup(newline + 1, (gsize)(mark - newline));
+	tc.expected = g_strchomp(g_strdup(mark + strlen("\n--- expected\n")));
+	g_array_append_val(cases, tc);
+}
+
+/* Loads a file, of which everything before the first case is a comment. */
+struct text_case *
+casefile_load(const char *path, size_t *n)
+{
+	GArray *cases = g_array_new(FALSE, FALSE, sizeof(struct text_case));
+	char **blocks, *text;
+	size_t i;
+
+	if (!g_file_get_contents(path, &text, NULL, NULL))
+		g_error("cannot read %s", path);
+	blocks = g_strsplit(text, "=== ", -1);
+	for (i = 1; blocks[i] != NULL; i++)
+		add_case(cases, blocks[i]);
+	g_strfreev(blocks);
+	g_free(text);
+	*n = cases->len;
+	return (struct text_case *)g_array_free(cases, FALSE);
+}
+
+int
+casefile_main(const char *suite_name, const TTest *const *tests, size_t n_tests,
+    const TTest *case_test, size_t n_cases)
+{
+	Suite *suite = suite_create(suite_name);
+	TCase *tc = tcase_create(suite_name);
+	SRunner *runner;
+	size_t i;
+	int failed;
+
+	for (i = 0; i < n_tests; i++)
+		tcase_add_test(tc, tests[i]);
+	if (case_test != NULL)
+		tcase_add_loop_test(tc, case_test, 0, (int)n_cases);
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/test_fresh.c
@@ -0,0 +1,82 @@
+#include <glib.h>
+#include <string.h>
+
+#include "casefile.h"
+#include "version/fresh.h"
+
+static struct cfg *
+make(uint64_t version)
+{
+	struct cfg_parts parts = {.version = version,
+	    .change_id = "c",
+	    .text = "{\"failure_domains\": [], \"services\": []}"};
+	char *document = cfg_write(&parts);
+	struct status st;
+	struct cfg *cfg = cfg_parse(document, strlen(document), &st);
+
+	ck_assert_ptr_nonnull(cfg);
+	g_free(document);
+	return cfg;
+}
+
+static void
+count(struct cfg *cfg, void *ctx)
+{
+	(void)cfg;
+	(*(int *)ctx)++;
+}
+
+/* A lower version must never replace a higher one. */
+START_TEST(version_never_falls)
+{
+	struct fresh *fresh = fresh_new(3000);
+	struct cfg *five = make(5), *four = make(4);
+	int changes = 0;
+
+	fresh_on_changed(fresh, count, &changes);
+	ck_assert_uint_eq(fresh_version(fresh), 0);
+	fresh_take(fresh, five);
+	fresh_take(fresh, four);
+	fresh_take(fresh, five);
+	ck_assert_uint_eq(fresh_version(fresh), 5);
+	ck_assert_int_eq(changes, 1);
+	fresh_free(fresh);
+	cfg_unref(five);
+	cfg_unref(four);
+}
+END_TEST
+
+/* Work must not start without a confirmation of at least the version held,
+ * nor after the limit, and an older confirmation must not lower the time. */
+START_TEST(age_counts_from_the_newest_confirmation)
+{
+	struct fresh *fresh = fresh_new(3000);
+	struct cfg *five = make(5);
+
+	fresh_confirm(fresh, 0, 1000);
+	ck_assert(!fresh_is_current(fresh, 1000));
+	fresh_free(fresh);
+	fresh = fresh_new(3000);
+	fresh_take(fresh, five);
+	ck_assert_int_eq(fresh_age_ms(fresh, 1000), -1);
+	fresh_confirm(fresh, 6, 1000);
+	ck_assert(!fresh_is_current(fresh, 1000));
+	fresh_confirm(fresh, 5, 1000);
+	fresh_confirm(fresh, 5, 900);
+	fresh_confirm(fresh, 4, 1500);
+	ck_assert_int_eq(fresh_age_ms(fresh, 2000), 500);
+	ck_assert(fresh_is_current(fresh, 4500));
+	ck_assert(!fresh_is_current(fresh, 4501));
+	fresh_free(fresh);
+	cfg_unref(five);
+}
+END_TEST
+
+int
+main(void)
+{
+	const TTest *tests[] = {
+	    version_never_falls, age_counts_from_the_newest_confirmation};
+
+	return casefile_main("fresh", tests, 2, NULL, 0);
+}
--- /dev/null
+++ b/tests/test_jsonc.c
@@ -0,0 +1,79 @@
+#include <glib.h>
+#include <string.h>
+
+#include "casefile.h"
+#include "process/jsonc.h"
+
+static struct text_case *cases;
+
+/* A text that json-c would accept in part must be refused with a position. */
+START_TEST(text_is_checked)
+{
+	const struct text_case *tc = &cases[_i];
+	struct status st = {.message = "ok"};
+	struct jsonc *doc;
+
+	doc = jsonc_parse("t", tc->input, strlen(tc->input), &st);
+	ck_assert_msg(strcmp(st.message, tc->expected) == 0,
+	    "%s: got \"%s\", expected \"%s\"", tc->name, st.message,
+	    tc->expected);
+	ck_assert((doc != NULL) == (strcmp(tc->expected, "ok") == 0));
+	jsonc_free(doc);
+}
+END_TEST
+
+/* Every prefix of a valid text must be refused without reading past it. */
+START_TEST(truncated_text_is_refused)
+{
+	const char *text =
+	    "{\"a\": [1, {\"b\": \"x\\n\"}], /* c */ \"d\": true}";
+	struct status st;
+	size_t len;
+
+	for (len = 0; len < strlen(text); len++) {
+		char *copy = g_memdup2(text, len);
+
+		ck_assert_ptr_null(jsonc_parse("t", copy, len, &st));
+		g_free(copy);
+	}
+}
+END_TEST
+
+/* Getters must keep defaults and name the key at fault. */
+START_TEST(getters_check_types)
+{
+	const char *text = "{\"n\": 5, \"s\": \"x y\", \"a\": [{\"k\": 1}]}";
+	struct status st;
+	struct jsonc *doc = jsonc_parse("t", text, strlen(text), &st);
+	struct jsonc_node root, item;
+	int64_t n = 7;
+	char *s = NULL;
+
+	ck_assert(jsonc_root(doc, &root, &st));
+	ck_assert(jsonc_int(&root, "none", JSONC_OPTIONAL, 0, 9, &n, &st));
+	ck_assert_int_eq(n, 7);
+	ck_assert(!jsonc_int(&root, "n", JSONC_REQUIRED, 6, 9, &n, &st));
+	ck_assert_str_eq(
+	    st.message, "t:1:2: n: expected an integer from 6 to 9, got 5");
+	ck_assert(!jsonc_name(&root, "s", JSONC_REQUIRED, &s, &st));
+	ck_assert(jsonc_item(&root, "a", 0, &item, &st));
+	ck_assert(!jsonc_string(&item, "k", JSONC_REQUIRED, &s, &st));
+	ck_assert_str_eq(
+	    st.message, "t:1:29: a[0].k: expected a string, got int");
+	ck_assert(!jsonc_string(&item, "z", JSONC_REQUIRED, &s, &st));
+	ck_assert_str_eq(st.message,
+	    "t:1:28: a[0]: \"z\": required key is missing, expected a string");
+	g_free(s);
+	jsonc_free(doc);
+}
+END_TEST
+
+int
+main(void)
+{
+	const TTest *tests[] = {truncated_text_is_refused, getters_check_types};
+	size_t n;
+
+	cases = casefile_load("tests/cases/jsonc.txt", &n);
+	return casefile_main("jsonc", tests, 2, text_is_checked, n);
+}
