Add the entry daemon and the connections between entries

spentryd serves callers, agents and peers on one loop. Peers and agents share the RPC listener; the first call tells them apart. rpc.h hides libtirpc's mem_free macro, which clashes with the members module.

Compiled; not run yet.

--- a/src/connection/rpc.h
+++ b/src/connection/rpc.h
@@ -5,6 +5,7 @@
 #include <stdint.h>
 #include <gio/gio.h>
 #include <rpc/rpc.h>
+#undef mem_free /* libtirpc's macro hides the function of members.h */
 
 #include "process/status.h"
 
--- /dev/null
+++ b/src/process/entry.c
@@ -0,0 +1,907 @@
+#include <gio/gio.h>
+#include <glib-unix.h>
+#include <string.h>
+#include <sys/random.h>
+
+#include "connection/agentlink.h"
+#include "connection/peerlink.h"
+#include "process/clock.h"
+#include "process/entry.h"
+#include "process/log.h"
+#include "request/callers.h"
+#include "version/etcd.h"
+#include "version/members.h"
+#include "version/quorum.h"
+#include "version/reader.h"
+
+#define TICK_MS		 20  /* deadlines, pauses of agents */
+#define SLOW_TICK_MS	 200 /* retention, lost agents, gauges */
+#define GRACE_MS	 250 /* a failing job waits for withdrawals */
+#define RESOLVE_MS	 5000
+#define FORGET_MS	 60000
+#define LINGER_MS	 2000 /* after a drain, for answers not fetched */
+#define MAX_AGENTS	 4096
+#define MAX_OUTSTANDING	 200000U
+#define MAX_WAITERS	 64
+#define MAX_REQUESTS	 20000
+#define MAX_UNIDENTIFIED 1024
+#define MAX_JOB_BYTES	 (2ULL << 30) /* payloads and results held */
+#define RETRY_PERCENT	 10
+#define RETRY_BURST	 100
+#define RETRY_ATTEMPTS	 3
+
+struct entry {
+	const struct set_entry *set;
+	GMainLoop *loop;
+	struct ctr_registry *counters;
+	struct trc_ring *traces;
+	struct ident *ids;
+	wire_member self;
+	/* configuration */
+	struct fresh *fresh;
+	struct store *store;
+	struct rdr *reader;
+	struct mem *members;
+	struct quo *quorum;
+	GArray *wire_members; /* strings of the members list */
+	/* requests */
+	struct place *place;
+	struct eject *eject;
+	struct pool *pool;
+	struct retry *retry;
+	struct dispatch *dispatch;
+	struct job_table *jobs;
+	struct admit *admit;
+	struct api *api;
+	struct pass *pass;
+	/* connections */
+	struct al_set *agents;
+	struct pl_set *peers;
+	struct http *http;
+	GSocketService *listener;
+	GHashTable *unidentified; /* connections before their first call */
+	guint wake_id;
+	guint tick_id;
+	guint slow_tick_id;
+	guint term_id;
+	guint int_id;
+	/* shutdown */
+	bool closing;
+	bool clean;
+	bool leaving;
+	int64_t closed_ms;
+	int64_t drained_ms; /* 0: requests are in progress */
+	int64_t *jobs_gauge, *job_bytes_gauge, *version_gauge, *age_gauge;
+	int64_t *outstanding_gauge;
+};
+
+static gboolean
+on_wake(gpointer data)
+{
+	struct entry *entry = data;
+
+	entry->wake_id = 0;
+	dsp_run(entry->dispatch, clk_now_ms());
+	return G_SOURCE_REMOVE;
+}
+
+/*
+ * Places after the events of this loop iteration, so that starts of one job
+ * that became possible together go in one message.
+ */
+static void
+wake(void *ctx)
+{
+	struct entry *entry = ctx;
+
+	if (entry->wake_id == 0)
+		entry->wake_id =
+		    g_idle_add_full(G_PRIORITY_DEFAULT, on_wake, entry, NULL);
+}
+
+/* Dispatch to agents. */
+
+static bool
+send_starts(void *agent, const wire_start *starts, size_t n, void *ctx)
+{
+	(void)ctx;
+	return al_start(agent, starts, n);
+}
+
+static void
+send_withdraw(void *agent, const uint64_t *seqs, size_t n, void *ctx)
+{
+	(void)ctx;
+	al_withdraw(agent, seqs, n);
+}
+
+static void
+on_job_ended(struct job *job, void *ctx)
+{
+	struct entry *entry = ctx;
+
+	api_ended(entry->api, job);
+}
+
+/* Agents to dispatch. */
+
+static uint64_t
+next_seq(void *ctx)
+{
+	struct entry *entry = ctx;
+
+	return dsp_next_seq(entry->dispatch);
+}
+
+static const wire_member *
+member_list(size_t *n, uint64_t *digest, void *ctx)
+{
+	struct entry *entry = ctx;
+
+	*n = entry->wire_members->len;
+	*digest = mem_digest(entry->members);
+	return (const wire_member *)(void *)entry->wire_members->data;
+}
+
+static void
+on_agent_up(struct al *al, const struct place_worker *worker, void *ctx)
+{
+	struct entry *entry = ctx;
+
+	pool_up(entry->pool, al, worker, clk_now_ms());
+	wake(entry);
+}
+
+static void
+on_agent_down(struct al *al, void *ctx)
+{
+	struct entry *entry = ctx;
+
+	pool_down(entry->pool, al);
+}
+
+static void
+on_agent_gone(struct al *al, void *ctx)
+{
+	struct entry *entry = ctx;
+
+	pool_gone(entry->pool, al);
+}
+
+static void
+on_agent_load(
+    struct al *al, const struct place_load *load, uint32_t unseen, void *ctx)
+{
+	struct entry *entry = ctx;
+
+	pool_load(entry->pool, al, load, unseen, clk_now_ms());
+	wake(entry);
+}
+
+static void
+on_outcome(struct al *al, const wire_result *result, void *ctx)
+{
+	struct entry *entry = ctx;
+
+	dsp_outcome(entry->dispatch, al, result, clk_now_ms());
+}
+
+/* Facts for admission. */
+
+static bool
+is_live(const char *service, void *ctx)
+{
+	struct entry *entry = ctx;
+
+	return place_has_live(entry->place, service);
+}
+
+static uint32_t
+live_entries(const struct entry *entry)
+{
+	size_t n;
+
+	mem_list(entry->members, &n);
+	return n == 0 ? 1 : (uint32_t)n;
+}
+
+static void
+fill_facts(const char *service, struct adm_facts *facts, void *ctx)
+{
+	struct entry *entry = ctx;
+	int64_t now_ms = clk_now_ms();
+
+	facts->cfg = fresh_config(entry->fresh);
+	facts->current = fresh_is_current(entry->fresh, now_ms);
+	facts->live_entries = live_entries(entry);
+	facts->waiting = dsp_waiting(entry->dispatch, service);
+	facts->service_live = place_has_live(entry->place, service);
+	facts->expected_wait_ms = place_expected_wait_ms(
+	    entry->place, service, facts->waiting, now_ms);
+	facts->is_live = is_live;
+	facts->is_live_ctx = entry;
+	facts->place = entry->place;
+}
+
+/* Jobs of other entries. */
+
+static enum api_owner
+find_owner(uint64_t incarnation, void *ctx)
+{
+	struct entry *entry = ctx;
+
+	if (pl_is_connected(entry->peers, incarnation))
+		return API_OWNER_REACHABLE;
+	if (mem_is_gone(entry->members, incarnation, clk_now_ms()))
+		return API_OWNER_GONE;
+	return API_OWNER_UNREACHABLE;
+}
+
+static bool
+forward(uint64_t incarnation, const struct api_request *request,
+    api_answer_fn fn, void *fn_ctx, void *ctx)
+{
+	struct entry *entry = ctx;
+	wire_peer_job_args args = {
+	    .method = (char *)request->method,
+	    .job_id = (char *)request->id,
+	    .team = "",
+	    .wait_ms = request->wait_ms,
+	    .traceparent = (char *)request->traceparent,
+	};
+
+	args.body.body_val = (char *)request->body;
+	args.body.body_len = (u_int)request->body_len;
+	return pl_forward(entry->peers, incarnation, &args, fn, fn_ctx);
+}
+
+static void *
+serve_peer_job(
+    const wire_peer_job_args *args, pl_answer_fn fn, void *fn_ctx, void *ctx)
+{
+	struct entry *entry = ctx;
+	struct api_request request = {
+	    .method = args->method,
+	    .id = args->job_id,
+	    .wait_ms = CLAMP(args->wait_ms, 0, API_MAX_WAIT_MS),
+	    .body = args->body.body_val != NULL ? args->body.body_val : "",
+	    .body_len = args->body.body_len,
+	    .traceparent = args->traceparent,
+	    .forwarded = true,
+	};
+
+	return api_handle(entry->api, &request, fn, fn_ctx);
+}
+
+static void
+cancel_peer_job(void *job, void *ctx)
+{
+	(void)ctx;
+	api_cancel(job);
+}
+
+/* Configuration. */
+
+static void
+on_config_changed(struct cfg *cfg, void *ctx)
+{
+	struct entry *entry = ctx;
+
+	log_line(LOG_NOTICE, "configuration version %" G_GUINT64_FORMAT,
+	    cfg_version(cfg));
+	pool_refresh(entry->pool, clk_now_ms());
+	wake(entry);
+}
+
+static uint64_t
+version_held(void *ctx)
+{
+	struct entry *entry = ctx;
+
+	return fresh_version(entry->fresh);
+}
+
+static void
+fill_status(uint64_t held, wire_peer_status_result *result, void *ctx)
+{
+	struct entry *entry = ctx;
+	struct cfg *cfg = fresh_config(entry->fresh);
+	int64_t now_ms = clk_now_ms();
+	size_t len;
+
+	result->incarnation = id_incarnation(entry->ids);
+	result->vouches =
+	    cfg != NULL && quo_vouches(cfg, id_incarnation(entry->ids));
+	result->store_age_ms = rdr_store_age_ms(entry->reader, now_ms);
+	result->config.config_version = fresh_version(entry->fresh);
+	result->config.age_ms = fresh_age_ms(entry->fresh, now_ms);
+	if (cfg == NULL || cfg_version(cfg) <= held)
+		return;
+	result->config.document.document_val = (char *)cfg_document(cfg, &len);
+	result->config.document.document_len = (u_int)len;
+}
+
+static void
+take_document(struct entry *entry, const wire_config *config)
+{
+	struct status st;
+	struct cfg *cfg;
+
+	if (config->document.document_len == 0)
+		return;
+	cfg = cfg_parse(
+	    config->document.document_val, config->document.document_len, &st);
+	if (cfg == NULL) {
+		log_line(LOG_ERR, "configuration from a peer: %s", st.message);
+		return;
+	}
+	fresh_take(entry->fresh, cfg);
+	cfg_unref(cfg);
+}
+
+/* Confirms the configuration from what the voters answered. */
+static void
+run_round(struct entry *entry)
+{
+	struct cfg *cfg = fresh_config(entry->fresh);
+	int64_t now_ms = clk_now_ms();
+	struct quo_proof proof;
+	struct quo_answer self = {
+	    .incarnation = id_incarnation(entry->ids),
+	    .version = fresh_version(entry->fresh),
+	    .store_age_ms = rdr_store_age_ms(entry->reader, now_ms),
+	    .as_of_ms = now_ms,
+	};
+
+	self.vouches = cfg != NULL && quo_vouches(cfg, self.incarnation);
+	quo_self(entry->quorum, &self);
+	proof = quo_round(entry->quorum, cfg, now_ms);
+	if (proof.confirmed)
+		fresh_confirm(entry->fresh, proof.version, proof.as_of_ms);
+}
+
+static void
+on_peer_status(
+    const wire_peer_status_result *result, int64_t sent_ms, void *ctx)
+{
+	struct entry *entry = ctx;
+	struct quo_answer answer = {
+	    .incarnation = result->incarnation,
+	    .version = result->config.config_version,
+	    .store_age_ms = result->store_age_ms,
+	    .vouches = result->vouches,
+	    .as_of_ms = sent_ms,
+	};
+
+	take_document(entry, &result->config);
+	quo_answer(entry->quorum, &answer, clk_now_ms());
+	run_round(entry);
+}
+
+static void
+clear_member(gpointer data)
+{
+	wire_member *member = data;
+
+	g_free(member->name);
+	g_free(member->failure_domain);
+	g_free(member->address);
+}
+
+/* Dials the seeds of the settings and the registered entries. */
+static void
+update_targets(struct entry *entry)
+{
+	GPtrArray *addresses = g_ptr_array_new();
+	const char *own = entry->self.address;
+	const struct mem_entry *list;
+	size_t i, n;
+
+	list = mem_list(entry->members, &n);
+	for (i = 0; i < n; i++) {
+		if (list[i].incarnation != id_incarnation(entry->ids) &&
+		    strcmp(list[i].address, own) != 0)
+			g_ptr_array_add(addresses, (char *)list[i].address);
+	}
+	for (i = 0; entry->set->peers != NULL && entry->set->peers[i] != NULL;
+	     i++) {
+		if (strcmp(entry->set->peers[i], own) != 0)
+			g_ptr_array_add(addresses, entry->set->peers[i]);
+	}
+	pl_set_targets(entry->peers, (const char *const *)addresses->pdata,
+	    addresses->len);
+	g_ptr_array_unref(addresses);
+}
+
+static void
+on_members_changed(void *ctx)
+{
+	struct entry *entry = ctx;
+	const struct mem_entry *list;
+	wire_member member;
+	size_t i, n;
+
+	list = mem_list(entry->members, &n);
+	g_array_set_size(entry->wire_members, 0);
+	for (i = 0; i < MIN(n, WIRE_MEMBERS_MAX); i++) {
+		member.incarnation = list[i].incarnation;
+		member.name = g_strdup(list[i].name);
+		member.failure_domain = g_strdup(list[i].failure_domain);
+		member.address = g_strdup(list[i].address);
+		g_array_append_val(entry->wire_members, member);
+	}
+	update_targets(entry);
+}
+
+/* Timers. */
+
+static gboolean
+on_tick(gpointer data)
+{
+	struct entry *entry = data;
+	int64_t now_ms = clk_now_ms();
+
+	pool_refresh(entry->pool, now_ms);
+	dsp_tick(entry->dispatch, now_ms);
+	return G_SOURCE_CONTINUE;
+}
+
+static void
+on_left(void *ctx)
+{
+	struct entry *entry = ctx;
+
+	g_main_loop_quit(entry->loop);
+}
+
+static void
+leave(struct entry *entry, bool clean)
+{
+	entry->leaving = true;
+	entry->clean = clean;
+	if (!clean)
+		log_line(LOG_WARNING,
+		    "%u jobs and %u requests in progress "
+		    "after the drain time",
+		    job_table_open(entry->jobs), http_in_progress(entry->http));
+	mem_leave(entry->members, on_left, entry);
+}
+
+static void
+check_drained(struct entry *entry, int64_t now_ms)
+{
+	if (job_table_open(entry->jobs) > 0 ||
+	    http_in_progress(entry->http) > 0) {
+		entry->drained_ms = 0;
+		if (now_ms - entry->closed_ms >= entry->set->drain_timeout_ms)
+			leave(entry, false);
+		return;
+	}
+	if (entry->drained_ms == 0)
+		entry->drained_ms = now_ms;
+	if (job_table_undelivered(entry->jobs) == 0 ||
+	    now_ms - entry->drained_ms >= LINGER_MS)
+		leave(entry, true);
+}
+
+static gboolean
+on_slow_tick(gpointer data)
+{
+	struct entry *entry = data;
+	int64_t now_ms = clk_now_ms();
+
+	run_round(entry);
+	al_tick(entry->agents, now_ms);
+	job_expire(entry->jobs, now_ms);
+	*entry->jobs_gauge = job_table_count(entry->jobs);
+	*entry->job_bytes_gauge = (int64_t)job_table_bytes(entry->jobs);
+	*entry->outstanding_gauge = dsp_outstanding(entry->dispatch);
+	*entry->version_gauge = (int64_t)fresh_version(entry->fresh);
+	*entry->age_gauge = fresh_age_ms(entry->fresh, now_ms);
+	if (entry->closing && !entry->leaving)
+		check_drained(entry, now_ms);
+	return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+on_term(gpointer data)
+{
+	struct entry *entry = data;
+
+	if (entry->closing)
+		return G_SOURCE_CONTINUE;
+	log_line(LOG_NOTICE, "shutting down, %u jobs in progress",
+	    job_table_open(entry->jobs));
+	entry->closing = true;
+	entry->closed_ms = clk_now_ms();
+	api_close(entry->api);
+	return G_SOURCE_CONTINUE;
+}
+
+static bool
+is_ready(void *ctx)
+{
+	struct entry *entry = ctx;
+
+	return !entry->closing && mem_is_registered(entry->members) &&
+	       fresh_is_current(entry->fresh, clk_now_ms());
+}
+
+/* Connections of agents and peers. */
+
+static void
+on_unidentified_closed(
+    struct rpc_conn *conn, const struct status *why, void *ctx)
+{
+	struct entry *entry = ctx;
+
+	(void)why;
+	if (g_hash_table_remove(entry->unidentified, conn))
+		rpc_unref(conn);
+}
+
+static void
+on_first_call(struct rpc_conn *conn, const struct rpc_call *call, void *ctx)
+{
+	struct entry *entry = ctx;
+
+	if (!g_hash_table_contains(entry->unidentified, conn)) {
+		rpc_close(conn, ST_INVALID, "call after a refusal");
+		return;
+	}
+	g_hash_table_remove(entry->unidentified, conn);
+	if (call->prog == WIRE_AGENT_PROG)
+		al_accept(entry->agents, conn, call);
+	else if (call->prog == WIRE_PEER_PROG)
+		pl_accept(entry->peers, conn, call);
+	else
+		rpc_close(conn, ST_INVALID, "unknown program");
+	rpc_unref(conn);
+}
+
+static gboolean
+on_incoming(GSocketService *service, GSocketConnection *socket, GObject *source,
+    gpointer data)
+{
+	struct entry *entry = data;
+	struct rpc_options opts = {
+	    .socket = socket,
+	    .silence_ms = entry->set->silence_ms,
+	    .on_call = on_first_call,
+	    .on_closed = on_unidentified_closed,
+	    .ctx = entry,
+	};
+
+	(void)service;
+	(void)source;
+	if (g_hash_table_size(entry->unidentified) < MAX_UNIDENTIFIED)
+		g_hash_table_add(entry->unidentified, rpc_new(&opts));
+	return TRUE;
+}
+
+static bool
+listen_rpc(struct entry *entry, struct status *st)
+{
+	GError *error = NULL;
+	GSocketAddress *address = NULL;
+	GSocketConnectable *parsed;
+	GSocketAddressEnumerator *each;
+	bool ok = false;
+
+	entry->listener = g_socket_service_new();
+	parsed = g_network_address_parse(entry->set->rpc_listen, 0, &error);
+	if (parsed != NULL) {
+		each = g_socket_connectable_enumerate(parsed);
+		address = g_socket_address_enumerator_next(each, NULL, &error);
+		g_object_unref(each);
+		g_object_unref(parsed);
+	}
+	if (address != NULL) {
+		ok = g_socket_listener_add_address(
+		    G_SOCKET_LISTENER(entry->listener), address,
+		    G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL, NULL,
+		    &error);
+		g_object_unref(address);
+	}
+	if (!ok)
+		st_set(st, ST_UNAVAILABLE, "listen on %s: %s",
+		    entry->set->rpc_listen,
+		    error != NULL ? error->message : "no such address");
+	g_clear_error(&error);
+	g_signal_connect(
+	    entry->listener, "incoming", G_CALLBACK(on_incoming), entry);
+	return ok;
+}
+
+/* Construction. */
+
+static void
+make_version(struct entry *entry)
+{
+	const struct set_entry *set = entry->set;
+	struct etcd_options etcd = {
+	    .url = set->store,
+	    .timeout_ms = set->store_timeout_ms,
+	    .calls = ctr_counter(
+		entry->counters, "sp_store_calls_total", "calls to the store"),
+	};
+	struct rdr_options reader = {.poll_ms = set->store_poll_ms};
+	struct mem_options members = {
+	    .self =
+		{
+		    .incarnation = id_incarnation(entry->ids),
+		    .name = set->name,
+		    .failure_domain = set->failure_domain,
+		    .address = set->rpc_address,
+		    .operator_address = set->operator_address,
+		},
+	    .lease_s = set->lease_s,
+	    .poll_ms = set->members_poll_ms,
+	    .on_changed = on_members_changed,
+	    .ctx = entry,
+	};
+
+	entry->fresh = fresh_new(set->freshness_ms);
+	entry->quorum = quo_new(set->freshness_ms);
+	entry->store = etcd_new(&etcd);
+	reader.store = members.store = entry->store;
+	reader.fresh = entry->fresh;
+	entry->wire_members = g_array_new(FALSE, FALSE, sizeof(wire_member));
+	g_array_set_clear_func(entry->wire_members, clear_member);
+	entry->reader = rdr_new(&reader);
+	entry->members = mem_new(&members);
+}
+
+static void
+make_placement(struct entry *entry)
+{
+	const struct set_entry *set = entry->set;
+	struct place_options place = {
+	    .policy = PLACE_LEAST_WAIT,
+	    .failure_domain = set->failure_domain,
+	    .ahead = set->agent_queue,
+	    .ramp = true,
+	};
+	struct pool_options pool = {.fresh = entry->fresh};
+	struct rty_options retry = {
+	    .percent = RETRY_PERCENT,
+	    .burst = RETRY_BURST,
+	    .max_attempts = RETRY_ATTEMPTS,
+	};
+	struct dsp_options dispatch = {
+	    .fresh = entry->fresh,
+	    .counters = entry->counters,
+	    .max_outstanding = MAX_OUTSTANDING,
+	    .grace_ms = GRACE_MS,
+	    .start = send_starts,
+	    .withdraw = send_withdraw,
+	    .wake = wake,
+	    .ended = on_job_ended,
+	    .ctx = entry,
+	};
+
+	place_policy_parse(set->policy, &place.policy);
+	place.seed = (uint32_t)id_incarnation(entry->ids);
+	entry->place = pool.place = dispatch.place = place_new(&place);
+	entry->eject = pool.eject = ej_new();
+	entry->pool = dispatch.pool = pool_new(&pool);
+	entry->retry = dispatch.retry = rty_new(&retry);
+	entry->dispatch = dsp_new(&dispatch);
+	fresh_on_changed(entry->fresh, on_config_changed, entry);
+}
+
+static void
+make_requests(struct entry *entry)
+{
+	const struct set_entry *set = entry->set;
+	struct job_options jobs = {
+	    .ids = entry->ids,
+	    .max_jobs = set->max_jobs,
+	    .max_answer_bytes = set->max_answer_bytes,
+	    .max_bytes = MAX_JOB_BYTES,
+	    .max_waiters = MAX_WAITERS,
+	    .retention_ms = set->job_retention_s * 1000,
+	};
+	struct api_options api = {
+	    .ids = entry->ids,
+	    .dispatch = entry->dispatch,
+	    .retry = entry->retry,
+	    .counters = entry->counters,
+	    .traces = entry->traces,
+	    .limits = {set->max_tasks, WIRE_PAYLOAD_MAX},
+	    .facts = fill_facts,
+	    .owner = find_owner,
+	    .forward = forward,
+	    .ctx = entry,
+	};
+	struct pass_options pass = {
+	    .dispatch = entry->dispatch,
+	    .traces = entry->traces,
+	    .incarnation = id_incarnation(entry->ids),
+	};
+
+	entry->jobs = api.jobs = job_table_new(&jobs);
+	entry->admit = api.admit = adm_new();
+	entry->api = pass.api = api_new(&api);
+	entry->pass = pass_new(&pass);
+}
+
+static void
+make_connections(struct entry *entry)
+{
+	const struct set_entry *set = entry->set;
+	struct al_options agents = {
+	    .cluster_key = set->cluster_key,
+	    .self = &entry->self,
+	    .fresh = entry->fresh,
+	    .counters = entry->counters,
+	    .max_agents = MAX_AGENTS,
+	    .silence_ms = set->silence_ms,
+	    .resolve_ms = RESOLVE_MS,
+	    .forget_ms = FORGET_MS,
+	    .next_seq = next_seq,
+	    .members = member_list,
+	    .up = on_agent_up,
+	    .down = on_agent_down,
+	    .gone = on_agent_gone,
+	    .load = on_agent_load,
+	    .outcome = on_outcome,
+	    .ctx = entry,
+	};
+	struct pl_options peers = {
+	    .cluster_key = set->cluster_key,
+	    .self = &entry->self,
+	    .counters = entry->counters,
+	    .silence_ms = set->silence_ms,
+	    .status_ms = set->store_poll_ms,
+	    .fill_status = fill_status,
+	    .version_held = version_held,
+	    .on_status = on_peer_status,
+	    .on_job = serve_peer_job,
+	    .cancel_job = cancel_peer_job,
+	    .ctx = entry,
+	};
+
+	entry->agents = al_set_new(&agents);
+	entry->peers = pl_set_new(&peers);
+	entry->unidentified = g_hash_table_new(NULL, NULL);
+	update_targets(entry);
+}
+
+static void
+make_gauges(struct entry *entry)
+{
+	struct ctr_registry *reg = entry->counters;
+
+	entry->jobs_gauge = ctr_gauge(reg, "sp_jobs", "records of jobs");
+	entry->job_bytes_gauge =
+	    ctr_gauge(reg, "sp_job_bytes", "payloads and results held");
+	entry->outstanding_gauge = ctr_gauge(
+	    reg, "sp_starts_outstanding", "starts without an outcome");
+	entry->version_gauge =
+	    ctr_gauge(reg, "sp_config_version", "configuration held");
+	entry->age_gauge = ctr_gauge(reg, "sp_config_age_ms",
+	    "time since the configuration was confirmed, -1 never");
+}
+
+static bool
+start_serving(struct entry *entry, struct status *st)
+{
+	struct http_options http = {
+	    .listen = entry->set->listen,
+	    .api = entry->api,
+	    .pass = entry->pass,
+	    .counters = entry->counters,
+	    .traces = entry->traces,
+	    .max_body_bytes = entry->set->max_body_bytes,
+	    .max_requests = MAX_REQUESTS,
+	    .is_ready = is_ready,
+	    .ctx = entry,
+	};
+
+	if (!listen_rpc(entry, st))
+		return false;
+	entry->http = http_new(&http, st);
+	if (entry->http == NULL)
+		return false;
+	entry->tick_id = g_timeout_add(TICK_MS, on_tick, entry);
+	entry->slow_tick_id = g_timeout_add(SLOW_TICK_MS, on_slow_tick, entry);
+	entry->term_id = g_unix_signal_add(SIGTERM, on_term, entry);
+	entry->int_id = g_unix_signal_add(SIGINT, on_term, entry);
+	return true;
+}
+
+/* Makes every object and opens the listeners. */
+struct entry *
+entry_new(const struct set_entry *set, struct status *st)
+{
+	struct entry *entry = g_new0(struct entry, 1);
+
+	entry->set = set;
+	entry->loop = g_main_loop_new(NULL, FALSE);
+	entry->counters = ctr_new();
+	entry->traces = trc_new(set->trace_spans);
+	entry->ids = id_new_random();
+	entry->self.incarnation = id_incarnation(entry->ids);
+	entry->self.name = set->name;
+	entry->self.failure_domain = set->failure_domain;
+	entry->self.address = set->rpc_address;
+	make_gauges(entry);
+	make_version(entry);
+	make_placement(entry);
+	make_requests(entry);
+	make_connections(entry);
+	if (!start_serving(entry, st)) {
+		entry_free(entry);
+		return NULL;
+	}
+	return entry;
+}
+
+/* Runs the main loop. */
+bool
+entry_run(struct entry *entry)
+{
+	g_main_loop_run(entry->loop);
+	return entry->clean;
+}
+
+static void
+clear_sources(struct entry *entry)
+{
+	g_clear_handle_id(&entry->tick_id, g_source_remove);
+	g_clear_handle_id(&entry->slow_tick_id, g_source_remove);
+	g_clear_handle_id(&entry->term_id, g_source_remove);
+	g_clear_handle_id(&entry->int_id, g_source_remove);
+	g_clear_handle_id(&entry->wake_id, g_source_remove);
+}
+
+static void
+close_connections(struct entry *entry)
+{
+	GHashTableIter iter;
+	gpointer conn;
+
+	if (entry->http != NULL)
+		http_free(entry->http);
+	g_socket_service_stop(entry->listener);
+	g_socket_listener_close(G_SOCKET_LISTENER(entry->listener));
+	g_object_unref(entry->listener);
+	g_hash_table_iter_init(&iter, entry->unidentified);
+	while (g_hash_table_iter_next(&iter, &conn, NULL)) {
+		rpc_detach(conn);
+		rpc_unref(conn);
+	}
+	g_hash_table_unref(entry->unidentified);
+	pl_set_free(entry->peers);
+	al_set_free(entry->agents);
+}
+
+/* Closes everything; requests in progress get no answer. */
+void
+entry_free(struct entry *entry)
+{
+	clear_sources(entry);
+	close_connections(entry);
+	g_clear_handle_id(&entry->wake_id, g_source_remove);
+	pass_free(entry->pass);
+	api_free(entry->api);
+	dsp_free(entry->dispatch);
+	job_table_free(entry->jobs);
+	adm_free(entry->admit);
+	rty_free(entry->retry);
+	pool_free(entry->pool);
+	ej_free(entry->eject);
+	place_free(entry->place);
+	mem_free(entry->members);
+	rdr_free(entry->reader);
+	entry->store->ops->free(entry->store);
+	quo_free(entry->quorum);
+	fresh_free(entry->fresh);
+	g_array_unref(entry->wire_members);
+	id_free(entry->ids);
+	trc_free(entry->traces);
+	ctr_free(entry->counters);
+	g_main_loop_unref(entry->loop);
+	g_free(entry);
+}
