Use the change engine in the entry; link test support as an archive

The change engine runs the voters' rounds itself. Stand-ins and benches failed to link since a support file needs the check library; an archive pulls in only what a program uses.

--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,8 @@
 
 LIB_OBJS = $(LIB_SRCS:%.c=$(B)/%.o)
 SUPPORT_OBJS = $(SUPPORT_SRCS:%.c=$(B)/%.o)
+# An archive, since only test programs link the check library.
+SUPPORT_LIB = $(B)/libsupport.a
 BENCH_SUPPORT_OBJS = $(BENCH_SUPPORT_SRCS:%.c=$(B)/%.o)
 LIB = $(B)/libsequoiaplank.a
 SHARED_LIB = $(B)/libsequoiaplank.so
@@ -66,6 +68,10 @@
 	@rm -f $@
 	ar rcs $@ $(LIB_OBJS)
 
+$(SUPPORT_LIB): $(SUPPORT_OBJS)
+	@rm -f $@
+	ar rcs $@ $(SUPPORT_OBJS)
+
 $(SHARED_LIB): $(LIB_OBJS)
 	$(CC) $(SANFLAGS) -shared -Wl,-soname,libsequoiaplank.so.0 -o $@ \
 	    $(LIB_OBJS) $(LIBS)
@@ -73,15 +79,15 @@
 $(PROGRAMS): $(B)/%: $(B)/src/daemons/%.o $(LIB)
 	$(CC) $(SANFLAGS) -o $@ $< $(LIB) $(LIBS)
 
-$(STANDINS): $(B)/%: $(B)/tests/%.o $(SUPPORT_OBJS) $(LIB)
-	$(CC) $(SANFLAGS) -o $@ $< $(SUPPORT_OBJS) $(LIB) $(LIBS)
+$(STANDINS): $(B)/%: $(B)/tests/%.o $(SUPPORT_LIB) $(LIB)
+	$(CC) $(SANFLAGS) -o $@ $< $(SUPPORT_LIB) $(LIB) $(LIBS)
 
-$(TESTS): $(B)/%: $(B)/tests/%.o $(SUPPORT_OBJS) $(LIB)
-	$(CC) $(SANFLAGS) -o $@ $< $(SUPPORT_OBJS) $(LIB) $(LIBS) \
+$(TESTS): $(B)/%: $(B)/tests/%.o $(SUPPORT_LIB) $(LIB)
+	$(CC) $(SANFLAGS) -o $@ $< $(SUPPORT_LIB) $(LIB) $(LIBS) \
 	    $(shell pkg-config --libs check)
 
-$(BENCHES): $(B)/%: $(B)/bench/%.o $(BENCH_SUPPORT_OBJS) $(SUPPORT_OBJS) $(LIB)
-	$(CC) $(SANFLAGS) -o $@ $< $(BENCH_SUPPORT_OBJS) $(SUPPORT_OBJS) $(LIB) \
+$(BENCHES): $(B)/%: $(B)/bench/%.o $(BENCH_SUPPORT_OBJS) $(SUPPORT_LIB) $(LIB)
+	$(CC) $(SANFLAGS) -o $@ $< $(BENCH_SUPPORT_OBJS) $(SUPPORT_LIB) $(LIB) \
 	    $(LIBS)
 
 # The committed src/connection/wire_xdr.[ch] come from this.
--- a/src/process/entry.c
+++ b/src/process/entry.c
@@ -9,9 +9,9 @@
 #include "process/entry.h"
 #include "process/log.h"
 #include "request/callers.h"
-#include "version/etcd.h"
 #include "version/members.h"
-#include "version/quorum.h"
+#include "version/change.h"
+#include "version/etcd.h"
 #include "version/reader.h"
 
 #define TICK_MS		 20  /* deadlines, pauses of agents */
@@ -43,6 +43,7 @@
 	struct rdr *reader;
 	struct mem *members;
 	struct quo *quorum;
+	struct chg *change;
 	GArray *wire_members; /* strings of the members list */
 	/* requests */
 	struct place *place;
@@ -305,16 +306,15 @@
 fill_status(uint64_t held, wire_peer_status_result *result, void *ctx)
 {
 	struct entry *entry = ctx;
+	struct quo_answer self = chg_self(entry->change);
 	struct cfg *cfg = fresh_config(entry->fresh);
-	int64_t now_ms = clk_now_ms();
 	size_t len;
 
-	result->incarnation = id_incarnation(entry->ids);
-	result->vouches =
-	    cfg != NULL && quo_vouches(cfg, id_incarnation(entry->ids));
-	result->store_age_ms = rdr_store_age_ms(entry->reader, now_ms);
+	result->incarnation = self.incarnation;
+	result->vouches = self.vouches;
+	result->store_age_ms = self.store_age_ms;
 	result->config.config_version = fresh_version(entry->fresh);
-	result->config.age_ms = fresh_age_ms(entry->fresh, now_ms);
+	result->config.age_ms = fresh_age_ms(entry->fresh, clk_now_ms());
 	if (cfg == NULL || cfg_version(cfg) <= held)
 		return;
 	result->config.document.document_val = (char *)cfg_document(cfg, &len);
@@ -339,27 +339,6 @@
 	cfg_unref(cfg);
 }
 
-/* Confirms the configuration from what the voters answered. */
-static void
-run_round(struct entry *entry)
-{
-	struct cfg *cfg = fresh_config(entry->fresh);
-	int64_t now_ms = clk_now_ms();
-	struct quo_proof proof;
-	struct quo_answer self = {
-	    .incarnation = id_incarnation(entry->ids),
-	    .version = fresh_version(entry->fresh),
-	    .store_age_ms = rdr_store_age_ms(entry->reader, now_ms),
-	    .as_of_ms = now_ms,
-	};
-
-	self.vouches = cfg != NULL && quo_vouches(cfg, self.incarnation);
-	quo_self(entry->quorum, &self);
-	proof = quo_round(entry->quorum, cfg, now_ms);
-	if (proof.confirmed)
-		fresh_confirm(entry->fresh, proof.version, proof.as_of_ms);
-}
-
 static void
 on_peer_status(
     const wire_peer_status_result *result, int64_t sent_ms, void *ctx)
@@ -375,7 +354,7 @@
 
 	take_document(entry, &result->config);
 	quo_answer(entry->quorum, &answer, clk_now_ms());
-	run_round(entry);
+	chg_tick(entry->change);
 }
 
 static void
@@ -464,6 +443,7 @@
 		    "%u jobs and %u requests in progress "
 		    "after the drain time",
 		    job_table_open(entry->jobs), http_in_progress(entry->http));
+	chg_retire(entry->change);
 	mem_leave(entry->members, on_left, entry);
 }
 
@@ -490,7 +470,6 @@
 	struct entry *entry = data;
 	int64_t now_ms = clk_now_ms();
 
-	run_round(entry);
 	al_tick(entry->agents, now_ms);
 	job_expire(entry->jobs, now_ms);
 	*entry->jobs_gauge = job_table_count(entry->jobs);
@@ -625,6 +604,7 @@
 	    .calls = ctr_counter(
 		entry->counters, "sp_store_calls_total", "calls to the store"),
 	};
+	struct chg_options change = {.freshness_ms = set->freshness_ms};
 	struct rdr_options reader = {.poll_ms = set->store_poll_ms};
 	struct mem_options members = {
 	    .self =
@@ -650,6 +630,13 @@
 	g_array_set_clear_func(entry->wire_members, clear_member);
 	entry->reader = rdr_new(&reader);
 	entry->members = mem_new(&members);
+	change.self = members.self;
+	change.store = entry->store;
+	change.rdr = entry->reader;
+	change.fresh = entry->fresh;
+	change.mem = entry->members;
+	change.quo = entry->quorum;
+	entry->change = chg_new(&change);
 }
 
 static void
@@ -893,6 +880,7 @@
 	pool_free(entry->pool);
 	ej_free(entry->eject);
 	place_free(entry->place);
+	chg_free(entry->change);
 	mem_free(entry->members);
 	rdr_free(entry->reader);
 	entry->store->ops->free(entry->store);
