--- a/tests/test_runqueue.c
+++ b/tests/test_runqueue.c
@@ -47,6 +47,7 @@
 	struct rq_task *task = g_new0(struct rq_task, 1);
 	enum wire_reason reason;
 
+	ck_assert_int_ge((int)g_strv_length(words), 4);
 	task->entry = strtoull(words[1], NULL, 10);
 	task->seq = strtoull(words[2], NULL, 10);
 	task->deadline_ms = t->now_ms + strtoll(words[3], NULL, 10);
@@ -88,7 +89,8 @@
 step(void *ctx, char **words, GString *actual)
 {
 	struct trace *t = ctx;
-	uint64_t n = words[1] == NULL ? 0 : strtoull(words[1], NULL, 10);
+	const char *arg = words[1] == NULL ? "" : words[1];
+	uint64_t n = strtoull(arg, NULL, 10);
 	struct wire_load load;
 
 	if (strcmp(words[0], "at") == 0)
@@ -106,9 +108,8 @@
 	else if (strcmp(words[0], "draining") == 0)
 		t->gate.draining = n != 0;
 	else if (strcmp(words[0], "service") == 0)
-		t->gate.service = strcmp(words[1], "-") == 0
-				      ? NULL
-				      : g_intern_string(words[1]);
+		t->gate.service =
+		    strcmp(arg, "-") == 0 ? NULL : g_intern_string(arg);
 	else if (strcmp(words[0], "slots") == 0)
 		t->gate.slots = (uint32_t)n;
 	else if (strcmp(words[0], "foreign") == 0)
