--- a/tests/runner.h
+++ b/tests/runner.h
@@ -4,20 +4,15 @@
 #include <check.h>
 #include <stdlib.h>
 
-/* Runs the tests of one program, each in its own process. */
 static inline int
-run_tests(const char *name, const TTest *const *tests, size_t n, double limit_s)
+run_tcase(const char *name, TCase *tc, double limit_s)
 {
 	Suite *suite = suite_create(name);
-	TCase *tc = tcase_create(name);
 	SRunner *runner;
-	size_t i;
 	int failed;
 
 	if (limit_s > 0)
 		tcase_set_timeout(tc, limit_s);
-	for (i = 0; i < n; i++)
-		tcase_add_test(tc, tests[i]);
 	suite_add_tcase(suite, tc);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_NORMAL);
@@ -26,6 +21,33 @@
 	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
 
+/* Runs the tests of one program, each in its own process. */
+static inline int
+run_tests(const char *name, const TTest *const *tests, size_t n, double limit_s)
+{
+	TCase *tc = tcase_create(name);
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		tcase_add_test(tc, tests[i]);
+	return run_tcase(name, tc, limit_s);
+}
+
+/*
+ * Runs one test for each row of a table, with the row's index in _i.  The
+ * environment variable SCENARIO selects a single row by its number.
+ */
+static inline int
+run_table(const char *name, const TTest *test, int n, double limit_s)
+{
+	const char *only = getenv("SCENARIO");
+	TCase *tc = tcase_create(name);
+	int first = only != NULL ? atoi(only) : 0;
+
+	tcase_add_loop_test(tc, test, first, only != NULL ? first + 1 : n);
+	return run_tcase(name, tc, limit_s);
+}
+
 /* Defines main() for the tests named; limit_s 0 keeps check's default. */
 #define TEST_MAIN(name, limit_s, ...)                                          \
 	int main(void)                                                         \
--- /dev/null
+++ b/tests/system.c
@@ -0,0 +1,553 @@
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "system.h"
+
+#define KEY	     "test-cluster-key"
+#define LOAD_IDS     1000 /* of one request, and so the most jobs of a load */
+#define LOAD_POLL_MS 5
+
+static void
+expect(bool ok, const char *what)
+{
+	if (ok)
+		return;
+	fprintf(stderr, "system: %s\n", what);
+	abort();
+}
+
+const char *
+sys_url(struct sys *sys, int entry, const char *path)
+{
+	return hn_str("http://127.0.0.1:%u%s", sys->entry[entry].listen, path);
+}
+
+const char *
+sys_far_url(struct sys *sys, int entry, const char *path)
+{
+	return hn_str(
+	    "http://127.0.0.1:%u%s", sys->entry[entry].far_listen, path);
+}
+
+const char *
+sys_ops_url(struct sys *sys, int entry, const char *path)
+{
+	return hn_str(
+	    "http://127.0.0.1:%u%s", sys->entry[entry].operators, path);
+}
+
+/* Changes the faults of the proxy; an unknown rule aborts the test. */
+void
+sys_rule(struct sys *sys, uint16_t pair, const char *query)
+{
+	const char *url = hn_str(
+	    "http://127.0.0.1:%u/?pair=%u&%s", sys->proxy_control, pair, query);
+
+	expect(hn_http("POST", url, "")->status == 200, query);
+}
+
+/* Sends a control request to the store stand-in. */
+void
+sys_store(struct sys *sys, const char *control)
+{
+	const char *url = hn_str(
+	    "http://127.0.0.1:%u/control/%s", sys->store_control, control);
+
+	expect(hn_http("POST", url, "")->status == 200, control);
+}
+
+/* Changes how an endpoint behaves. */
+void
+sys_mode(struct sys *sys, int agent, const char *query)
+{
+	const char *url = hn_str("http://127.0.0.1:%u/control/mode?%s",
+	    sys->agent[agent].endpoint_port, query);
+
+	expect(hn_http("GET", url, NULL)->status == 200, query);
+}
+
+static void
+start_store_and_proxy(struct sys *sys)
+{
+	const char *argv[2 + 3 * SYS_MAX + 1] = {"fault_proxy"};
+	int i, n = 2;
+
+	sys->store_port = hn_port();
+	sys->store_control = hn_port();
+	sys->proxy_control = hn_port();
+	sys->store = hn_start(
+	    "store", (const char *[]){"standin_store", "--port",
+			 hn_str("%u", sys->store_port), "--control-port",
+			 hn_str("%u", sys->store_control), NULL});
+	argv[1] = hn_str("%u", sys->proxy_control);
+	for (i = 0; i < sys->opts.entries; i++) {
+		struct sys_entry *e = &sys->entry[i];
+
+		argv[n++] = hn_str("%u=%u", e->far_listen, e->listen);
+		argv[n++] = hn_str("%u=%u", e->far_rpc, e->rpc);
+		argv[n++] = hn_str("%u=%u", e->far_store, sys->store_port);
+	}
+	sys->proxy = hn_start("proxy", argv);
+	expect(hn_wait_until(
+		   hn_http("GET",
+		       hn_str("http://127.0.0.1:%u/", sys->proxy_control), NULL)
+			   ->status == 200,
+		   HN_LIMIT_MS),
+	    "the proxy did not start");
+	expect(hn_wait_until(hn_http("GET",
+				 hn_str("http://127.0.0.1:%u/control/counts",
+				     sys->store_control),
+				 NULL)
+				     ->status == 200,
+		   HN_LIMIT_MS),
+	    "the store did not start");
+}
+
+static void
+start_entry(struct sys *sys, int i)
+{
+	struct sys_entry *e = &sys->entry[i];
+	const char *extra = sys->opts.entry_settings;
+	const char *path = hn_write(hn_str("%s.json", e->name),
+	    hn_str("{\"name\":\"%s\",\"failure_domain\":\"%s\","
+		   "\"listen\":\"127.0.0.1:%u\","
+		   "\"operator_listen\":\"127.0.0.1:%u\","
+		   "\"rpc_listen\":\"127.0.0.1:%u\","
+		   "\"rpc_address\":\"127.0.0.1:%u\","
+		   "\"store\":\"http://127.0.0.1:%u\","
+		   "\"cluster_key\":\"" KEY "\"%s}\n",
+		e->name, e->domain, e->listen, e->operators, e->rpc, e->far_rpc,
+		e->far_store, extra != NULL ? extra : ""));
+
+	e->proc = hn_start(
+	    e->name, (const char *[]){"spentryd", "--settings", path, NULL});
+}
+
+static const char *
+seeds(struct sys *sys)
+{
+	const char *list = "";
+	int i;
+
+	for (i = 0; i < sys->opts.entries; i++)
+		list = hn_str("%s%s\"127.0.0.1:%u\"", list, i > 0 ? "," : "",
+		    sys->entry[i].far_rpc);
+	return list;
+}
+
+static void
+start_agent(struct sys *sys, int i)
+{
+	struct sys_agent *a = &sys->agent[i];
+	const char *extra = sys->opts.agent_settings;
+	const char *path = hn_write(hn_str("%s.json", a->name),
+	    hn_str("{\"worker\":\"%s\",\"failure_domain\":\"%s\","
+		   "\"listen\":\"127.0.0.1:%u\",\"entries\":[%s],"
+		   "\"cluster_key\":\"" KEY "\"%s}\n",
+		a->name, a->domain, a->listen, seeds(sys),
+		extra != NULL ? extra : ""));
+
+	a->proc = hn_start(
+	    a->name, (const char *[]){"spagentd", "--settings", path, NULL});
+	a->endpoint = hn_start(hn_str("endpoint-%d", i),
+	    (const char *[]){"standin_endpoint", "--listen",
+		hn_str("127.0.0.1:%u", a->endpoint_port), "--agent",
+		hn_str("http://127.0.0.1:%u", a->listen), "--service",
+		SYS_SERVICE, "--slots",
+		hn_str("%d", sys->opts.slots > 0 ? sys->opts.slots : 8), NULL});
+}
+
+static const char *
+default_text(struct sys *sys)
+{
+	const char *domains = "";
+	int i;
+
+	for (i = 0; i < sys->opts.domains; i++)
+		domains = hn_str("%s%s{\"name\":\"domain-%d\","
+				 "\"entries\":true}",
+		    domains, i > 0 ? "," : "", i);
+	return hn_str("{\"failure_domains\":[%s],"
+		      "\"services\":[{\"name\":\"" SYS_SERVICE "\"}],"
+		      "\"teams\":[{\"name\":\"" SYS_TEAM "\"}]}",
+	    domains);
+}
+
+/* Applies a text through an entry; returns whether it was accepted. */
+static bool
+apply(struct sys *sys, int entry, const char *text, int64_t expected)
+{
+	struct json_object *body = json_object_new_object();
+	struct hn_http *http;
+
+	json_object_object_add(
+	    body, "expected_version", json_object_new_int64(expected));
+	json_object_object_add(body, "change_id",
+	    json_object_new_string(hn_str("start-%u", sys->store_port)));
+	json_object_object_add(body, "text", json_object_new_string(text));
+	http = hn_http("PUT", sys_ops_url(sys, entry, "/v1/config"),
+	    hn_str("%s", json_object_to_json_string(body)));
+	json_object_put(body);
+	if (http->status == 200 || http->status == 202)
+		return true;
+	fprintf(stderr, "apply: %d %s\n", http->status, http->body);
+	return false;
+}
+
+static bool
+reaches_all(struct sys *sys, int entry)
+{
+	struct hn_http *http =
+	    hn_http("GET", sys_ops_url(sys, entry, "/v1/status"), NULL);
+	struct json_object *agents, *agent;
+	int i, usable = 0;
+
+	agents = json_object_object_get(http->json, "agents");
+	if (!json_object_is_type(agents, json_type_array))
+		return false;
+	for (i = 0; i < (int)json_object_array_length(agents); i++) {
+		agent = json_object_array_get_idx(agents, i);
+		usable += json_object_get_boolean(
+			      json_object_object_get(agent, "usable")) != 0;
+	}
+	return usable == sys->opts.agents;
+}
+
+/* Starts the processes and applies the text; a failure aborts the test. */
+void
+sys_start(struct sys *sys, const struct sys_options *opts)
+{
+	int i;
+
+	memset(sys, 0, sizeof(*sys));
+	sys->opts = *opts;
+	for (i = 0; i < opts->entries; i++) {
+		struct sys_entry *e = &sys->entry[i];
+
+		e->name = hn_str("entry-%d", i);
+		e->domain = hn_str("domain-%d", i % opts->domains);
+		e->listen = hn_port();
+		e->operators = hn_port();
+		e->rpc = hn_port();
+		e->far_listen = hn_port();
+		e->far_rpc = hn_port();
+		e->far_store = hn_port();
+	}
+	for (i = 0; i < opts->agents; i++) {
+		struct sys_agent *a = &sys->agent[i];
+
+		a->name = hn_str("worker-%d", i);
+		a->domain = hn_str("domain-%d", i % opts->domains);
+		a->listen = hn_port();
+		a->endpoint_port = hn_port();
+	}
+	start_store_and_proxy(sys);
+	for (i = 0; i < opts->entries; i++)
+		start_entry(sys, i);
+	for (i = 0; i < opts->agents; i++)
+		start_agent(sys, i);
+	sys->text = opts->text != NULL ? opts->text : default_text(sys);
+	for (i = 0; i < opts->entries; i++)
+		expect(hn_wait_until(
+			   hn_http("GET", sys_url(sys, i, "/healthz"), NULL)
+				   ->status == 200,
+			   HN_LIMIT_MS),
+		    "an entry did not start");
+	expect(hn_wait_until(apply(sys, 0, sys->text, 0), HN_LIMIT_MS),
+	    "the first configuration was not accepted");
+	for (i = 0; i < opts->entries; i++) {
+		expect(hn_wait_until(sys_in_force(sys, i, sys_version(sys, 0)),
+			   HN_LIMIT_MS),
+		    "the first configuration did not come into force");
+		expect(hn_wait_until(reaches_all(sys, i), HN_LIMIT_MS),
+		    "an entry does not reach every endpoint");
+	}
+}
+
+/* Waits until a job through the entry completes. */
+bool
+sys_wait_work(struct sys *sys, int entry, int64_t limit_ms)
+{
+	return hn_wait_until(
+	    hn_http_wait(
+		sys_submit(sys, entry, sys_mint(sys, entry), sys_body(1, "{}")),
+		HN_LIMIT_MS)
+		    ->status == 200,
+	    limit_ms);
+}
+
+/* Returns a new id, or one that is invalid when the entry gives none. */
+const char *
+sys_mint(struct sys *sys, int entry)
+{
+	struct hn_http *http =
+	    hn_http("POST", sys_url(sys, entry, "/v1/ids"), "{\"count\":1}");
+
+	return http->status == 200 ? hn_json_str(http, "ids.0") : "none";
+}
+
+/* Builds the body of a submission. */
+const char *
+sys_body(int n, const char *payload)
+{
+	GString *body =
+	    g_string_new("{\"service\":\"" SYS_SERVICE "\",\"team\":\"" SYS_TEAM
+			 "\",\"tasks\":[");
+	const char *text;
+	int i;
+
+	for (i = 0; i < n; i++)
+		g_string_append_printf(
+		    body, "%s{\"payload\":%s}", i > 0 ? "," : "", payload);
+	g_string_append(body, "]}");
+	text = hn_str("%s", body->str);
+	g_string_free(body, TRUE);
+	return text;
+}
+
+/* Submits a job, waiting for its answer, without passing the proxy. */
+struct hn_http *
+sys_submit(struct sys *sys, int entry, const char *id, const char *body)
+{
+	return hn_http_start("PUT",
+	    sys_url(sys, entry, hn_str("/v1/jobs/%s?wait_ms=20000", id)), NULL,
+	    body);
+}
+
+/* Resubmits like a caller that wants to know the outcome. */
+struct hn_http *
+sys_settle(struct sys *sys, int entry, const char *id, const char *body)
+{
+	struct hn_http *http = NULL;
+
+	hn_wait_until(
+	    (http = hn_http_wait(sys_submit(sys, entry, id, body), HN_LIMIT_MS))
+			->status != 0 &&
+		http->status != 202 && http->status != 503,
+	    2 * HN_LIMIT_MS);
+	return http;
+}
+
+static struct hn_http *
+endpoint_counts(struct sys *sys, int agent, const char *query)
+{
+	return hn_http("GET",
+	    hn_str("http://127.0.0.1:%u/control/starts%s",
+		sys->agent[agent].endpoint_port, query),
+	    NULL);
+}
+
+/* Adds up the starts that all live endpoints counted for a job's tasks. */
+struct sys_count
+sys_starts(struct sys *sys, const char *id)
+{
+	GHashTable *tasks =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	const char *prefix = hn_str("%s/", id);
+	struct sys_count count = {0};
+	int i, n;
+
+	for (i = 0; i < sys->opts.agents; i++) {
+		struct hn_http *http = endpoint_counts(sys, i, "");
+		struct json_object *starts =
+		    json_object_object_get(http->json, "starts");
+
+		if (!json_object_is_type(starts, json_type_object))
+			continue;
+		json_object_object_foreach(starts, key, value)
+		{
+			if (!g_str_has_prefix(key, prefix))
+				continue;
+			n = json_object_get_int(value) +
+			    GPOINTER_TO_INT(g_hash_table_lookup(tasks, key));
+			g_hash_table_replace(
+			    tasks, g_strdup(key), GINT_TO_POINTER(n));
+			count.total += json_object_get_int(value);
+			count.most = MAX(count.most, n);
+		}
+	}
+	count.tasks = (int)g_hash_table_size(tasks);
+	g_hash_table_unref(tasks);
+	return count;
+}
+
+/* Returns an endpoint's count of all starts, -1 when it does not answer. */
+int64_t
+sys_total(struct sys *sys, int agent)
+{
+	return hn_json_int(endpoint_counts(sys, agent, "?summary=1"), "total");
+}
+
+/* Asks an entry to take a domain out or in, with a change id of its own. */
+struct hn_http *
+sys_out(struct sys *sys, int entry, const char *domain, bool out)
+{
+	static int n;
+
+	return hn_http("POST", sys_ops_url(sys, entry, "/v1/out"),
+	    hn_str("{\"kind\":\"failure_domain\",\"name\":\"%s\",\"out\":%s,"
+		   "\"change_id\":\"change-%d\"}",
+		domain, out ? "true" : "false", ++n));
+}
+
+/* Returns the version that an entry holds. */
+int64_t
+sys_version(struct sys *sys, int entry)
+{
+	return hn_json_int(
+	    hn_http("GET", sys_ops_url(sys, entry, "/v1/config"), NULL),
+	    "version");
+}
+
+/* Asks an entry whether a version is in force everywhere. */
+bool
+sys_in_force(struct sys *sys, int entry, int64_t version)
+{
+	struct hn_http *http = hn_http("GET",
+	    sys_ops_url(sys, entry,
+		hn_str("/v1/config/status?version=%" G_GINT64_FORMAT, version)),
+	    NULL);
+
+	return http->status == 200 &&
+	       strcmp(hn_json_str(http, "state"), "in_force") == 0;
+}
+
+struct sys_load {
+	struct sys *sys;
+	int entry, n_tasks, next_id, n_callers;
+	const char *body;
+	struct hn_http *ids;
+	struct hn_http *caller[64];
+	const char *caller_id[64];
+	GPtrArray *complete; /* ids */
+	struct sys_load_counts counts;
+	guint timer;
+	bool stopping;
+};
+
+static void
+load_submit(struct sys_load *load, int caller)
+{
+	const char *id =
+	    hn_json_str(load->ids, hn_str("ids.%d", load->next_id++));
+
+	load->caller_id[caller] = id;
+	load->caller[caller] =
+	    sys_submit(load->sys, load->entry, id, load->body);
+}
+
+static void
+load_note(struct sys_load *load, int caller)
+{
+	const struct hn_http *http = load->caller[caller];
+	const char *ran = hn_json_str(http, "ran");
+
+	load->caller[caller] = NULL;
+	if (http->status == 200) {
+		load->counts.complete++;
+		g_ptr_array_add(
+		    load->complete, (gpointer)load->caller_id[caller]);
+		expect((int)json_object_array_length(json_object_object_get(
+			   http->json, "results")) == load->n_tasks,
+		    "a complete answer lacks results");
+	} else if (http->status == 0) {
+		load->counts.none++;
+	} else if (strcmp(ran, "not_run") == 0) {
+		load->counts.not_run++;
+		expect(
+		    sys_starts(load->sys, load->caller_id[caller]).total == 0,
+		    "a job answered with not_run was started");
+	} else if (strcmp(ran, "failed") == 0) {
+		load->counts.failed++;
+	} else {
+		load->counts.unknown++;
+	}
+}
+
+static gboolean
+on_load_timer(gpointer data)
+{
+	struct sys_load *load = data;
+	int i;
+
+	for (i = 0; i < load->n_callers; i++) {
+		if (load->caller[i] != NULL && !load->caller[i]->done)
+			continue;
+		if (load->caller[i] != NULL)
+			load_note(load, i);
+		if (!load->stopping && load->next_id < LOAD_IDS)
+			load_submit(load, i);
+	}
+	return G_SOURCE_CONTINUE;
+}
+
+/* Starts callers of one entry; at most LOAD_IDS jobs are submitted. */
+struct sys_load *
+sys_load_start(
+    struct sys *sys, int entry, int callers, int n_tasks, const char *payload)
+{
+	struct sys_load *load = g_new0(struct sys_load, 1);
+
+	expect(callers <= 64, "too many callers");
+	load->sys = sys;
+	load->entry = entry;
+	load->n_tasks = n_tasks;
+	load->n_callers = callers;
+	load->body = sys_body(n_tasks, payload);
+	load->complete = g_ptr_array_new();
+	load->ids = hn_http("POST", sys_url(sys, entry, "/v1/ids"),
+	    hn_str("{\"count\":%d}", LOAD_IDS));
+	expect(load->ids->status == 200, "no ids for the load");
+	load->timer = g_timeout_add(LOAD_POLL_MS, on_load_timer, load);
+	return load;
+}
+
+/* Returns the answers so far. */
+struct sys_load_counts
+sys_load_counts(const struct sys_load *load)
+{
+	return load->counts;
+}
+
+static bool
+load_is_idle(const struct sys_load *load)
+{
+	int i;
+
+	for (i = 0; i < load->n_callers; i++) {
+		if (load->caller[i] != NULL)
+			return false;
+	}
+	return true;
+}
+
+/* Stops submitting, waits for the answers and frees the load. */
+struct sys_load_counts
+sys_load_stop(struct sys_load *load)
+{
+	struct sys_load_counts counts;
+	int64_t duplicates;
+	int i;
+
+	load->stopping = true;
+	expect(hn_wait_until(load_is_idle(load), 3 * HN_LIMIT_MS),
+	    "a caller got no answer");
+	g_source_remove(load->timer);
+	for (i = 0; i < load->sys->opts.agents; i++) {
+		duplicates = hn_json_int(
+		    endpoint_counts(load->sys, i, "?summary=1"), "duplicates");
+		expect(duplicates <= 0, "a task was started twice");
+	}
+	for (i = 0; i < (int)load->complete->len; i += 17) {
+		struct sys_count count =
+		    sys_starts(load->sys, load->complete->pdata[i]);
+
+		expect(count.most <= 1, "a task was started at two endpoints");
+	}
+	counts = load->counts;
+	g_ptr_array_unref(load->complete);
+	g_free(load);
+	return counts;
+}
