--- a/bench/workload.c
+++ b/bench/workload.c
@@ -114,11 +114,11 @@
 job_size(const struct workload_options *opts, uint64_t *rng)
 {
 	static const uint32_t sizes[] = {1, 20, 100};
-	double n = G_N_ELEMENTS(sizes);
+	guint n = G_N_ELEMENTS(sizes);
 
 	if (opts->job_size > 0)
 		return opts->job_size;
-	return sizes[(guint)(rng_uniform(rng) * n)];
+	return sizes[(guint)(rng_uniform(rng) * (double)n)];
 }
 
 static double
