--- a/src/request/api.c
+++ b/src/request/api.c
@@ -219,7 +219,7 @@
 
 static struct api_call *
 submit_form(struct api_call *call, const struct api_request *request,
-    const struct jobform *form, struct job_spec *spec)
+    const struct jobform *form, const struct job_spec *identity)
 {
 	char traceparent[TRC_PARENT_LEN + 1];
 	struct adm_request want = {
@@ -230,18 +230,19 @@
 	    .memory_mb = form->max_memory_mb,
 	    .deadline_ms = form->deadline_ms,
 	};
+	struct job_spec spec = *identity;
 	struct status why;
 	enum ref_code code;
 	struct job *job;
 
 	trc_format(&call->span, traceparent);
-	spec->traceparent = traceparent;
-	spec->service = form->service;
-	spec->team = form->team;
-	spec->deadline_ms = form->deadline_ms;
-	spec->tasks = form->tasks;
-	spec->n_tasks = form->n_tasks;
-	code = api_submit(call->api, spec, &want, &job, &why);
+	spec.traceparent = traceparent;
+	spec.service = form->service;
+	spec.team = form->team;
+	spec.deadline_ms = form->deadline_ms;
+	spec.tasks = form->tasks;
+	spec.n_tasks = form->n_tasks;
+	code = api_submit(call->api, &spec, &want, &job, &why);
 	if (code != REF_NONE) {
 		refuse(call, code, why.message);
 		return NULL;
--- a/src/request/dispatch.c
+++ b/src/request/dispatch.c
@@ -3,7 +3,7 @@
 
 #include "request/dispatch.h"
 
-#define BATCH_BYTES    (1024 * 1024) /* well under the record limit */
+#define BATCH_BYTES    1048576U /* well under the record limit */
 #define START_OVERHEAD 512
 #define SCAN_JOBS      16 /* jobs tried behind one that fits no worker */
 
@@ -40,11 +40,11 @@
 
 struct dispatch {
 	struct dsp_options opts;
-	GHashTable *queues;  /* service -> struct queue */
-	GHashTable *jobs;    /* struct job -> struct djob */
-	GHashTable *batches; /* agent -> struct batch, while a job is placed */
-	GHashTable *outs;    /* &seq -> struct out */
-	GSequence *timers;   /* struct djob by at_ms */
+	GHashTable *queues; /* service -> struct queue */
+	GHashTable *jobs;   /* struct job -> struct djob */
+	GPtrArray *batches; /* struct batch, while a job is placed */
+	GHashTable *outs;   /* &seq -> struct out */
+	GSequence *timers;  /* struct djob by at_ms */
 	uint64_t next_seq;
 	int64_t *started, *not_started, *unknown, *done, *dropped, *retried;
 	int64_t *messages;
@@ -117,7 +117,7 @@
 	dsp->queues =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_queue);
 	dsp->jobs = g_hash_table_new_full(NULL, NULL, NULL, free_djob);
-	dsp->batches = g_hash_table_new_full(NULL, NULL, NULL, free_batch);
+	dsp->batches = g_ptr_array_new_with_free_func(free_batch);
 	dsp->outs = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, g_free, free_out);
 	dsp->timers = g_sequence_new(NULL);
@@ -134,7 +134,7 @@
 	g_hash_table_unref(dsp->outs);
 	g_hash_table_unref(dsp->jobs);
 	g_hash_table_unref(dsp->queues);
-	g_hash_table_unref(dsp->batches);
+	g_ptr_array_unref(dsp->batches);
 	g_free(dsp);
 }
 
@@ -246,11 +246,9 @@
 static void
 withdraw_all(struct dispatch *dsp, struct job *job)
 {
-	GHashTable *agents = g_hash_table_new(NULL, NULL);
-	GHashTableIter iter;
+	GPtrArray *agents = g_ptr_array_new();
 	const struct job_task *task;
 	struct out *out;
-	gpointer agent;
 	uint32_t i;
 
 	for (i = 0; i < job_n_tasks(job); i++) {
@@ -258,13 +256,12 @@
 		if (task->state != JOB_TASK_PLACED)
 			continue;
 		out = g_hash_table_lookup(dsp->outs, &task->seq);
-		if (out != NULL)
-			g_hash_table_add(agents, out->agent);
+		if (out != NULL && !g_ptr_array_find(agents, out->agent, NULL))
+			g_ptr_array_add(agents, out->agent);
 	}
-	g_hash_table_iter_init(&iter, agents);
-	while (g_hash_table_iter_next(&iter, &agent, NULL))
-		withdraw_from(dsp, job, agent);
-	g_hash_table_unref(agents);
+	for (i = 0; i < agents->len; i++)
+		withdraw_from(dsp, job, agents->pdata[i]);
+	g_ptr_array_unref(agents);
 }
 
 /* Follows a job that has just begun to fail. */
@@ -389,18 +386,23 @@
 	batch->bytes = 0;
 }
 
+/* In the order of the first start, so that a trace replays identically. */
 static struct batch *
 get_batch(struct dispatch *dsp, void *agent)
 {
-	struct batch *batch = g_hash_table_lookup(dsp->batches, agent);
+	struct batch *batch;
+	guint i;
 
-	if (batch != NULL)
-		return batch;
+	for (i = 0; i < dsp->batches->len; i++) {
+		batch = dsp->batches->pdata[i];
+		if (batch->agent == agent)
+			return batch;
+	}
 	batch = g_new0(struct batch, 1);
 	batch->agent = agent;
 	batch->starts = g_array_new(FALSE, FALSE, sizeof(wire_start));
 	batch->ids = g_ptr_array_new_with_free_func(g_free);
-	g_hash_table_insert(dsp->batches, agent, batch);
+	g_ptr_array_add(dsp->batches, batch);
 	return batch;
 }
 
@@ -433,14 +435,11 @@
 static void
 flush_batches(struct dispatch *dsp, int64_t now_ms)
 {
-	GHashTableIter iter;
-	gpointer value;
+	guint i;
 
-	g_hash_table_iter_init(&iter, dsp->batches);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		send_batch(dsp, value, now_ms);
-		g_hash_table_iter_remove(&iter);
-	}
+	for (i = 0; i < dsp->batches->len; i++)
+		send_batch(dsp, dsp->batches->pdata[i], now_ms);
+	g_ptr_array_set_size(dsp->batches, 0);
 }
 
 /* Places tasks of one job; returns false when some task fits no worker now. */
--- a/src/request/job.c
+++ b/src/request/job.c
@@ -501,6 +501,7 @@
 	struct job_table *table = job->table;
 	uint32_t i;
 
+	g_assert(job->refs > 0);
 	job_ref(job);
 	job->state = state;
 	job->finished_ms = now_ms;
@@ -664,7 +665,7 @@
     const struct job_result *result, int64_t now_ms)
 {
 	struct job_task *task = placed_task(job, index, seq);
-	bool fits = true;
+	enum job_cause cause = JOB_CAUSE_NONE;
 
 	if (task == NULL)
 		return false;
@@ -672,16 +673,17 @@
 	task->status = result->status;
 	task->state =
 	    is_success(job, result->status) ? JOB_TASK_DONE : JOB_TASK_FAILED;
-	if (job->table != NULL)
-		fits = job->answer_bytes + result->body_len <=
-		       job->table->opts.max_answer_bytes;
-	if (job->state == JOB_RUNNING && fits)
-		keep_result(job, task, result);
 	if (task->state == JOB_TASK_FAILED)
-		job_fail(job, JOB_CAUSE_TASK_FAILED, now_ms);
-	else if (!fits)
-		job_fail(job, JOB_CAUSE_ANSWER_TOO_LARGE, now_ms);
-	check_finished(job, now_ms);
+		cause = JOB_CAUSE_TASK_FAILED;
+	else if (job->table != NULL && job->answer_bytes + result->body_len >
+					   job->table->opts.max_answer_bytes)
+		cause = JOB_CAUSE_ANSWER_TOO_LARGE;
+	else if (job->state == JOB_RUNNING)
+		keep_result(job, task, result);
+	if (cause != JOB_CAUSE_NONE && job->state == JOB_RUNNING)
+		job_fail(job, cause, now_ms);
+	else
+		check_finished(job, now_ms);
 	return true;
 }
 
