--- a/src/version/etcd.c
+++ b/src/version/etcd.c
@@ -132,11 +132,12 @@
 static void
 finish_lease(struct call *call, struct json_object *reply, struct status *st)
 {
-	struct json_object *result = reply;
+	struct json_object *result;
 	int64_t lease, ttl_s;
 
 	/* keepalive is a stream: each message is under "result". */
-	json_object_object_get_ex(reply, "result", &result);
+	if (!json_object_object_get_ex(reply, "result", &result))
+		result = reply;
 	lease = int_at(result, "ID");
 	ttl_s = int_at(result, "TTL");
 	if (ttl_s <= 0 &&
--- a/src/version/voters.c
+++ b/src/version/voters.c
@@ -31,6 +31,30 @@
 	return NULL;
 }
 
+/* The registration of a process that has ended stays until its lease ends. */
+static bool
+may_vote(const struct vot_input *in, const struct mem_entry *entry)
+{
+	struct cfg_voter voter = {.failure_domain = entry->failure_domain,
+	    .incarnation = entry->incarnation,
+	    .address = entry->address};
+	const struct cfg_voter *voters;
+	size_t set, i, n;
+
+	if (has_ended(in, &voter))
+		return false;
+	for (set = 0; in->base != NULL && set < cfg_voter_sets(in->base);
+	     set++) {
+		voters = cfg_voters(in->base, set, &n);
+		for (i = 0; i < n; i++) {
+			if (voters[i].incarnation == entry->incarnation &&
+			    voters[i].ended)
+				return false;
+		}
+	}
+	return true;
+}
+
 /* Every entry picks the same candidate, so few of them write. */
 static const struct mem_entry *
 candidate_of(const struct vot_input *in, const char *domain)
@@ -42,7 +66,7 @@
 		const struct mem_entry *entry = &in->members[i];
 
 		if (strcmp(entry->failure_domain, domain) == 0 &&
-		    entry->incarnation != in->ended &&
+		    may_vote(in, entry) &&
 		    (best == NULL || entry->incarnation < best->incarnation))
 			best = entry;
 	}
--- /dev/null
+++ b/tests/test_quorum.c
@@ -0,0 +1,197 @@
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "casefile.h"
+#include "version/quorum.h"
+
+#define MAX_DOCS 16
+
+static struct text_case *cases;
+
+/* Replays one trace: see the head of tests/cases/quorum.txt. */
+struct replay {
+	struct cfg *docs[MAX_DOCS];
+	GHashTable *observers; /* name -> struct observer */
+	struct observer *at;
+	GString *out;
+};
+
+struct observer {
+	struct quo *quo;
+	struct cfg *held;
+	uint64_t incarnation;
+};
+
+/* A name of up to 8 characters is its own incarnation. */
+static uint64_t
+incarnation_of(const char *name)
+{
+	uint64_t n = 0;
+
+	memcpy(&n, name, MIN(strlen(name), sizeof(n)));
+	return n;
+}
+
+static void
+observer_free(void *p)
+{
+	struct observer *observer = p;
+
+	quo_free(observer->quo);
+	g_free(observer);
+}
+
+static void
+observe(struct replay *rp, const char *name)
+{
+	rp->at = g_hash_table_lookup(rp->observers, name);
+	if (rp->at != NULL)
+		return;
+	rp->at = g_new0(struct observer, 1);
+	rp->at->quo = quo_new(3000);
+	rp->at->incarnation = incarnation_of(name);
+	g_hash_table_insert(rp->observers, g_strdup(name), rp->at);
+}
+
+/* "doc 2 A,B,C A1,B,C": a voter "X!" has ended. */
+static void
+define(struct replay *rp, char **words)
+{
+	struct cfg_voter voters[64];
+	struct cfg_voter_set sets[8];
+	struct cfg_parts parts = {.change_id = "c",
+	    .text = "{\"failure_domains\": [], \"services\": []}",
+	    .voter_sets = sets};
+	size_t n = 0, i, j;
+	struct status st;
+	char *document;
+
+	parts.version = strtoull(words[1], NULL, 10);
+	for (i = 2; words[i] != NULL; i++) {
+		char **names = g_strsplit(words[i], ",", -1);
+
+		sets[i - 2].voters = &voters[n];
+		sets[i - 2].n = g_strv_length(names);
+		for (j = 0; names[j] != NULL; j++, n++) {
+			memset(&voters[n], 0, sizeof(voters[n]));
+			voters[n].failure_domain = "d";
+			voters[n].ended = g_str_has_suffix(names[j], "!");
+			names[j][strcspn(names[j], "!")] = '\0';
+			voters[n].incarnation = incarnation_of(names[j]);
+		}
+		g_strfreev(names);
+	}
+	parts.n_voter_sets = i - 2;
+	document = cfg_write(&parts);
+	rp->docs[parts.version] = cfg_parse(document, strlen(document), &st);
+	ck_assert_msg(rp->docs[parts.version] != NULL, "%s", st.message);
+	g_free(document);
+}
+
+/* "answer B 5 store=never at=1000", of a process that holds document 5. */
+static void
+take_answer(struct replay *rp, char **words)
+{
+	struct quo_answer answer = {.incarnation = incarnation_of(words[1]),
+	    .version = strtoull(words[2], NULL, 10),
+	    .store_age_ms = -1};
+
+	if (strcmp(words[3], "store=never") != 0)
+		answer.store_age_ms = strtoll(words[3] + 6, NULL, 10);
+	answer.as_of_ms = strtoll(words[4] + 3, NULL, 10);
+	answer.vouches =
+	    quo_vouches(rp->docs[answer.version], answer.incarnation);
+	quo_answer(rp->at->quo, &answer, answer.as_of_ms);
+}
+
+static void
+print_round(struct replay *rp, char **words)
+{
+	struct quo_proof proof =
+	    quo_round(rp->at->quo, rp->at->held, strtoll(words[1], NULL, 10));
+
+	if (proof.confirmed)
+		g_string_append_printf(rp->out, "confirmed %d as of %d\n",
+		    (int)proof.version, (int)proof.as_of_ms);
+	else
+		g_string_append(rp->out, "nothing\n");
+}
+
+static void
+print_accepted(struct replay *rp, char **words)
+{
+	uint64_t version = strtoull(words[1], NULL, 10);
+	struct cfg_voter missing[16];
+	size_t i, n;
+	char name[9];
+	bool accepted =
+	    quo_accepted(rp->at->quo, rp->at->held, version, missing, 16, &n);
+
+	g_string_append(rp->out, accepted ? "accepted" : "pending");
+	for (i = 0; i < n; i++) {
+		memset(name, 0, sizeof(name));
+		memcpy(name, &missing[i].incarnation, 8);
+		g_string_append_printf(rp->out, " %s", name);
+	}
+	g_string_append_c(rp->out, '\n');
+}
+
+static void
+run_line(struct replay *rp, const char *line)
+{
+	char **words = g_strsplit(line, " ", -1);
+
+	if (strcmp(words[0], "doc") == 0)
+		define(rp, words);
+	else if (strcmp(words[0], "at") == 0)
+		observe(rp, words[1]);
+	else if (strcmp(words[0], "hold") == 0)
+		rp->at->held = rp->docs[atoi(words[1])];
+	else if (strcmp(words[0], "answer") == 0)
+		take_answer(rp, words);
+	else if (strcmp(words[0], "round") == 0)
+		print_round(rp, words);
+	else if (strcmp(words[0], "accepted") == 0)
+		print_accepted(rp, words);
+	else
+		ck_abort_msg("unknown line: %s", line);
+	g_strfreev(words);
+}
+
+/* A process must confirm, and a change be accepted, only with proof. */
+START_TEST(trace_is_judged)
+{
+	const struct text_case *tc = &cases[_i];
+	char **lines = g_strsplit(g_strstrip(tc->input), "\n", -1);
+	struct replay rp = {.out = g_string_new(NULL)};
+	size_t i;
+
+	rp.observers = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, observer_free);
+	observe(&rp, "O");
+	for (i = 0; lines[i] != NULL; i++) {
+		if (lines[i][0] != '#')
+			run_line(&rp, lines[i]);
+	}
+	g_strchomp(rp.out->str);
+	ck_assert_msg(strcmp(rp.out->str, tc->expected) == 0,
+	    "%s: got \"%s\", expected \"%s\"", tc->name, rp.out->str,
+	    tc->expected);
+	for (i = 0; i < MAX_DOCS; i++)
+		cfg_unref(rp.docs[i]);
+	g_hash_table_destroy(rp.observers);
+	g_string_free(rp.out, TRUE);
+	g_strfreev(lines);
+}
+END_TEST
+
+int
+main(void)
+{
+	size_t n;
+
+	cases = casefile_load("tests/cases/quorum.txt", &n);
+	return casefile_main("quorum", NULL, 0, trace_is_judged, n);
+}
