--- a/src/version/etcd.c
+++ b/src/version/etcd.c
@@ -137,7 +137,7 @@
 
 	/* keepalive is a stream: each message is under "result". */
 	if (!json_object_object_get_ex(reply, "result", &result))
-		result = reply; /* json-c clears it when the key is absent */
+		result = reply;
 	lease = int_at(result, "ID");
 	ttl_s = int_at(result, "TTL");
 	if (ttl_s <= 0 &&
