--- a/src/request/callers.c
+++ b/src/request/callers.c
@@ -70,16 +70,38 @@
 {
 	SoupMessageHeaders *headers =
 	    soup_server_message_get_request_headers(msg);
+	const char *length =
+	    soup_message_headers_get_list(headers, "Content-Length");
 
 	if (http->in_progress > http->opts.max_requests)
 		refuse_body(msg, req, REF_OVERLOADED);
-	else if (soup_message_headers_get_encoding(headers) ==
-		     SOUP_ENCODING_CONTENT_LENGTH &&
+	/* libsoup takes a chunked body that was cut off for a whole one. */
+	else if (soup_message_headers_get_list(headers, "Transfer-Encoding") !=
+		 NULL)
+		refuse_body(msg, req, REF_LENGTH_REQUIRED);
+	else if (length != NULL && strchr(length, ',') != NULL)
+		refuse_body(msg, req, REF_BAD_REQUEST);
+	else if (length != NULL &&
 		 (uint64_t)soup_message_headers_get_content_length(headers) >
 		     http->opts.max_body_bytes)
 		refuse_body(msg, req, REF_TOO_LARGE);
 }
 
+static const char *
+refusal_message(enum ref_code code)
+{
+	switch (code) {
+	case REF_TOO_LARGE:
+		return "the body is too large";
+	case REF_LENGTH_REQUIRED:
+		return "a body needs Content-Length and no Transfer-Encoding";
+	case REF_OVERLOADED:
+		return "too many requests in progress";
+	default:
+		return "malformed request";
+	}
+}
+
 /* Runs when the headers are there, before any of the body is stored. */
 static void
 on_headers(SoupServer *server, SoupServerMessage *msg, const char *path,
@@ -227,10 +249,7 @@
 	if (req == NULL)
 		hr_refuse(msg, REF_BAD_REQUEST, "malformed request");
 	else if (req->refusal != REF_NONE)
-		hr_refuse(msg, req->refusal,
-		    req->refusal == REF_TOO_LARGE
-			? "the body is too large"
-			: "too many requests in progress");
+		hr_refuse(msg, req->refusal, refusal_message(req->refusal));
 	else if (g_str_has_prefix(path, JOBS_PREFIX))
 		handle_job(http, msg, path + strlen(JOBS_PREFIX), query);
 	else if (g_str_has_prefix(path, PASS_PREFIX))
--- a/src/request/refusal.c
+++ b/src/request/refusal.c
@@ -23,6 +23,7 @@
     [REF_NOT_FOUND] = {404, "not_found", NOT_RUN},
     [REF_CONFLICT] = {409, "conflict", NOT_RUN},
     [REF_EXPIRED] = {410, "expired", UNKNOWN},
+    [REF_LENGTH_REQUIRED] = {411, "length_required", NOT_RUN},
     [REF_TOO_LARGE] = {413, "too_large", NOT_RUN},
     [REF_TOO_MANY_TASKS] = {413, "too_many_tasks", NOT_RUN},
     [REF_UNKNOWN_SERVICE] = {404, "unknown_service", NOT_RUN},
