--- a/tests/test_change.c
+++ b/tests/test_change.c
@@ -4,26 +4,13 @@
 #include <string.h>
 
 #include "casefile.h"
+#include "entry_node.h"
 #include "process/clock.h"
 #include "process/log.h"
 #include "store_process.h"
-#include "version/change.h"
-#include "version/etcd.h"
 
 #define N_NODES	     4
-#define FRESHNESS_MS 600
-
-/* One entry without its listeners. */
-struct node {
-	struct store *store;
-	struct fresh *fresh;
-	struct rdr *rdr;
-	struct mem *mem;
-	struct quo *quo;
-	struct chg *chg;
-	bool cut; /* from its peers */
-	char address[32];
-};
+#define FRESHNESS_MS ENTRY_NODE_FRESHNESS_MS
 
 struct outcome {
 	bool done;
@@ -32,7 +19,7 @@
 };
 
 static struct store_process *sp;
-static struct node nodes[N_NODES];
+static struct entry_node nodes[N_NODES];
 static guint exchange_timer;
 
 static const char text[] =
@@ -44,49 +31,14 @@
 static void
 node_start(int i, uint64_t incarnation, const char *domain, int port)
 {
-	struct node *node = &nodes[i];
-	struct etcd_options store_opts = {
-	    .url = store_process_url(sp), .timeout_ms = 300};
-	struct rdr_options rdr_opts = {.poll_ms = 50};
-	struct mem_options mem_opts = {.lease_s = 1, .poll_ms = 50};
-	struct chg_options chg_opts = {.freshness_ms = FRESHNESS_MS};
-
-	memset(node, 0, sizeof(*node));
-	snprintf(node->address, sizeof(node->address), "127.0.0.1:%d", port);
-	node->store = etcd_new(&store_opts);
-	node->fresh = fresh_new(FRESHNESS_MS);
-	rdr_opts.store = node->store;
-	rdr_opts.fresh = node->fresh;
-	node->rdr = rdr_new(&rdr_opts);
-	mem_opts.store = node->store;
-	mem_opts.self = (struct mem_entry){
-	    incarnation, "e", domain, node->address, node->address};
-	node->mem = mem_new(&mem_opts);
-	node->quo = quo_new(FRESHNESS_MS);
-	chg_opts.store = node->store;
-	chg_opts.rdr = node->rdr;
-	chg_opts.fresh = node->fresh;
-	chg_opts.mem = node->mem;
-	chg_opts.quo = node->quo;
-	chg_opts.self = mem_opts.self;
-	node->chg = chg_new(&chg_opts);
+	entry_node_start(
+	    &nodes[i], store_process_url(sp), incarnation, domain, port);
 }
 
-/* Ends without leaving, as a killed process does. */
 static void
 node_kill(int i)
 {
-	struct node *node = &nodes[i];
-
-	if (node->chg == NULL)
-		return;
-	chg_free(node->chg);
-	mem_free(node->mem);
-	rdr_free(node->rdr);
-	quo_free(node->quo);
-	fresh_free(node->fresh);
-	node->store->ops->free(node->store);
-	memset(node, 0, sizeof(*node));
+	entry_node_kill(&nodes[i]);
 }
 
 /* Stands for PEER_STATUS: every pair that is not cut off asks each other. */
--- /dev/null
+++ b/tests/test_operators.c
@@ -0,0 +1,224 @@
+#include <gio/gio.h>
+#include <glib/gstdio.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "casefile.h"
+#include "entry_node.h"
+#include "process/log.h"
+#include "request/operators.h"
+#include "store_process.h"
+
+#define TEXT                                                                   \
+	"{\"failure_domains\": [{\"name\": \"d1\", \"entries\": true}], "      \
+	"\"services\": [{\"name\": \"club-desk\"}]}"
+
+static struct store_process *sp;
+static struct entry_node node;
+static struct ops *ops;
+static char url[64], text_path[64];
+
+/* One finished run of spctl. */
+struct run {
+	bool done;
+	int status;
+	char *out;
+	char *err;
+};
+
+static void
+add_status(struct json_object *status, void *ctx)
+{
+	(void)ctx;
+	json_object_object_add(status, "agents", json_object_new_int(3));
+}
+
+static char *
+metrics(void *ctx)
+{
+	(void)ctx;
+	return g_strdup("# HELP starts Starts.\nstarts 5\n");
+}
+
+static void
+setup(void)
+{
+	struct ops_options opts = {.listen = "127.0.0.1:0",
+	    .add_status = add_status,
+	    .metrics = metrics};
+	struct status st;
+	char *path = NULL;
+	int fd;
+
+	log_open("test", LOG_ERR);
+	sp = store_process_start();
+	entry_node_start(&node, store_process_url(sp), 0x11, "d1", 7001);
+	opts.chg = node.chg;
+	opts.fresh = node.fresh;
+	opts.rdr = node.rdr;
+	opts.mem = node.mem;
+	opts.self = node.self;
+	ops = ops_new(&opts, &st);
+	ck_assert_msg(ops != NULL, "%s", st.message);
+	snprintf(url, sizeof(url), "http://127.0.0.1:%u", ops_port(ops));
+	fd = g_file_open_tmp("text-XXXXXX", &path, NULL);
+	ck_assert_int_ge(fd, 0);
+	ck_assert(g_close(fd, NULL));
+	ck_assert(g_file_set_contents(path, TEXT, -1, NULL));
+	g_strlcpy(text_path, path, sizeof(text_path));
+	g_free(path);
+	run_for(300);
+}
+
+static void
+teardown(void)
+{
+	ops_free(ops);
+	entry_node_kill(&node);
+	run_for(20);
+	store_process_stop(sp);
+	remove(text_path);
+}
+
+static void
+on_exit_of_run(GObject *source, GAsyncResult *result, gpointer ctx)
+{
+	struct run *run = ctx;
+	GSubprocess *process = G_SUBPROCESS(source);
+
+	g_subprocess_communicate_utf8_finish(
+	    process, result, &run->out, &run->err, NULL);
+	run->status = g_subprocess_get_exit_status(process);
+	run->done = true;
+}
+
+static bool
+is_done(void *ctx)
+{
+	return ((struct run *)ctx)->done;
+}
+
+/* Runs spctl with a line of arguments while the entry serves. */
+static struct run
+spctl(const char *fmt, ...)
+{
+	struct run run = {0};
+	const char *build = g_getenv("BUILD_DIR");
+	char *args, *line, **argv;
+	GSubprocess *process;
+	va_list ap;
+
+	va_start(ap, fmt);
+	args = g_strdup_vprintf(fmt, ap);
+	va_end(ap);
+	line = g_strdup_printf(
+	    "%s/spctl %s", build != NULL ? build : "build", args);
+	argv = g_strsplit(line, " ", -1);
+	process = g_subprocess_newv((const char *const *)argv,
+	    G_SUBPROCESS_FLAGS_STDOUT_PIPE | G_SUBPROCESS_FLAGS_STDERR_PIPE,
+	    NULL);
+	ck_assert_ptr_nonnull(process);
+	g_subprocess_communicate_utf8_async(
+	    process, NULL, NULL, on_exit_of_run, &run);
+	ck_assert(run_until(is_done, &run, 20000));
+	g_object_unref(process);
+	g_strfreev(argv);
+	g_free(line);
+	g_free(args);
+	return run;
+}
+
+static void
+expect(struct run run, int status, const char *out, const char *err)
+{
+	ck_assert_msg(run.status == status, "exit status %d, out %s, err %s",
+	    run.status, run.out, run.err);
+	ck_assert_msg(strstr(run.out, out) != NULL, "out: %s", run.out);
+	ck_assert_msg(strstr(run.err, err) != NULL, "err: %s", run.err);
+	g_free(run.out);
+	g_free(run.err);
+}
+
+/* A change must exit with 0 only when it is in force everywhere. */
+START_TEST(changes_wait_until_in_force)
+{
+	setup();
+	expect(spctl("--entry %s status", url), 0, "no configuration", "");
+	expect(spctl("check %s", text_path), 0, "valid", "");
+	expect(spctl("apply %s --entry %s", text_path, url), 0,
+	    "version 1 is in force everywhere", "");
+	expect(spctl("out failure_domain d1 --entry %s --wait-s 0", url), 3,
+	    "version 2 is", "");
+	expect(spctl("in failure_domain d1 --entry %s --json", url), 0,
+	    "\"version\":3,\"state\":\"in_force\"", "");
+	expect(spctl("config --entry %s", url), 0, "club-desk", "version 3");
+	expect(spctl("status --entry %s", url), 0, "entry e in d1", "");
+	expect(spctl("status --json --entry %s", url), 0, "\"agents\":3", "");
+	expect(
+	    spctl("counters --entry %s --json", url), 0, "{\"starts\":5}", "");
+	expect(spctl("traces --entry %s", url), 0, "[]", "");
+	teardown();
+}
+END_TEST
+
+/* Every refusal must be typed and change nothing. */
+START_TEST(refusals)
+{
+	setup();
+	expect(spctl("out service club-desk --entry %s", url), 1, "",
+	    "not_found: no configuration");
+	expect(spctl("apply %s --entry %s", text_path, url), 0, "", "");
+	expect(
+	    spctl("apply %s --expected-version 7 --entry %s", text_path, url),
+	    1, "", "conflict: expected version 7");
+	expect(spctl("out service no-desk --entry %s", url), 1, "",
+	    "not_found: service \"no-desk\" is not in the configuration");
+	expect(spctl("out service a/b --entry %s", url), 1, "",
+	    "invalid: request:1:");
+	expect(spctl("ended zz --entry %s", url), 1, "", "invalid");
+	expect(spctl("out rack r1 --entry %s", url), 2, "", "expected");
+	expect(spctl("out service --entry %s", url), 2, "", "expected KIND");
+	expect(spctl("frobnicate"), 2, "", "unknown command");
+	expect(spctl("status"), 2, "", "--entry is required");
+	expect(spctl("check no-such-file"), 2, "", "no-such-file");
+	ck_assert(g_file_set_contents(text_path, "{\"x\": 1}", -1, NULL));
+	expect(spctl("check %s", text_path), 1, "", ":1:2: x: unknown key");
+	expect(
+	    spctl("apply %s --entry %s", text_path, url), 1, "", "unknown key");
+	ck_assert_uint_eq(fresh_version(node.fresh), 1);
+	teardown();
+}
+END_TEST
+
+/* A dead entry must not stop an operator, and an outage of the store must be
+ * told from a refusal of the change. */
+START_TEST(failover_and_outage)
+{
+	setup();
+	expect(spctl("apply %s -e http://127.0.0.1:1 -e %s", text_path, url), 0,
+	    "in force", "127.0.0.1:1");
+	expect(spctl("status -e http://127.0.0.1:1"), 4, "", "no entry");
+	expect(spctl("in service club-desk -e http://127.0.0.1:1"), 4, "",
+	    "no entry");
+	store_process_control(sp, "outage?mode=refuse");
+	run_for(100);
+	expect(spctl("out service club-desk --entry %s", url), 1, "",
+	    "store_unavailable");
+	store_process_control(sp, "outage?mode=off");
+	store_process_control(sp, "drop?writes=1");
+	expect(spctl("out service club-desk --entry %s --change-id c9", url), 0,
+	    "version 2", "");
+	expect(spctl("out service club-desk --entry %s --change-id c9", url), 0,
+	    "version 2", "");
+	teardown();
+}
+END_TEST
+
+int
+main(void)
+{
+	const TTest *tests[] = {
+	    changes_wait_until_in_force, refusals, failover_and_outage};
+
+	return casefile_main("operators", tests, 3, NULL, 0);
+}
