--- a/bench/bench_policy.c
+++ b/bench/bench_policy.c
@@ -39,6 +39,33 @@
     {"least_wait.ahead1", {.policy = PLACE_LEAST_WAIT, .ahead = 1}},
     {"least_wait.ahead2", {.policy = PLACE_LEAST_WAIT, .ahead = 2}},
     {"least_wait.ahead8", {.policy = PLACE_LEAST_WAIT, .ahead = 8}},
+    {"least_wait.ahead0.longest_first",
+	{.policy = PLACE_LEAST_WAIT, .longest_first = true}},
+    {"earliest_finish.ahead0",
+	{.policy = PLACE_EARLIEST_FINISH, .longest_first = true}},
+    {"earliest_finish.ahead1",
+	{.policy = PLACE_EARLIEST_FINISH, .longest_first = true, .ahead = 1}},
+    {"earliest_finish.ahead2",
+	{.policy = PLACE_EARLIEST_FINISH, .longest_first = true, .ahead = 2}},
+    {"earliest_finish.ahead8",
+	{.policy = PLACE_EARLIEST_FINISH, .longest_first = true, .ahead = 8}},
+    {"earliest_finish.ahead1.arrival_order",
+	{.policy = PLACE_EARLIEST_FINISH, .ahead = 1}},
+    {"earliest_finish.ahead1.local", {.policy = PLACE_EARLIEST_FINISH,
+					 .longest_first = true,
+					 .ahead = 1,
+					 .prefer_local = true}},
+    {"earliest_finish.ahead1.withdraw", {.policy = PLACE_EARLIEST_FINISH,
+					    .longest_first = true,
+					    .ahead = 1,
+					    .withdraw = true}},
+    {"earliest_finish.ahead1.heartbeat100", {.policy = PLACE_EARLIEST_FINISH,
+						.longest_first = true,
+						.ahead = 1,
+						.heartbeat_us = 100000}},
+    {"earliest_finish.ahead0.instant", {.policy = PLACE_EARLIEST_FINISH,
+					   .longest_first = true,
+					   .instant = true}},
     {"least_wait.ahead0.withdraw",
 	{.policy = PLACE_LEAST_WAIT, .withdraw = true}},
     {"least_wait.ahead2.withdraw",
@@ -161,7 +188,7 @@
 }
 
 static struct {
-	const char *only; /* part of the names to run */
+	const char *only; /* end of the names to run */
 	guint entries;
 	double load;
 	gint job_size;
@@ -188,7 +215,8 @@
 				continue;
 			for (v = 0; v < G_N_ELEMENTS(variants); v++) {
 				if (args.only == NULL ||
-				    strstr(variants[v].name, args.only))
+				    g_str_has_suffix(
+					variants[v].name, args.only))
 					run(variants[v].name, &variants[v].opts,
 					    wl);
 			}
@@ -272,7 +300,7 @@
 	    {"entries", 'e', "N", 0, "entries (3)", 0},
 	    {"load", 'l', "PERCENT", 0, "only this load", 0},
 	    {"job", 'j', "N", 0, "only jobs of this size", 0},
-	    {"only", 'o', "TEXT", 0, "only variants with this in the name", 0},
+	    {"only", 'o', "TEXT", 0, "only variants whose name ends so", 0},
 	    {"returns", 'r', NULL, 0, "only the return of a domain", 0}, {0}};
 	static const struct argp argp = {options, parse_option, NULL,
 	    "Replays arrivals over the placement module.", NULL, NULL, NULL};
--- a/bench/replay.c
+++ b/bench/replay.c
@@ -49,6 +49,7 @@
 	uint32_t worker;
 	uint32_t place_id;
 	bool withdrawn;
+	int64_t expected_us;
 	int64_t arrived_us; /* at the agent */
 	int64_t run_us;
 };
@@ -220,16 +221,24 @@
 pump(struct sim *s, uint32_t entry)
 {
 	struct entry *e = &s->entries[entry];
+	GList *l = e->waiting.head;
+	guint passed = 0;
 
-	while (!g_queue_is_empty(&e->waiting)) {
-		uint32_t task = GPOINTER_TO_UINT(e->waiting.head->data);
+	place_begin_pass(e->place, now_ms(s));
+	while (l != NULL && passed < PLACE_PASS_TASKS &&
+	       place_has_room(e->place, "s")) {
+		uint32_t task = GPOINTER_TO_UINT(l->data);
 		struct place_task t = place_task(s, task);
 		uint32_t id = place_choose(e->place, &t, now_ms(s));
+		GList *next = l->next;
 
-		if (id == PLACE_NONE)
-			break;
-		g_queue_pop_head(&e->waiting);
-		dispatch(s, e, id, task);
+		if (id == PLACE_NONE) {
+			passed++;
+		} else {
+			g_queue_delete_link(&e->waiting, l);
+			dispatch(s, e, id, task);
+		}
+		l = next;
 	}
 }
 
@@ -460,17 +469,36 @@
 	return best_us == INT64_MAX ? 0 : best_us;
 }
 
+/* Queues the tasks of a job, the one expected to run longest first. */
+static void
+enqueue(struct sim *s, struct entry *e, const struct job *j)
+{
+	GList *before_job = e->waiting.tail;
+	uint32_t k;
+
+	for (k = 0; k < j->n; k++) {
+		struct place_task t = place_task(s, j->first + k);
+		GList *l = e->waiting.tail;
+
+		s->runs[j->first + k].expected_us =
+		    place_expected_run_us(e->place, &t);
+		while (s->opts.longest_first && l != before_job &&
+		       s->runs[GPOINTER_TO_UINT(l->data)].expected_us <
+			   s->runs[j->first + k].expected_us)
+			l = l->prev;
+		g_queue_insert_after(
+		    &e->waiting, l, GUINT_TO_POINTER(j->first + k));
+	}
+}
+
 static void
 on_job(struct sim *s, const struct event *ev)
 {
 	const struct job *j = &s->load->jobs[ev->index];
-	uint32_t k;
 
 	s->newest = ev->index + 1;
 	s->jobs[ev->index].free_ideal_us = free_ideal_us(s, ev->index);
-	for (k = 0; k < j->n; k++)
-		g_queue_push_tail(&s->entries[j->entry].waiting,
-		    GUINT_TO_POINTER(j->first + k));
+	enqueue(s, &s->entries[j->entry], j);
 	pump(s, j->entry);
 	if (s->newest < s->load->n_jobs)
 		post(s,
--- a/bench/replay.h
+++ b/bench/replay.h
@@ -15,6 +15,7 @@
 	bool withdraw;
 	bool prefer_local;
 	bool ramp;
+	bool longest_first;   /* order of the tasks of a job in the queue */
 	bool instant;	      /* every entry sees every load at once */
 	int64_t heartbeat_us; /* 0: 500 ms */
 	/* Each period_us, failure domain 0 is away for away_us; 0: never. */
--- /dev/null
+++ b/src/request/estimate.c
@@ -0,0 +1,109 @@
+#include <math.h>
+#include <stddef.h>
+
+#include "estimate.h"
+
+/* Used until the first task of a service has been measured or declared. */
+#define DEFAULT_RUN_US 200000.0
+/*
+ * Weight of a new sample.  Run times vary by about their own mean, so 1/64
+ * leaves an error of about a tenth in a speed.
+ */
+#define SAMPLE_WEIGHT (1.0 / 64)
+/* Declared times are off by up to 10 times, so their weight needs more. */
+#define DECLARED_WEIGHT (1.0 / 1024)
+/* Samples before declared times are used beside measured ones. */
+#define MIN_DECLARED 32U
+#define MIN_VARIANCE 1e-6
+/* A worker's speed counts half as much as the mean with this many samples. */
+#define PRIOR_SAMPLES 4.0
+
+static void
+add(struct est_mean *mean, double value, double min_weight)
+{
+	double weight;
+
+	mean->samples++;
+	weight = fmax(1.0 / (double)mean->samples, min_weight);
+	mean->value += weight * (value - mean->value);
+}
+
+static double
+log_us(int64_t run_us)
+{
+	return log(run_us > 1 ? (double)run_us : 1.0);
+}
+
+/* Logarithm of the worker's run times relative to those of its service. */
+static double
+log_slowness(const struct est_service *service, const struct est_worker *worker)
+{
+	double n = (double)worker->log_run.samples;
+
+	return (worker->log_run.value - service->log_run.value) * n /
+	       (n + PRIOR_SAMPLES);
+}
+
+static void
+measure_declared(
+    struct est_service *service, double log_declared, double deviation)
+{
+	add(&service->log_declared, log_declared, DECLARED_WEIGHT);
+	log_declared -= service->log_declared.value;
+	add(&service->variance, log_declared * log_declared, DECLARED_WEIGHT);
+	add(&service->covariance, log_declared * deviation, DECLARED_WEIGHT);
+}
+
+/*
+ * How much a task's declared time changes its expected run time: a factor
+ * near 1 when declared times say little, and their full ratio to the mean
+ * declared time when they are right.
+ */
+static double
+declared_factor(const struct est_service *service, int64_t declared_ms)
+{
+	double slope;
+
+	if (declared_ms <= 0 || service->variance.samples < MIN_DECLARED ||
+	    service->variance.value < MIN_VARIANCE)
+		return 1;
+	slope = service->covariance.value / service->variance.value;
+	slope = fmin(fmax(slope, 0), 1);
+	return exp(
+	    slope * (log((double)declared_ms) - service->log_declared.value));
+}
+
+void
+est_measure(struct est_service *service, struct est_worker *worker,
+    int64_t run_us, int64_t declared_ms)
+{
+	if (declared_ms > 0 && service->log_run.samples > 0)
+		measure_declared(service, log((double)declared_ms),
+		    log_us(run_us) - log_slowness(service, worker) -
+			service->log_run.value);
+	add(&worker->log_run, log_us(run_us), SAMPLE_WEIGHT);
+	add(&service->log_run, log_us(run_us), SAMPLE_WEIGHT);
+	add(&service->run_us, (double)run_us, SAMPLE_WEIGHT);
+}
+
+bool
+est_is_short(const struct est_worker *worker, int64_t run_us)
+{
+	return worker->log_run.samples == 0 ||
+	       log_us(run_us) < worker->log_run.value;
+}
+
+/* Speeds are means of logarithms, so that long tasks don't dominate them. */
+double
+est_run_us(const struct est_service *service, const struct est_worker *worker,
+    int64_t declared_ms)
+{
+	double run_us = service->run_us.value;
+
+	if (service->run_us.samples == 0)
+		run_us = declared_ms > 0 ? (double)declared_ms * 1000
+					 : DEFAULT_RUN_US;
+	if (worker != NULL)
+		run_us *= exp(log_slowness(service, worker));
+	return run_us * declared_factor(service, declared_ms);
+}
--- /dev/null
+++ b/src/request/estimate.h
@@ -0,0 +1,35 @@
+#ifndef SP_ESTIMATE_H
+#define SP_ESTIMATE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* Expected run times from measured ones.  Plain data, zero-initialised. */
+struct est_mean {
+	double value;
+	uint64_t samples;
+};
+
+struct est_service {
+	struct est_mean run_us;
+	struct est_mean log_run; /* natural logarithm of the run time in us */
+	/* Regression of log_run on the logarithm of the declared time. */
+	struct est_mean log_declared;
+	struct est_mean variance;
+	struct est_mean covariance;
+};
+
+struct est_worker {
+	struct est_mean log_run;
+};
+
+/* declared_ms 0: not declared. */
+void est_measure(struct est_service *service, struct est_worker *worker,
+    int64_t run_us, int64_t declared_ms);
+/* Whether a run time is below what the worker usually needs. */
+bool est_is_short(const struct est_worker *worker, int64_t run_us);
+/* Expected run time on a worker, or on the mean worker when it is NULL. */
+double est_run_us(const struct est_service *service,
+    const struct est_worker *worker, int64_t declared_ms);
+
+#endif
--- a/src/request/place.c
+++ b/src/request/place.c
@@ -2,30 +2,18 @@
 #include <math.h>
 #include <string.h>
 
+#include "estimate.h"
 #include "place.h"
 
-/* Used until the first task of a service has been measured or declared. */
-#define DEFAULT_RUN_US 200000.0
-/*
- * Weight of a new sample.  Run times vary by about their own mean, so 1/64
- * leaves an error of about a tenth in a speed.
- */
-#define SAMPLE_WEIGHT (1.0 / 64)
-/* A worker's speed counts half as much as the mean with this many samples. */
-#define PRIOR_SAMPLES 4.0
 /* Slots that a returned worker may use before its first task finishes. */
 #define RAMP_START 1U
-
-struct mean {
-	double value;
-	uint64_t samples;
-};
+/* Preference for local workers when a little later is good enough. */
+#define REMOTE_COST 1.1
 
 struct service {
 	char *name;
 	GPtrArray *workers; /* struct worker, borrowed */
-	struct mean run_us;
-	struct mean log_run; /* natural logarithm of the run time in us */
+	struct est_service estimate;
 };
 
 struct worker {
@@ -42,8 +30,10 @@
 	uint32_t unseen;    /* own dispatches that the report left out */
 	uint32_t own;	    /* own dispatches that have not finished */
 	uint32_t withdrawn; /* starts asked back and not yet answered */
+	uint32_t reserved;  /* slots that waiting tasks of this pass need */
 	int64_t report_ms;
-	struct mean log_run;
+	int64_t progress_ms; /* last known end of a task */
+	struct est_worker estimate;
 	struct service *service;
 };
 
@@ -53,22 +43,14 @@
 	uint32_t ahead;
 	bool prefer_local;
 	bool ramp;
+	bool in_pass;
+	int64_t now_ms; /* of the current choice */
 	uint64_t random;
 	uint32_t next_id;
 	GHashTable *services; /* name to struct service */
 	GHashTable *workers;  /* id to struct worker */
 };
 
-static void
-mean_add(struct mean *mean, double value)
-{
-	double weight;
-
-	mean->samples++;
-	weight = MAX(1.0 / (double)mean->samples, SAMPLE_WEIGHT);
-	mean->value += weight * (value - mean->value);
-}
-
 static uint32_t
 random_below(struct place *place, uint32_t n)
 {
@@ -140,47 +122,51 @@
 	return w->usable && !w->draining && w->slots > 0;
 }
 
+/* Its room is not known to come back within a run time. */
 static bool
-has_room(const struct place *place, const struct worker *w)
+is_ramping_full(const struct worker *w)
 {
-	return is_live(w) && load_of(w) < limit_of(place, w);
+	return w->ramping && load_of(w) >= w->ramp_limit;
 }
 
-static double
-service_run_us(const struct service *service, const struct place_task *task)
+static bool
+has_room(const struct place *place, const struct worker *w)
 {
-	if (service->run_us.samples > 0)
-		return service->run_us.value;
-	if (task != NULL && task->declared_ms > 0)
-		return (double)task->declared_ms * 1000;
-	return DEFAULT_RUN_US;
+	return is_live(w) && load_of(w) < limit_of(place, w);
 }
 
-/* Run time of the worker relative to the mean of its service. */
+/* task NULL: a task of mean length. */
 static double
-slowness(const struct worker *w)
+worker_run_us(const struct worker *w, const struct place_task *task)
 {
-	double n = (double)w->log_run.samples;
-
-	return exp((w->log_run.value - w->service->log_run.value) * n /
-		   (n + PRIOR_SAMPLES));
+	return est_run_us(&w->service->estimate, &w->estimate,
+	    task == NULL ? 0 : task->declared_ms);
 }
 
+/*
+ * Time between two ends of tasks at a busy worker.  One that has ended none
+ * for a mean run time is expected to take as long again, so that no task
+ * waits for a worker that hangs.
+ */
 static double
-worker_run_us(const struct worker *w, const struct place_task *task)
+slot_gap_us(const struct place *place, const struct worker *w)
 {
-	return service_run_us(w->service, task) * slowness(w);
+	double run_us = worker_run_us(w, NULL);
+	double quiet_us = (double)(place->now_ms - w->progress_ms) * 1000;
+
+	return quiet_us > run_us ? quiet_us : run_us / w->slots;
 }
 
 static double
-expected_finish_us(const struct worker *w, const struct place_task *task)
+expected_finish_us(const struct place *place, const struct worker *w,
+    const struct place_task *task)
 {
 	double run_us = worker_run_us(w, task);
-	uint32_t load = load_of(w);
+	uint32_t load = load_of(w) + w->reserved;
 
 	if (load < w->slots)
 		return run_us;
-	return run_us + run_us * (load - w->slots + 1) / w->slots;
+	return run_us + slot_gap_us(place, w) * (load - w->slots + 1);
 }
 
 /* Smaller is better; compared only within one choice. */
@@ -195,9 +181,47 @@
 	case PLACE_TWO_CHOICES:
 		return (double)load_of(w) / w->slots;
 	case PLACE_LEAST_WAIT:
+	case PLACE_EARLIEST_FINISH:
 		break;
 	}
-	return expected_finish_us(w, task);
+	return expected_finish_us(place, w, task);
+}
+
+/*
+ * The worker that is expected to finish the task first, busy or not.  When
+ * it has no room the task waits for it and, in a pass, reserves a slot.
+ */
+static uint32_t
+earliest_finish(struct place *place, const struct service *service,
+    const struct place_task *task)
+{
+	struct worker *best = NULL;
+	double best_us = INFINITY;
+	guint offset = random_below(place, MAX(service->workers->len, 1));
+	guint i;
+
+	for (i = 0; i < service->workers->len; i++) {
+		struct worker *w =
+		    service->workers
+			->pdata[(i + offset) % service->workers->len];
+		double us;
+
+		if (!is_live(w) || !fits(w, task) || is_ramping_full(w))
+			continue;
+		us = expected_finish_us(place, w, task);
+		if (place->prefer_local && !w->local)
+			us *= REMOTE_COST;
+		if (us < best_us) {
+			best = w;
+			best_us = us;
+		}
+	}
+	if (best == NULL)
+		return PLACE_NONE;
+	if (load_of(best) + best->reserved < limit_of(place, best))
+		return best->id;
+	best->reserved += place->in_pass ? 1 : 0;
+	return PLACE_NONE;
 }
 
 /* Workers that can take the task now; only local ones when asked for. */
@@ -255,6 +279,7 @@
 		return 2;
 	case PLACE_LEAST_OUTSTANDING:
 	case PLACE_LEAST_WAIT:
+	case PLACE_EARLIEST_FINISH:
 		break;
 	}
 	return from->len;
@@ -267,7 +292,8 @@
 	static const char *const names[] = {[PLACE_RANDOM] = "random",
 	    [PLACE_LEAST_OUTSTANDING] = "least_outstanding",
 	    [PLACE_TWO_CHOICES] = "two_choices",
-	    [PLACE_LEAST_WAIT] = "least_wait"};
+	    [PLACE_LEAST_WAIT] = "least_wait",
+	    [PLACE_EARLIEST_FINISH] = "earliest_finish"};
 	guint i;
 
 	for (i = 0; i < G_N_ELEMENTS(names); i++) {
@@ -328,8 +354,9 @@
 	w->cores = worker->cores;
 	w->memory_mb = worker->memory_mb;
 	w->report_ms = now_ms - 1;
+	w->progress_ms = now_ms;
 	w->service = make_service(place, worker->service);
-	w->ramping = place->ramp && w->service->run_us.samples > 0;
+	w->ramping = place->ramp && w->service->estimate.run_us.samples > 0;
 	w->ramp_limit = RAMP_START;
 	g_ptr_array_add(w->service->workers, w);
 	g_hash_table_insert(place->workers, GUINT_TO_POINTER(w->id), w);
@@ -360,6 +387,8 @@
 
 	if (w == NULL)
 		return;
+	if (w->reported != load->busy + load->queued)
+		w->progress_ms = now_ms;
 	w->slots = load->slots;
 	w->reported = load->busy + load->queued;
 	w->unseen = outstanding;
@@ -378,6 +407,43 @@
 		w->usable = usable;
 }
 
+/* Drops the reservations of the last pass. */
+void
+place_begin_pass(struct place *place, int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	place->now_ms = now_ms;
+	place->in_pass = true;
+	g_hash_table_iter_init(&iter, place->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((struct worker *)value)->reserved = 0;
+}
+
+bool
+place_has_room(const struct place *place, const char *service_name)
+{
+	const struct service *service = find_service(place, service_name);
+	guint i;
+
+	for (i = 0; service != NULL && i < service->workers->len; i++) {
+		if (has_room(place, service->workers->pdata[i]))
+			return true;
+	}
+	return false;
+}
+
+int64_t
+place_expected_run_us(const struct place *place, const struct place_task *task)
+{
+	static const struct est_service none;
+	const struct service *service = find_service(place, task->service);
+
+	return llround(est_run_us(service == NULL ? &none : &service->estimate,
+	    NULL, task->declared_ms));
+}
+
 /*
  * Returns the worker that the policy prefers among those with room.  The
  * caller reports the dispatch with place_dispatched().
@@ -389,9 +455,11 @@
 	GPtrArray *from = NULL;
 	uint32_t id = PLACE_NONE;
 
-	(void)now_ms;
+	place->now_ms = now_ms;
 	if (service == NULL)
 		return PLACE_NONE;
+	if (place->policy == PLACE_EARLIEST_FINISH)
+		return earliest_finish(place, service, task);
 	if (place->prefer_local) {
 		from = candidates(place, service, task, true);
 		if (from->len == 0)
@@ -425,25 +493,23 @@
 	struct worker *w = find_worker(place, id);
 
 	(void)task;
-	(void)now_ms;
 	if (w == NULL)
 		return;
+	if (load_of(w) < w->slots)
+		w->progress_ms = now_ms;
 	w->own++;
 	w->unseen++;
 }
 
 /* A failure counts as a run only when it took longer than the mean. */
 static void
-measure(struct worker *w, enum place_outcome outcome, int64_t run_us)
+measure(struct worker *w, const struct place_task *task,
+    enum place_outcome outcome, int64_t run_us)
 {
-	double log_run = log((double)MAX(run_us, 1));
-
-	if (outcome == PLACE_FAILED &&
-	    (w->log_run.samples == 0 || log_run < w->log_run.value))
+	if (outcome == PLACE_FAILED && est_is_short(&w->estimate, run_us))
 		return;
-	mean_add(&w->log_run, log_run);
-	mean_add(&w->service->log_run, log_run);
-	mean_add(&w->service->run_us, (double)run_us);
+	est_measure(
+	    &w->service->estimate, &w->estimate, run_us, task->declared_ms);
 }
 
 /*
@@ -457,9 +523,9 @@
 {
 	struct worker *w = find_worker(place, id);
 
-	(void)task;
 	if (w == NULL)
 		return;
+	w->progress_ms = now_ms;
 	if (w->own > 0)
 		w->own--;
 	if (w->report_ms != now_ms) {
@@ -473,7 +539,7 @@
 			w->withdrawn--;
 		return;
 	}
-	measure(w, outcome, run_us);
+	measure(w, task, outcome, run_us);
 	if (outcome == PLACE_OK && ++w->ramp_limit > w->slots + place->ahead)
 		w->ramping = false;
 }
@@ -548,8 +614,8 @@
 			best_us = MIN(best_us, worker_run_us(w, task));
 		}
 		if (load > w->slots + w->withdrawn && w->own > w->withdrawn &&
-		    expected_finish_us(w, task) > worst_us) {
-			worst_us = expected_finish_us(w, task);
+		    expected_finish_us(place, w, task) > worst_us) {
+			worst_us = expected_finish_us(place, w, task);
 			from = w;
 		}
 	}
--- a/src/request/place.h
+++ b/src/request/place.h
@@ -17,7 +17,8 @@
 	PLACE_RANDOM,
 	PLACE_LEAST_OUTSTANDING,
 	PLACE_TWO_CHOICES,
-	PLACE_LEAST_WAIT
+	PLACE_LEAST_WAIT,
+	PLACE_EARLIEST_FINISH /* may wait for a faster worker */
 };
 
 struct place_options {
@@ -67,6 +68,22 @@
 /* An unusable worker (out, stale, disconnected) gets no work. */
 void place_set_usable(struct place *place, uint32_t id, bool usable);
 
+/*
+ * Starts a pass over the queued tasks of a service, in their order.  Within
+ * a pass, a task for which place_choose() returns PLACE_NONE reserves the
+ * worker that it waits for, and later tasks may still be placed; the pass ends
+ * when place_has_room() is false or after PLACE_PASS_TASKS such tasks.
+ */
+#define PLACE_PASS_TASKS 64U
+void place_begin_pass(struct place *place, int64_t now_ms);
+/* Whether any worker of the service can take a task now. */
+bool place_has_room(const struct place *place, const char *service);
+/*
+ * Expected run time of a task on the mean worker.  The tasks of a job are
+ * queued in falling order of it.
+ */
+int64_t place_expected_run_us(
+    const struct place *place, const struct place_task *task);
 /* PLACE_NONE: no worker can take the task now; it waits at the entry. */
 uint32_t place_choose(
     struct place *place, const struct place_task *task, int64_t now_ms);
--- a/tests/policy_replay.c
+++ b/tests/policy_replay.c
@@ -228,7 +228,7 @@
 finish(struct replay *r, struct worker *w, enum place_outcome outcome,
     int64_t run_ms)
 {
-	struct place_task task = {.service = "s"};
+	struct place_task task = task_of(r);
 
 	place_finished(
 	    r->place, w->id, &task, outcome, run_ms * 1000, r->now_ms);
@@ -351,6 +351,10 @@
 		got = place_free_slots(r->place, task.service);
 	else if (strcmp(what, "live") == 0)
 		got = place_has_live(r->place, task.service);
+	else if (strcmp(what, "room") == 0)
+		got = place_has_room(r->place, task.service);
+	else if (strcmp(what, "run_ms") == 0)
+		got = place_expected_run_us(r->place, &task) / 1000;
 	else if (strcmp(what, "next_ms") == 0)
 		got = ej_next_ms(r->eject, r->now_ms);
 	expect_number(r, what, want, got);
@@ -375,6 +379,12 @@
 	r->now_ms = g_ascii_strtoll(word(r, 1), NULL, 10);
 }
 
+static void
+do_pass(struct replay *r)
+{
+	place_begin_pass(r->place, r->now_ms);
+}
+
 static void
 run_line(struct replay *r)
 {
@@ -385,8 +395,8 @@
 	    {"remove", do_remove}, {"report", do_report}, {"usable", do_usable},
 	    {"choose", do_choose}, {"finish", do_finish}, {"set", do_set},
 	    {"serve", do_serve}, {"given", do_given}, {"ask", do_ask},
-	    {"started", do_started}, {"may_start", do_may_start},
-	    {"at", do_at}};
+	    {"started", do_started}, {"may_start", do_may_start}, {"at", do_at},
+	    {"pass", do_pass}};
 	guint i;
 
 	for (i = 0; i < G_N_ELEMENTS(commands); i++) {
