--- a/tests/system.h
+++ b/tests/system.h
@@ -49,6 +49,9 @@
 
 /* Starts everything and waits until each entry reaches each endpoint. */
 void sys_start(struct sys *sys, const struct sys_options *opts);
+/* The two halves of it, for a text that is applied in another way. */
+void sys_launch(struct sys *sys, const struct sys_options *opts);
+void sys_wait_ready(struct sys *sys);
 /* Waits until a job of one entry completes again. */
 bool sys_wait_work(struct sys *sys, int entry, int64_t limit_ms);
 
@@ -73,6 +76,9 @@
 struct hn_http *sys_settle(
     struct sys *sys, int entry, const char *id, const char *body);
 
+/* The task id in the endpoint's answer at this place of the results. */
+const char *sys_result_task(const struct hn_http *http, int index);
+
 /* Starts of a job's tasks that the endpoints counted. */
 struct sys_count {
 	int total, tasks, most; /* most: of one task */
