Test the agent against an entry that the test controls

Cause: seals, resends, draining and a paused agent were only covered by the pure modules. The test plays the entry over a real connection to a real spagentd with the stand-in endpoint.

--- a/tests/test_endpoint.c
+++ b/tests/test_endpoint.c
@@ -316,22 +316,29 @@
 	struct plan plan = {"", NULL, 5000, 5000};
 	struct ep *ep = client();
 	struct outcome o;
-	char *body = g_strnfill(MAX_ANSWER + 1, 'x');
+	char *body, *answer;
+	int size;
 
 	server_start();
 	plan.address = server.address;
-	server.answer =
-	    g_strdup_printf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s",
-		MAX_ANSWER + 1, body);
-	o = call(ep, &plan);
-	expect(&o, WIRE_UNKNOWN, WIRE_REASON_TOO_LARGE);
-	body[MAX_ANSWER] = '\0';
-	server.answer =
-	    g_strdup_printf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s",
-		MAX_ANSWER, body);
-	o = call(ep, &plan);
-	ck_assert_uint_eq(o.result.body.wire_payload_len, MAX_ANSWER);
-	expect(&o, WIRE_DONE, WIRE_REASON_NONE);
+	for (size = MAX_ANSWER; size <= MAX_ANSWER + 1; size++) {
+		body = g_strnfill(size, 'x');
+		answer = g_strdup_printf(
+		    "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", size,
+		    body);
+		server.answer = answer;
+		o = call(ep, &plan);
+		if (size <= MAX_ANSWER) {
+			ck_assert_int_eq(
+			    (int)o.result.body.wire_payload_len, size);
+			expect(&o, WIRE_DONE, WIRE_REASON_NONE);
+		} else {
+			expect(&o, WIRE_UNKNOWN, WIRE_REASON_TOO_LARGE);
+		}
+		settle(50); /* the server's thread still writes */
+		g_free(answer);
+		g_free(body);
+	}
 	ep_free(ep);
 }
 END_TEST
--- /dev/null
+++ b/tests/test_entrylink.c
@@ -0,0 +1,586 @@
+#include <gio/gio.h>
+#include <signal.h>
+#include <string.h>
+
+#include "connection/rpc.h"
+#include "connection/wire_xdr.h"
+#include "harness.h"
+#include "process/clock.h"
+#include "runner.h"
+
+#define HEARTBEAT_MS 50
+#define SILENCE_MS   400
+#define FRESHNESS_MS 1000
+#define SEQ_MAX	     64
+
+/*
+ * An entry that this test controls, for a real agent with a real stand-in
+ * endpoint.  It holds one listening port and remembers what it was told.
+ */
+static struct {
+	GSocketService *service;
+	uint16_t port;
+	uint64_t incarnation;
+	struct rpc_conn *conn; /* the newest */
+	GPtrArray *older;      /* connections that it replaced */
+	struct wire_hello_args hello;
+	int hellos, heartbeats, messages;
+	struct wire_load load;
+	char service_name[WIRE_NAME_MAX + 1];
+	int64_t age_ms; /* told to the agent */
+	uint64_t version;
+	const char *document;
+	bool silent;	/* answers nothing on open connections */
+	bool hold_acks; /* acknowledges nothing */
+	uint64_t highest;
+	struct wire_result results[SEQ_MAX]; /* by seq; seq 0: none yet */
+	int copies[SEQ_MAX];
+	wire_state states[SEQ_MAX]; /* answer to the last QUERY, in order */
+	u_int n_states;
+	bool answered;
+} fake;
+
+static struct {
+	struct hn_proc *agent, *endpoint;
+	uint16_t agent_port, endpoint_port;
+} system_;
+
+static const char *
+document(uint64_t version, const char *out)
+{
+	return hn_str("{\"version\":%u,\"change_id\":\"c\",\"text\":"
+		      "\"{\\\"failure_domains\\\":[{\\\"name\\\":\\\"a\\\","
+		      "\\\"region\\\":\\\"r\\\",\\\"entries\\\":true}],"
+		      "\\\"services\\\":[{\\\"name\\\":\\\"desk\\\"}],"
+		      "\\\"teams\\\":[]}\",\"out\":[%s],\"voter_sets\":[]}",
+	    (unsigned int)version, out);
+}
+
+static void
+fill_config(struct wire_config *config, uint64_t held)
+{
+	config->config_version = fake.version;
+	config->age_ms = fake.age_ms;
+	if (held >= fake.version)
+		return;
+	config->document.document_val = (char *)fake.document;
+	config->document.document_len = strlen(fake.document);
+}
+
+static void
+on_hello(struct rpc_conn *conn, const struct rpc_call *call)
+{
+	struct wire_hello_result result = {.accepted = TRUE, .reason = ""};
+
+	xdr_free((xdrproc_t)xdr_wire_hello_args, &fake.hello);
+	memset(&fake.hello, 0, sizeof(fake.hello));
+	ck_assert(xdr_wire_hello_args(call->args, &fake.hello));
+	ck_assert_str_eq(fake.hello.key, "test-key");
+	fake.hellos++;
+	fake.load = fake.hello.load;
+	g_strlcpy(
+	    fake.service_name, fake.hello.service, sizeof(fake.service_name));
+	result.entry = (struct wire_member){.incarnation = fake.incarnation,
+	    .name = "fake",
+	    .failure_domain = "a",
+	    .address = (char *)hn_str("127.0.0.1:%u", fake.port)};
+	result.echo_ns = fake.hello.sent_ns;
+	fill_config(&result.config, fake.hello.config_version);
+	ck_assert(rpc_reply(
+	    conn, call->xid, (xdrproc_t)xdr_wire_hello_result, &result));
+}
+
+static void
+on_heartbeat(struct rpc_conn *conn, const struct rpc_call *call)
+{
+	struct wire_heartbeat_result result = {0};
+	struct wire_heartbeat_args args = {0};
+
+	ck_assert(xdr_wire_heartbeat_args(call->args, &args));
+	fake.heartbeats++;
+	fake.load = args.load;
+	g_strlcpy(fake.service_name, args.service, sizeof(fake.service_name));
+	result.echo_ns = args.sent_ns;
+	result.acked_result = fake.hold_acks ? 0 : fake.highest;
+	fill_config(&result.config, args.config_version);
+	rpc_reply(
+	    conn, call->xid, (xdrproc_t)xdr_wire_heartbeat_result, &result);
+	xdr_free((xdrproc_t)xdr_wire_heartbeat_args, &args);
+}
+
+static void
+on_results(const struct rpc_call *call)
+{
+	struct wire_results_args args = {0};
+	u_int i;
+
+	ck_assert(xdr_wire_results_args(call->args, &args));
+	fake.messages++;
+	fake.load = args.load;
+	fake.highest =
+	    MAX(fake.highest, args.first_result + args.results.results_len - 1);
+	for (i = 0; i < args.results.results_len; i++) {
+		struct wire_result *r = &args.results.results_val[i];
+
+		ck_assert_uint_lt(r->seq, SEQ_MAX);
+		xdr_free((xdrproc_t)xdr_wire_result, &fake.results[r->seq]);
+		fake.results[r->seq] = *r;
+		fake.copies[r->seq]++;
+		memset(r, 0, sizeof(*r));
+	}
+	xdr_free((xdrproc_t)xdr_wire_results_args, &args);
+}
+
+static void
+on_call(struct rpc_conn *conn, const struct rpc_call *call, void *ctx)
+{
+	(void)ctx;
+	if (fake.silent && conn == fake.conn && call->proc != WIRE_HELLO)
+		return;
+	if (call->proc == WIRE_HELLO)
+		on_hello(conn, call);
+	else if (call->proc == WIRE_HEARTBEAT)
+		on_heartbeat(conn, call);
+	else if (call->proc == WIRE_RESULTS)
+		on_results(call);
+	else
+		ck_abort_msg("procedure %u", call->proc);
+}
+
+static gboolean
+on_incoming(GSocketService *service, GSocketConnection *socket, GObject *from,
+    gpointer data)
+{
+	struct rpc_options opts = {
+	    .socket = socket, .prog = WIRE_AGENT_PROG, .on_call = on_call};
+
+	(void)service;
+	(void)from;
+	(void)data;
+	if (fake.conn != NULL)
+		g_ptr_array_add(fake.older, fake.conn);
+	fake.conn = rpc_new(&opts);
+	fake.silent = false;
+	return TRUE;
+}
+
+static void
+fake_listen(void)
+{
+	GInetAddress *loopback =
+	    g_inet_address_new_loopback(G_SOCKET_FAMILY_IPV4);
+	GSocketAddress *address =
+	    g_inet_socket_address_new(loopback, fake.port);
+
+	fake.service = g_socket_service_new();
+	ck_assert(g_socket_listener_add_address(G_SOCKET_LISTENER(fake.service),
+	    address, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL, NULL,
+	    NULL));
+	g_signal_connect(
+	    fake.service, "incoming", G_CALLBACK(on_incoming), NULL);
+	g_object_unref(address);
+	g_object_unref(loopback);
+}
+
+/* The entry of another incarnation takes the port over. */
+static void
+fake_become(uint64_t incarnation)
+{
+	fake.incarnation = incarnation;
+	fake.highest = 0;
+	rpc_close(fake.conn, ST_UNAVAILABLE, "restart");
+}
+
+static void
+start_all(int slots)
+{
+	const char *settings;
+
+	fake.port = hn_port();
+	fake.incarnation = 100;
+	fake.older = g_ptr_array_new();
+	fake.version = 1;
+	fake.document = document(1, "");
+	fake_listen();
+	system_.agent_port = hn_port();
+	system_.endpoint_port = hn_port();
+	settings = hn_write("agent.json",
+	    hn_str("{\"worker\":\"w\",\"failure_domain\":\"a\","
+		   "\"listen\":\"127.0.0.1:%u\",\"entries\":[\"127.0.0.1:%u\"],"
+		   "\"cluster_key\":\"test-key\",\"heartbeat_ms\":%d,"
+		   "\"silence_ms\":%d,\"freshness_ms\":%d,\"max_queue\":4,"
+		   "\"drain_timeout_ms\":5000}",
+		system_.agent_port, fake.port, HEARTBEAT_MS, SILENCE_MS,
+		FRESHNESS_MS));
+	system_.agent = hn_start("agent",
+	    (const char *[]){"spagentd", "--settings", settings, NULL});
+	system_.endpoint = hn_start("endpoint",
+	    (const char *[]){"standin_endpoint", "--listen",
+		hn_str("127.0.0.1:%u", system_.endpoint_port), "--agent",
+		hn_str("http://127.0.0.1:%u", system_.agent_port), "--slots",
+		hn_str("%d", slots), "--ttl-ms", "900", NULL});
+	ck_assert(
+	    hn_wait_until(strcmp(fake.service_name, "desk") == 0, HN_LIMIT_MS));
+}
+
+static void
+send_start(struct rpc_conn *conn, uint64_t first, u_int n, int64_t deadline_ms,
+    const char *payload)
+{
+	struct wire_start starts[SEQ_MAX] = {0};
+	struct wire_start_args args = {0};
+	u_int i;
+
+	for (i = 0; i < n; i++) {
+		starts[i] = (struct wire_start){.seq = first + i,
+		    .task_id = (char *)hn_str("job/%u", (unsigned)first + i),
+		    .service = "desk",
+		    .deadline_ms = deadline_ms,
+		    .method = "",
+		    .path = "",
+		    .traceparent = ""};
+		starts[i].payload.wire_payload_val = (char *)payload;
+		starts[i].payload.wire_payload_len = strlen(payload);
+	}
+	args.starts.starts_len = n;
+	args.starts.starts_val = starts;
+	rpc_send(conn, WIRE_START, (xdrproc_t)xdr_wire_start_args, &args);
+}
+
+static void
+send_withdraw(uint64_t seq)
+{
+	struct wire_withdraw_args args = {.seqs = {1, &seq}};
+
+	ck_assert(rpc_send(fake.conn, WIRE_WITHDRAW,
+	    (xdrproc_t)xdr_wire_withdraw_args, &args));
+}
+
+static void
+on_states(struct rpc_conn *conn, const struct status *st, XDR *xdrs, void *ctx)
+{
+	struct wire_query_result result = {0};
+
+	(void)conn;
+	(void)ctx;
+	ck_assert_msg(st->code == ST_OK, "%s", st->message);
+	ck_assert(xdr_wire_query_result(xdrs, &result));
+	fake.n_states = result.states.states_len;
+	memcpy(fake.states, result.states.states_val,
+	    fake.n_states * sizeof(wire_state));
+	fake.answered = true;
+	xdr_free((xdrproc_t)xdr_wire_query_result, &result);
+}
+
+/* Asks for the states of seqs 1 to n. */
+static void
+query(uint64_t next_seq, u_int n)
+{
+	struct wire_query_args args = {.next_seq = next_seq};
+	uint64_t seqs[SEQ_MAX];
+	u_int i;
+
+	for (i = 0; i < n; i++)
+		seqs[i] = i + 1;
+	args.seqs.seqs_len = n;
+	args.seqs.seqs_val = seqs;
+	fake.answered = false;
+	ck_assert(rpc_request(fake.conn, WIRE_QUERY,
+	    (xdrproc_t)xdr_wire_query_args, &args, 5000, on_states, NULL));
+	ck_assert(hn_wait_until(fake.answered, HN_LIMIT_MS));
+	ck_assert_uint_eq(fake.n_states, n);
+}
+
+static bool
+has_result(uint64_t seq)
+{
+	return fake.results[seq].seq != 0;
+}
+
+static void
+expect_result(uint64_t seq, wire_outcome outcome, wire_reason reason)
+{
+	ck_assert(hn_wait_until(has_result(seq), HN_LIMIT_MS));
+	ck_assert_int_eq(fake.results[seq].outcome, outcome);
+	ck_assert_int_eq(fake.results[seq].reason, reason);
+}
+
+static int64_t
+counted(const char *path)
+{
+	const char *url =
+	    hn_str("http://127.0.0.1:%u/control/starts", system_.endpoint_port);
+
+	return hn_json_int(hn_http("GET", url, NULL), path);
+}
+
+static void
+wait_hellos(int n)
+{
+	ck_assert(hn_wait_until(
+	    fake.hellos >= n && fake.heartbeats > 0, HN_LIMIT_MS));
+}
+
+/* Every caller gets its own answer, whatever the order of the ends. */
+START_TEST(starts_and_results)
+{
+	uint64_t seq;
+
+	start_all(4);
+	send_start(fake.conn, 1, 4, 5000, "{\"run_ms\":30}");
+	send_start(fake.conn, 5, 4, 5000, "{}");
+	for (seq = 1; seq <= 8; seq++) {
+		expect_result(seq, WIRE_DONE, WIRE_REASON_NONE);
+		ck_assert_uint_eq(fake.results[seq].status, 200);
+		ck_assert_ptr_nonnull(
+		    g_strstr_len(fake.results[seq].body.wire_payload_val,
+			fake.results[seq].body.wire_payload_len,
+			hn_str("\"job\\/%u\"", (unsigned)seq)));
+	}
+	ck_assert_int_eq(counted("total"), 8);
+	ck_assert_int_eq(counted("duplicates"), 0);
+	ck_assert_int_eq(counted("over_slots"), 0);
+	hn_finish();
+}
+END_TEST
+
+/* Slots and queue are bounds; what is beyond them is not started. */
+START_TEST(queue_and_withdraw)
+{
+	start_all(2);
+	send_start(fake.conn, 1, 7, 5000, "{\"run_ms\":300}");
+	expect_result(7, WIRE_NOT_STARTED, WIRE_REASON_QUEUE_FULL);
+	send_withdraw(1);
+	send_withdraw(3);
+	expect_result(3, WIRE_NOT_STARTED, WIRE_REASON_WITHDRAWN);
+	expect_result(1, WIRE_DONE, WIRE_REASON_NONE);
+	expect_result(6, WIRE_DONE, WIRE_REASON_NONE);
+	ck_assert_int_eq(counted("total"), 5);
+	ck_assert_int_eq(counted("most_in_use"), 2);
+	hn_finish();
+}
+END_TEST
+
+/*
+ * An open connection that goes silent is replaced, and what is still sent on
+ * it never starts; after the seal a late copy is refused on the new one too.
+ */
+START_TEST(silent_connection_replaced)
+{
+	struct rpc_conn *old;
+
+	start_all(4);
+	send_start(fake.conn, 1, 1, 5000, "{\"run_ms\":2000}");
+	ck_assert(hn_wait_until(counted("total") == 1, HN_LIMIT_MS));
+	old = fake.conn;
+	fake.silent = true;
+	ck_assert(hn_wait_until(fake.hellos == 2, HN_LIMIT_MS));
+	send_start(old, 2, 1, 5000, "{}");
+	query(3, 2);
+	ck_assert_int_eq(fake.states[0], WIRE_STATE_RUNNING);
+	ck_assert_int_eq(fake.states[1], WIRE_STATE_UNSEEN);
+	send_start(fake.conn, 2, 1, 5000, "{}");
+	expect_result(2, WIRE_NOT_STARTED, WIRE_REASON_SEALED);
+	expect_result(1, WIRE_DONE, WIRE_REASON_NONE);
+	ck_assert_int_eq(counted("total"), 1);
+	hn_finish();
+}
+END_TEST
+
+/* A result lost with its connection is sent again, its start is not. */
+START_TEST(results_resent)
+{
+	start_all(4);
+	fake.hold_acks = true;
+	send_start(fake.conn, 1, 2, 5000, "{}");
+	expect_result(2, WIRE_DONE, WIRE_REASON_NONE);
+	expect_result(1, WIRE_DONE, WIRE_REASON_NONE);
+	rpc_close(fake.conn, ST_UNAVAILABLE, "test");
+	ck_assert(hn_wait_until(fake.copies[1] == 2, HN_LIMIT_MS));
+	query(3, 2);
+	ck_assert_int_eq(fake.states[0], WIRE_STATE_DONE);
+	ck_assert_int_eq(fake.states[1], WIRE_STATE_DONE);
+	send_start(fake.conn, 1, 2, 5000, "{}");
+	fake.hold_acks = false;
+	hn_sleep(4L * HEARTBEAT_MS);
+	ck_assert_int_eq(counted("total"), 2);
+	rpc_close(fake.conn, ST_UNAVAILABLE, "test");
+	wait_hellos(3);
+	hn_sleep(4L * HEARTBEAT_MS);
+	ck_assert_int_eq(fake.copies[1], 2);
+	hn_finish();
+}
+END_TEST
+
+/* Nothing starts on a configuration that is not confirmed. */
+START_TEST(stale_holds)
+{
+	start_all(4);
+	fake.age_ms = -1;
+	hn_sleep(FRESHNESS_MS + 3L * HEARTBEAT_MS);
+	send_start(fake.conn, 1, 1, 300, "{}");
+	send_start(fake.conn, 2, 1, 20000, "{}");
+	expect_result(1, WIRE_NOT_STARTED, WIRE_REASON_DEADLINE);
+	fake.age_ms = FRESHNESS_MS + 500;
+	hn_sleep(3L * HEARTBEAT_MS);
+	ck_assert_int_eq(counted("total"), 0);
+	fake.age_ms = 0;
+	expect_result(2, WIRE_DONE, WIRE_REASON_NONE);
+	hn_finish();
+}
+END_TEST
+
+/* Out returns the queue; running tasks end normally. */
+START_TEST(out_while_queued)
+{
+	start_all(1);
+	send_start(fake.conn, 1, 2, 5000, "{\"run_ms\":1000}");
+	ck_assert(hn_wait_until(counted("total") == 1, HN_LIMIT_MS));
+	fake.version = 2;
+	fake.document =
+	    document(2, "{\"kind\":\"failure_domain\",\"name\":\"a\"}");
+	expect_result(2, WIRE_NOT_STARTED, WIRE_REASON_OUT);
+	ck_assert(!has_result(1));
+	send_start(fake.conn, 3, 1, 5000, "{}");
+	expect_result(3, WIRE_NOT_STARTED, WIRE_REASON_OUT);
+	expect_result(1, WIRE_DONE, WIRE_REASON_NONE);
+	hn_finish();
+}
+END_TEST
+
+/*
+ * An agent that was stopped while its service was taken out must start
+ * nothing of what waited in its sockets and in its queue.
+ */
+START_TEST(frozen_agent)
+{
+	start_all(1);
+	send_start(fake.conn, 1, 2, 60000, "{\"run_ms\":200}");
+	ck_assert(hn_wait_until(counted("total") == 1, HN_LIMIT_MS));
+	hn_signal(system_.agent, SIGSTOP);
+	send_start(fake.conn, 3, 1, 60000, "{}");
+	hn_sleep(FRESHNESS_MS + 1000);
+	fake.version = 2;
+	fake.document = document(2, "{\"kind\":\"service\",\"name\":\"desk\"}");
+	hn_signal(system_.agent, SIGCONT);
+	ck_assert(hn_wait_until(fake.hellos == 2, HN_LIMIT_MS));
+	query(4, 3);
+	ck_assert_int_eq(fake.states[2], WIRE_STATE_UNSEEN);
+	ck_assert(hn_wait_until(has_result(2), HN_LIMIT_MS));
+	ck_assert_int_eq(fake.results[2].outcome, WIRE_NOT_STARTED);
+	expect_result(1, WIRE_DONE, WIRE_REASON_NONE);
+	hn_sleep(4L * HEARTBEAT_MS);
+	ck_assert_int_eq(counted("total"), 1);
+	hn_finish();
+}
+END_TEST
+
+/* A restarted agent must not count its predecessor's slots as free. */
+START_TEST(agent_restart)
+{
+	uint64_t incarnation;
+
+	start_all(2);
+	send_start(fake.conn, 1, 1, 20000, "{\"run_ms\":3000}");
+	ck_assert(hn_wait_until(counted("total") == 1, HN_LIMIT_MS));
+	incarnation = fake.hello.incarnation;
+	hn_kill(system_.agent);
+	fake.service_name[0] = '\0';
+	hn_restart(system_.agent);
+	ck_assert(
+	    hn_wait_until(strcmp(fake.service_name, "desk") == 0, HN_LIMIT_MS));
+	ck_assert_uint_ne(fake.hello.incarnation, incarnation);
+	ck_assert_uint_eq(fake.load.busy, 1);
+	send_start(fake.conn, 2, 2, 20000, "{\"run_ms\":200}");
+	expect_result(3, WIRE_DONE, WIRE_REASON_NONE);
+	ck_assert_int_eq(counted("over_slots"), 0);
+	hn_finish();
+}
+END_TEST
+
+/* A new entry incarnation: its predecessor's queue must not run. */
+START_TEST(entry_replaced)
+{
+	start_all(1);
+	send_start(fake.conn, 1, 3, 20000, "{\"run_ms\":700}");
+	ck_assert(hn_wait_until(counted("total") == 1, HN_LIMIT_MS));
+	fake_become(200);
+	ck_assert(hn_wait_until(fake.hellos == 2, HN_LIMIT_MS));
+	send_start(fake.conn, 1, 1, 20000, "{}");
+	expect_result(1, WIRE_DONE, WIRE_REASON_NONE);
+	hn_sleep(300);
+	ck_assert_int_eq(counted("total"), 2);
+	ck_assert(!has_result(2) && !has_result(3));
+	hn_finish();
+}
+END_TEST
+
+/* SIGTERM loses nothing: the queue goes back, the running task ends. */
+START_TEST(agent_drains)
+{
+	start_all(1);
+	send_start(fake.conn, 1, 2, 20000, "{\"run_ms\":1000}");
+	ck_assert(hn_wait_until(counted("total") == 1, HN_LIMIT_MS));
+	hn_signal(system_.agent, SIGTERM);
+	expect_result(2, WIRE_NOT_STARTED, WIRE_REASON_DRAINING);
+	ck_assert(hn_wait_until(fake.load.draining, 500));
+	send_start(fake.conn, 3, 1, 20000, "{}");
+	expect_result(3, WIRE_NOT_STARTED, WIRE_REASON_DRAINING);
+	ck_assert(!has_result(1));
+	expect_result(1, WIRE_DONE, WIRE_REASON_NONE);
+	ck_assert_int_eq(hn_wait_exit(system_.agent, 5000), 0);
+	hn_finish();
+}
+END_TEST
+
+/* An endpoint that leaves or dies gets no more work. */
+START_TEST(endpoint_leaves)
+{
+	start_all(1);
+	send_start(fake.conn, 1, 2, 20000, "{\"run_ms\":500}");
+	ck_assert(hn_wait_until(counted("total") == 1, HN_LIMIT_MS));
+	hn_signal(system_.endpoint, SIGTERM);
+	expect_result(2, WIRE_NOT_STARTED, WIRE_REASON_DRAINING);
+	expect_result(1, WIRE_DONE, WIRE_REASON_NONE);
+	ck_assert_int_eq(hn_wait_exit(system_.endpoint, 5000), 0);
+	ck_assert(hn_wait_until(fake.service_name[0] == '\0', HN_LIMIT_MS));
+	send_start(fake.conn, 3, 1, 20000, "{}");
+	expect_result(3, WIRE_NOT_STARTED, WIRE_REASON_NO_ENDPOINT);
+	hn_finish();
+}
+END_TEST
+
+/* A task whose endpoint died may have run; the next ones have not. */
+START_TEST(endpoint_dies)
+{
+	start_all(1);
+	send_start(fake.conn, 1, 1, 20000, "{\"die\":true}");
+	expect_result(1, WIRE_UNKNOWN, WIRE_REASON_BROKEN);
+	send_start(fake.conn, 2, 1, 20000, "{}");
+	ck_assert(hn_wait_until(has_result(2), HN_LIMIT_MS));
+	ck_assert_int_eq(fake.results[2].outcome, WIRE_NOT_STARTED);
+	hn_finish();
+}
+END_TEST
+
+/* Large results exceed one record and arrive in several, all whole. */
+START_TEST(results_split)
+{
+	uint64_t seq;
+
+	start_all(8);
+	send_start(fake.conn, 1, 8, 20000, "{\"run_ms\":100,\"size\":900000}");
+	for (seq = 1; seq <= 8; seq++) {
+		expect_result(seq, WIRE_DONE, WIRE_REASON_NONE);
+		ck_assert_uint_gt(
+		    fake.results[seq].body.wire_payload_len, 900000);
+	}
+	ck_assert_int_ge(fake.messages, 3);
+	hn_finish();
+}
+END_TEST
+
+TEST_MAIN("entrylink", 60, starts_and_results, queue_and_withdraw,
+    silent_connection_replaced, results_resent, stale_holds, out_while_queued,
+    frozen_agent, agent_restart, entry_replaced, agent_drains, endpoint_leaves,
+    endpoint_dies, results_split)
--- a/tests/test_runqueue.c
+++ b/tests/test_runqueue.c
@@ -36,7 +36,13 @@
 end(void *ctx)
 {
 	struct trace *t = ctx;
+	struct rq_task *task;
+	uint64_t entry;
 
+	for (entry = 1; entry <= 2; entry++) {
+		while ((task = rq_drop(t->rq, entry)) != NULL)
+			g_free(task);
+	}
 	rq_free(t->rq);
 	g_free(t);
 }
