--- a/src/request/place.c
+++ b/src/request/place.c
@@ -5,6 +5,12 @@
 #include "estimate.h"
 #include "place.h"
 
+/*
+ * An entry learns at once of its own tasks that end, but of others' only with
+ * the next heartbeat.  Without a report their number falls by this share in a
+ * run time; 0 left slots idle and 0.3 and more let queues grow at workers.
+ */
+#define OTHERS_DECAY 0.15
 /* Slots that a returned worker may use before its first task finishes. */
 #define RAMP_START 1U
 /* Preference for local workers when a little later is good enough. */
@@ -96,10 +102,26 @@
 	return service;
 }
 
+/* task NULL: a task of mean length. */
+static double
+worker_run_us(const struct worker *w, const struct place_task *task)
+{
+	return est_run_us(&w->service->estimate, &w->estimate,
+	    task == NULL ? 0 : task->declared_ms);
+}
+
+/* As reported, plus own dispatches since, less what others' tasks lost. */
 static uint32_t
-load_of(const struct worker *w)
+load_of(const struct place *place, const struct worker *w)
 {
-	return MAX(w->own, w->reported + w->unseen);
+	uint32_t all = MAX(w->own, w->reported + w->unseen);
+	double age_us = (double)(place->now_ms - w->report_ms) * 1000;
+	double others = all - w->own;
+
+	if (others <= 0 || age_us <= 0)
+		return all;
+	others *= exp(-OTHERS_DECAY * age_us / worker_run_us(w, NULL));
+	return w->own + (uint32_t)lround(others);
 }
 
 static uint32_t
@@ -124,23 +146,15 @@
 
 /* Its room is not known to come back within a run time. */
 static bool
-is_ramping_full(const struct worker *w)
+is_ramping_full(const struct place *place, const struct worker *w)
 {
-	return w->ramping && load_of(w) >= w->ramp_limit;
+	return w->ramping && load_of(place, w) >= w->ramp_limit;
 }
 
 static bool
 has_room(const struct place *place, const struct worker *w)
 {
-	return is_live(w) && load_of(w) < limit_of(place, w);
-}
-
-/* task NULL: a task of mean length. */
-static double
-worker_run_us(const struct worker *w, const struct place_task *task)
-{
-	return est_run_us(&w->service->estimate, &w->estimate,
-	    task == NULL ? 0 : task->declared_ms);
+	return is_live(w) && load_of(place, w) < limit_of(place, w);
 }
 
 /*
@@ -162,7 +176,7 @@
     const struct place_task *task)
 {
 	double run_us = worker_run_us(w, task);
-	uint32_t load = load_of(w) + w->reserved;
+	uint32_t load = load_of(place, w) + w->reserved;
 
 	if (load < w->slots)
 		return run_us;
@@ -179,7 +193,7 @@
 		return 0;
 	case PLACE_LEAST_OUTSTANDING:
 	case PLACE_TWO_CHOICES:
-		return (double)load_of(w) / w->slots;
+		return (double)load_of(place, w) / w->slots;
 	case PLACE_LEAST_WAIT:
 	case PLACE_EARLIEST_FINISH:
 		break;
@@ -206,7 +220,7 @@
 			->pdata[(i + offset) % service->workers->len];
 		double us;
 
-		if (!is_live(w) || !fits(w, task) || is_ramping_full(w))
+		if (!is_live(w) || !fits(w, task) || is_ramping_full(place, w))
 			continue;
 		us = expected_finish_us(place, w, task);
 		if (place->prefer_local && !w->local)
@@ -218,7 +232,7 @@
 	}
 	if (best == NULL)
 		return PLACE_NONE;
-	if (load_of(best) + best->reserved < limit_of(place, best))
+	if (load_of(place, best) + best->reserved < limit_of(place, best))
 		return best->id;
 	best->reserved += place->in_pass ? 1 : 0;
 	return PLACE_NONE;
@@ -236,7 +250,7 @@
 		struct worker *w = service->workers->pdata[i];
 
 		if (has_room(place, w) && fits(w, task) &&
-		    (!local_only || (w->local && load_of(w) < w->slots)))
+		    (!local_only || (w->local && load_of(place, w) < w->slots)))
 			g_ptr_array_add(found, w);
 	}
 	return found;
@@ -394,7 +408,7 @@
 	w->unseen = outstanding;
 	w->draining = load->draining;
 	w->report_ms = now_ms;
-	if (load_of(w) <= w->slots)
+	if (load_of(place, w) <= w->slots)
 		w->withdrawn = 0;
 }
 
@@ -495,7 +509,7 @@
 	(void)task;
 	if (w == NULL)
 		return;
-	if (load_of(w) < w->slots)
+	if (load_of(place, w) < w->slots)
 		w->progress_ms = now_ms;
 	w->own++;
 	w->unseen++;
@@ -564,7 +578,7 @@
 		if (!is_live(w))
 			continue;
 		rate += w->slots / worker_run_us(w, NULL);
-		excess += (double)load_of(w) - w->slots;
+		excess += (double)load_of(place, w) - w->slots;
 	}
 	if (rate <= 0)
 		return -1;
@@ -581,8 +595,8 @@
 	for (i = 0; service != NULL && i < service->workers->len; i++) {
 		const struct worker *w = service->workers->pdata[i];
 
-		if (is_live(w) && load_of(w) < w->slots)
-			slots += w->slots - load_of(w);
+		if (is_live(w) && load_of(place, w) < w->slots)
+			slots += w->slots - load_of(place, w);
 	}
 	return slots;
 }
@@ -606,7 +620,7 @@
 	(void)now_ms;
 	for (i = 0; service != NULL && i < service->workers->len; i++) {
 		const struct worker *w = service->workers->pdata[i];
-		uint32_t load = load_of(w);
+		uint32_t load = load_of(place, w);
 
 		withdrawn += w->withdrawn;
 		if (is_live(w) && load < w->slots) {
