--- a/src/process/entry.c
+++ b/src/process/entry.c
@@ -9,6 +9,7 @@
 #include "process/entry.h"
 #include "process/log.h"
 #include "request/callers.h"
+#include "request/operators.h"
 #include "version/members.h"
 #include "version/change.h"
 #include "version/etcd.h"
@@ -44,6 +45,7 @@
 	struct mem *members;
 	struct quo *quorum;
 	struct chg *change;
+	struct ops *ops;
 	GArray *wire_members; /* strings of the members list */
 	/* requests */
 	struct place *place;
@@ -771,6 +773,47 @@
 	    "time since the configuration was confirmed, -1 never");
 }
 
+static char *
+metrics_text(void *ctx)
+{
+	struct entry *entry = ctx;
+
+	return ctr_text(entry->counters);
+}
+
+static char *
+traces_json(const char *trace_id, void *ctx)
+{
+	struct entry *entry = ctx;
+
+	return trc_json(entry->traces, trace_id);
+}
+
+static struct ops *
+make_operators(struct entry *entry, struct status *st)
+{
+	struct ops_options opts = {
+	    .listen = entry->set->operator_listen,
+	    .chg = entry->change,
+	    .fresh = entry->fresh,
+	    .rdr = entry->reader,
+	    .mem = entry->members,
+	    .self =
+		{
+		    .incarnation = id_incarnation(entry->ids),
+		    .name = entry->set->name,
+		    .failure_domain = entry->set->failure_domain,
+		    .address = entry->set->rpc_address,
+		    .operator_address = entry->set->operator_address,
+		},
+	    .metrics = metrics_text,
+	    .traces = traces_json,
+	    .ctx = entry,
+	};
+
+	return ops_new(&opts, st);
+}
+
 static bool
 start_serving(struct entry *entry, struct status *st)
 {
@@ -791,6 +834,9 @@
 	entry->http = http_new(&http, st);
 	if (entry->http == NULL)
 		return false;
+	entry->ops = make_operators(entry, st);
+	if (entry->ops == NULL)
+		return false;
 	entry->tick_id = g_timeout_add(TICK_MS, on_tick, entry);
 	entry->slow_tick_id = g_timeout_add(SLOW_TICK_MS, on_slow_tick, entry);
 	entry->term_id = g_unix_signal_add(SIGTERM, on_term, entry);
@@ -880,6 +926,8 @@
 	pool_free(entry->pool);
 	ej_free(entry->eject);
 	place_free(entry->place);
+	if (entry->ops != NULL)
+		ops_free(entry->ops);
 	chg_free(entry->change);
 	mem_free(entry->members);
 	rdr_free(entry->reader);
