--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -245,6 +245,21 @@
 	    freshness_ms, period_ms);
 }
 
+/*
+ * Refuses an address that every machine has.  Others could not reach it, and
+ * the entry would take the voters of other machines for its predecessors.
+ */
+static bool
+check_reachable(const struct jsonc_node *root, const char *key,
+    const char *address, struct status *st)
+{
+	if (!g_str_has_prefix(address, "0.0.0.0:") &&
+	    !g_str_has_prefix(address, "[::]:"))
+		return true;
+	return jsonc_error(root, key, st,
+	    "expected the address that others use, got \"%s\"", address);
+}
+
 static bool
 check_entry(
     const struct jsonc_node *root, struct set_entry *set, struct status *st)
@@ -253,8 +268,11 @@
 		set->rpc_address = g_strdup(set->rpc_listen);
 	if (set->operator_address == NULL)
 		set->operator_address = g_strdup(set->operator_listen);
-	return check_period(
-	    root, "store_poll_ms", set->store_poll_ms, set->freshness_ms, st);
+	return check_reachable(root, "rpc_address", set->rpc_address, st) &&
+	       check_reachable(
+		   root, "operator_address", set->operator_address, st) &&
+	       check_period(root, "store_poll_ms", set->store_poll_ms,
+		   set->freshness_ms, st);
 }
 
 /* Reads the settings of spentryd. */
--- a/src/version/voters.c
+++ b/src/version/voters.c
@@ -11,8 +11,10 @@
 {
 	if (voter->ended || (in->ended != 0 && voter->incarnation == in->ended))
 		return true;
+	/* Port 0 stands for any port, so several processes may share it. */
 	return voter->incarnation != in->self->incarnation &&
-	       voter->address[0] != '\0' &&
+	       voter->address != NULL && voter->address[0] != '\0' &&
+	       !g_str_has_suffix(voter->address, ":0") &&
 	       strcmp(voter->address, in->self->address) == 0;
 }
 
--- a/tests/test_change.c
+++ b/tests/test_change.c
@@ -361,6 +361,34 @@
 }
 END_TEST
 
+/* Entries that share an address must mark a voter as ended, but not when the
+ * address is a placeholder: the voters of running entries would be lost. */
+START_TEST(placeholder_address_ends_nobody)
+{
+	const struct cfg_voter *voters;
+	const struct cfg *held;
+	size_t i, n;
+
+	setup();
+	for (i = 0; i < 3; i++)
+		node_kill((int)i);
+	node_start(0, 0x31, "d1", 0);
+	node_start(1, 0x32, "d2", 0);
+	node_start(2, 0x33, "d3", 0);
+	run_for(1500);
+	ck_assert_int_eq(apply(0, 0, "c1").st.code, ST_OK);
+	run_for(1500);
+	held = fresh_config(nodes[0].fresh);
+	voters = cfg_voters(held, cfg_voter_sets(held) - 1, &n);
+	ck_assert_uint_eq(n, 3);
+	for (i = 0; i < n; i++) {
+		ck_assert(!voters[i].ended);
+		ck_assert(voters[i].incarnation >= 0x31);
+	}
+	teardown();
+}
+END_TEST
+
 /* With a majority of the voters lost for good, a change must stay pending
  * until operators state that they have ended. */
 START_TEST(lost_majority_needs_operators)
@@ -393,7 +421,7 @@
 	const TTest *tests[] = {change_comes_into_force, wrong_expected_version,
 	    concurrent_outs_all_win, lost_reply_is_resolved, outage,
 	    outage_starts_without_a_gap, voter_is_replaced, all_entries_restart,
-	    lost_majority_needs_operators};
+	    placeholder_address_ends_nobody, lost_majority_needs_operators};
 
-	return casefile_main("change", tests, 9, NULL, 0);
+	return casefile_main("change", tests, 10, NULL, 0);
 }
