--- a/src/request/place.c
+++ b/src/request/place.c
@@ -32,11 +32,10 @@
 	uint32_t slots;
 	uint32_t cores;
 	uint64_t memory_mb;
-	uint32_t reported;  /* busy and queued in the last report */
-	uint32_t unseen;    /* own dispatches that the report left out */
-	uint32_t own;	    /* own dispatches that have not finished */
-	uint32_t withdrawn; /* starts asked back and not yet answered */
-	uint32_t reserved;  /* slots that waiting tasks of this pass need */
+	uint32_t reported; /* busy and queued in the last report */
+	uint32_t unseen;   /* own dispatches that the report left out */
+	uint32_t own;	   /* own dispatches that have not finished */
+	uint32_t reserved; /* slots that waiting tasks of this pass need */
 	int64_t report_ms;
 	int64_t progress_ms; /* last known end of a task */
 	struct est_worker estimate;
@@ -203,7 +202,7 @@
 
 /*
  * The worker that is expected to finish the task first, busy or not.  When
- * it has no room the task waits for it and, in a pass, reserves a slot.
+ * it has no room the task waits for it and reserves a slot of it.
  */
 static uint32_t
 earliest_finish(struct place *place, const struct service *service,
@@ -234,7 +233,7 @@
 		return PLACE_NONE;
 	if (load_of(place, best) + best->reserved < limit_of(place, best))
 		return best->id;
-	best->reserved += place->in_pass ? 1 : 0;
+	best->reserved++;
 	return PLACE_NONE;
 }
 
@@ -408,8 +407,6 @@
 	w->unseen = outstanding;
 	w->draining = load->draining;
 	w->report_ms = now_ms;
-	if (load_of(place, w) <= w->slots)
-		w->withdrawn = 0;
 }
 
 void
@@ -472,7 +469,8 @@
 	place->now_ms = now_ms;
 	if (service == NULL)
 		return PLACE_NONE;
-	if (place->policy == PLACE_EARLIEST_FINISH)
+	/* Outside a pass a waiting task would block those behind it. */
+	if (place->policy == PLACE_EARLIEST_FINISH && place->in_pass)
 		return earliest_finish(place, service, task);
 	if (place->prefer_local) {
 		from = candidates(place, service, task, true);
@@ -548,11 +546,8 @@
 		else if (w->unseen > 0)
 			w->unseen--;
 	}
-	if (outcome == PLACE_NOT_STARTED) {
-		if (w->withdrawn > 0)
-			w->withdrawn--;
+	if (outcome == PLACE_NOT_STARTED)
 		return;
-	}
 	measure(w, task, outcome, run_us);
 	if (outcome == PLACE_OK && ++w->ramp_limit > w->slots + place->ahead)
 		w->ramping = false;
@@ -601,52 +596,6 @@
 	return slots;
 }
 
-/*
- * Returns the worker with the latest expected finish of its last queued start,
- * if a free slot elsewhere would finish that start earlier.
- */
-uint32_t
-place_withdraw_from(
-    const struct place *place, const struct place_task *task, int64_t now_ms)
-{
-	const struct service *service = find_service(place, task->service);
-	const struct worker *from = NULL;
-	double best_us = INFINITY;
-	double worst_us = 0;
-	uint32_t free_slots = 0;
-	uint32_t withdrawn = 0;
-	guint i;
-
-	(void)now_ms;
-	for (i = 0; service != NULL && i < service->workers->len; i++) {
-		const struct worker *w = service->workers->pdata[i];
-		uint32_t load = load_of(place, w);
-
-		withdrawn += w->withdrawn;
-		if (is_live(w) && load < w->slots) {
-			free_slots += w->slots - load;
-			best_us = MIN(best_us, worker_run_us(w, task));
-		}
-		if (load > w->slots + w->withdrawn && w->own > w->withdrawn &&
-		    expected_finish_us(place, w, task) > worst_us) {
-			worst_us = expected_finish_us(place, w, task);
-			from = w;
-		}
-	}
-	if (from == NULL || withdrawn >= free_slots || best_us >= worst_us)
-		return PLACE_NONE;
-	return from->id;
-}
-
-void
-place_withdrawn(struct place *place, uint32_t id)
-{
-	struct worker *w = find_worker(place, id);
-
-	if (w != NULL)
-		w->withdrawn++;
-}
-
 /* Whether the service has a worker that may get work. */
 bool
 place_has_live(const struct place *place, const char *service_name)
--- a/src/request/place.h
+++ b/src/request/place.h
@@ -18,7 +18,8 @@
 	PLACE_LEAST_OUTSTANDING,
 	PLACE_TWO_CHOICES,
 	PLACE_LEAST_WAIT,
-	PLACE_EARLIEST_FINISH /* may wait for a faster worker */
+	/* May wait for a faster worker; least wait outside a pass. */
+	PLACE_EARLIEST_FINISH
 };
 
 struct place_options {
@@ -27,7 +28,7 @@
 	uint32_t ahead;		    /* tasks sent beyond a worker's slots */
 	uint32_t seed;
 	bool prefer_local;
-	bool ramp; /* limit a returned worker by its measured rate */
+	bool ramp; /* limit a returned worker by its finished tasks */
 };
 
 /* Strings are copied. */
@@ -106,14 +107,6 @@
 int64_t place_expected_wait_ms(const struct place *place, const char *service,
     uint32_t waiting, int64_t now_ms);
 uint32_t place_free_slots(const struct place *place, const char *service);
-/*
- * Names a worker whose queued work another worker would start at once and
- * finish earlier; PLACE_NONE: none.  place_withdrawn() notes that one start
- * there was asked back, until its outcome is reported.
- */
-uint32_t place_withdraw_from(
-    const struct place *place, const struct place_task *task, int64_t now_ms);
-void place_withdrawn(struct place *place, uint32_t id);
 bool place_has_live(const struct place *place, const char *service);
 
 #endif
