--- a/bench/bench_policy.c
+++ b/bench/bench_policy.c
@@ -298,6 +298,8 @@
 		return EXIT_FAILURE;
 	if (!args.returns)
 		run_variants();
-	run_returns();
+	if (args.returns ||
+	    (args.only == NULL && args.load == 0 && args.job_size < 0))
+		run_returns();
 	return EXIT_SUCCESS;
 }
