--- a/bench/bench_policy.c
+++ b/bench/bench_policy.c
@@ -147,6 +147,15 @@
 	fflush(stdout);
 }
 
+static struct {
+	const char *only; /* end of the names to run */
+	guint entries;
+	double load;
+	double declared_error;
+	gint job_size;
+	bool returns;
+} args = {.entries = 3, .load = 0, .job_size = -1};
+
 static void
 run(const char *name, const struct replay_options *base,
     struct workload_options wl)
@@ -163,6 +172,7 @@
 
 		wl.seed = seed;
 		wl.n_tasks = n_tasks;
+		wl.declared_error = args.declared_error;
 		opts.seed = seed;
 		opts.entries = wl.entries;
 		load = workload_new(&wl);
@@ -175,14 +185,6 @@
 	g_free(f);
 }
 
-static struct {
-	const char *only; /* end of the names to run */
-	guint entries;
-	double load;
-	gint job_size;
-	bool returns;
-} args = {.entries = 3, .load = 0, .job_size = -1};
-
 static void
 run_variants(void)
 {
@@ -271,6 +273,9 @@
 	case 'o':
 		args.only = arg;
 		break;
+	case 'd':
+		args.declared_error = g_ascii_strtod(arg, NULL);
+		break;
 	case 'r':
 		args.returns = true;
 		break;
@@ -290,6 +295,8 @@
 	    {"load", 'l', "PERCENT", 0, "only this load", 0},
 	    {"job", 'j', "N", 0, "only jobs of this size", 0},
 	    {"only", 'o', "TEXT", 0, "only variants whose name ends so", 0},
+	    {"declared-error", 'd', "FACTOR", 0,
+		"declared times are off by up to this factor (10)", 0},
 	    {"returns", 'r', NULL, 0, "only the return of a domain", 0}, {0}};
 	static const struct argp argp = {options, parse_option, NULL,
 	    "Replays arrivals over the placement module.", NULL, NULL, NULL};
--- a/bench/workload.c
+++ b/bench/workload.c
@@ -91,7 +91,7 @@
 }
 
 static void
-make_tasks(struct workload *load, uint64_t *rng)
+make_tasks(struct workload *load, double error, uint64_t *rng)
 {
 	guint i;
 
@@ -105,8 +105,7 @@
 			    rng_uniform(rng) * (TAIL_TO_US - TAIL_FROM_US);
 		t->work_us = llround(work_us);
 		t->declared_us =
-		    llround(work_us * log_uniform(rng, 1 / DECLARED_ERROR,
-					  DECLARED_ERROR));
+		    llround(work_us * log_uniform(rng, 1 / error, error));
 	}
 }
 
@@ -245,7 +244,9 @@
 	load->tasks = g_new0(struct task, opts->n_tasks);
 	load->jobs = g_new0(struct job, opts->n_tasks);
 	make_speeds(load, &rng);
-	make_tasks(load, &rng);
+	make_tasks(load,
+	    opts->declared_error > 0 ? opts->declared_error : DECLARED_ERROR,
+	    &rng);
 	make_jobs(load, opts, &rng);
 	make_ideal(load);
 	return load;
