--- a/tests/policy_replay.c
+++ b/tests/policy_replay.c
@@ -282,8 +282,10 @@
 	for (i = 0; i < r->workers->len; i++)
 		((struct worker *)r->workers->pdata[i])->given = 0;
 	for (; n > 0 || flights->len > 0; n--) {
-		struct flight f = {.worker = n > 0 ? start(r, &task) : NULL};
+		struct flight f = {0};
 
+		place_begin_pass(r->place, r->now_ms);
+		f.worker = n > 0 ? start(r, &task) : NULL;
 		if (f.worker != NULL) {
 			f.worker->given++;
 			f.end_ms = r->now_ms + f.worker->run_ms;
