--- a/src/request/callers.c
+++ b/src/request/callers.c
@@ -18,7 +18,6 @@
 /* Bookkeeping of one request, from its headers to its answer. */
 struct request {
 	struct http *http;
-	uint64_t received; /* bytes of the body */
 	enum ref_code refusal;
 	struct api_call *call;
 	SoupServerMessage *paused; /* holds a reference */
@@ -54,17 +53,6 @@
 	    "close");
 }
 
-static void
-on_chunk(SoupServerMessage *msg, GBytes *chunk, gpointer data)
-{
-	struct request *req = data;
-
-	req->received += g_bytes_get_size(chunk);
-	if (req->refusal == REF_NONE &&
-	    req->received > req->http->opts.max_body_bytes)
-		refuse_body(msg, req, REF_TOO_LARGE);
-}
-
 static void
 check_length(struct http *http, SoupServerMessage *msg, struct request *req)
 {
@@ -118,7 +106,6 @@
 	*http->gauge = http->in_progress;
 	(*http->requests)++;
 	g_object_set_data(G_OBJECT(msg), REQUEST_KEY, req);
-	g_signal_connect(msg, "got-chunk", G_CALLBACK(on_chunk), req);
 	g_signal_connect(msg, "finished", G_CALLBACK(on_finished), req);
 	check_length(http, msg, req);
 }
