--- a/tests/test_change.c
+++ b/tests/test_change.c
@@ -4,26 +4,13 @@
 #include <string.h>
 
 #include "casefile.h"
+#include "entry_node.h"
 #include "process/clock.h"
 #include "process/log.h"
 #include "store_process.h"
-#include "version/change.h"
-#include "version/etcd.h"
 
 #define N_NODES	     4
-#define FRESHNESS_MS 600
-
-/* One entry without its listeners. */
-struct node {
-	struct store *store;
-	struct fresh *fresh;
-	struct rdr *rdr;
-	struct mem *mem;
-	struct quo *quo;
-	struct chg *chg;
-	bool cut; /* from its peers */
-	char address[32];
-};
+#define FRESHNESS_MS ENTRY_NODE_FRESHNESS_MS
 
 struct outcome {
 	bool done;
@@ -32,7 +19,7 @@
 };
 
 static struct store_process *sp;
-static struct node nodes[N_NODES];
+static struct entry_node nodes[N_NODES];
 static guint exchange_timer;
 
 static const char text[] =
@@ -44,49 +31,14 @@
 static void
 node_start(int i, uint64_t incarnation, const char *domain, int port)
 {
-	struct node *node = &nodes[i];
-	struct etcd_options store_opts = {
-	    .url = store_process_url(sp), .timeout_ms = 300};
-	struct rdr_options rdr_opts = {.poll_ms = 50};
-	struct mem_options mem_opts = {.lease_s = 1, .poll_ms = 50};
-	struct chg_options chg_opts = {.freshness_ms = FRESHNESS_MS};
-
-	memset(node, 0, sizeof(*node));
-	snprintf(node->address, sizeof(node->address), "127.0.0.1:%d", port);
-	node->store = etcd_new(&store_opts);
-	node->fresh = fresh_new(FRESHNESS_MS);
-	rdr_opts.store = node->store;
-	rdr_opts.fresh = node->fresh;
-	node->rdr = rdr_new(&rdr_opts);
-	mem_opts.store = node->store;
-	mem_opts.self = (struct mem_entry){
-	    incarnation, "e", domain, node->address, node->address};
-	node->mem = mem_new(&mem_opts);
-	node->quo = quo_new(FRESHNESS_MS);
-	chg_opts.store = node->store;
-	chg_opts.rdr = node->rdr;
-	chg_opts.fresh = node->fresh;
-	chg_opts.mem = node->mem;
-	chg_opts.quo = node->quo;
-	chg_opts.self = mem_opts.self;
-	node->chg = chg_new(&chg_opts);
+	entry_node_start(
+	    &nodes[i], store_process_url(sp), incarnation, domain, port);
 }
 
-/* Ends without leaving, as a killed process does. */
 static void
 node_kill(int i)
 {
-	struct node *node = &nodes[i];
-
-	if (node->chg == NULL)
-		return;
-	chg_free(node->chg);
-	mem_free(node->mem);
-	rdr_free(node->rdr);
-	quo_free(node->quo);
-	fresh_free(node->fresh);
-	node->store->ops->free(node->store);
-	memset(node, 0, sizeof(*node));
+	entry_node_kill(&nodes[i]);
 }
 
 /* Stands for PEER_STATUS: every pair that is not cut off asks each other. */
@@ -409,6 +361,34 @@
 }
 END_TEST
 
+/* Entries that share an address must mark a voter as ended, but not when the
+ * address is a placeholder: the voters of running entries would be lost. */
+START_TEST(placeholder_address_ends_nobody)
+{
+	const struct cfg_voter *voters;
+	const struct cfg *held;
+	size_t i, n;
+
+	setup();
+	for (i = 0; i < 3; i++)
+		node_kill((int)i);
+	node_start(0, 0x31, "d1", 0);
+	node_start(1, 0x32, "d2", 0);
+	node_start(2, 0x33, "d3", 0);
+	run_for(1500);
+	ck_assert_int_eq(apply(0, 0, "c1").st.code, ST_OK);
+	run_for(1500);
+	held = fresh_config(nodes[0].fresh);
+	voters = cfg_voters(held, cfg_voter_sets(held) - 1, &n);
+	ck_assert_uint_eq(n, 3);
+	for (i = 0; i < n; i++) {
+		ck_assert(!voters[i].ended);
+		ck_assert(voters[i].incarnation >= 0x31);
+	}
+	teardown();
+}
+END_TEST
+
 /* With a majority of the voters lost for good, a change must stay pending
  * until operators state that they have ended. */
 START_TEST(lost_majority_needs_operators)
@@ -441,7 +421,7 @@
 	const TTest *tests[] = {change_comes_into_force, wrong_expected_version,
 	    concurrent_outs_all_win, lost_reply_is_resolved, outage,
 	    outage_starts_without_a_gap, voter_is_replaced, all_entries_restart,
-	    lost_majority_needs_operators};
+	    placeholder_address_ends_nobody, lost_majority_needs_operators};
 
-	return casefile_main("change", tests, 9, NULL, 0);
+	return casefile_main("change", tests, 10, NULL, 0);
 }
