--- a/src/process/entry.c
+++ b/src/process/entry.c
@@ -9,6 +9,7 @@
 #include "process/entry.h"
 #include "process/log.h"
 #include "request/callers.h"
+#include "request/operators.h"
 #include "version/members.h"
 #include "version/change.h"
 #include "version/etcd.h"
@@ -42,6 +43,7 @@
 	struct store *store;
 	struct rdr *reader;
 	struct mem *members;
+	struct mem_entry registration; /* of this entry */
 	struct quo *quorum;
 	struct chg *change;
 	GArray *wire_members; /* strings of the members list */
@@ -59,6 +61,7 @@
 	struct al_set *agents;
 	struct pl_set *peers;
 	struct http *http;
+	struct ops *operators;
 	GSocketService *listener;
 	GHashTable *unidentified; /* connections before their first call */
 	guint wake_id;
@@ -630,7 +633,7 @@
 	g_array_set_clear_func(entry->wire_members, clear_member);
 	entry->reader = rdr_new(&reader);
 	entry->members = mem_new(&members);
-	change.self = members.self;
+	change.self = entry->registration = members.self;
 	change.store = entry->store;
 	change.rdr = entry->reader;
 	change.fresh = entry->fresh;
@@ -771,6 +774,57 @@
 	    "time since the configuration was confirmed, -1 never");
 }
 
+static void
+add_status(struct json_object *status, void *ctx)
+{
+	struct entry *entry = ctx;
+
+	json_object_object_add(status, "agents",
+	    json_object_new_int64(al_connected(entry->agents)));
+	json_object_object_add(
+	    status, "jobs", json_object_new_int64(job_table_open(entry->jobs)));
+	json_object_object_add(status, "starts_outstanding",
+	    json_object_new_int64(dsp_outstanding(entry->dispatch)));
+	json_object_object_add(
+	    status, "shutting_down", json_object_new_boolean(entry->closing));
+}
+
+static char *
+metrics_text(void *ctx)
+{
+	struct entry *entry = ctx;
+
+	return ctr_text(entry->counters);
+}
+
+static char *
+traces_text(const char *trace_id, void *ctx)
+{
+	struct entry *entry = ctx;
+
+	return trc_json(entry->traces, trace_id);
+}
+
+static bool
+serve_operators(struct entry *entry, struct status *st)
+{
+	struct ops_options opts = {
+	    .listen = entry->set->operator_listen,
+	    .chg = entry->change,
+	    .fresh = entry->fresh,
+	    .rdr = entry->reader,
+	    .mem = entry->members,
+	    .self = entry->registration,
+	    .add_status = add_status,
+	    .metrics = metrics_text,
+	    .traces = traces_text,
+	    .ctx = entry,
+	};
+
+	entry->operators = ops_new(&opts, st);
+	return entry->operators != NULL;
+}
+
 static bool
 start_serving(struct entry *entry, struct status *st)
 {
@@ -786,7 +840,7 @@
 	    .ctx = entry,
 	};
 
-	if (!listen_rpc(entry, st))
+	if (!listen_rpc(entry, st) || !serve_operators(entry, st))
 		return false;
 	entry->http = http_new(&http, st);
 	if (entry->http == NULL)
@@ -851,6 +905,8 @@
 
 	if (entry->http != NULL)
 		http_free(entry->http);
+	if (entry->operators != NULL)
+		ops_free(entry->operators);
 	g_socket_service_stop(entry->listener);
 	g_socket_listener_close(G_SOCKET_LISTENER(entry->listener));
 	g_object_unref(entry->listener);
--- a/tests/test_ident.c
+++ b/tests/test_ident.c
@@ -36,7 +36,7 @@
 		id_mint(ids, id);
 	for (i = 0; i < ID_LEN; i++) {
 		for (j = 0; j < 5; j++) {
-			strcpy(bad, id);
+			memcpy(bad, id, sizeof(bad));
 			bad[i] = "0f-AZ"[j];
 			if (bad[i] == id[i])
 				continue;
@@ -44,7 +44,7 @@
 		}
 	}
 	ck_assert_int_eq(id_check(ids, "", &parts), ID_MALFORMED);
-	strcpy(bad, id);
+	memcpy(bad, id, sizeof(bad));
 	bad[ID_LEN - 1] = '\0';
 	ck_assert_int_eq(id_check(ids, bad, &parts), ID_MALFORMED);
 	id_free(ids);
