--- a/src/process/entry.c
+++ b/src/process/entry.c
@@ -43,9 +43,9 @@
 	struct store *store;
 	struct rdr *reader;
 	struct mem *members;
+	struct mem_entry registration; /* of this entry */
 	struct quo *quorum;
 	struct chg *change;
-	struct ops *ops;
 	GArray *wire_members; /* strings of the members list */
 	/* requests */
 	struct place *place;
@@ -61,6 +61,7 @@
 	struct al_set *agents;
 	struct pl_set *peers;
 	struct http *http;
+	struct ops *operators;
 	GSocketService *listener;
 	GHashTable *unidentified; /* connections before their first call */
 	guint wake_id;
@@ -632,7 +633,7 @@
 	g_array_set_clear_func(entry->wire_members, clear_member);
 	entry->reader = rdr_new(&reader);
 	entry->members = mem_new(&members);
-	change.self = members.self;
+	change.self = entry->registration = members.self;
 	change.store = entry->store;
 	change.rdr = entry->reader;
 	change.fresh = entry->fresh;
@@ -773,6 +774,21 @@
 	    "time since the configuration was confirmed, -1 never");
 }
 
+static void
+add_status(struct json_object *status, void *ctx)
+{
+	struct entry *entry = ctx;
+
+	json_object_object_add(status, "agents",
+	    json_object_new_int64(al_connected(entry->agents)));
+	json_object_object_add(
+	    status, "jobs", json_object_new_int64(job_table_open(entry->jobs)));
+	json_object_object_add(status, "starts_outstanding",
+	    json_object_new_int64(dsp_outstanding(entry->dispatch)));
+	json_object_object_add(
+	    status, "shutting_down", json_object_new_boolean(entry->closing));
+}
+
 static char *
 metrics_text(void *ctx)
 {
@@ -782,15 +798,15 @@
 }
 
 static char *
-traces_json(const char *trace_id, void *ctx)
+traces_text(const char *trace_id, void *ctx)
 {
 	struct entry *entry = ctx;
 
 	return trc_json(entry->traces, trace_id);
 }
 
-static struct ops *
-make_operators(struct entry *entry, struct status *st)
+static bool
+serve_operators(struct entry *entry, struct status *st)
 {
 	struct ops_options opts = {
 	    .listen = entry->set->operator_listen,
@@ -798,20 +814,15 @@
 	    .fresh = entry->fresh,
 	    .rdr = entry->reader,
 	    .mem = entry->members,
-	    .self =
-		{
-		    .incarnation = id_incarnation(entry->ids),
-		    .name = entry->set->name,
-		    .failure_domain = entry->set->failure_domain,
-		    .address = entry->set->rpc_address,
-		    .operator_address = entry->set->operator_address,
-		},
+	    .self = entry->registration,
+	    .add_status = add_status,
 	    .metrics = metrics_text,
-	    .traces = traces_json,
+	    .traces = traces_text,
 	    .ctx = entry,
 	};
 
-	return ops_new(&opts, st);
+	entry->operators = ops_new(&opts, st);
+	return entry->operators != NULL;
 }
 
 static bool
@@ -829,14 +840,11 @@
 	    .ctx = entry,
 	};
 
-	if (!listen_rpc(entry, st))
+	if (!listen_rpc(entry, st) || !serve_operators(entry, st))
 		return false;
 	entry->http = http_new(&http, st);
 	if (entry->http == NULL)
 		return false;
-	entry->ops = make_operators(entry, st);
-	if (entry->ops == NULL)
-		return false;
 	entry->tick_id = g_timeout_add(TICK_MS, on_tick, entry);
 	entry->slow_tick_id = g_timeout_add(SLOW_TICK_MS, on_slow_tick, entry);
 	entry->term_id = g_unix_signal_add(SIGTERM, on_term, entry);
@@ -897,6 +905,8 @@
 
 	if (entry->http != NULL)
 		http_free(entry->http);
+	if (entry->operators != NULL)
+		ops_free(entry->operators);
 	g_socket_service_stop(entry->listener);
 	g_socket_listener_close(G_SOCKET_LISTENER(entry->listener));
 	g_object_unref(entry->listener);
@@ -926,8 +936,6 @@
 	pool_free(entry->pool);
 	ej_free(entry->eject);
 	place_free(entry->place);
-	if (entry->ops != NULL)
-		ops_free(entry->ops);
 	chg_free(entry->change);
 	mem_free(entry->members);
 	rdr_free(entry->reader);
