--- a/tests/system.c
+++ b/tests/system.c
@@ -432,6 +432,22 @@
 	    "version");
 }
 
+/* Reports whether the entry's configuration has the domain out of service. */
+bool
+sys_is_out(struct sys *sys, int entry, const char *domain)
+{
+	struct hn_http *http =
+	    hn_http("GET", sys_ops_url(sys, entry, "/v1/config"), NULL);
+	int i;
+
+	for (i = 0; *hn_json_str(http, hn_str("out.%d.name", i)) != '\0'; i++) {
+		if (strcmp(hn_json_str(http, hn_str("out.%d.name", i)),
+			domain) == 0)
+			return true;
+	}
+	return false;
+}
+
 /* Asks an entry whether a version is in force everywhere. */
 bool
 sys_in_force(struct sys *sys, int entry, int64_t version)
--- a/tests/system.h
+++ b/tests/system.h
@@ -91,6 +91,7 @@
 struct hn_http *sys_out(
     struct sys *sys, int entry, const char *domain, bool out);
 int64_t sys_version(struct sys *sys, int entry); /* -1: no answer */
+bool sys_is_out(struct sys *sys, int entry, const char *domain);
 /* Whether the entry reports the version as in force everywhere. */
 bool sys_in_force(struct sys *sys, int entry, int64_t version);
 
