--- a/src/request/place.c
+++ b/src/request/place.c
@@ -5,6 +5,12 @@
 #include "estimate.h"
 #include "place.h"
 
+/*
+ * An entry learns at once of its own tasks that end, but of others' only with
+ * the next heartbeat.  Without a report their number falls by this share in a
+ * run time; 0 left slots idle and 0.3 and more let queues grow at workers.
+ */
+#define OTHERS_DECAY 0.15
 /* Slots that a returned worker may use before its first task finishes. */
 #define RAMP_START 1U
 /* Preference for local workers when a little later is good enough. */
@@ -26,11 +32,10 @@
 	uint32_t slots;
 	uint32_t cores;
 	uint64_t memory_mb;
-	uint32_t reported;  /* busy and queued in the last report */
-	uint32_t unseen;    /* own dispatches that the report left out */
-	uint32_t own;	    /* own dispatches that have not finished */
-	uint32_t withdrawn; /* starts asked back and not yet answered */
-	uint32_t reserved;  /* slots that waiting tasks of this pass need */
+	uint32_t reported; /* busy and queued in the last report */
+	uint32_t unseen;   /* own dispatches that the report left out */
+	uint32_t own;	   /* own dispatches that have not finished */
+	uint32_t reserved; /* slots that waiting tasks of this pass need */
 	int64_t report_ms;
 	int64_t progress_ms; /* last known end of a task */
 	struct est_worker estimate;
@@ -96,10 +101,26 @@
 	return service;
 }
 
+/* task NULL: a task of mean length. */
+static double
+worker_run_us(const struct worker *w, const struct place_task *task)
+{
+	return est_run_us(&w->service->estimate, &w->estimate,
+	    task == NULL ? 0 : task->declared_ms);
+}
+
+/* As reported, plus own dispatches since, less what others' tasks lost. */
 static uint32_t
-load_of(const struct worker *w)
+load_of(const struct place *place, const struct worker *w)
 {
-	return MAX(w->own, w->reported + w->unseen);
+	uint32_t all = MAX(w->own, w->reported + w->unseen);
+	double age_us = (double)(place->now_ms - w->report_ms) * 1000;
+	double others = all - w->own;
+
+	if (others <= 0 || age_us <= 0)
+		return all;
+	others *= exp(-OTHERS_DECAY * age_us / worker_run_us(w, NULL));
+	return w->own + (uint32_t)lround(others);
 }
 
 static uint32_t
@@ -124,23 +145,15 @@
 
 /* Its room is not known to come back within a run time. */
 static bool
-is_ramping_full(const struct worker *w)
+is_ramping_full(const struct place *place, const struct worker *w)
 {
-	return w->ramping && load_of(w) >= w->ramp_limit;
+	return w->ramping && load_of(place, w) >= w->ramp_limit;
 }
 
 static bool
 has_room(const struct place *place, const struct worker *w)
 {
-	return is_live(w) && load_of(w) < limit_of(place, w);
-}
-
-/* task NULL: a task of mean length. */
-static double
-worker_run_us(const struct worker *w, const struct place_task *task)
-{
-	return est_run_us(&w->service->estimate, &w->estimate,
-	    task == NULL ? 0 : task->declared_ms);
+	return is_live(w) && load_of(place, w) < limit_of(place, w);
 }
 
 /*
@@ -162,7 +175,7 @@
     const struct place_task *task)
 {
 	double run_us = worker_run_us(w, task);
-	uint32_t load = load_of(w) + w->reserved;
+	uint32_t load = load_of(place, w) + w->reserved;
 
 	if (load < w->slots)
 		return run_us;
@@ -179,7 +192,7 @@
 		return 0;
 	case PLACE_LEAST_OUTSTANDING:
 	case PLACE_TWO_CHOICES:
-		return (double)load_of(w) / w->slots;
+		return (double)load_of(place, w) / w->slots;
 	case PLACE_LEAST_WAIT:
 	case PLACE_EARLIEST_FINISH:
 		break;
@@ -189,7 +202,7 @@
 
 /*
  * The worker that is expected to finish the task first, busy or not.  When
- * it has no room the task waits for it and, in a pass, reserves a slot.
+ * it has no room the task waits for it and reserves a slot of it.
  */
 static uint32_t
 earliest_finish(struct place *place, const struct service *service,
@@ -206,7 +219,7 @@
 			->pdata[(i + offset) % service->workers->len];
 		double us;
 
-		if (!is_live(w) || !fits(w, task) || is_ramping_full(w))
+		if (!is_live(w) || !fits(w, task) || is_ramping_full(place, w))
 			continue;
 		us = expected_finish_us(place, w, task);
 		if (place->prefer_local && !w->local)
@@ -218,9 +231,9 @@
 	}
 	if (best == NULL)
 		return PLACE_NONE;
-	if (load_of(best) + best->reserved < limit_of(place, best))
+	if (load_of(place, best) + best->reserved < limit_of(place, best))
 		return best->id;
-	best->reserved += place->in_pass ? 1 : 0;
+	best->reserved++;
 	return PLACE_NONE;
 }
 
@@ -236,7 +249,7 @@
 		struct worker *w = service->workers->pdata[i];
 
 		if (has_room(place, w) && fits(w, task) &&
-		    (!local_only || (w->local && load_of(w) < w->slots)))
+		    (!local_only || (w->local && load_of(place, w) < w->slots)))
 			g_ptr_array_add(found, w);
 	}
 	return found;
@@ -394,8 +407,6 @@
 	w->unseen = outstanding;
 	w->draining = load->draining;
 	w->report_ms = now_ms;
-	if (load_of(w) <= w->slots)
-		w->withdrawn = 0;
 }
 
 void
@@ -458,7 +469,8 @@
 	place->now_ms = now_ms;
 	if (service == NULL)
 		return PLACE_NONE;
-	if (place->policy == PLACE_EARLIEST_FINISH)
+	/* Outside a pass a waiting task would block those behind it. */
+	if (place->policy == PLACE_EARLIEST_FINISH && place->in_pass)
 		return earliest_finish(place, service, task);
 	if (place->prefer_local) {
 		from = candidates(place, service, task, true);
@@ -495,7 +507,7 @@
 	(void)task;
 	if (w == NULL)
 		return;
-	if (load_of(w) < w->slots)
+	if (load_of(place, w) < w->slots)
 		w->progress_ms = now_ms;
 	w->own++;
 	w->unseen++;
@@ -534,11 +546,8 @@
 		else if (w->unseen > 0)
 			w->unseen--;
 	}
-	if (outcome == PLACE_NOT_STARTED) {
-		if (w->withdrawn > 0)
-			w->withdrawn--;
+	if (outcome == PLACE_NOT_STARTED)
 		return;
-	}
 	measure(w, task, outcome, run_us);
 	if (outcome == PLACE_OK && ++w->ramp_limit > w->slots + place->ahead)
 		w->ramping = false;
@@ -564,7 +573,7 @@
 		if (!is_live(w))
 			continue;
 		rate += w->slots / worker_run_us(w, NULL);
-		excess += (double)load_of(w) - w->slots;
+		excess += (double)load_of(place, w) - w->slots;
 	}
 	if (rate <= 0)
 		return -1;
@@ -581,58 +590,12 @@
 	for (i = 0; service != NULL && i < service->workers->len; i++) {
 		const struct worker *w = service->workers->pdata[i];
 
-		if (is_live(w) && load_of(w) < w->slots)
-			slots += w->slots - load_of(w);
+		if (is_live(w) && load_of(place, w) < w->slots)
+			slots += w->slots - load_of(place, w);
 	}
 	return slots;
 }
 
-/*
- * Returns the worker with the latest expected finish of its last queued start,
- * if a free slot elsewhere would finish that start earlier.
- */
-uint32_t
-place_withdraw_from(
-    const struct place *place, const struct place_task *task, int64_t now_ms)
-{
-	const struct service *service = find_service(place, task->service);
-	const struct worker *from = NULL;
-	double best_us = INFINITY;
-	double worst_us = 0;
-	uint32_t free_slots = 0;
-	uint32_t withdrawn = 0;
-	guint i;
-
-	(void)now_ms;
-	for (i = 0; service != NULL && i < service->workers->len; i++) {
-		const struct worker *w = service->workers->pdata[i];
-		uint32_t load = load_of(w);
-
-		withdrawn += w->withdrawn;
-		if (is_live(w) && load < w->slots) {
-			free_slots += w->slots - load;
-			best_us = MIN(best_us, worker_run_us(w, task));
-		}
-		if (load > w->slots + w->withdrawn && w->own > w->withdrawn &&
-		    expected_finish_us(place, w, task) > worst_us) {
-			worst_us = expected_finish_us(place, w, task);
-			from = w;
-		}
-	}
-	if (from == NULL || withdrawn >= free_slots || best_us >= worst_us)
-		return PLACE_NONE;
-	return from->id;
-}
-
-void
-place_withdrawn(struct place *place, uint32_t id)
-{
-	struct worker *w = find_worker(place, id);
-
-	if (w != NULL)
-		w->withdrawn++;
-}
-
 /* Whether the service has a worker that may get work. */
 bool
 place_has_live(const struct place *place, const char *service_name)
