Place in passes with earliest finish, longest tasks first

Cause: the dispatcher chose outside a pass and stopped a job at its first task without a worker, so earliest_finish worked as least_wait and a job's tasks went in the order of their index. Change: dsp_run() begins a pass; a task without a worker is skipped and the pass ends without room or after PLACE_PASS_TASKS skips. A job whose task fits no live worker is left after that task, so that its others don't use up the pass. Tasks of a job are queued in falling expected run time. Defaults are earliest_finish and agent_queue 1.

--- a/bench/bench_policy.c
+++ b/bench/bench_policy.c
@@ -223,13 +223,8 @@
 		{.policy = PLACE_RANDOM, .ahead = QUEUE_AT_AGENT}},
 	    {"return.least_wait.agent_queue",
 		{.policy = PLACE_LEAST_WAIT, .ahead = QUEUE_AT_AGENT}},
-	    {"return.least_wait.agent_queue.ramp", {.policy = PLACE_LEAST_WAIT,
-						       .ahead = QUEUE_AT_AGENT,
-						       .ramp = true}},
 	    {"return.earliest_finish.ahead1",
 		{.policy = PLACE_EARLIEST_FINISH, .ahead = 1}},
-	    {"return.earliest_finish.ahead1.ramp",
-		{.policy = PLACE_EARLIEST_FINISH, .ahead = 1, .ramp = true}},
 	};
 	static const double loads[] = {0.5, 0.6};
 	guint l;
--- a/bench/replay.c
+++ b/bench/replay.c
@@ -565,8 +565,7 @@
 		    .failure_domain = domains[e % DOMAINS],
 		    .ahead = s->opts.ahead,
 		    .seed = (uint32_t)s->opts.seed * MAX_ENTRIES + e,
-		    .prefer_local = s->opts.prefer_local,
-		    .ramp = s->opts.ramp};
+		    .prefer_local = s->opts.prefer_local};
 
 		s->entries[e].place = place_new(&opts);
 		for (w = 0; w < WORKERS; w++)
--- a/bench/replay.h
+++ b/bench/replay.h
@@ -13,7 +13,6 @@
 	uint32_t ahead;
 	uint32_t entries;
 	bool prefer_local;
-	bool ramp;
 	bool head_only;	      /* no task passes one that waits */
 	bool longest_first;   /* order of the tasks of a job in the queue */
 	bool instant;	      /* every entry sees every load at once */
--- a/src/process/entry.c
+++ b/src/process/entry.c
@@ -647,10 +647,9 @@
 {
 	const struct set_entry *set = entry->set;
 	struct place_options place = {
-	    .policy = PLACE_LEAST_WAIT,
+	    .policy = PLACE_EARLIEST_FINISH,
 	    .failure_domain = set->failure_domain,
 	    .ahead = set->agent_queue,
-	    .ramp = true,
 	};
 	struct pool_options pool = {.fresh = entry->fresh};
 	struct rty_options retry = {
--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -43,7 +43,7 @@
     {"cluster_key", SECRET, REQ, E(cluster_key), NULL, 0, 0, 0},
     {"peers", SEEDS, OPT, E(peers), NULL, 0, 0, 0},
     {"log_level", LEVEL, OPT, E(log_level), "info", 0, 0, 0},
-    {"policy", NAME, OPT, E(policy), "least_wait", 0, 0, 0},
+    {"policy", NAME, OPT, E(policy), "earliest_finish", 0, 0, 0},
     {"freshness_ms", INT64, OPT, E(freshness_ms), NULL, 3000, 200, 10000},
     {"store_poll_ms", INT64, OPT, E(store_poll_ms), NULL, 500, 20, 5000},
     {"members_poll_ms", INT64, OPT, E(members_poll_ms), NULL, 1000, 20, 10000},
@@ -56,7 +56,7 @@
     {"max_tasks", UINT32, OPT, E(max_tasks), NULL, 2000, 1, 100000},
     {"max_answer_bytes", UINT64, OPT, E(max_answer_bytes), NULL, 64 * MB, KB, 1024 * MB},
     {"max_body_bytes", UINT64, OPT, E(max_body_bytes), NULL, 16 * MB, KB, 1024 * MB},
-    {"agent_queue", UINT32, OPT, E(agent_queue), NULL, 2, 0, 1000},
+    {"agent_queue", UINT32, OPT, E(agent_queue), NULL, 1, 0, 1000},
     {"trace_spans", UINT32, OPT, E(trace_spans), NULL, 4096, 0, 1000000},
 };
 
--- a/src/request/dispatch.c
+++ b/src/request/dispatch.c
@@ -5,7 +5,6 @@
 
 #define BATCH_BYTES    1048576U /* well under the record limit */
 #define START_OVERHEAD 512
-#define SCAN_JOBS      16 /* jobs tried behind one that fits no worker */
 
 /* A submitted job that is not finished. */
 struct djob {
@@ -30,6 +29,12 @@
 	size_t bytes;
 };
 
+/* A pass over the queued tasks of a service, as place.h describes it. */
+struct pass {
+	int64_t now_ms;
+	uint32_t skipped; /* tasks that were not placed */
+};
+
 /* A start whose outcome is not known. */
 struct out {
 	struct job *job; /* holds a reference */
@@ -207,6 +212,36 @@
 	return queue;
 }
 
+static void
+task_need(const struct job *job, uint32_t index, struct place_task *need)
+{
+	const struct job_task_spec *spec = &job_task(job, index)->spec;
+
+	need->service = job_service(job);
+	need->declared_ms = spec->run_ms;
+	need->cores = spec->cores;
+	need->memory_mb = spec->memory_mb;
+}
+
+/* The last task to end decides the answer, so long ones go first. */
+static void
+sort_tasks(struct dispatch *dsp, struct job *job)
+{
+	uint32_t i, n = job_n_tasks(job);
+	struct place_task need;
+	int64_t *run_us;
+
+	if (n < 2)
+		return;
+	run_us = g_new(int64_t, n);
+	for (i = 0; i < n; i++) {
+		task_need(job, i, &need);
+		run_us[i] = place_expected_run_us(dsp->opts.place, &need);
+	}
+	job_sort(job, run_us);
+	g_free(run_us);
+}
+
 /* Queues a job that was admitted; the dispatcher takes a reference. */
 void
 dsp_submit(struct dispatch *dsp, struct job *job)
@@ -215,6 +250,7 @@
 
 	dj->job = job_ref(job);
 	dj->queue = get_queue(dsp, job_service(job));
+	sort_tasks(dsp, job);
 	g_hash_table_insert(dsp->jobs, job, dj);
 	set_timer(dsp, dj, job_request(job)->deadline_ms);
 	update_queue(dj, false);
@@ -339,17 +375,6 @@
 	    (char *)(spec->traceparent != NULL ? spec->traceparent : "");
 }
 
-static void
-task_need(const struct job *job, uint32_t index, struct place_task *need)
-{
-	const struct job_task_spec *spec = &job_task(job, index)->spec;
-
-	need->service = job_service(job);
-	need->declared_ms = spec->run_ms;
-	need->cores = spec->cores;
-	need->memory_mb = spec->memory_mb;
-}
-
 /* Undoes starts of a batch that was not sent. */
 static void
 return_batch(struct dispatch *dsp, struct batch *batch, int64_t now_ms)
@@ -442,48 +467,58 @@
 	g_ptr_array_set_size(dsp->batches, 0);
 }
 
-/* Places tasks of one job; returns false when some task fits no worker now. */
+/* Whether the pass may go on after a task that was not placed. */
 static bool
-run_job(struct dispatch *dsp, struct djob *dj, int64_t now_ms)
+may_go_on(struct dispatch *dsp, struct pass *pass, const char *service)
+{
+	return ++pass->skipped < PLACE_PASS_TASKS &&
+	       g_hash_table_size(dsp->outs) < dsp->opts.max_outstanding &&
+	       place_has_room(dsp->opts.place, service);
+}
+
+/* Places tasks of one job; returns false when the pass ends. */
+static bool
+run_job(struct dispatch *dsp, struct djob *dj, struct pass *pass)
 {
 	struct place_task need;
-	uint32_t index, place_id;
+	uint32_t index, place_id, rank = 0;
+	bool go_on = true;
 	void *agent;
-	bool all = true;
 
-	while ((index = job_next_waiting(dj->job)) != JOB_NO_TASK) {
+	while (
+	    go_on && (index = job_next_waiting(dj->job, rank)) != JOB_NO_TASK) {
+		rank = job_task(dj->job, index)->rank + 1;
 		task_need(dj->job, index, &need);
 		agent = NULL;
 		if (g_hash_table_size(dsp->outs) < dsp->opts.max_outstanding)
 			agent = pool_choose(
-			    dsp->opts.pool, &need, &place_id, now_ms);
-		if (agent == NULL) {
-			all = false;
-			break;
+			    dsp->opts.pool, &need, &place_id, pass->now_ms);
+		if (agent != NULL) {
+			add_start(
+			    dsp, dj, index, agent, place_id, pass->now_ms);
+			continue;
 		}
-		add_start(dsp, dj, index, agent, place_id, now_ms);
+		go_on = may_go_on(dsp, pass, need.service);
+		/* Its other tasks are mostly alike and must not end the pass. */
+		if (!place_fits_live(dsp->opts.place, &need))
+			break;
 	}
-	flush_batches(dsp, now_ms);
+	flush_batches(dsp, pass->now_ms);
 	update_queue(dj, true);
-	return all && job_n_waiting(dj->job) == 0;
+	return go_on;
 }
 
 static void
-run_queue(struct dispatch *dsp, struct queue *queue, int64_t now_ms)
+run_queue(struct dispatch *dsp, struct queue *queue, const char *service,
+    int64_t now_ms)
 {
+	struct pass pass = {.now_ms = now_ms};
 	GList *link = queue->jobs.head, *next;
-	struct djob *dj;
-	int scanned = 0;
+	bool go_on = link != NULL && place_has_room(dsp->opts.place, service);
 
-	while (link != NULL && scanned < SCAN_JOBS) {
+	while (go_on && link != NULL) {
 		next = link->next;
-		dj = link->data;
-		if (!run_job(dsp, dj, now_ms)) {
-			scanned++;
-			if (place_free_slots(
-				dsp->opts.place, job_service(dj->job)) == 0)
-				break;
-		}
+		go_on = run_job(dsp, link->data, &pass);
 		link = next;
 	}
 }
@@ -496,13 +531,14 @@
 dsp_run(struct dispatch *dsp, int64_t now_ms)
 {
 	GHashTableIter iter;
-	gpointer value;
+	gpointer key, value;
 
 	if (!fresh_is_current(dsp->opts.fresh, now_ms))
 		return;
+	place_begin_pass(dsp->opts.place, now_ms);
 	g_hash_table_iter_init(&iter, dsp->queues);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		run_queue(dsp, value, now_ms);
+	while (g_hash_table_iter_next(&iter, &key, &value))
+		run_queue(dsp, value, key, now_ms);
 }
 
 static bool
--- a/src/request/job.c
+++ b/src/request/job.c
@@ -15,7 +15,8 @@
 	struct job_task *tasks;
 	uint32_t n_waiting;
 	uint32_t n_placed;
-	uint32_t cursor; /* no task before it waits */
+	uint32_t *order; /* indexes of the tasks by rank */
+	uint32_t cursor; /* no task of a lower rank waits */
 	enum job_state state;
 	enum job_cause cause;
 	int64_t finished_ms;
@@ -177,6 +178,7 @@
 		free_result(job, &job->tasks[i]);
 	}
 	g_free(job->tasks);
+	g_free(job->order);
 	free_headers(
 	    (struct job_header *)job->spec.headers, job->spec.n_headers);
 	g_free((char *)job->spec.id);
@@ -277,9 +279,11 @@
 	job->spec.headers = copy_headers(spec->headers, spec->n_headers);
 	job->spec.tasks = NULL;
 	job->tasks = g_new0(struct job_task, spec->n_tasks);
+	job->order = g_new(uint32_t, spec->n_tasks);
 	for (i = 0; i < spec->n_tasks; i++) {
 		job->tasks[i].spec = spec->tasks[i];
 		g_bytes_ref(job->tasks[i].spec.payload);
+		job->tasks[i].rank = job->order[i] = i;
 	}
 	job->n_waiting = spec->n_tasks;
 	job->waiters = g_array_new(FALSE, FALSE, sizeof(struct waiter));
@@ -457,15 +461,43 @@
 	return job->n_placed;
 }
 
-/* Returns the index of the first waiting task. */
+static int
+compare_costs(gconstpointer a, gconstpointer b, gpointer data)
+{
+	const uint32_t *x = a, *y = b;
+	const int64_t *cost = data;
+
+	if (cost[*x] != cost[*y])
+		return cost[*x] > cost[*y] ? -1 : 1;
+	return (*x > *y) - (*x < *y);
+}
+
+/* Orders the tasks of a job that has not been placed yet. */
+void
+job_sort(struct job *job, const int64_t *cost)
+{
+	uint32_t i;
+
+	g_qsort_with_data(job->order, (gint)job->spec.n_tasks,
+	    sizeof(*job->order), compare_costs, (gpointer)cost);
+	for (i = 0; i < job->spec.n_tasks; i++)
+		job->tasks[job->order[i]].rank = i;
+	job->cursor = 0;
+}
+
+/* Returns the index of the first waiting task from a rank on. */
 uint32_t
-job_next_waiting(struct job *job)
+job_next_waiting(struct job *job, uint32_t rank)
 {
 	if (job->n_waiting == 0)
 		return JOB_NO_TASK;
-	while (job->tasks[job->cursor].state != JOB_TASK_WAITING)
+	while (job->tasks[job->order[job->cursor]].state != JOB_TASK_WAITING)
 		job->cursor++;
-	return job->cursor;
+	for (rank = MAX(rank, job->cursor); rank < job->spec.n_tasks; rank++) {
+		if (job->tasks[job->order[rank]].state == JOB_TASK_WAITING)
+			return job->order[rank];
+	}
+	return JOB_NO_TASK;
 }
 
 /* Notes that a waiting task was sent to an agent under seq. */
@@ -593,7 +625,7 @@
 {
 	job->tasks[index].state = JOB_TASK_WAITING;
 	job->n_waiting++;
-	job->cursor = MIN(job->cursor, index);
+	job->cursor = MIN(job->cursor, job->tasks[index].rank);
 }
 
 /* Notes that a start is proved not to have happened; the task waits again. */
--- a/src/request/job.h
+++ b/src/request/job.h
@@ -80,6 +80,7 @@
 struct job_task {
 	struct job_task_spec spec;
 	enum job_task_state state;
+	uint32_t rank; /* place in the queue of the job */
 	uint32_t attempts;
 	uint64_t seq; /* of the latest start */
 	uint32_t status;
@@ -144,8 +145,13 @@
 const struct job_task *job_task(const struct job *job, uint32_t index);
 uint32_t job_n_waiting(const struct job *job);
 uint32_t job_n_placed(const struct job *job);
-/* The first waiting task, or JOB_NO_TASK. */
-uint32_t job_next_waiting(struct job *job);
+/* Queues the tasks in falling order of cost, equal ones by their index. */
+void job_sort(struct job *job, const int64_t *cost);
+/*
+ * The first waiting task at or behind a rank in the job's queue, or
+ * JOB_NO_TASK.
+ */
+uint32_t job_next_waiting(struct job *job, uint32_t rank);
 
 void job_placed(struct job *job, uint32_t index, uint64_t seq);
 /*
--- a/src/request/place.c
+++ b/src/request/place.c
@@ -11,8 +11,6 @@
  * run time; 0 left slots idle and 0.3 and more let queues grow at workers.
  */
 #define OTHERS_DECAY 0.15
-/* Slots that a returned worker may use before its first task finishes. */
-#define RAMP_START 1U
 /* Preference for local workers when a little later is good enough. */
 #define REMOTE_COST 1.1
 
@@ -27,8 +25,6 @@
 	bool local;
 	bool usable;
 	bool draining;
-	bool ramping;
-	uint32_t ramp_limit;
 	uint32_t slots;
 	uint32_t cores;
 	uint64_t memory_mb;
@@ -47,7 +43,6 @@
 	char *failure_domain;
 	uint32_t ahead;
 	bool prefer_local;
-	bool ramp;
 	bool in_pass;
 	int64_t now_ms; /* of the current choice */
 	uint64_t random;
@@ -126,9 +121,7 @@
 static uint32_t
 limit_of(const struct place *place, const struct worker *w)
 {
-	uint32_t limit = w->slots + place->ahead;
-
-	return w->ramping ? MIN(limit, w->ramp_limit) : limit;
+	return w->slots + place->ahead;
 }
 
 static bool
@@ -143,13 +136,6 @@
 	return w->usable && !w->draining && w->slots > 0;
 }
 
-/* Its room is not known to come back within a run time. */
-static bool
-is_ramping_full(const struct place *place, const struct worker *w)
-{
-	return w->ramping && load_of(place, w) >= w->ramp_limit;
-}
-
 static bool
 has_room(const struct place *place, const struct worker *w)
 {
@@ -219,7 +205,7 @@
 			->pdata[(i + offset) % service->workers->len];
 		double us;
 
-		if (!is_live(w) || !fits(w, task) || is_ramping_full(place, w))
+		if (!is_live(w) || !fits(w, task))
 			continue;
 		us = expected_finish_us(place, w, task);
 		if (place->prefer_local && !w->local)
@@ -328,7 +314,6 @@
 	place->failure_domain = g_strdup(opts->failure_domain);
 	place->ahead = opts->ahead;
 	place->prefer_local = opts->prefer_local;
-	place->ramp = opts->ramp;
 	/* An odd multiplier spreads small seeds; the state must not be 0. */
 	place->random = (opts->seed + 1ULL) * 0x9e3779b97f4a7c15ULL;
 	place->services =
@@ -349,10 +334,7 @@
 	g_free(place);
 }
 
-/*
- * Adds a usable worker.  It counts as returned, and is ramped when the
- * options say so, if tasks of its service have been measured elsewhere.
- */
+/* Adds a usable worker without measured run times. */
 uint32_t
 place_add(
     struct place *place, const struct place_worker *worker, int64_t now_ms)
@@ -369,8 +351,6 @@
 	w->report_ms = now_ms - 1;
 	w->progress_ms = now_ms;
 	w->service = make_service(place, worker->service);
-	w->ramping = place->ramp && w->service->estimate.run_us.samples > 0;
-	w->ramp_limit = RAMP_START;
 	g_ptr_array_add(w->service->workers, w);
 	g_hash_table_insert(place->workers, GUINT_TO_POINTER(w->id), w);
 	return w->id;
@@ -485,6 +465,20 @@
 	return id;
 }
 
+bool
+place_fits_live(const struct place *place, const struct place_task *task)
+{
+	const struct service *service = find_service(place, task->service);
+	guint i;
+
+	for (i = 0; service != NULL && i < service->workers->len; i++) {
+		if (is_live(service->workers->pdata[i]) &&
+		    fits(service->workers->pdata[i], task))
+			return true;
+	}
+	return false;
+}
+
 bool
 place_can_ever_run(const struct place *place, const struct place_task *task)
 {
@@ -546,11 +540,8 @@
 		else if (w->unseen > 0)
 			w->unseen--;
 	}
-	if (outcome == PLACE_NOT_STARTED)
-		return;
-	measure(w, task, outcome, run_us);
-	if (outcome == PLACE_OK && ++w->ramp_limit > w->slots + place->ahead)
-		w->ramping = false;
+	if (outcome != PLACE_NOT_STARTED)
+		measure(w, task, outcome, run_us);
 }
 
 /*
--- a/src/request/place.h
+++ b/src/request/place.h
@@ -28,7 +28,6 @@
 	uint32_t ahead;		    /* tasks sent beyond a worker's slots */
 	uint32_t seed;
 	bool prefer_local;
-	bool ramp; /* limit a returned worker by its finished tasks */
 };
 
 /* Strings are copied. */
@@ -88,7 +87,9 @@
 /* PLACE_NONE: no worker can take the task now; it waits at the entry. */
 uint32_t place_choose(
     struct place *place, const struct place_task *task, int64_t now_ms);
-/* Whether any worker, busy or not, could ever run the task. */
+/* Whether any worker that may get work, busy or not, could run the task. */
+bool place_fits_live(const struct place *place, const struct place_task *task);
+/* Whether any worker, usable or not, could ever run the task. */
 bool place_can_ever_run(
     const struct place *place, const struct place_task *task);
 void place_dispatched(struct place *place, uint32_t id,
--- a/tests/policy_replay.c
+++ b/tests/policy_replay.c
@@ -150,8 +150,7 @@
 	    .failure_domain = text_of(r, "domain", "a"),
 	    .ahead = (uint32_t)number_of(r, "ahead", 0),
 	    .seed = (uint32_t)number_of(r, "seed", 1),
-	    .prefer_local = flag_of(r, "prefer_local"),
-	    .ramp = flag_of(r, "ramp")};
+	    .prefer_local = flag_of(r, "prefer_local")};
 
 	if (!place_policy_parse(
 		text_of(r, "policy", "least_wait"), &opts.policy))
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -8,6 +8,7 @@
 
 #define MAX_JOBS   16
 #define MAX_AGENTS 4
+#define MAX_TASKS  128
 
 struct agent {
 	char name[4];
@@ -109,7 +110,7 @@
 make_dispatch(struct world *w)
 {
 	struct place_options place = {
-	    .policy = PLACE_LEAST_WAIT, .failure_domain = "x"};
+	    .policy = PLACE_EARLIEST_FINISH, .failure_domain = "x"};
 	struct pool_options pool;
 	struct rty_options retry = {
 	    .percent = 50, .burst = 10, .max_attempts = 3};
@@ -181,35 +182,63 @@
 	g_free(w);
 }
 
+/* Queues a job of tasks whose times and sizes are given. */
+static void
+put(struct world *w, struct job_spec *spec, struct job_task_spec *tasks)
+{
+	struct job *job;
+	uint32_t i;
+
+	spec->service = "s";
+	spec->team = "t";
+	spec->tasks = tasks;
+	for (i = 0; i < spec->n_tasks; i++)
+		tasks[i].payload = g_bytes_new("x", 1);
+	ck_assert_int_eq(job_put(w->table, spec, &job), JOB_CREATED);
+	w->jobs[atoi(spec->id)] = job_ref(job);
+	for (i = 0; i < spec->n_tasks; i++)
+		g_bytes_unref(tasks[i].payload);
+	rty_request(w->retry);
+	dsp_submit(w->dispatch, job);
+}
+
 /* submit ID TASKS DEADLINE [get|post]: the last makes a single request. */
 static void
 submit(struct world *w, char **words)
 {
-	struct job_task_spec tasks[16];
+	struct job_task_spec tasks[MAX_TASKS] = {0};
 	struct job_spec spec = {.id = words[1],
 	    .counter = (uint64_t)atoi(words[1]),
-	    .service = "s",
-	    .team = "t",
-	    .tasks = tasks,
 	    .n_tasks = (uint32_t)atoi(words[2]),
 	    .deadline_ms = atoi(words[3])};
-	struct job *job;
-	uint32_t i;
 
 	if (words[4] != NULL) {
 		spec.counter = 0;
 		spec.method = words[4];
 		spec.idempotent = strcmp(words[4], "get") == 0;
 	}
-	memset(tasks, 0, sizeof(tasks));
-	for (i = 0; i < spec.n_tasks; i++)
-		tasks[i].payload = g_bytes_new("x", 1);
-	ck_assert_int_eq(job_put(w->table, &spec, &job), JOB_CREATED);
-	w->jobs[atoi(words[1])] = job_ref(job);
-	for (i = 0; i < spec.n_tasks; i++)
-		g_bytes_unref(tasks[i].payload);
-	rty_request(w->retry);
-	dsp_submit(w->dispatch, job);
+	put(w, &spec, tasks);
+}
+
+/* tasks ID DEADLINE COUNTxRUN_MS:MEMORY_MB ... */
+static void
+submit_tasks(struct world *w, char **words)
+{
+	struct job_task_spec tasks[MAX_TASKS] = {0};
+	struct job_spec spec = {.id = words[1],
+	    .counter = (uint64_t)atoi(words[1]),
+	    .deadline_ms = atoi(words[2])};
+	int count, run_ms, memory_mb;
+
+	for (words += 3; *words != NULL; words++) {
+		ck_assert_int_eq(
+		    sscanf(*words, "%dx%d:%d", &count, &run_ms, &memory_mb), 3);
+		while (count-- > 0) {
+			tasks[spec.n_tasks].run_ms = run_ms;
+			tasks[spec.n_tasks++].memory_mb = (uint64_t)memory_mb;
+		}
+	}
+	put(w, &spec, tasks);
 }
 
 /* done|unknown|unstarted AGENT SEQ [STATUS|REASON] */
@@ -237,7 +266,7 @@
 	    w->dispatch, &w->agents[atoi(words[1])], &result, w->now_ms);
 }
 
-/* agent N DOMAIN SLOTS */
+/* agent N DOMAIN SLOTS [MEMORY_MB] */
 static void
 agent_up(struct world *w, char **words)
 {
@@ -247,7 +276,7 @@
 	    .service = "s",
 	    .slots = (uint32_t)atoi(words[3]),
 	    .cores = 1,
-	    .memory_mb = 1};
+	    .memory_mb = words[4] != NULL ? (uint64_t)atoi(words[4]) : 1};
 
 	g_snprintf(a->name, sizeof(a->name), "a%.1s", words[1]);
 	pool_up(w->pool, a, &worker, w->now_ms);
@@ -285,6 +314,8 @@
 
 	if (strcmp(words[0], "submit") == 0)
 		submit(w, words);
+	else if (strcmp(words[0], "tasks") == 0)
+		submit_tasks(w, words);
 	else if (strcmp(words[0], "cancel") == 0)
 		dsp_cancel(w->dispatch, w->jobs[atoi(words[1])], w->now_ms);
 	else if (strcmp(words[0], "run") == 0)
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -167,7 +167,7 @@
 		show(job, actual);
 	else if (strcmp(words[0], "next") == 0)
 		g_string_append_printf(
-		    actual, "%d", (int)job_next_waiting(job));
+		    actual, "%d", (int)job_next_waiting(job, 0));
 	else if (strcmp(words[0], "fail") == 0)
 		fail_job(w, job, words[2]);
 	else if (strcmp(words[0], "giveup") == 0)
