Report in each load the highest seq that the agent had received

Cause: the entry guessed which of its starts a reported load left out, from results and from a time of 5 ms, so starts were counted twice or not at all. Ruled out: counting the starts received, which a lost connection makes differ between the two sides. Change: wire_load carries received_seq; the entry counts its open starts above it, exactly, and the time constant is gone.

--- a/src/connection/agentlink.c
+++ b/src/connection/agentlink.c
@@ -4,9 +4,6 @@
 #include "process/clock.h"
 #include "process/log.h"
 
-/* One-way latency between failure domains, several times over. */
-#define UNSEEN_MS 5
-
 struct al {
 	struct al_set *set;
 	char *key; /* "<failure domain>/<worker>" */
@@ -18,13 +15,12 @@
 	int64_t lost_ms;
 	uint64_t acked_result; /* all results up to it were received */
 	bool counting;	       /* acked_result is set */
-	uint64_t seen_seq;     /* the agent has seen the starts up to it */
+	uint64_t seen_seq;     /* the agent has received up to it */
 	GHashTable *open;      /* &seq -> struct open_start */
 	GArray *asked;	       /* seqs of the QUERY in progress */
 };
 
 struct open_start {
-	int64_t sent_ms;
 	int64_t resent_by_ms; /* 0: its result is not due */
 	bool withdrawn;
 };
@@ -193,16 +189,15 @@
 }
 
 static uint32_t
-count_unseen(const struct al *al, int64_t now_ms)
+count_unseen(const struct al *al)
 {
 	GHashTableIter iter;
-	gpointer key, value;
+	gpointer key;
 	uint32_t n = 0;
 
 	g_hash_table_iter_init(&iter, al->open);
-	while (g_hash_table_iter_next(&iter, &key, &value)) {
-		if (*(uint64_t *)key > al->seen_seq &&
-		    now_ms - ((struct open_start *)value)->sent_ms < UNSEEN_MS)
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		if (*(uint64_t *)key > al->seen_seq)
 			n++;
 	}
 	return n;
@@ -218,8 +213,8 @@
 	    .draining = load->draining,
 	};
 
-	al->set->opts.load(
-	    al, &out, count_unseen(al, clk_now_ms()), al->set->opts.ctx);
+	al->seen_seq = MAX(al->seen_seq, load->received_seq);
+	al->set->opts.load(al, &out, count_unseen(al), al->set->opts.ctx);
 }
 
 /* Takes what the agent says about its endpoint. */
@@ -279,8 +274,6 @@
 static void
 take_result(struct al *al, const wire_result *result)
 {
-	/* Starts reach the agent in order, so this one shows all before it. */
-	al->seen_seq = MAX(al->seen_seq, result->seq);
 	if (!g_hash_table_remove(al->open, &result->seq)) {
 		(*al->set->late)++;
 		return;
@@ -569,9 +562,7 @@
 bool
 al_start(struct al *al, const wire_start *starts, size_t n)
 {
-	struct open_start *open;
 	wire_start_args args;
-	int64_t now_ms = clk_now_ms();
 	size_t i;
 
 	if (al->conn == NULL || !rpc_is_open(al->conn) ||
@@ -586,12 +577,10 @@
 	    rpc_is_open(al->conn))
 		return false;
 	/* A connection that closed in between may have sent a part. */
-	for (i = 0; i < n; i++) {
-		open = g_new0(struct open_start, 1);
-		open->sent_ms = now_ms;
+	for (i = 0; i < n; i++)
 		g_hash_table_insert(al->open,
-		    g_memdup2(&starts[i].seq, sizeof(starts[i].seq)), open);
-	}
+		    g_memdup2(&starts[i].seq, sizeof(starts[i].seq)),
+		    g_new0(struct open_start, 1));
 	return true;
 }
 
--- a/src/connection/entrylink.c
+++ b/src/connection/entrylink.c
@@ -22,6 +22,7 @@
 	uint64_t entry;	  /* incarnation, kept over reconnects */
 	int64_t first_ns; /* send times of this connection's calls */
 	int64_t last_ns;
+	uint64_t received_seq; /* highest of this entry */
 	uint64_t members_digest;
 	struct wire_heartbeat_result heard; /* its members are kept */
 	int64_t backoff_ms;
@@ -174,6 +175,7 @@
 	memset(&state, 0, sizeof(state));
 	el->opts.handlers->hello(&state, el->opts.ctx);
 	el->last_ns = clk_now_ns();
+	state.load.received_seq = el->received_seq;
 	args = (struct wire_heartbeat_args){
 	    .sent_ns = el->last_ns,
 	    .config_version = fresh_version(el->opts.fresh),
@@ -233,6 +235,7 @@
 		memset(&args, 0, sizeof(args));
 		if (!el->opts.handlers->results(el, &args, el->opts.ctx))
 			return G_SOURCE_REMOVE;
+		args.load.received_seq = el->received_seq;
 		sent = rpc_send(el->conn, WIRE_RESULTS,
 		    (xdrproc_t)xdr_wire_results_args, &args);
 		g_free(args.results.results_val);
@@ -258,6 +261,17 @@
 		    g_idle_add_full(G_PRIORITY_DEFAULT, on_flush, el, NULL);
 }
 
+/* Starts of lower seqs arrive before, or never. */
+static void
+note_received(struct el *el, const struct wire_start_args *args)
+{
+	u_int i;
+
+	for (i = 0; i < args->starts.starts_len; i++)
+		el->received_seq =
+		    MAX(el->received_seq, args->starts.starts_val[i].seq);
+}
+
 static void
 handle_start(struct el *el, XDR *xdrs)
 {
@@ -267,6 +281,7 @@
 	memset(&args, 0, sizeof(args));
 	ok = xdr_wire_start_args(xdrs, &args);
 	if (ok) {
+		note_received(el, &args);
 		el->opts.handlers->acked(el, args.acked_result, el->opts.ctx);
 		ok = el->opts.handlers->start(el, &args, el->opts.ctx);
 	}
@@ -344,6 +359,8 @@
 	uint64_t previous = el->entry;
 
 	el->entry = result->entry.incarnation;
+	if (el->entry != previous)
+		el->received_seq = 0;
 	el->members_digest = 0;
 	if (!el->opts.handlers->opened(
 		el, &result->entry, previous, el->opts.ctx)) {
--- a/src/connection/wire.x
+++ b/src/connection/wire.x
@@ -24,6 +24,7 @@
 	uint32_t busy;
 	uint32_t queued;
 	bool draining;
+	uint64_t received_seq;		/* highest of the addressed entry */
 };
 
 struct wire_member {
--- a/src/connection/wire_xdr.c
+++ b/src/connection/wire_xdr.c
@@ -48,6 +48,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->draining))
 		 return FALSE;
+	 if (!xdr_uint64_t (xdrs, &objp->received_seq))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/connection/wire_xdr.h
+++ b/src/connection/wire_xdr.h
@@ -39,6 +39,7 @@
 	uint32_t busy;
 	uint32_t queued;
 	bool_t draining;
+	uint64_t received_seq;
 };
 typedef struct wire_load wire_load;
 
--- a/tests/test_entrylink.c
+++ b/tests/test_entrylink.c
@@ -491,8 +491,11 @@
 	    hn_wait_until(strcmp(fake.service_name, "desk") == 0, HN_LIMIT_MS));
 	ck_assert_uint_ne(fake.hello.incarnation, incarnation);
 	ck_assert_uint_eq(fake.load.busy, 1);
+	/* The entry counts a start as load until the agent has received it. */
+	ck_assert_uint_eq(fake.load.received_seq, 0);
 	send_start(fake.conn, 2, 2, 20000, "{\"run_ms\":200}");
 	expect_result(3, WIRE_DONE, WIRE_REASON_NONE);
+	ck_assert_uint_eq(fake.load.received_seq, 3);
 	ck_assert_int_eq(counted("over_slots"), 0);
 	hn_finish();
 }
