Take an endpoint's refusal of a late start for not started

Cause: an endpoint that got a request after Sequoiaplank-Start-By answered 412, which failed the job although nothing had run. Ruled out: taking every 412 so, since a 412 may be the answer of a service; reason deadline in every case, since an endpoint whose clock is ahead would get the same task again at once, in a loop until the job's deadline. Change: 412 with Sequoiaplank-Not-Run: true is NOT_STARTED, with reason deadline when the deadline bounds the start and stale when the age of the configuration does, which pauses the agent. The stand-in sends the header.

--- a/src/connection/endpoint.c
+++ b/src/connection/endpoint.c
@@ -9,6 +9,7 @@
 #define READ_CHUNK_BYTES 65536
 #define US_PER_MS	 1000
 #define NS_PER_US	 1000
+#define NS_PER_MS	 1000000
 /* The run queue bounds the calls; libsoup must never hold one back. */
 #define SESSION_CONNECTIONS 65536
 
@@ -157,6 +158,33 @@
 	result->headers.headers_len = n;
 }
 
+/* Whether the endpoint says that it did not run the task. */
+static bool
+is_not_run(const struct call *call)
+{
+	const char *value = soup_message_headers_get_one(
+	    soup_message_get_response_headers(call->msg),
+	    "Sequoiaplank-Not-Run");
+
+	return soup_message_get_status(call->msg) ==
+		   SOUP_STATUS_PRECONDITION_FAILED &&
+	       value != NULL && g_ascii_strcasecmp(value, "true") == 0;
+}
+
+/*
+ * A latest start that the deadline bounds says nothing about the agent.  One
+ * that the age of the configuration bounds is reported as stale, so that the
+ * entry pauses the agent instead of sending it the same task again at once.
+ */
+static void
+fill_not_run(const struct call *call, struct wire_result *result)
+{
+	result->outcome = WIRE_NOT_STARTED;
+	result->reason = call->start_by_ns / NS_PER_MS >= call->deadline_ms
+			     ? WIRE_REASON_DEADLINE
+			     : WIRE_REASON_STALE;
+}
+
 static void
 fill_answer(struct call *call, struct wire_result *result)
 {
@@ -196,7 +224,9 @@
 	struct wire_result result = {.seq = call->seq};
 
 	if (call->ep != NULL) {
-		if (whole) {
+		if (whole && is_not_run(call)) {
+			fill_not_run(call, &result);
+		} else if (whole) {
 			fill_answer(call, &result);
 		} else {
 			result.outcome =
--- a/tests/standin_endpoint.c
+++ b/tests/standin_endpoint.c
@@ -198,6 +198,9 @@
 		reply_json(msg, 400, g_string_new("{\"error\":\"no id\"}"));
 	} else if (is_late(headers)) {
 		state.late++;
+		soup_message_headers_replace(
+		    soup_server_message_get_response_headers(msg),
+		    "Sequoiaplank-Not-Run", "true");
 		reply_json(msg, 412, g_string_new("{\"error\":\"late\"}"));
 	} else {
 		count_start(task_id);
--- a/tests/test_endpoint.c
+++ b/tests/test_endpoint.c
@@ -391,6 +391,47 @@
 }
 END_TEST
 
+/*
+ * What an endpoint refuses because the time to start has passed may run
+ * elsewhere; any other 412 is its answer.
+ */
+START_TEST(refused_by_endpoint)
+{
+#define NOT_RUN "Sequoiaplank-Not-Run: "
+#define EMPTY	"\r\nContent-Length: 0\r\n\r\n"
+	static const struct {
+		const char *answer;
+		int64_t start_by_ms;
+		enum wire_outcome outcome;
+		enum wire_reason reason;
+	} rows[] = {{"HTTP/1.1 412 No\r\n" NOT_RUN "true" EMPTY, 6000,
+			WIRE_NOT_STARTED, WIRE_REASON_DEADLINE},
+	    {"HTTP/1.1 412 No\r\n" NOT_RUN "true" EMPTY, 1000, WIRE_NOT_STARTED,
+		WIRE_REASON_STALE},
+	    {"HTTP/1.1 412 No\r\n" NOT_RUN "false" EMPTY, 5000, WIRE_DONE,
+		WIRE_REASON_NONE},
+	    {"HTTP/1.1 412 No" EMPTY, 5000, WIRE_DONE, WIRE_REASON_NONE},
+	    {"HTTP/1.1 500 No\r\n" NOT_RUN "true" EMPTY, 5000, WIRE_DONE,
+		WIRE_REASON_NONE},
+	    {"HTTP/1.1 412 No\r\n" NOT_RUN "true\r\nContent-Length: 2\r\n\r\nx",
+		5000, WIRE_UNKNOWN, WIRE_REASON_BROKEN}};
+	struct plan plan = {"", NULL, 5000, 0};
+	struct ep *ep = client();
+	struct outcome o;
+	size_t i;
+
+	server_start();
+	plan.address = server.address;
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		server.answer = rows[i].answer;
+		plan.start_by_ms = rows[i].start_by_ms;
+		o = call(ep, &plan);
+		expect(&o, rows[i].outcome, rows[i].reason);
+	}
+	ep_free(ep);
+}
+END_TEST
+
 /*
  * libsoup sends a request again on another connection after a 421; the answer
  * is then lost, but no byte may be sent twice.
@@ -501,5 +542,5 @@
 TEST_MAIN("endpoint", 60, drop_in_request, drop_in_answer,
     answer_without_length, refused_is_not_started, too_late_to_send,
     oversize_answer, deadline, redirect_and_login_are_answers,
-    misdirected_is_sent_once, request_headers, announcement,
-    slots_in_use_by_others)
+    misdirected_is_sent_once, refused_by_endpoint, request_headers,
+    announcement, slots_in_use_by_others)
