--- a/src/connection/entryset.c
+++ b/src/connection/entryset.c
@@ -148,6 +148,35 @@
 	g_ptr_array_add(es->links, el_new(&opts));
 }
 
+/* Reports whether every wanted entry is connected. */
+static bool
+all_open(const struct es *es, const GArray *targets)
+{
+	guint i, open = 0;
+
+	for (i = 0; i < es->links->len; i++) {
+		struct el *el = es->links->pdata[i];
+
+		open += el_is_open(el) && is_wanted(el, targets);
+	}
+	return open >= targets->len;
+}
+
+/*
+ * An open link that is not wanted stays until all wanted ones are open.  An
+ * entry that does not list itself yet would otherwise be dropped and dialled
+ * again as a seed, without end.
+ */
+static bool
+is_surplus(const struct es *es, struct el *el, const GArray *targets)
+{
+	if (is_wanted(el, targets))
+		return false;
+	return !el_is_open(el) ||
+	       (all_open(es, targets) &&
+		   es->opts.is_idle(el_entry(el), es->opts.ctx));
+}
+
 static gboolean
 on_choose(gpointer data)
 {
@@ -162,10 +191,7 @@
 	for (i = 0; i < es->links->len; i++) {
 		struct el *el = es->links->pdata[i];
 
-		if (is_wanted(el, targets))
-			continue;
-		if (!el_is_open(el) ||
-		    es->opts.is_idle(el_entry(el), es->opts.ctx))
+		if (is_surplus(es, el, targets))
 			g_ptr_array_add(surplus, el);
 	}
 	g_array_unref(targets); /* refers to the lists of the links */
