Measure the costs of an entry and an agent with real processes

Cause: docs/CAPACITY.md needs measured slopes, and no figure came from real processes so far. The test system can start without the proxy and add agents while it runs. Ruled out: /proc/<pid>/schedstat, which is not kept on this machine, so CPU times are in steps of 10 ms and idle readings need windows of seconds.

--- a/src/connection/rpc.c
+++ b/src/connection/rpc.c
@@ -44,6 +44,25 @@
 	GHashTable *pending; /* xid -> struct pending */
 };
 
+/* Of all connections of this process; each process has one main loop. */
+static struct {
+	int64_t bytes_in, bytes_out, records_in, records_out;
+} totals;
+
+/* Copies the totals of all connections of this process to its counters. */
+void
+rpc_export(struct ctr_registry *reg)
+{
+	*ctr_counter(reg, "sp_rpc_bytes_in_total", "RPC bytes received") =
+	    totals.bytes_in;
+	*ctr_counter(reg, "sp_rpc_bytes_out_total", "RPC bytes queued") =
+	    totals.bytes_out;
+	*ctr_counter(reg, "sp_rpc_records_in_total", "RPC records received") =
+	    totals.records_in;
+	*ctr_counter(reg, "sp_rpc_records_out_total", "RPC records queued") =
+	    totals.records_out;
+}
+
 /* Adds a reference. */
 struct rpc_conn *
 rpc_ref(struct rpc_conn *conn)
@@ -250,6 +269,7 @@
 	uint32_t head[2];
 	XDR xdrs;
 
+	totals.records_in++;
 	if (len < sizeof(head)) {
 		rpc_close(conn, ST_INVALID, "record too short");
 		return;
@@ -338,6 +358,7 @@
 		if (n <= 0)
 			break;
 		conn->last_input_ms = clk_now_ms();
+		totals.bytes_in += n;
 		parse_input(conn);
 		if (n < READ_CHUNK_BYTES)
 			break;
@@ -425,6 +446,8 @@
 	memcpy(record, &mark, MARK_BYTES);
 	g_byte_array_append(conn->out, (guint8 *)record, len);
 	conn->bytes_out += len;
+	totals.bytes_out += len;
+	totals.records_out++;
 	flush_output(conn);
 	return conn->open;
 }
--- a/src/connection/rpc.h
+++ b/src/connection/rpc.h
@@ -7,6 +7,7 @@
 #include <rpc/rpc.h>
 #undef mem_free /* libtirpc's macro hides the function of members.h */
 
+#include "process/counters.h"
 #include "process/status.h"
 
 /*
@@ -55,6 +56,7 @@
 bool rpc_is_open(const struct rpc_conn *conn);
 int64_t rpc_silent_ms(const struct rpc_conn *conn);
 uint64_t rpc_bytes_out(const struct rpc_conn *conn);
+void rpc_export(struct ctr_registry *reg);
 
 bool rpc_send(
     struct rpc_conn *conn, uint32_t proc, xdrproc_t encode, void *args);
--- a/src/process/agent.c
+++ b/src/process/agent.c
@@ -6,6 +6,7 @@
 #include "connection/announce.h"
 #include "connection/entryset.h"
 #include "connection/localhttp.h"
+#include "connection/rpc.h"
 #include "process/agent.h"
 #include "process/clock.h"
 #include "process/counters.h"
@@ -350,6 +351,7 @@
 	*agent->open_links = es_open_links(agent->es);
 	*agent->version = (int64_t)fresh_version(agent->fresh);
 	*agent->age = fresh_age_ms(agent->fresh, clk_now_ms());
+	rpc_export(agent->counters);
 }
 
 static gboolean
--- a/src/process/entry.c
+++ b/src/process/entry.c
@@ -480,6 +480,7 @@
 	*entry->outstanding_gauge = dsp_outstanding(entry->dispatch);
 	*entry->version_gauge = (int64_t)fresh_version(entry->fresh);
 	*entry->age_gauge = fresh_age_ms(entry->fresh, now_ms);
+	rpc_export(entry->counters);
 	if (entry->closing && !entry->leaving)
 		check_drained(entry, now_ms);
 	return G_SOURCE_CONTINUE;
--- a/tests/system.c
+++ b/tests/system.c
@@ -75,6 +75,9 @@
 	int i, n = 2;
 
 	sys->store_port = hn_port();
+	for (i = 0; i < sys->opts.entries; i++)
+		sys->entry[i].far_store =
+		    sys->opts.direct ? sys->store_port : hn_port();
 	sys->store_control = hn_port();
 	sys->proxy_control = hn_port();
 	sys->store = hn_start(
@@ -89,13 +92,16 @@
 		argv[n++] = hn_str("%u=%u", e->far_rpc, e->rpc);
 		argv[n++] = hn_str("%u=%u", e->far_store, sys->store_port);
 	}
-	sys->proxy = hn_start("proxy", argv);
-	expect(hn_wait_until(
-		   hn_http("GET",
-		       hn_str("http://127.0.0.1:%u/", sys->proxy_control), NULL)
-			   ->status == 200,
-		   HN_LIMIT_MS),
-	    "the proxy did not start");
+	if (!sys->opts.direct) {
+		sys->proxy = hn_start("proxy", argv);
+		expect(hn_wait_until(hn_http("GET",
+					 hn_str("http://127.0.0.1:%u/",
+					     sys->proxy_control),
+					 NULL)
+					     ->status == 200,
+			   HN_LIMIT_MS),
+		    "the proxy did not start");
+	}
 	expect(hn_wait_until(hn_http("GET",
 				 hn_str("http://127.0.0.1:%u/control/counts",
 				     sys->store_control),
@@ -138,11 +144,16 @@
 }
 
 static void
-start_agent(struct sys *sys, int i)
+start_agent(struct sys *sys, int i, const char *extra)
 {
 	struct sys_agent *a = &sys->agent[i];
-	const char *extra = sys->opts.agent_settings;
-	const char *path = hn_write(hn_str("%s.json", a->name),
+	const char *path;
+
+	a->name = hn_str("worker-%d", i);
+	a->domain = hn_str("domain-%d", i % sys->opts.domains);
+	a->listen = hn_port();
+	a->endpoint_port = hn_port();
+	path = hn_write(hn_str("%s.json", a->name),
 	    hn_str("{\"worker\":\"%s\",\"failure_domain\":\"%s\","
 		   "\"listen\":\"127.0.0.1:%u\",\"entries\":[%s],"
 		   "\"cluster_key\":\"" KEY "\"%s}\n",
@@ -158,6 +169,15 @@
 		SYS_SERVICE, "--slots", hn_str("%d", sys->opts.slots), NULL});
 }
 
+/* Starts further agents, each with an endpoint. */
+void
+sys_add_agents(struct sys *sys, int n, const char *settings)
+{
+	expect(sys->opts.agents + n <= SYS_MAX, "too many agents");
+	while (n-- > 0)
+		start_agent(sys, sys->opts.agents++, settings);
+}
+
 static const char *
 default_text(struct sys *sys)
 {
@@ -174,9 +194,9 @@
 	    domains);
 }
 
-/* Applies a text through an entry; returns whether it was accepted. */
-static bool
-apply(struct sys *sys, int entry, const char *text, int64_t expected)
+/* Applies a text through an entry. */
+bool
+sys_apply(struct sys *sys, int entry, const char *text, int64_t expected)
 {
 	struct json_object *body = json_object_new_object();
 	struct hn_http *http;
@@ -184,7 +204,8 @@
 	json_object_object_add(
 	    body, "expected_version", json_object_new_int64(expected));
 	json_object_object_add(body, "change_id",
-	    json_object_new_string(hn_str("start-%u", sys->store_port)));
+	    json_object_new_string(
+		hn_str("apply-%u-%d", sys->store_port, (int)expected)));
 	json_object_object_add(body, "text", json_object_new_string(text));
 	http = hn_http("PUT", sys_ops_url(sys, entry, "/v1/config"),
 	    hn_str("%s", json_object_to_json_string(body)));
@@ -210,23 +231,14 @@
 		e->listen = hn_port();
 		e->operators = hn_port();
 		e->rpc = hn_port();
-		e->far_listen = hn_port();
-		e->far_rpc = hn_port();
-		e->far_store = hn_port();
-	}
-	for (i = 0; i < opts->agents; i++) {
-		struct sys_agent *a = &sys->agent[i];
-
-		a->name = hn_str("worker-%d", i);
-		a->domain = hn_str("domain-%d", i % opts->domains);
-		a->listen = hn_port();
-		a->endpoint_port = hn_port();
+		e->far_listen = opts->direct ? e->listen : hn_port();
+		e->far_rpc = opts->direct ? e->rpc : hn_port();
 	}
 	start_store_and_proxy(sys);
 	for (i = 0; i < opts->entries; i++)
 		start_entry(sys, i);
-	for (i = 0; i < opts->agents; i++)
-		start_agent(sys, i);
+	sys->opts.agents = 0;
+	sys_add_agents(sys, opts->agents, opts->agent_settings);
 	sys->text = opts->text != NULL ? opts->text : default_text(sys);
 	for (i = 0; i < opts->entries; i++)
 		expect(hn_wait_until(
@@ -278,7 +290,7 @@
 sys_start(struct sys *sys, const struct sys_options *opts)
 {
 	sys_launch(sys, opts);
-	expect(hn_wait_until(apply(sys, 0, sys->text, 0), HN_LIMIT_MS),
+	expect(hn_wait_until(sys_apply(sys, 0, sys->text, 0), HN_LIMIT_MS),
 	    "the first configuration was not accepted");
 	sys_wait_ready(sys);
 }
--- a/tests/system.h
+++ b/tests/system.h
@@ -9,7 +9,7 @@
  * i belong to failure domain i % domains ("domain-0" and so on).
  */
 
-#define SYS_MAX	    8
+#define SYS_MAX	    96
 #define SYS_SERVICE "desk"
 #define SYS_TEAM    "blue"
 /* No process starts work under an old configuration after this. */
@@ -18,6 +18,7 @@
 struct sys_options {
 	int entries, agents, domains;
 	int slots;		    /* of each endpoint; 0: 8 */
+	bool direct;		    /* no proxy; far_ ports are the near ones */
 	const char *entry_settings; /* ",\"key\":value..." or NULL */
 	const char *agent_settings;
 	const char *text; /* operators' text; NULL: one service, one team */
@@ -52,6 +53,10 @@
 /* The two halves of it, for a text that is applied in another way. */
 void sys_launch(struct sys *sys, const struct sys_options *opts);
 void sys_wait_ready(struct sys *sys);
+/* Starts n more agents; settings as of agent_settings, or NULL. */
+void sys_add_agents(struct sys *sys, int n, const char *settings);
+/* Submits a text as a new version; returns whether it was accepted. */
+bool sys_apply(struct sys *sys, int entry, const char *text, int64_t expected);
 /* Waits until a job of one entry completes again. */
 bool sys_wait_work(struct sys *sys, int entry, int64_t limit_ms);
 
