--- a/src/connection/endpoint.c
+++ b/src/connection/endpoint.c
@@ -6,7 +6,8 @@
 #include "connection/endpoint.h"
 #include "process/clock.h"
 
-#define READ_CHUNK_BYTES 65536
+/* glibc returned the memory of 64 KB reads to the kernel after each call. */
+#define READ_CHUNK_BYTES 8192
 #define US_PER_MS	 1000
 #define NS_PER_US	 1000
 #define NS_PER_MS	 1000000
@@ -286,6 +287,9 @@
 	else
 		g_byte_array_append(call->body, (const guint8 *)data, len);
 	call->too_large = call->body->len > call->ep->opts.max_answer_bytes;
+	/* The end of the stream would take another turn of the loop. */
+	if (!call->chunked && is_whole(call))
+		verdict = CHK_END;
 	if (call->too_large || verdict != CHK_MORE)
 		finish(call, !call->too_large && verdict == CHK_END);
 	else
