Test that disagreeing member lists cause no reconnect loop

Agents were seen to open 280 to 790 connections to one entry within a second while the entries started.

--- a/tests/test_configuration.c
+++ b/tests/test_configuration.c
@@ -432,11 +432,39 @@
 }
 END_TEST
 
+/*
+ * Entries that disagree about the members must not make agents close and
+ * open connections in a loop.
+ */
+START_TEST(members_disagree)
+{
+	struct run run = {0};
+	int64_t before, after;
+	const char *counts;
+	int i;
+
+	start(&run, 100, NULL);
+	cut_entry_from_store(&run);
+	sys_store(&run.sys, "expire");
+	counts = hn_str("http://127.0.0.1:%u/", run.sys.proxy_control);
+	before = hn_json_int(hn_http("GET", counts, NULL), "accepted");
+	hn_sleep(4000);
+	after = hn_json_int(hn_http("GET", counts, NULL), "accepted");
+	/* Each entry's few store polls a second are connections as well. */
+	ck_assert_msg(after - before < 300, "%d connections in 4 s",
+	    (int)(after - before));
+	restore_connections(&run);
+	for (i = 0; i < 3; i++)
+		ck_assert(sys_wait_work(&run.sys, i, HN_LIMIT_MS));
+	stop(&run);
+}
+END_TEST
+
 int
 main(void)
 {
 	const TTest *const tests[] = {in_force_is_true, operators_race,
-	    no_change_without_store, restart_during_outage};
+	    no_change_without_store, restart_during_outage, members_disagree};
 	int red = 0;
 
 	red |= run_table("configuration out", out_within_bound,
