tests: one driver for traces and text cases

Each program had its own copy of main and of the test that runs its case file, since casefile.h and runner.h both built suites. REPLAY_MAIN and CASES_MAIN in runner.h now define both; a case returns what it gave and the driver compares it. Sharing one loop for both file formats was ruled out: traces stop at the first wrong line, cases are one check each.

--- a/tests/runner.h
+++ b/tests/runner.h
@@ -4,9 +4,13 @@
 #include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "casefile.h"
+#include "replay.h"
+
 static inline int
 run_tcase(const char *name, TCase *tc, double limit_s)
 {
@@ -88,4 +92,53 @@
 		    name, tests, sizeof(tests) / sizeof(tests[0]), limit_s);   \
 	}
 
+/*
+ * Defines main() for the trace tests/cases/NAME.txt, one test, and the tests
+ * named.  The functions are those of struct replay.
+ */
+#define REPLAY_MAIN(name, start, end, step, ...)                               \
+	START_TEST(replay_cases)                                               \
+	{                                                                      \
+		static const struct replay replay = {start, end, step};        \
+		char *error =                                                  \
+		    replay_file("tests/cases/" name ".txt", &replay);          \
+                                                                               \
+		ck_assert_msg(error == NULL, "%s", error);                     \
+	}                                                                      \
+	END_TEST                                                               \
+	TEST_MAIN(name, 0, replay_cases, ##__VA_ARGS__)
+
+/*
+ * Defines main() for the text cases of tests/cases/NAME.txt, one test each,
+ * and the tests named.  run(name, input) returns what the case gave, to be
+ * freed with g_free().
+ */
+#define CASES_MAIN(suite, run, ...)                                            \
+	static struct text_case *text_cases;                                   \
+                                                                               \
+	START_TEST(text_case)                                                  \
+	{                                                                      \
+		const struct text_case *tc = &text_cases[_i];                  \
+		char *actual = run(tc->name, tc->input);                       \
+                                                                               \
+		ck_assert_msg(strcmp(actual, tc->expected) == 0,               \
+		    "%s: got \"%s\", expected \"%s\"", tc->name, actual,       \
+		    tc->expected);                                             \
+		g_free(actual);                                                \
+	}                                                                      \
+	END_TEST                                                               \
+                                                                               \
+	int main(void)                                                         \
+	{                                                                      \
+		const TTest *const tests[] = {NULL, ##__VA_ARGS__};            \
+		TCase *tc = tcase_create(suite);                               \
+		size_t i, n;                                                   \
+                                                                               \
+		for (i = 1; i < sizeof(tests) / sizeof(tests[0]); i++)         \
+			tcase_add_test(tc, tests[i]);                          \
+		text_cases = casefile_load("tests/cases/" suite ".txt", &n);   \
+		tcase_add_loop_test(tc, text_case, 0, (int)n);                 \
+		return run_tcase(suite, tc, 0);                                \
+	}
+
 #endif
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -1,6 +1,5 @@
 #include <string.h>
 
-#include "replay.h"
 #include "request/admit.h"
 #include "runner.h"
 
@@ -133,13 +132,4 @@
 }
 
 /* Each case says which failure it guards against. */
-START_TEST(replay_cases)
-{
-	static const struct replay replay = {start, end, step};
-	char *error = replay_file("tests/cases/admit.txt", &replay);
-
-	ck_assert_msg(error == NULL, "%s", error);
-}
-END_TEST
-
-TEST_MAIN("admit", 0, replay_cases)
+REPLAY_MAIN("admit", start, end, step)
--- a/tests/test_callers.c
+++ b/tests/test_callers.c
@@ -2,17 +2,14 @@
 #include <gio/gio.h>
 #include <string.h>
 
-#include "casefile.h"
 #include "process/clock.h"
 #include "request/callers.h"
+#include "runner.h"
 
 /* One listener without agents; the commands are in tests/cases/callers.txt. */
 
 #define LIMIT_MS 10000
 
-static struct text_case *cases;
-static size_t n_cases;
-
 static struct {
 	struct ident *ids, *others, *forger;
 	struct ctr_registry *counters;
@@ -30,7 +27,6 @@
 	struct pass *pass;
 	struct http *http;
 	enum api_owner owner;
-	uint32_t max_requests;
 } world;
 
 static const char text[] =
@@ -179,13 +175,14 @@
 	world.pass = pass_new(&pass);
 }
 
+/* max_requests 0: enough for all. */
 static void
-setup(void)
+setup(uint32_t max_requests)
 {
 	static const uint8_t key[ID_KEY_BYTES], other_key[ID_KEY_BYTES] = {1};
 	struct http_options http = {.listen = "127.0.0.1:0",
 	    .max_body_bytes = 4000,
-	    .max_requests = 100,
+	    .max_requests = max_requests != 0 ? max_requests : 100,
 	    .is_ready = is_ready};
 	struct status st;
 
@@ -197,8 +194,6 @@
 	make_config();
 	make_dispatch();
 	make_api();
-	if (world.max_requests != 0)
-		http.max_requests = world.max_requests;
 	http.api = world.api;
 	http.pass = world.pass;
 	http.counters = world.counters;
@@ -385,29 +380,25 @@
 }
 
 /* Each malformed or refused request must get its own typed error. */
-START_TEST(text_case)
+static char *
+send_case(const char *name, const char *text_of_case)
 {
-	const struct text_case *c = &cases[_i];
 	char *input, *got;
 
-	world.owner = strstr(c->name, "gone") != NULL ? API_OWNER_GONE
-		      : strstr(c->name, "unreachable") != NULL
+	world.owner = strstr(name, "gone") != NULL ? API_OWNER_GONE
+		      : strstr(name, "unreachable") != NULL
 			  ? API_OWNER_UNREACHABLE
 			  : API_OWNER_REACHABLE;
-	world.max_requests = 0;
-	setup();
-	if (strstr(c->name, "closing") != NULL)
+	setup(0);
+	if (strstr(name, "closing") != NULL)
 		api_close(world.api);
-	input = expand(c->input);
+	input = expand(text_of_case);
 	got = request(g_strchomp(input));
-	ck_assert_msg(strcmp(got, c->expected) == 0,
-	    "%s: got \"%s\", expected \"%s\"", c->name, got, c->expected);
 	ck_assert_uint_eq(http_in_progress(world.http), 0);
-	g_free(got);
 	g_free(input);
 	teardown();
+	return got;
 }
-END_TEST
 
 static const char job_body[] =
     "{\"service\":\"s\",\"team\":\"t\",\"tasks\":[{\"payload\":1}]}";
@@ -428,8 +419,7 @@
 {
 	char id[ID_LEN + 1], second[ID_LEN + 1], third[ID_LEN + 1];
 
-	world.max_requests = 0;
-	setup();
+	setup(0);
 	id_mint(world.ids, id);
 	id_mint(world.ids, second);
 	id_mint(world.ids, third);
@@ -478,8 +468,7 @@
 	GSocket *socket;
 	int i;
 
-	world.max_requests = 0;
-	setup();
+	setup(0);
 	id_mint(world.ids, id);
 	socket = put_and_wait(id);
 	g_socket_close(socket, NULL);
@@ -500,8 +489,7 @@
 	char id[ID_LEN + 1];
 	GSocket *socket;
 
-	world.max_requests = 1;
-	setup();
+	setup(1);
 	id_mint(world.ids, id);
 	socket = put_and_wait(id);
 	expect("GET", id, "", "503 overloaded not_run");
@@ -523,8 +511,7 @@
 	char *answer, *got;
 	int i;
 
-	world.max_requests = 0;
-	setup();
+	setup(0);
 	for (i = 0; i < 5; i++) {
 		g_string_append(bytes, "400\r\n");
 		append_repeated(bytes, "x", 1024);
@@ -552,8 +539,7 @@
 	    "\x16\x03\x01\x02\r\n\r\n"};
 	size_t i;
 
-	world.max_requests = 0;
-	setup();
+	setup(0);
 	for (i = 0; i < G_N_ELEMENTS(inputs); i++) {
 		char *answer = exchange(inputs[i], strlen(inputs[i]));
 
@@ -566,13 +552,5 @@
 }
 END_TEST
 
-int
-main(void)
-{
-	const TTest *const tests[] = {life_of_a_job, caller_goes_away,
-	    too_many_requests, chunked_body, malformed_http};
-
-	cases = casefile_load("tests/cases/callers.txt", &n_cases);
-	return casefile_main(
-	    "callers", tests, G_N_ELEMENTS(tests), text_case, n_cases);
-}
+CASES_MAIN("callers", send_case, life_of_a_job, caller_goes_away,
+    too_many_requests, chunked_body, malformed_http)
--- a/tests/test_change.c
+++ b/tests/test_change.c
@@ -3,10 +3,10 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "casefile.h"
 #include "entry_node.h"
 #include "process/clock.h"
 #include "process/log.h"
+#include "runner.h"
 #include "store_process.h"
 
 #define N_NODES	     4
@@ -415,13 +415,7 @@
 }
 END_TEST
 
-int
-main(void)
-{
-	const TTest *tests[] = {change_comes_into_force, wrong_expected_version,
-	    concurrent_outs_all_win, lost_reply_is_resolved, outage,
-	    outage_starts_without_a_gap, voter_is_replaced, all_entries_restart,
-	    placeholder_address_ends_nobody, lost_majority_needs_operators};
-
-	return casefile_main("change", tests, 10, NULL, 0);
-}
+TEST_MAIN("change", 0, change_comes_into_force, wrong_expected_version,
+    concurrent_outs_all_win, lost_reply_is_resolved, outage,
+    outage_starts_without_a_gap, voter_is_replaced, all_entries_restart,
+    placeholder_address_ends_nobody, lost_majority_needs_operators)
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -1,11 +1,9 @@
 #include <glib.h>
 #include <string.h>
 
-#include "casefile.h"
+#include "runner.h"
 #include "version/config.h"
 
-static struct text_case *cases;
-
 static const char text[] =
     "{\"failure_domains\": [{\"name\": \"puget\", \"entries\": true},\n"
     "  {\"name\": \"inland\", \"region\": \"pnw\"}],\n"
@@ -17,18 +15,15 @@
     " \"limits\": {\"max_queue\": 9, \"max_cores\": 2}}";
 
 /* A bad operators' text must be refused with a message that locates it. */
-START_TEST(text_is_checked)
+static char *
+check_text(const char *name, const char *input)
 {
-	const struct text_case *tc = &cases[_i];
 	struct status st = {.message = "ok"};
-	bool ok = cfg_check_text("t", tc->input, strlen(tc->input), &st);
+	bool ok = cfg_check_text("t", input, strlen(input), &st);
 
-	ck_assert_msg(strcmp(st.message, tc->expected) == 0,
-	    "%s: got \"%s\", expected \"%s\"", tc->name, st.message,
-	    tc->expected);
-	ck_assert(ok == (strcmp(tc->expected, "ok") == 0));
+	ck_assert_msg(ok == (strcmp(st.message, "ok") == 0), "%s", name);
+	return g_strdup(st.message);
 }
-END_TEST
 
 static struct cfg *
 make(const struct cfg_out *outs, size_t n_outs)
@@ -121,13 +116,5 @@
 }
 END_TEST
 
-int
-main(void)
-{
-	const TTest *tests[] = {
-	    document_round_trip, blocked_by_dependencies, bad_documents};
-	size_t n;
-
-	cases = casefile_load("tests/cases/config.txt", &n);
-	return casefile_main("config", tests, 3, text_is_checked, n);
-}
+CASES_MAIN("config", check_text, document_round_trip, blocked_by_dependencies,
+    bad_documents)
--- a/tests/test_etcd.c
+++ b/tests/test_etcd.c
@@ -1,8 +1,8 @@
 #include <glib.h>
 #include <string.h>
 
-#include "casefile.h"
 #include "process/clock.h"
+#include "runner.h"
 #include "store_process.h"
 #include "version/etcd.h"
 
@@ -204,11 +204,5 @@
 }
 END_TEST
 
-int
-main(void)
-{
-	const TTest *tests[] = {swap_and_read, lost_reply_is_unknown, outages,
-	    leases, cancelled_call_is_silent};
-
-	return casefile_main("etcd", tests, 5, NULL, 0);
-}
+TEST_MAIN("etcd", 0, swap_and_read, lost_reply_is_unknown, outages, leases,
+    cancelled_call_is_silent)
--- a/tests/test_fresh.c
+++ b/tests/test_fresh.c
@@ -1,7 +1,7 @@
 #include <glib.h>
 #include <string.h>
 
-#include "casefile.h"
+#include "runner.h"
 #include "version/fresh.h"
 
 static struct cfg *
@@ -72,11 +72,5 @@
 }
 END_TEST
 
-int
-main(void)
-{
-	const TTest *tests[] = {
-	    version_never_falls, age_counts_from_the_newest_confirmation};
-
-	return casefile_main("fresh", tests, 2, NULL, 0);
-}
+TEST_MAIN(
+    "fresh", 0, version_never_falls, age_counts_from_the_newest_confirmation)
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -1,6 +1,5 @@
 #include <string.h>
 
-#include "replay.h"
 #include "request/job.h"
 #include "runner.h"
 
@@ -202,13 +201,4 @@
 }
 
 /* Each case says which failure it guards against. */
-START_TEST(replay_cases)
-{
-	static const struct replay replay = {start, end, step};
-	char *error = replay_file("tests/cases/job.txt", &replay);
-
-	ck_assert_msg(error == NULL, "%s", error);
-}
-END_TEST
-
-TEST_MAIN("job", 0, replay_cases)
+REPLAY_MAIN("job", start, end, step)
--- a/tests/test_jsonc.c
+++ b/tests/test_jsonc.c
@@ -1,26 +1,21 @@
 #include <glib.h>
 #include <string.h>
 
-#include "casefile.h"
 #include "process/jsonc.h"
-
-static struct text_case *cases;
+#include "runner.h"
 
 /* A text that json-c would accept in part must be refused with a position. */
-START_TEST(text_is_checked)
+static char *
+check_text(const char *name, const char *input)
 {
-	const struct text_case *tc = &cases[_i];
 	struct status st = {.message = "ok"};
-	struct jsonc *doc;
+	struct jsonc *doc = jsonc_parse("t", input, strlen(input), &st);
 
-	doc = jsonc_parse("t", tc->input, strlen(tc->input), &st);
-	ck_assert_msg(strcmp(st.message, tc->expected) == 0,
-	    "%s: got \"%s\", expected \"%s\"", tc->name, st.message,
-	    tc->expected);
-	ck_assert((doc != NULL) == (strcmp(tc->expected, "ok") == 0));
+	ck_assert_msg(
+	    (doc != NULL) == (strcmp(st.message, "ok") == 0), "%s", name);
 	jsonc_free(doc);
+	return g_strdup(st.message);
 }
-END_TEST
 
 /* Every prefix of a valid text must be refused without reading past it. */
 START_TEST(truncated_text_is_refused)
@@ -68,12 +63,4 @@
 }
 END_TEST
 
-int
-main(void)
-{
-	const TTest *tests[] = {truncated_text_is_refused, getters_check_types};
-	size_t n;
-
-	cases = casefile_load("tests/cases/jsonc.txt", &n);
-	return casefile_main("jsonc", tests, 2, text_is_checked, n);
-}
+CASES_MAIN("jsonc", check_text, truncated_text_is_refused, getters_check_types)
--- a/tests/test_members.c
+++ b/tests/test_members.c
@@ -1,8 +1,8 @@
 #include <glib.h>
 #include <string.h>
 
-#include "casefile.h"
 #include "process/clock.h"
+#include "runner.h"
 #include "store_process.h"
 #include "version/etcd.h"
 #include "version/members.h"
@@ -172,11 +172,5 @@
 }
 END_TEST
 
-int
-main(void)
-{
-	const TTest *tests[] = {entries_find_each_other, leaving_and_dying,
-	    lost_lease_is_replaced, list_survives_an_outage};
-
-	return casefile_main("members", tests, 4, NULL, 0);
-}
+TEST_MAIN("members", 0, entries_find_each_other, leaving_and_dying,
+    lost_lease_is_replaced, list_survives_an_outage)
--- a/tests/test_operators.c
+++ b/tests/test_operators.c
@@ -3,10 +3,10 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "casefile.h"
 #include "entry_node.h"
 #include "process/log.h"
 #include "request/operators.h"
+#include "runner.h"
 #include "store_process.h"
 
 #define TEXT                                                                   \
@@ -214,11 +214,5 @@
 }
 END_TEST
 
-int
-main(void)
-{
-	const TTest *tests[] = {
-	    changes_wait_until_in_force, refusals, failover_and_outage};
-
-	return casefile_main("operators", tests, 3, NULL, 0);
-}
+TEST_MAIN(
+    "operators", 0, changes_wait_until_in_force, refusals, failover_and_outage)
--- a/tests/test_outcome.c
+++ b/tests/test_outcome.c
@@ -1,7 +1,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "replay.h"
 #include "request/outcome.h"
 #include "runner.h"
 
@@ -98,16 +97,6 @@
 		ck_abort_msg("command %s", command);
 }
 
-/* A trace fails when a start could happen twice or a result is lost. */
-START_TEST(traces)
-{
-	static const struct replay replay = {start, end, step};
-	char *error = replay_file("tests/cases/outcome.txt", &replay);
-
-	ck_assert_msg(error == NULL, "%s", error);
-}
-END_TEST
-
 /*
  * Guards against a second start of a seq under any interleaving: random
  * deliveries, duplicates, lost connections, acknowledgements and seals.  A
@@ -195,4 +184,5 @@
 }
 END_TEST
 
-TEST_MAIN("outcome", 0, traces, random_interleavings)
+/* A trace fails when a start could happen twice or a result is lost. */
+REPLAY_MAIN("outcome", start, end, step, random_interleavings)
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -1,7 +1,5 @@
-#include <check.h>
-#include <stdlib.h>
-
 #include "policy_replay.h"
+#include "runner.h"
 
 /* Each case file says which failure it guards against. */
 START_TEST(replay_cases)
@@ -13,19 +11,4 @@
 }
 END_TEST
 
-int
-main(void)
-{
-	Suite *suite = suite_create("place");
-	TCase *tc = tcase_create("place");
-	SRunner *runner;
-	int failed;
-
-	tcase_add_test(tc, replay_cases);
-	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
-}
+TEST_MAIN("place", 0, replay_cases)
--- a/tests/test_quorum.c
+++ b/tests/test_quorum.c
@@ -1,17 +1,13 @@
 #include <glib.h>
-#include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
-#include "casefile.h"
+#include "runner.h"
 #include "version/quorum.h"
 
 #define MAX_DOCS 16
 
-static struct text_case *cases;
-
 /* Replays one trace: see the head of tests/cases/quorum.txt. */
-struct replay {
+struct trace {
 	struct cfg *docs[MAX_DOCS];
 	GHashTable *observers; /* name -> struct observer */
 	struct observer *at;
@@ -44,7 +40,7 @@
 }
 
 static void
-observe(struct replay *rp, const char *name)
+observe(struct trace *rp, const char *name)
 {
 	rp->at = g_hash_table_lookup(rp->observers, name);
 	if (rp->at != NULL)
@@ -57,7 +53,7 @@
 
 /* "doc 2 A,B,C A1,B,C": a voter "X!" has ended. */
 static void
-define(struct replay *rp, char **words)
+define(struct trace *rp, char **words)
 {
 	struct cfg_voter voters[64];
 	struct cfg_voter_set sets[8];
@@ -92,7 +88,7 @@
 
 /* "answer B 5 store=never at=1000", of a process that holds document 5. */
 static void
-take_answer(struct replay *rp, char **words)
+take_answer(struct trace *rp, char **words)
 {
 	struct quo_answer answer = {.incarnation = incarnation_of(words[1]),
 	    .version = strtoull(words[2], NULL, 10),
@@ -107,7 +103,7 @@
 }
 
 static void
-print_round(struct replay *rp, char **words)
+print_round(struct trace *rp, char **words)
 {
 	struct quo_proof proof =
 	    quo_round(rp->at->quo, rp->at->held, strtoll(words[1], NULL, 10));
@@ -120,7 +116,7 @@
 }
 
 static void
-print_accepted(struct replay *rp, char **words)
+print_accepted(struct trace *rp, char **words)
 {
 	uint64_t version = strtoull(words[1], NULL, 10);
 	struct cfg_voter missing[16];
@@ -139,7 +135,7 @@
 }
 
 static void
-run_line(struct replay *rp, const char *line)
+run_line(struct trace *rp, const char *line)
 {
 	char **words = g_strsplit(line, " ", -1);
 
@@ -161,37 +157,26 @@
 }
 
 /* A process must confirm, and a change be accepted, only with proof. */
-START_TEST(trace_is_judged)
+static char *
+judge(const char *name, const char *input)
 {
-	const struct text_case *tc = &cases[_i];
-	char **lines = g_strsplit(g_strstrip(tc->input), "\n", -1);
-	struct replay rp = {.out = g_string_new(NULL)};
+	char **lines = g_strsplit(input, "\n", -1);
+	struct trace rp = {.out = g_string_new(NULL)};
 	size_t i;
 
+	(void)name;
 	rp.observers = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, observer_free);
 	observe(&rp, "O");
 	for (i = 0; lines[i] != NULL; i++) {
-		if (lines[i][0] != '#')
+		if (lines[i][0] != '#' && lines[i][0] != '\0')
 			run_line(&rp, lines[i]);
 	}
-	g_strchomp(rp.out->str);
-	ck_assert_msg(strcmp(rp.out->str, tc->expected) == 0,
-	    "%s: got \"%s\", expected \"%s\"", tc->name, rp.out->str,
-	    tc->expected);
 	for (i = 0; i < MAX_DOCS; i++)
 		cfg_unref(rp.docs[i]);
 	g_hash_table_destroy(rp.observers);
-	g_string_free(rp.out, TRUE);
 	g_strfreev(lines);
+	return g_strchomp(g_string_free(rp.out, FALSE));
 }
-END_TEST
-
-int
-main(void)
-{
-	size_t n;
 
-	cases = casefile_load("tests/cases/quorum.txt", &n);
-	return casefile_main("quorum", NULL, 0, trace_is_judged, n);
-}
+CASES_MAIN("quorum", judge)
--- a/tests/test_reader.c
+++ b/tests/test_reader.c
@@ -1,9 +1,9 @@
 #include <glib.h>
 #include <string.h>
 
-#include "casefile.h"
 #include "process/clock.h"
 #include "process/log.h"
+#include "runner.h"
 #include "store_process.h"
 #include "version/etcd.h"
 #include "version/reader.h"
@@ -140,11 +140,4 @@
 }
 END_TEST
 
-int
-main(void)
-{
-	const TTest *tests[] = {
-	    age_counts_from_the_send, bad_store_confirms_nothing};
-
-	return casefile_main("reader", tests, 2, NULL, 0);
-}
+TEST_MAIN("reader", 0, age_counts_from_the_send, bad_store_confirms_nothing)
--- a/tests/test_runqueue.c
+++ b/tests/test_runqueue.c
@@ -1,7 +1,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "replay.h"
 #include "request/runqueue.h"
 #include "runner.h"
 
@@ -134,13 +133,4 @@
 }
 
 /* A trace fails when a task starts that must not, or is not returned. */
-START_TEST(traces)
-{
-	static const struct replay replay = {start, end, step};
-	char *error = replay_file("tests/cases/runqueue.txt", &replay);
-
-	ck_assert_msg(error == NULL, "%s", error);
-}
-END_TEST
-
-TEST_MAIN("runqueue", 0, traces)
+REPLAY_MAIN("runqueue", start, end, step)
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -1,12 +1,9 @@
 #include <glib.h>
-#include <glib/gstdio.h>
 #include <string.h>
-#include <unistd.h>
 
-#include "casefile.h"
+#include "harness.h"
 #include "process/settings.h"
-
-static struct text_case *cases;
+#include "runner.h"
 
 static const char entry_base[] =
     "\"name\": \"e1\", \"failure_domain\": \"puget\",\n"
@@ -18,54 +15,36 @@
     "\"listen\": \"127.0.0.1:0\", \"entries\": [\"127.0.0.1:1\"],\n"
     "\"cluster_key\": \"0123456789\"";
 
-/* Loads a text through a file; the message names that file. */
-static void
-load(const char *text, bool agent, struct status *st)
+/* A bad setting must stop the daemon with a message that locates it. */
+static char *
+load(const char *name, const char *input)
 {
-	char *path = NULL;
-	int fd = g_file_open_tmp("settings-XXXXXX", &path, NULL);
+	bool agent = g_str_has_prefix(name, "agent");
+	char **parts = g_strsplit(input, "@BASE", -1);
+	char *text = g_strjoinv(agent ? agent_base : entry_base, parts);
+	const char *path = hn_write("settings.json", text);
 	struct set_entry *entry = NULL;
 	struct set_agent *worker = NULL;
-	char *rest;
+	char *actual = NULL;
+	struct status st;
 
-	ck_assert_int_ge(fd, 0);
-	close(fd);
-	ck_assert(g_file_set_contents(path, text, -1, NULL));
 	if (agent)
-		worker = set_agent_load(path, st);
+		worker = set_agent_load(path, &st);
 	else
-		entry = set_entry_load(path, st);
-	if (entry == NULL && worker == NULL) {
-		ck_assert(g_str_has_prefix(st->message, path));
-		rest = g_strdup(st->message + strlen(path));
-		g_strlcpy(st->message, rest, sizeof(st->message));
-		g_free(rest);
+		entry = set_entry_load(path, &st);
+	if (entry != NULL || worker != NULL) {
+		actual = g_strdup("ok");
 	} else {
-		g_strlcpy(st->message, "ok", sizeof(st->message));
+		ck_assert(g_str_has_prefix(st.message, path));
+		actual = g_strdup(st.message + strlen(path));
 	}
 	set_entry_free(entry);
 	set_agent_free(worker);
-	g_unlink(path);
-	g_free(path);
-}
-
-/* A bad setting must stop the daemon with a message that locates it. */
-START_TEST(settings_are_checked)
-{
-	const struct text_case *tc = &cases[_i];
-	bool agent = g_str_has_prefix(tc->name, "agent");
-	char **parts = g_strsplit(tc->input, "@BASE", -1);
-	char *text = g_strjoinv(agent ? agent_base : entry_base, parts);
-	struct status st;
-
-	load(text, agent, &st);
-	ck_assert_msg(strcmp(st.message, tc->expected) == 0,
-	    "%s: got \"%s\", expected \"%s\"", tc->name, st.message,
-	    tc->expected);
 	g_free(text);
 	g_strfreev(parts);
+	hn_finish();
+	return actual;
 }
-END_TEST
 
 /* A missing file must be reported, not treated as empty. */
 START_TEST(missing_file_is_reported)
@@ -78,12 +57,4 @@
 }
 END_TEST
 
-int
-main(void)
-{
-	const TTest *tests[] = {missing_file_is_reported};
-	size_t n;
-
-	cases = casefile_load("tests/cases/settings.txt", &n);
-	return casefile_main("settings", tests, 1, settings_are_checked, n);
-}
+CASES_MAIN("settings", load, missing_file_is_reported)
--- a/tests/test_status.c
+++ b/tests/test_status.c
@@ -1,8 +1,7 @@
-#include <check.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include "process/status.h"
+#include "runner.h"
 
 /* A wrapped message must keep the cause and never overflow its buffer. */
 START_TEST(wrap_keeps_cause)
@@ -22,19 +21,4 @@
 }
 END_TEST
 
-int
-main(void)
-{
-	Suite *suite = suite_create("status");
-	TCase *tc = tcase_create("status");
-	SRunner *runner;
-	int failed;
-
-	tcase_add_test(tc, wrap_keeps_cause);
-	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
-}
+TEST_MAIN("status", 0, wrap_keeps_cause)
