tests: scripts for the store and for changes, store process on the harness

store_process kept its own copy of starting a process, of HTTP and of waiting, and test_change and test_etcd repeated one call and one check per line. It now uses the harness, the two tests are traces in tests/cases, and REPLAY_MAIN runs every case of a trace as a check of its own. Calls that race on purpose stay in C.

--- a/tests/replay.c
+++ b/tests/replay.c
@@ -24,12 +24,14 @@
 	return error;
 }
 
+/* Runs the case of that index, or all with -1. */
 static char *
-replay_lines(const char *path, char **lines, const struct replay *replay)
+replay_lines(
+    const char *path, char **lines, const struct replay *replay, int only)
 {
 	char *error = NULL, *where;
 	void *ctx = NULL;
-	int i, ran = 0;
+	int i, ran = 0, index = -1;
 
 	for (i = 0; lines[i] != NULL && error == NULL; i++) {
 		g_strstrip(lines[i]);
@@ -38,11 +40,15 @@
 		if (g_str_has_prefix(lines[i], "case ")) {
 			if (ctx != NULL)
 				replay->end(ctx);
-			ctx = replay->start();
+			index++;
+			ctx =
+			    only < 0 || only == index ? replay->start() : NULL;
 			continue;
 		}
-		if (ctx == NULL)
+		if (index < 0)
 			break;
+		if (ctx == NULL)
+			continue;
 		error = replay_line(replay, ctx, lines[i]);
 		ran++;
 	}
@@ -57,16 +63,38 @@
 	return where;
 }
 
+/* Runs one case of the file; see the header for the result. */
 char *
-replay_file(const char *path, const struct replay *replay)
+replay_case(const char *path, const struct replay *replay, int only)
 {
 	char *text, **lines, *error;
 
 	if (!g_file_get_contents(path, &text, NULL, NULL))
 		return g_strdup_printf("%s can't be read", path);
 	lines = g_strsplit(text, "\n", -1);
-	error = replay_lines(path, lines, replay);
+	error = replay_lines(path, lines, replay, only);
 	g_strfreev(lines);
 	g_free(text);
 	return error;
 }
+
+char *
+replay_file(const char *path, const struct replay *replay)
+{
+	return replay_case(path, replay, -1);
+}
+
+/* Counts the cases of a file. */
+int
+replay_count(const char *path)
+{
+	char *text, *at;
+	int n = 0;
+
+	if (!g_file_get_contents(path, &text, NULL, NULL))
+		g_error("%s can't be read", path);
+	for (at = text; at != NULL; at = strstr(at + 1, "\ncase "))
+		n++;
+	g_free(text);
+	return n - 1;
+}
--- a/tests/replay.h
+++ b/tests/replay.h
@@ -20,5 +20,9 @@
  * the caller frees it with g_free().
  */
 char *replay_file(const char *path, const struct replay *replay);
+/* The same for the case of that index alone. */
+char *replay_case(const char *path, const struct replay *replay, int index);
+/* Number of cases; the file must begin with a comment. */
+int replay_count(const char *path);
 
 #endif
--- a/tests/runner.h
+++ b/tests/runner.h
@@ -92,21 +92,46 @@
 		    name, tests, sizeof(tests) / sizeof(tests[0]), limit_s);   \
 	}
 
+/* The tests, then the first once for each row, with its index in _i. */
+static inline int
+run_with_rows(const char *name, const TTest *const *tests, size_t n_tests,
+    int n_rows, double limit_s)
+{
+	TCase *tc = tcase_create(name);
+	size_t i;
+
+	tcase_add_loop_test(tc, tests[0], 0, n_rows);
+	for (i = 1; i < n_tests; i++)
+		tcase_add_test(tc, tests[i]);
+	return run_tcase(name, tc, limit_s);
+}
+
+/* Defines main() for a test of n_rows rows and the tests named. */
+#define ROWS_MAIN(name, limit_s, n_rows, ...)                                  \
+	int main(void)                                                         \
+	{                                                                      \
+		const TTest *const tests[] = {__VA_ARGS__};                    \
+                                                                               \
+		return run_with_rows(name, tests,                              \
+		    sizeof(tests) / sizeof(tests[0]), n_rows, limit_s);        \
+	}
+
 /*
- * Defines main() for the trace tests/cases/NAME.txt, one test, and the tests
- * named.  The functions are those of struct replay.
+ * Defines main() for the traces of tests/cases/NAME.txt, one test for each
+ * case, and the tests named.  The functions are those of struct replay.
  */
-#define REPLAY_MAIN(name, start, end, step, ...)                               \
-	START_TEST(replay_cases)                                               \
+#define REPLAY_MAIN(name, limit_s, start, end, step, ...)                      \
+	START_TEST(one_case)                                                   \
 	{                                                                      \
 		static const struct replay replay = {start, end, step};        \
 		char *error =                                                  \
-		    replay_file("tests/cases/" name ".txt", &replay);          \
+		    replay_case("tests/cases/" name ".txt", &replay, _i);      \
                                                                                \
 		ck_assert_msg(error == NULL, "%s", error);                     \
 	}                                                                      \
 	END_TEST                                                               \
-	TEST_MAIN(name, 0, replay_cases, ##__VA_ARGS__)
+	ROWS_MAIN(name, limit_s, replay_count("tests/cases/" name ".txt"),     \
+	    one_case, ##__VA_ARGS__)
 
 /*
  * Defines main() for the text cases of tests/cases/NAME.txt, one test each,
@@ -115,6 +140,7 @@
  */
 #define CASES_MAIN(suite, run, ...)                                            \
 	static struct text_case *text_cases;                                   \
+	static size_t n_cases;                                                 \
                                                                                \
 	START_TEST(text_case)                                                  \
 	{                                                                      \
@@ -128,17 +154,12 @@
 	}                                                                      \
 	END_TEST                                                               \
                                                                                \
-	int main(void)                                                         \
+	static int load_cases(void)                                            \
 	{                                                                      \
-		const TTest *const tests[] = {NULL, ##__VA_ARGS__};            \
-		TCase *tc = tcase_create(suite);                               \
-		size_t i, n;                                                   \
-                                                                               \
-		for (i = 1; i < sizeof(tests) / sizeof(tests[0]); i++)         \
-			tcase_add_test(tc, tests[i]);                          \
-		text_cases = casefile_load("tests/cases/" suite ".txt", &n);   \
-		tcase_add_loop_test(tc, text_case, 0, (int)n);                 \
-		return run_tcase(suite, tc, 0);                                \
-	}
+		text_cases =                                                   \
+		    casefile_load("tests/cases/" suite ".txt", &n_cases);      \
+		return (int)n_cases;                                           \
+	}                                                                      \
+	ROWS_MAIN(suite, 0, load_cases(), text_case, ##__VA_ARGS__)
 
 #endif
--- a/tests/store_process.c
+++ b/tests/store_process.c
@@ -1,111 +1,54 @@
-#include <gio/gio.h>
-#include <libsoup/soup.h>
-#include <stdio.h>
-#include <stdlib.h>
+#include <glib.h>
 
+#include "harness.h"
 #include "store_process.h"
+#include "version/etcd.h"
 
-struct store_process {
-	GSubprocess *process;
-	char *url;
-	char *control;
-	SoupSession *session;
-};
+static const char *control_url;
 
-/* Starts the stand-in of the build directory on free ports. */
-struct store_process *
+/* Starts the stand-in and waits until it serves. */
+const char *
 store_process_start(void)
 {
-	struct store_process *sp = g_new0(struct store_process, 1);
-	const char *build = g_getenv("BUILD_DIR");
-	char *path = g_strdup_printf(
-	    "%s/standin_store", build != NULL ? build : "build");
-	GDataInputStream *out;
-	unsigned port = 0, control = 0;
-	char *line;
+	uint16_t port = hn_port(), control = hn_port();
 
-	sp->process =
-	    g_subprocess_new(G_SUBPROCESS_FLAGS_STDOUT_PIPE, NULL, path, NULL);
-	if (sp->process == NULL)
-		g_error("cannot start %s", path);
-	g_free(path);
-	out =
-	    g_data_input_stream_new(g_subprocess_get_stdout_pipe(sp->process));
-	line = g_data_input_stream_read_line(out, NULL, NULL, NULL);
-	if (line == NULL ||
-	    sscanf(line, "port %u control %u", &port, &control) != 2)
-		g_error("standin_store printed no ports");
-	g_free(line);
-	g_object_unref(out);
-	sp->url = g_strdup_printf("http://127.0.0.1:%u", port);
-	sp->control = g_strdup_printf("http://127.0.0.1:%u/control/", control);
-	sp->session = soup_session_new();
-	return sp;
+	hn_start("store",
+	    (const char *[]){"standin_store", "--port", hn_str("%u", port),
+		"--control-port", hn_str("%u", control), NULL});
+	control_url = hn_str("http://127.0.0.1:%u/control", control);
+	if (!hn_wait_until(
+		hn_http("GET", hn_str("%s/counts", control_url), NULL)
+			->status == 200,
+		HN_LIMIT_MS))
+		g_error("standin_store does not serve");
+	return hn_str("http://127.0.0.1:%u", port);
 }
 
+/* Changes the behaviour of the stand-in. */
 void
-store_process_stop(struct store_process *sp)
+store_process_control(const char *request)
 {
-	g_subprocess_force_exit(sp->process);
-	g_subprocess_wait(sp->process, NULL, NULL);
-	g_object_unref(sp->process);
-	g_object_unref(sp->session);
-	g_free(sp->url);
-	g_free(sp->control);
-	g_free(sp);
-}
+	const char *url = hn_str("%s/%s", control_url, request);
 
-const char *
-store_process_url(const struct store_process *sp)
-{
-	return sp->url;
+	if (hn_http("POST", url, NULL)->status != 200)
+		g_error("control request %s failed", url);
 }
 
-void
-store_process_control(struct store_process *sp, const char *request)
+/* Starts the stand-in and returns a client of it. */
+struct store *
+store_process_open(int64_t timeout_ms)
 {
-	char *uri = g_strconcat(sp->control, request, NULL);
-	SoupMessage *msg = soup_message_new(SOUP_METHOD_POST, uri);
-	GBytes *body;
-
-	body = soup_session_send_and_read(sp->session, msg, NULL, NULL);
-	if (body == NULL || soup_message_get_status(msg) != 200)
-		g_error("control request %s failed", uri);
-	g_bytes_unref(body);
-	g_object_unref(msg);
-	g_free(uri);
-}
+	struct etcd_options opts = {
+	    .url = store_process_start(), .timeout_ms = timeout_ms};
 
-static gboolean
-on_tick(gpointer ctx)
-{
-	(void)ctx;
-	return G_SOURCE_CONTINUE;
-}
-
-bool
-run_until(condition_fn fn, void *ctx, int timeout_ms)
-{
-	gint64 end =
-	    g_get_monotonic_time() + timeout_ms * G_GINT64_CONSTANT(1000);
-	guint tick = g_timeout_add(5, on_tick, NULL);
-	bool met;
-
-	while (!(met = fn(ctx)) && g_get_monotonic_time() < end)
-		g_main_context_iteration(NULL, TRUE);
-	g_source_remove(tick);
-	return met;
-}
-
-static bool
-never(void *ctx)
-{
-	(void)ctx;
-	return false;
+	return etcd_new(&opts);
 }
 
+/* Frees the client, lets its last calls end, and ends the stand-in. */
 void
-run_for(int ms)
+store_process_close(struct store *store)
 {
-	run_until(never, NULL, ms);
+	store->ops->free(store);
+	hn_sleep(20);
+	hn_finish();
 }
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -132,4 +132,4 @@
 }
 
 /* Each case says which failure it guards against. */
-REPLAY_MAIN("admit", start, end, step)
+REPLAY_MAIN("admit", 0, start, end, step)
--- a/tests/test_change.c
+++ b/tests/test_change.c
@@ -1,14 +1,15 @@
 #include <glib.h>
-#include <inttypes.h>
-#include <stdio.h>
 #include <string.h>
 
 #include "entry_node.h"
+#include "harness.h"
 #include "process/clock.h"
 #include "process/log.h"
 #include "runner.h"
 #include "store_process.h"
 
+/* The commands are listed in tests/cases/change.txt. */
+
 #define N_NODES	     4
 #define FRESHNESS_MS ENTRY_NODE_FRESHNESS_MS
 
@@ -18,9 +19,11 @@
 	uint64_t version;
 };
 
-static struct store_process *sp;
+static const char *store_url;
 static struct entry_node nodes[N_NODES];
 static guint exchange_timer;
+static uint64_t made, kept; /* version of the last change, and of "keep" */
+static int64_t marked_ms;
 
 static const char text[] =
     "{\"failure_domains\": [{\"name\": \"d1\", \"entries\": true},"
@@ -28,19 +31,6 @@
     "{\"name\": \"d3\", \"entries\": true}],"
     "\"services\": [{\"name\": \"club-desk\"}]}";
 
-static void
-node_start(int i, uint64_t incarnation, const char *domain, int port)
-{
-	entry_node_start(
-	    &nodes[i], store_process_url(sp), incarnation, domain, port);
-}
-
-static void
-node_kill(int i)
-{
-	entry_node_kill(&nodes[i]);
-}
-
 /* Stands for PEER_STATUS: every pair that is not cut off asks each other. */
 static gboolean
 exchange(gpointer ctx)
@@ -76,346 +66,242 @@
 	outcome->version = version;
 }
 
-static bool
-is_done(void *ctx)
+static struct outcome
+await(struct outcome *outcome)
 {
-	return ((struct outcome *)ctx)->done;
+	ck_assert(hn_wait_until(outcome->done, 8000));
+	made = outcome->version;
+	return *outcome;
 }
 
-static struct outcome
-apply(int i, uint64_t expected, const char *id)
+static void
+show(struct outcome outcome, GString *actual)
 {
-	struct outcome outcome = {0};
-
-	chg_apply(nodes[i].chg, expected, id, text, on_done, &outcome);
-	ck_assert(run_until(is_done, &outcome, 8000));
-	return outcome;
+	g_string_append(actual, st_name(outcome.st.code));
 }
 
-static struct outcome
-set_out(int i, const char *name, bool out, const char *id)
+static uint64_t
+number(const char *word)
 {
-	struct outcome outcome = {0};
-
-	chg_out(
-	    nodes[i].chg, CFG_FAILURE_DOMAIN, name, out, id, on_done, &outcome);
-	ck_assert(run_until(is_done, &outcome, 8000));
-	return outcome;
+	if (strcmp(word, "made") == 0)
+		return made;
+	if (strcmp(word, "kept+2") == 0)
+		return kept + 2;
+	return strcmp(word, "kept") == 0 ? kept : strtoull(word, NULL, 0);
 }
 
-struct wanted {
-	int node;
-	uint64_t version;
-	enum chg_state state;
-};
-
-static bool
-has_state(void *ctx)
+static enum chg_state
+state_of(int node, uint64_t version)
 {
-	struct wanted *wanted = ctx;
 	struct chg_progress progress;
 
-	chg_progress(nodes[wanted->node].chg, wanted->version, &progress);
-	return progress.state >= wanted->state;
+	chg_progress(nodes[node].chg, version, &progress);
+	return progress.state;
 }
 
 static bool
-reaches(int node, uint64_t version, enum chg_state state, int timeout_ms)
+has_voter(uint64_t incarnation, bool *ended, size_t *n)
 {
-	struct wanted wanted = {node, version, state};
+	const struct cfg *held = fresh_config(nodes[0].fresh);
+	const struct cfg_voter *voters;
+	size_t i;
 
-	return run_until(has_state, &wanted, timeout_ms);
+	voters = cfg_voters(held, cfg_voter_sets(held) - 1, n);
+	for (i = 0; i < *n && voters[i].incarnation != incarnation; i++)
+		continue;
+	*ended = i < *n && voters[i].ended;
+	return i < *n;
 }
 
-static bool
-all_registered(void *ctx)
+static void
+reach(char **words, GString *actual)
 {
+	enum chg_state state = CHG_UNSEEN;
+	int node = atoi(words[1]);
+	uint64_t version = number(words[2]);
+
+	while (strcmp(chg_state_name(state), words[3]) != 0)
+		state++;
+	g_string_append(actual,
+	    hn_wait_until(state_of(node, version) >= state, atoi(words[4]))
+		? "yes"
+		: "no");
+}
+
+static void
+voter(char **words, GString *actual)
+{
+	bool ended;
 	size_t n;
 
-	mem_list(nodes[0].mem, &n);
-	return n == *(size_t *)ctx;
+	if (!hn_wait_until(
+		has_voter(number(words[1]), &ended, &n), atoi(words[2])))
+		g_string_append(actual, "no");
+	else
+		g_string_append_printf(
+		    actual, "%sof %zu", ended ? "ended " : "", n);
 }
 
-static void
-setup(void)
+static void *
+start(void)
 {
-	size_t n = 3;
+	size_t n = 0;
+	int i;
 
 	log_open("test", LOG_ERR);
-	sp = store_process_start();
-	node_start(0, 0x11, "d1", 7001);
-	node_start(1, 0x12, "d2", 7002);
-	node_start(2, 0x13, "d3", 7003);
+	store_url = store_process_start();
+	for (i = 0; i < 3; i++)
+		entry_node_start(&nodes[i], store_url, 0x11 + i,
+		    hn_str("d%d", i + 1), 7001 + i);
 	exchange_timer = g_timeout_add(20, exchange, NULL);
-	ck_assert(run_until(all_registered, &n, 3000));
+	ck_assert(hn_wait_until((mem_list(nodes[0].mem, &n), n == 3), 3000));
+	return nodes;
 }
 
 static void
-teardown(void)
+end(void *ctx)
 {
 	int i;
 
+	(void)ctx;
 	g_source_remove(exchange_timer);
 	for (i = 0; i < N_NODES; i++)
-		node_kill(i);
-	run_for(20);
-	store_process_stop(sp);
+		entry_node_kill(&nodes[i]);
+	hn_sleep(20);
+	hn_finish();
 }
 
-/* "In force" must come only after acceptance and freshness_ms, everywhere. */
-START_TEST(change_comes_into_force)
+/* Changes at one entry; false for another command. */
+static bool
+change(char **words, GString *actual)
 {
-	struct outcome outcome;
-	struct chg_progress progress;
-	int64_t start_ms;
-
-	setup();
-	outcome = apply(0, 0, "c1");
-	ck_assert_msg(outcome.st.code == ST_OK, "%s", outcome.st.message);
-	ck_assert_uint_eq(outcome.version, 1);
-	start_ms = clk_now_ms();
-	ck_assert(reaches(0, 1, CHG_ACCEPTED, 2000));
-	chg_progress(nodes[0].chg, 2, &progress);
-	ck_assert_int_eq(progress.state, CHG_UNSEEN);
-	ck_assert(reaches(0, 1, CHG_IN_FORCE, 2000));
-	ck_assert_int_ge(clk_now_ms() - start_ms, FRESHNESS_MS);
-	ck_assert_uint_eq(fresh_version(nodes[1].fresh), 1);
-	ck_assert_uint_eq(fresh_version(nodes[2].fresh), 1);
-	teardown();
+	struct chg *chg = words[1] != NULL && g_ascii_isdigit(*words[1])
+			      ? nodes[atoi(words[1]) % N_NODES].chg
+			      : NULL;
+	struct outcome outcome = {0};
+
+	if (strcmp(words[0], "apply") == 0)
+		chg_apply(
+		    chg, number(words[2]), words[3], text, on_done, &outcome);
+	else if (strcmp(words[0], "out") == 0 || strcmp(words[0], "in") == 0)
+		chg_out(chg, CFG_FAILURE_DOMAIN, words[2],
+		    strcmp(words[0], "out") == 0, words[3], on_done, &outcome);
+	else if (strcmp(words[0], "ended") == 0)
+		chg_ended(chg, number(words[2]), words[3], on_done, &outcome);
+	else
+		return false;
+	show(await(&outcome), actual);
+	return true;
 }
-END_TEST
 
-/* A text made from an old version must not undo what came between. */
-START_TEST(wrong_expected_version)
+/* What an entry knows; false for another command. */
+static bool
+look(char **words, GString *actual)
 {
-	struct outcome outcome;
-
-	setup();
-	ck_assert_int_eq(apply(0, 0, "c1").st.code, ST_OK);
-	ck_assert_int_eq(apply(1, 0, "c2").st.code, ST_CONFLICT);
-	ck_assert_int_eq(set_out(1, "d1", true, "c3").st.code, ST_OK);
-	ck_assert_int_eq(apply(0, 1, "c4").st.code, ST_CONFLICT);
-	outcome = apply(0, 2, "c5");
-	ck_assert_int_eq(outcome.st.code, ST_OK);
-	ck_assert_uint_eq(outcome.version, 3);
-	ck_assert(
-	    cfg_is_out(fresh_config(nodes[0].fresh), CFG_FAILURE_DOMAIN, "d1"));
-	ck_assert_int_eq(apply(0, 9, "c6").st.code, ST_CONFLICT);
-	ck_assert_int_eq(
-	    set_out(1, "nowhere", true, "c7").st.code, ST_NOT_FOUND);
-	teardown();
+	struct entry_node *node =
+	    &nodes[words[1] == NULL ? 0 : atoi(words[1]) % N_NODES];
+	int64_t now_ms = clk_now_ms();
+
+	if (strcmp(words[0], "state") == 0)
+		g_string_append(actual,
+		    chg_state_name(
+			state_of((int)(node - nodes), number(words[2]))));
+	else if (strcmp(words[0], "holds") == 0)
+		g_string_append_printf(
+		    actual, "%d", (int)fresh_version(node->fresh));
+	else if (strcmp(words[0], "current") == 0)
+		g_string_append(actual,
+		    fresh_is_current(node->fresh, now_ms) ? "yes" : "no");
+	else if (strcmp(words[0], "is_out") == 0)
+		g_string_append(actual, cfg_is_out(fresh_config(node->fresh),
+					    CFG_FAILURE_DOMAIN, words[2])
+					    ? "yes"
+					    : "no");
+	else
+		return false;
+	return true;
+}
+
+static void
+step(void *ctx, char **words, GString *actual)
+{
+	(void)ctx;
+	if (change(words, actual) || look(words, actual))
+		return;
+	if (strcmp(words[0], "made") == 0)
+		g_string_append_printf(actual, "%d", (int)made);
+	else if (strcmp(words[0], "keep") == 0)
+		kept = made;
+	else if (strcmp(words[0], "reach") == 0)
+		reach(words, actual);
+	else if (strcmp(words[0], "voter") == 0)
+		voter(words, actual);
+	else if (strcmp(words[0], "kill") == 0)
+		entry_node_kill(&nodes[atoi(words[1])]);
+	else if (strcmp(words[0], "start") == 0)
+		entry_node_start(&nodes[atoi(words[1])], store_url,
+		    number(words[2]), g_intern_string(words[3]),
+		    atoi(words[4]));
+	else if (strcmp(words[0], "cut") == 0)
+		nodes[atoi(words[1])].cut = true;
+	else if (strcmp(words[0], "join") == 0)
+		nodes[atoi(words[1])].cut = false;
+	else if (strcmp(words[0], "store") == 0)
+		store_process_control(words[1]);
+	else if (strcmp(words[0], "sleep") == 0)
+		hn_sleep(atoi(words[1]));
+	else if (strcmp(words[0], "mark") == 0)
+		marked_ms = clk_now_ms();
+	else if (strcmp(words[0], "elapsed") == 0)
+		ck_assert_int_ge(clk_now_ms() - marked_ms, atoi(words[1]));
+	else
+		ck_abort_msg("command %s", words[0]);
 }
-END_TEST
 
 /* Operators at different entries must not undo each other's marks, and none
  * may be lost to a race. */
 START_TEST(concurrent_outs_all_win)
 {
-	struct outcome outcomes[9] = {0};
-	char name[8], id[8];
+	struct outcome outcomes[9] = {0}, first = {0};
 	int i;
 
-	setup();
-	ck_assert_int_eq(apply(0, 0, "c1").st.code, ST_OK);
-	for (i = 0; i < 9; i++) {
-		snprintf(name, sizeof(name), "w%d", i);
-		snprintf(id, sizeof(id), "o%d", i);
-		chg_out(nodes[i % 3].chg, CFG_WORKER, name, true, id, on_done,
-		    &outcomes[i]);
-	}
-	for (i = 0; i < 9; i++) {
-		ck_assert(run_until(is_done, &outcomes[i], 8000));
-		ck_assert_msg(
-		    outcomes[i].st.code == ST_OK, "%s", outcomes[i].st.message);
-	}
-	ck_assert(reaches(0, 10, CHG_ACCEPTED, 2000));
-	for (i = 0; i < 9; i++) {
-		snprintf(name, sizeof(name), "w%d", i);
-		ck_assert(
-		    cfg_is_out(fresh_config(nodes[0].fresh), CFG_WORKER, name));
-	}
-	teardown();
-}
-END_TEST
-
-/* A change whose reply was lost must be made once and reported as made; the
- * same change id sent again, to any entry, must change nothing. */
-START_TEST(lost_reply_is_resolved)
-{
-	struct outcome outcome;
-
-	setup();
-	store_process_control(sp, "drop?writes=1");
-	outcome = apply(0, 0, "c1");
-	ck_assert_msg(outcome.st.code == ST_OK, "%s", outcome.st.message);
-	ck_assert_uint_eq(outcome.version, 1);
-	store_process_control(sp, "drop?writes=1");
-	ck_assert_uint_eq(set_out(1, "d1", true, "c2").version, 2);
-	ck_assert_uint_eq(set_out(2, "d1", false, "c3").version, 3);
-	ck_assert_uint_eq(set_out(2, "d1", true, "c2").version, 2);
-	ck_assert_uint_eq(apply(2, 0, "c1").version, 1);
-	ck_assert_uint_eq(fresh_version(nodes[2].fresh), 3);
-	teardown();
-}
-END_TEST
-
-/* While the store is down a change must be refused, not kept, and entries
- * that reach a majority of the voters must go on while one cut off stops. */
-START_TEST(outage)
-{
-	setup();
-	ck_assert_int_eq(apply(0, 0, "c1").st.code, ST_OK);
-	ck_assert(reaches(0, 1, CHG_IN_FORCE, 3000));
-	store_process_control(sp, "outage?mode=refuse");
-	ck_assert_int_eq(set_out(0, "d1", true, "c2").st.code, ST_UNAVAILABLE);
-	nodes[2].cut = true;
-	run_for(2 * FRESHNESS_MS + 200);
-	ck_assert(fresh_is_current(nodes[0].fresh, clk_now_ms()));
-	ck_assert(fresh_is_current(nodes[1].fresh, clk_now_ms()));
-	ck_assert(!fresh_is_current(nodes[2].fresh, clk_now_ms()));
-	nodes[2].cut = false;
-	run_for(200);
-	ck_assert(fresh_is_current(nodes[2].fresh, clk_now_ms()));
-	store_process_control(sp, "outage?mode=off");
-	ck_assert_int_eq(set_out(0, "d1", true, "c2").st.code, ST_OK);
-	teardown();
+	start();
+	chg_apply(nodes[0].chg, 0, "c1", text, on_done, &first);
+	ck_assert_int_eq(await(&first).st.code, ST_OK);
+	for (i = 0; i < 9; i++)
+		chg_out(nodes[i % 3].chg, CFG_WORKER, hn_str("w%d", i), true,
+		    hn_str("o%d", i), on_done, &outcomes[i]);
+	for (i = 0; i < 9; i++)
+		ck_assert_msg(await(&outcomes[i]).st.code == ST_OK, "%s",
+		    outcomes[i].st.message);
+	ck_assert(hn_wait_until(state_of(0, 10) >= CHG_ACCEPTED, 2000));
+	for (i = 0; i < 9; i++)
+		ck_assert(cfg_is_out(fresh_config(nodes[0].fresh), CFG_WORKER,
+		    hn_str("w%d", i)));
+	end(NULL);
 }
 END_TEST
 
 /* An outage must not interrupt work: the age may never pass the limit. */
 START_TEST(outage_starts_without_a_gap)
 {
+	struct outcome outcome = {0};
 	int i;
 
-	setup();
-	ck_assert_int_eq(apply(0, 0, "c1").st.code, ST_OK);
-	ck_assert(reaches(0, 1, CHG_IN_FORCE, 3000));
-	store_process_control(sp, "outage?mode=hang");
+	start();
+	chg_apply(nodes[0].chg, 0, "c1", text, on_done, &outcome);
+	ck_assert_int_eq(await(&outcome).st.code, ST_OK);
+	ck_assert(hn_wait_until(state_of(0, 1) >= CHG_IN_FORCE, 3000));
+	store_process_control("outage?mode=hang");
 	for (i = 0; i < 150; i++) {
 		ck_assert_int_lt(fresh_age_ms(nodes[i % 3].fresh, clk_now_ms()),
 		    FRESHNESS_MS * 3 / 4);
-		run_for(10);
+		hn_sleep(10);
 	}
-	teardown();
-}
-END_TEST
-
-static bool
-has_voter(void *ctx)
-{
-	const struct cfg *held = fresh_config(nodes[0].fresh);
-	const struct cfg_voter *voters;
-	size_t i, n;
-
-	voters = cfg_voters(held, cfg_voter_sets(held) - 1, &n);
-	for (i = 0; i < n; i++) {
-		if (voters[i].incarnation == *(uint64_t *)ctx)
-			return true;
-	}
-	return false;
-}
-
-/* A dead voter must be replaced by an entry of its domain, and changes must
- * come into force before and after. */
-START_TEST(voter_is_replaced)
-{
-	uint64_t incarnation = 0x23, version;
-
-	setup();
-	ck_assert_int_eq(apply(0, 0, "c1").st.code, ST_OK);
-	ck_assert(reaches(0, 1, CHG_IN_FORCE, 3000));
-	node_kill(2);
-	version = set_out(0, "d1", true, "c2").version;
-	ck_assert(reaches(0, version, CHG_IN_FORCE, 3000));
-	node_start(3, incarnation, "d3", 7013);
-	ck_assert(run_until(has_voter, &incarnation, 10000));
-	/* Only a voter changed since, so the text's version still fits. */
-	ck_assert_int_eq(apply(0, version, "c3").st.code, ST_OK);
-	ck_assert(reaches(0, version + 2, CHG_IN_FORCE, 3000));
-	teardown();
-}
-END_TEST
-
-/* When all entries restart at once on their addresses, changes must come
- * into force again, though the old voters never answer. */
-START_TEST(all_entries_restart)
-{
-	struct outcome outcome;
-	uint64_t incarnation = 0x23;
-
-	setup();
-	ck_assert_int_eq(apply(0, 0, "c1").st.code, ST_OK);
-	ck_assert(reaches(0, 1, CHG_IN_FORCE, 3000));
-	node_kill(0);
-	node_kill(1);
-	node_kill(2);
-	node_start(0, 0x21, "d1", 7001);
-	node_start(1, 0x22, "d2", 7002);
-	node_start(2, incarnation, "d3", 7003);
-	ck_assert(reaches(0, 1, CHG_PENDING, 3000));
-	ck_assert(run_until(has_voter, &incarnation, 10000));
-	outcome = set_out(1, "d2", true, "c2");
-	ck_assert_int_eq(outcome.st.code, ST_OK);
-	ck_assert(reaches(0, outcome.version, CHG_IN_FORCE, 5000));
-	teardown();
-}
-END_TEST
-
-/* Entries that share an address must mark a voter as ended, but not when the
- * address is a placeholder: the voters of running entries would be lost. */
-START_TEST(placeholder_address_ends_nobody)
-{
-	const struct cfg_voter *voters;
-	const struct cfg *held;
-	size_t i, n;
-
-	setup();
-	for (i = 0; i < 3; i++)
-		node_kill((int)i);
-	node_start(0, 0x31, "d1", 0);
-	node_start(1, 0x32, "d2", 0);
-	node_start(2, 0x33, "d3", 0);
-	run_for(1500);
-	ck_assert_int_eq(apply(0, 0, "c1").st.code, ST_OK);
-	run_for(1500);
-	held = fresh_config(nodes[0].fresh);
-	voters = cfg_voters(held, cfg_voter_sets(held) - 1, &n);
-	ck_assert_uint_eq(n, 3);
-	for (i = 0; i < n; i++) {
-		ck_assert(!voters[i].ended);
-		ck_assert(voters[i].incarnation >= 0x31);
-	}
-	teardown();
-}
-END_TEST
-
-/* With a majority of the voters lost for good, a change must stay pending
- * until operators state that they have ended. */
-START_TEST(lost_majority_needs_operators)
-{
-	struct outcome outcome, ended = {0};
-
-	setup();
-	ck_assert_int_eq(apply(0, 0, "c1").st.code, ST_OK);
-	ck_assert(reaches(0, 1, CHG_IN_FORCE, 3000));
-	chg_ended(nodes[0].chg, 0x12, "n1", on_done, &ended);
-	ck_assert(run_until(is_done, &ended, 3000));
-	ck_assert_int_eq(ended.st.code, ST_CONFLICT);
-	node_kill(1);
-	node_kill(2);
-	outcome = set_out(0, "d2", true, "c2");
-	ck_assert_int_eq(outcome.st.code, ST_OK);
-	ck_assert(!reaches(0, outcome.version, CHG_ACCEPTED, 2500));
-	memset(&ended, 0, sizeof(ended));
-	chg_ended(nodes[0].chg, 0x12, "n2", on_done, &ended);
-	ck_assert(run_until(is_done, &ended, 3000));
-	ck_assert_msg(ended.st.code == ST_OK, "%s", ended.st.message);
-	ck_assert(reaches(0, outcome.version, CHG_IN_FORCE, 3000));
-	teardown();
+	end(NULL);
 }
 END_TEST
 
-TEST_MAIN("change", 0, change_comes_into_force, wrong_expected_version,
-    concurrent_outs_all_win, lost_reply_is_resolved, outage,
-    outage_starts_without_a_gap, voter_is_replaced, all_entries_restart,
-    placeholder_address_ends_nobody, lost_majority_needs_operators)
+/* Each case says which failure it guards against. */
+REPLAY_MAIN("change", 0, start, end, step, concurrent_outs_all_win,
+    outage_starts_without_a_gap)
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -201,4 +201,4 @@
 }
 
 /* Each case says which failure it guards against. */
-REPLAY_MAIN("job", start, end, step)
+REPLAY_MAIN("job", 0, start, end, step)
--- a/tests/test_members.c
+++ b/tests/test_members.c
@@ -1,13 +1,12 @@
 #include <glib.h>
 #include <string.h>
 
+#include "harness.h"
 #include "process/clock.h"
 #include "runner.h"
 #include "store_process.h"
-#include "version/etcd.h"
 #include "version/members.h"
 
-static struct store_process *sp;
 static struct store *store;
 static struct mem *mems[3];
 static int changes;
@@ -34,11 +33,7 @@
 static void
 setup(void)
 {
-	struct etcd_options opts = {.timeout_ms = 300};
-
-	sp = store_process_start();
-	opts.url = store_process_url(sp);
-	store = etcd_new(&opts);
+	store = store_process_open(300);
 	mems[0] = join(1, "e1");
 	mems[1] = join(2, "e2");
 }
@@ -48,32 +43,15 @@
 {
 	mem_free(mems[0]);
 	mem_free(mems[1]);
-	store->ops->free(store);
-	run_for(20);
-	store_process_stop(sp);
-}
-
-struct wanted {
-	const struct mem *mem;
-	size_t n;
-};
-
-static bool
-has_entries(void *ctx)
-{
-	const struct wanted *wanted = ctx;
-	size_t n;
-
-	mem_list(wanted->mem, &n);
-	return n == wanted->n;
+	store_process_close(store);
 }
 
 static bool
 see(const struct mem *mem, size_t n)
 {
-	struct wanted wanted = {mem, n};
+	size_t seen;
 
-	return run_until(has_entries, &wanted, 5000);
+	return hn_wait_until((mem_list(mem, &seen), seen == n), 5000);
 }
 
 /* Every entry must see the same list, and a changed one must show. */
@@ -95,12 +73,6 @@
 }
 END_TEST
 
-static bool
-is_left(void *ctx)
-{
-	return *(int *)ctx > 0;
-}
-
 static void
 on_left(void *ctx)
 {
@@ -116,7 +88,7 @@
 	setup();
 	ck_assert(see(mems[0], 2) && see(mems[1], 2));
 	mem_leave(mems[1], on_left, &left);
-	ck_assert(run_until(is_left, &left, 1000));
+	ck_assert(hn_wait_until(left > 0, 1000));
 	ck_assert_int_eq(left, 1);
 	ck_assert(see(mems[0], 1));
 	ck_assert(!mem_is_gone(mems[0], 2, clk_now_ms()));
@@ -124,22 +96,13 @@
 	ck_assert(see(mems[0], 2));
 	mem_free(mems[2]);
 	ck_assert(see(mems[0], 1));
-	run_for(2600);
+	hn_sleep(2600);
 	ck_assert(mem_is_gone(mems[0], 2, clk_now_ms()));
 	ck_assert(!mem_is_gone(mems[0], 1, clk_now_ms()));
 	teardown();
 }
 END_TEST
 
-static bool
-both_back(void *ctx)
-{
-	(void)ctx;
-	return changes >= 2 && mem_is_registered(mems[0]) &&
-	       mem_is_registered(mems[1]) && mem_find(mems[0], 1) != NULL &&
-	       mem_find(mems[0], 2) != NULL;
-}
-
 /* A live entry whose lease was lost must register again under the same
  * incarnation, and must not be taken for gone meanwhile. */
 START_TEST(lost_lease_is_replaced)
@@ -147,10 +110,14 @@
 	setup();
 	ck_assert(see(mems[0], 2) && see(mems[1], 2));
 	changes = 0;
-	store_process_control(sp, "expire");
+	store_process_control("expire");
 	ck_assert(see(mems[0], 0));
 	ck_assert(!mem_is_gone(mems[0], 2, clk_now_ms()));
-	ck_assert(run_until(both_back, NULL, 3000));
+	ck_assert(hn_wait_until(changes >= 2 && mem_is_registered(mems[0]) &&
+				    mem_is_registered(mems[1]) &&
+				    mem_find(mems[0], 1) != NULL &&
+				    mem_find(mems[0], 2) != NULL,
+	    3000));
 	teardown();
 }
 END_TEST
@@ -160,13 +127,13 @@
 {
 	setup();
 	ck_assert(see(mems[0], 2));
-	store_process_control(sp, "outage?mode=hang");
-	run_for(2000);
+	store_process_control("outage?mode=hang");
+	hn_sleep(2000);
 	ck_assert(see(mems[0], 2));
 	ck_assert(!mem_is_gone(mems[0], 77, clk_now_ms()));
-	store_process_control(sp, "outage?mode=off");
+	store_process_control("outage?mode=off");
 	changes = 0;
-	run_for(1500);
+	hn_sleep(1500);
 	ck_assert(see(mems[0], 2) && mem_is_registered(mems[0]));
 	teardown();
 }
--- a/tests/test_operators.c
+++ b/tests/test_operators.c
@@ -1,9 +1,8 @@
 #include <gio/gio.h>
-#include <glib/gstdio.h>
-#include <stdio.h>
 #include <string.h>
 
 #include "entry_node.h"
+#include "harness.h"
 #include "process/log.h"
 #include "request/operators.h"
 #include "runner.h"
@@ -13,10 +12,9 @@
 	"{\"failure_domains\": [{\"name\": \"d1\", \"entries\": true}], "      \
 	"\"services\": [{\"name\": \"club-desk\"}]}"
 
-static struct store_process *sp;
 static struct entry_node node;
 static struct ops *ops;
-static char url[64], text_path[64];
+static const char *url, *text_path;
 
 /* One finished run of spctl. */
 struct run {
@@ -47,12 +45,9 @@
 	    .add_status = add_status,
 	    .metrics = metrics};
 	struct status st;
-	char *path = NULL;
-	int fd;
 
 	log_open("test", LOG_ERR);
-	sp = store_process_start();
-	entry_node_start(&node, store_process_url(sp), 0x11, "d1", 7001);
+	entry_node_start(&node, store_process_start(), 0x11, "d1", 7001);
 	opts.chg = node.chg;
 	opts.fresh = node.fresh;
 	opts.rdr = node.rdr;
@@ -60,14 +55,9 @@
 	opts.self = node.self;
 	ops = ops_new(&opts, &st);
 	ck_assert_msg(ops != NULL, "%s", st.message);
-	snprintf(url, sizeof(url), "http://127.0.0.1:%u", ops_port(ops));
-	fd = g_file_open_tmp("text-XXXXXX", &path, NULL);
-	ck_assert_int_ge(fd, 0);
-	ck_assert(g_close(fd, NULL));
-	ck_assert(g_file_set_contents(path, TEXT, -1, NULL));
-	g_strlcpy(text_path, path, sizeof(text_path));
-	g_free(path);
-	run_for(300);
+	url = hn_str("http://127.0.0.1:%u", ops_port(ops));
+	text_path = hn_write("text.json", TEXT);
+	hn_sleep(300);
 }
 
 static void
@@ -75,9 +65,8 @@
 {
 	ops_free(ops);
 	entry_node_kill(&node);
-	run_for(20);
-	store_process_stop(sp);
-	remove(text_path);
+	hn_sleep(20);
+	hn_finish();
 }
 
 static void
@@ -92,12 +81,6 @@
 	run->done = true;
 }
 
-static bool
-is_done(void *ctx)
-{
-	return ((struct run *)ctx)->done;
-}
-
 /* Runs spctl with a line of arguments while the entry serves. */
 static struct run
 spctl(const char *fmt, ...)
@@ -120,7 +103,7 @@
 	ck_assert_ptr_nonnull(process);
 	g_subprocess_communicate_utf8_async(
 	    process, NULL, NULL, on_exit_of_run, &run);
-	ck_assert(run_until(is_done, &run, 20000));
+	ck_assert(hn_wait_until(run.done, 20000));
 	g_object_unref(process);
 	g_strfreev(argv);
 	g_free(line);
@@ -200,12 +183,12 @@
 	expect(spctl("status -e http://127.0.0.1:1"), 4, "", "no entry");
 	expect(spctl("in service club-desk -e http://127.0.0.1:1"), 4, "",
 	    "no entry");
-	store_process_control(sp, "outage?mode=refuse");
-	run_for(100);
+	store_process_control("outage?mode=refuse");
+	hn_sleep(100);
 	expect(spctl("out service club-desk --entry %s", url), 1, "",
 	    "store_unavailable");
-	store_process_control(sp, "outage?mode=off");
-	store_process_control(sp, "drop?writes=1");
+	store_process_control("outage?mode=off");
+	store_process_control("drop?writes=1");
 	expect(spctl("out service club-desk --entry %s --change-id c9", url), 0,
 	    "version 2", "");
 	expect(spctl("out service club-desk --entry %s --change-id c9", url), 0,
--- a/tests/test_outcome.c
+++ b/tests/test_outcome.c
@@ -185,4 +185,4 @@
 END_TEST
 
 /* A trace fails when a start could happen twice or a result is lost. */
-REPLAY_MAIN("outcome", start, end, step, random_interleavings)
+REPLAY_MAIN("outcome", 0, start, end, step, random_interleavings)
--- a/tests/test_reader.c
+++ b/tests/test_reader.c
@@ -1,14 +1,13 @@
 #include <glib.h>
 #include <string.h>
 
+#include "harness.h"
 #include "process/clock.h"
 #include "process/log.h"
 #include "runner.h"
 #include "store_process.h"
-#include "version/etcd.h"
 #include "version/reader.h"
 
-static struct store_process *sp;
 static struct store *store;
 static struct fresh *fresh;
 static struct rdr *rdr;
@@ -23,20 +22,13 @@
 	written = true;
 }
 
-static bool
-is_written(void *ctx)
-{
-	(void)ctx;
-	return written;
-}
-
 static void
 put(const char *document)
 {
 	written = false;
 	store->ops->put(store, STORE_CONFIG_KEY, document, strlen(document), 0,
 	    on_put, NULL);
-	ck_assert(run_until(is_written, NULL, 2000));
+	ck_assert(hn_wait_until(written, 2000));
 }
 
 static void
@@ -51,29 +43,19 @@
 	g_free(document);
 }
 
-static bool
-holds(void *ctx)
-{
-	return fresh_version(fresh) == *(uint64_t *)ctx;
-}
-
 static void
 setup(void)
 {
-	struct etcd_options opts = {.timeout_ms = 1000};
 	struct rdr_options rdr_opts = {.poll_ms = 50};
-	uint64_t version = 5;
 
 	log_open("test", LOG_EMERG);
-	sp = store_process_start();
-	opts.url = store_process_url(sp);
-	store = etcd_new(&opts);
+	store = store_process_open(1000);
 	fresh = fresh_new(300);
 	rdr_opts.store = store;
 	rdr_opts.fresh = fresh;
 	put_version(5);
 	rdr = rdr_new(&rdr_opts);
-	ck_assert(run_until(holds, &version, 2000));
+	ck_assert(hn_wait_until(fresh_version(fresh) == 5, 2000));
 }
 
 static void
@@ -81,32 +63,27 @@
 {
 	rdr_free(rdr);
 	fresh_free(fresh);
-	store->ops->free(store);
-	run_for(20);
-	store_process_stop(sp);
+	store_process_close(store);
 }
 
 static bool
-sees_low_age(void *ctx)
+sees_age_below(int64_t limit_ms, int64_t timeout_ms)
 {
-	int64_t age_ms = fresh_age_ms(fresh, clk_now_ms());
-
-	return age_ms >= 0 && age_ms < *(int64_t *)ctx;
+	return hn_wait_until(fresh_age_ms(fresh, clk_now_ms()) >= 0 &&
+				 fresh_age_ms(fresh, clk_now_ms()) < limit_ms,
+	    timeout_ms);
 }
 
 /* The store may have answered at any time since the read was sent, so the
  * age must never be less than the time that a read takes. */
 START_TEST(age_counts_from_the_send)
 {
-	int64_t limit_ms = 100;
-
 	setup();
-	ck_assert(run_until(sees_low_age, &limit_ms, 1000));
-	store_process_control(sp, "slow?ms=150");
-	run_for(400);
-	ck_assert(!run_until(sees_low_age, &limit_ms, 600));
-	limit_ms = 250;
-	ck_assert(run_until(sees_low_age, &limit_ms, 600));
+	ck_assert(sees_age_below(100, 1000));
+	store_process_control("slow?ms=150");
+	hn_sleep(400);
+	ck_assert(!sees_age_below(100, 600));
+	ck_assert(sees_age_below(250, 600));
 	teardown();
 }
 END_TEST
@@ -128,12 +105,12 @@
 		else
 			store->ops->remove(
 			    store, STORE_CONFIG_KEY, on_put, NULL);
-		run_for(500);
+		hn_sleep(500);
 		ck_assert_msg(fresh_version(fresh) == version, "%s", bad[i]);
 		ck_assert_msg(
 		    !fresh_is_current(fresh, clk_now_ms()), "%s", bad[i]);
 		put_version(++version);
-		ck_assert(run_until(holds, &version, 1000));
+		ck_assert(hn_wait_until(fresh_version(fresh) == version, 1000));
 		ck_assert(fresh_is_current(fresh, clk_now_ms()));
 	}
 	teardown();
--- a/tests/test_retry.c
+++ b/tests/test_retry.c
@@ -43,4 +43,4 @@
 }
 
 /* Each case says which failure it guards against. */
-REPLAY_MAIN("retry", start, end, step)
+REPLAY_MAIN("retry", 0, start, end, step)
--- a/tests/test_runqueue.c
+++ b/tests/test_runqueue.c
@@ -133,4 +133,4 @@
 }
 
 /* A trace fails when a task starts that must not, or is not returned. */
-REPLAY_MAIN("runqueue", start, end, step)
+REPLAY_MAIN("runqueue", 0, start, end, step)
