tests: table of endpoint calls, script for the agent's side of an entry

test_endpoint repeated the setup of one call in six tests, and test_entrylink one wait and one check per line. The first is a table with the outcome, the connections and the requests that each call may make, the second a trace; the restart of an agent and split results stay in C, as they check more than a trace shows. Calls that share a client on purpose are still in one test.

--- a/tests/test_endpoint.c
+++ b/tests/test_endpoint.c
@@ -4,6 +4,7 @@
 
 #include "connection/announce.h"
 #include "connection/endpoint.h"
+#include "harness.h"
 #include "process/clock.h"
 #include "runner.h"
 
@@ -154,15 +155,6 @@
 	return ep_new(&opts);
 }
 
-static void
-settle(int64_t ms)
-{
-	int64_t end = clk_now_ms() + ms;
-
-	while (clk_now_ms() < end)
-		g_main_context_iteration(NULL, FALSE);
-}
-
 static void
 expect(struct outcome *o, enum wire_outcome outcome, enum wire_reason reason)
 {
@@ -212,7 +204,7 @@
 		}
 		ep_free(ep);
 	}
-	settle(300);
+	hn_sleep(300);
 	ck_assert_int_eq(g_atomic_int_get(&server.connections), calls);
 }
 END_TEST
@@ -249,116 +241,99 @@
 			}
 		}
 	}
-	settle(300);
+	hn_sleep(300);
 	ck_assert_int_eq(g_atomic_int_get(&server.connections), calls);
 	ep_free(ep);
 }
 END_TEST
 
-/* Without a length, a truncated answer would pass for a whole one. */
-START_TEST(answer_without_length)
-{
-	struct plan plan = {"", NULL, 5000, 5000};
-	struct ep *ep = client();
-	struct outcome o;
-
-	server_start();
-	plan.address = server.address;
-	server.answer = UNBOUNDED;
-	o = call(ep, &plan);
-	expect(&o, WIRE_UNKNOWN, WIRE_REASON_BROKEN);
-	ep_free(ep);
-}
-END_TEST
-
-/* Only a start of which no byte was written may be called not started. */
-START_TEST(refused_is_not_started)
-{
-	struct plan plan = {"", NULL, 5000, 5000};
-	struct ep *ep = client();
-	struct outcome o;
-
-	server_start();
-	plan.address = server.address;
-	g_socket_service_stop(server.service);
-	g_socket_listener_close(G_SOCKET_LISTENER(server.service));
-	o = call(ep, &plan);
-	expect(&o, WIRE_NOT_STARTED, WIRE_REASON_CONNECT);
-	plan.address = "http://[";
-	o = call(ep, &plan);
-	expect(&o, WIRE_NOT_STARTED, WIRE_REASON_CONNECT);
-	ep_free(ep);
-}
-END_TEST
-
-/*
- * Guards against a start after a pause between the check and the write: the
- * connection is made, but no byte may follow.
- */
-START_TEST(too_late_to_send)
-{
-	struct plan plan = {"", NULL, 5000, 0};
-	struct ep *ep = client();
-	struct outcome o;
+/* A row's answer of this length in place of a text. */
+#define SIZED(n)  ((const char *)NULL), (n)
+#define TEXT(s)	  (s), 0
+#define EMPTY(st) TEXT("HTTP/1.1 " st " No\r\nContent-Length: 0\r\n\r\n")
 
-	server_start();
-	plan.address = server.address;
-	o = call(ep, &plan);
-	expect(&o, WIRE_NOT_STARTED, WIRE_REASON_STALE);
-	settle(100);
-	ck_assert_uint_eq(server.request->len, 0);
-	ep_free(ep);
-}
-END_TEST
+/* One call each, with the connections and the requests that it may make. */
+static const struct row {
+	const char *name;
+	struct plan plan; /* address NULL: the server's */
+	const char *answer;
+	int size;
+	enum wire_outcome outcome;
+	enum wire_reason reason;
+	int connections, requests;
+	bool closed, hang;
+} rows[] = {
+    {"Without a length, a truncated answer would pass for a whole one",
+	{"", NULL, 5000, 5000}, TEXT(UNBOUNDED), WIRE_UNKNOWN,
+	WIRE_REASON_BROKEN, 1, 1, false, false},
+    {"Only a start of which no byte was written may be called not started",
+	{"", NULL, 5000, 5000}, TEXT(WHOLE), WIRE_NOT_STARTED,
+	WIRE_REASON_CONNECT, 0, 0, true, false},
+    {"The same for an address that is none", {"", "http://[", 5000, 5000},
+	TEXT(WHOLE), WIRE_NOT_STARTED, WIRE_REASON_CONNECT, 0, 0, false, false},
+    {"A pause between the check and the write: no byte may follow",
+	{"", NULL, 5000, 0}, TEXT(WHOLE), WIRE_NOT_STARTED, WIRE_REASON_STALE,
+	1, 0, false, false},
+    {"The largest answer", {"", NULL, 5000, 5000}, SIZED(MAX_ANSWER), WIRE_DONE,
+	WIRE_REASON_NONE, 1, 1, false, false},
+    {"An answer over the limit", {"", NULL, 5000, 5000}, SIZED(MAX_ANSWER + 1),
+	WIRE_UNKNOWN, WIRE_REASON_TOO_LARGE, 1, 1, false, false},
+    {"An endpoint that hangs holds a slot no longer than to the deadline",
+	{"", NULL, 200, 200}, TEXT(WHOLE), WIRE_UNKNOWN, WIRE_REASON_DEADLINE,
+	1, 1, false, true},
+    {"libsoup sends again on another connection after a 421, but no byte",
+	{"GET", NULL, 5000, 5000}, EMPTY("421"), WIRE_UNKNOWN,
+	WIRE_REASON_BROKEN, -1, 1, false, false},
+};
 
-START_TEST(oversize_answer)
+static char *
+sized_answer(int size)
 {
-	struct plan plan = {"", NULL, 5000, 5000};
-	struct ep *ep = client();
-	struct outcome o;
-	char *body, *answer;
-	int size;
+	char *body = g_strnfill((gsize)size, 'x');
+	char *answer = g_strdup_printf(
+	    "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", size, body);
 
-	server_start();
-	plan.address = server.address;
-	for (size = MAX_ANSWER; size <= MAX_ANSWER + 1; size++) {
-		body = g_strnfill(size, 'x');
-		answer = g_strdup_printf(
-		    "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", size,
-		    body);
-		server.answer = answer;
-		o = call(ep, &plan);
-		if (size <= MAX_ANSWER) {
-			ck_assert_int_eq(
-			    (int)o.result.body.wire_payload_len, size);
-			expect(&o, WIRE_DONE, WIRE_REASON_NONE);
-		} else {
-			expect(&o, WIRE_UNKNOWN, WIRE_REASON_TOO_LARGE);
-		}
-		settle(50); /* the server's thread still writes */
-		g_free(answer);
-		g_free(body);
-	}
-	ep_free(ep);
+	g_free(body);
+	return answer;
 }
-END_TEST
 
-/* An endpoint that hangs holds a slot no longer than to the deadline. */
-START_TEST(deadline)
+START_TEST(one_call)
 {
-	struct plan plan = {"", NULL, 200, 200};
+	const struct row *row = &rows[_i];
+	struct plan plan = row->plan;
 	struct ep *ep = client();
 	int64_t begin_ms = clk_now_ms();
 	struct outcome o;
 
 	server_start();
-	plan.address = server.address;
-	server.hang = true;
+	if (plan.address == NULL)
+		plan.address = server.address;
+	server.answer =
+	    row->answer != NULL ? row->answer : sized_answer(row->size);
+	server.hang = row->hang;
+	if (row->closed) {
+		g_socket_service_stop(server.service);
+		g_socket_listener_close(G_SOCKET_LISTENER(server.service));
+	}
 	o = call(ep, &plan);
-	expect(&o, WIRE_UNKNOWN, WIRE_REASON_DEADLINE);
-	ck_assert_int_ge(clk_now_ms() - begin_ms, 200);
+	ck_assert_msg(
+	    o.result.outcome == row->outcome && o.result.reason == row->reason,
+	    "%s: %d %d", row->name, o.result.outcome, o.result.reason);
+	if (row->outcome == WIRE_DONE)
+		ck_assert_int_eq(
+		    (int)o.result.body.wire_payload_len, row->size);
 	ck_assert_int_lt(clk_now_ms() - begin_ms, 2000);
+	if (row->hang)
+		ck_assert_int_ge(clk_now_ms() - begin_ms, plan.deadline_ms);
+	expect(&o, row->outcome, row->reason);
+	hn_sleep(200);
+	if (row->connections >= 0)
+		ck_assert_int_eq(
+		    g_atomic_int_get(&server.connections), row->connections);
+	ck_assert_int_eq(g_atomic_int_get(&server.requests), row->requests);
 	ep_free(ep);
+	if (row->answer == NULL)
+		g_free((char *)server.answer);
 }
 END_TEST
 
@@ -385,39 +360,22 @@
 		ck_assert_uint_eq(o.result.status, statuses[i]);
 		expect(&o, WIRE_DONE, WIRE_REASON_NONE);
 	}
-	settle(100);
+	hn_sleep(100);
 	ck_assert_int_eq(g_atomic_int_get(&server.connections), (int)i);
 	ep_free(ep);
 }
 END_TEST
 
-/*
- * libsoup sends a request again on another connection after a 421; the answer
- * is then lost, but no byte may be sent twice.
- */
-START_TEST(misdirected_is_sent_once)
-{
-	struct plan plan = {"GET", NULL, 5000, 5000};
-	struct ep *ep = client();
-	struct outcome o;
-
-	server_start();
-	plan.address = server.address;
-	server.answer = "HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n";
-	o = call(ep, &plan);
-	expect(&o, WIRE_UNKNOWN, WIRE_REASON_BROKEN);
-	settle(200);
-	ck_assert_int_eq(g_atomic_int_get(&server.requests), 1);
-	ep_free(ep);
-}
-END_TEST
-
 /* The endpoint relies on these headers; the path passes through unchanged. */
 START_TEST(request_headers)
 {
+	static const char *const fields[] = {"Connection: close",
+	    "Sequoiaplank-Task-Id: job/0\r\n",
+	    "Sequoiaplank-Start-By: ", "traceparent: 00-0-0-00"};
 	struct plan plan = {"PUT", NULL, 5000, 5000};
 	struct ep *ep = client();
 	struct outcome o;
+	size_t i;
 
 	server_start();
 	plan.address = server.address;
@@ -426,22 +384,20 @@
 	ck_assert_str_eq(o.result.headers.headers_val[0].name, "X-Kept");
 	ck_assert(g_str_has_prefix(
 	    server.request->str, "PUT /path?q=%20 HTTP/1.1\r\n"));
-	ck_assert_ptr_nonnull(strstr(server.request->str, "Connection: close"));
-	ck_assert_ptr_nonnull(
-	    strstr(server.request->str, "Sequoiaplank-Task-Id: job/0\r\n"));
-	ck_assert_ptr_nonnull(
-	    strstr(server.request->str, "Sequoiaplank-Start-By: "));
-	ck_assert_ptr_nonnull(
-	    strstr(server.request->str, "traceparent: 00-0-0-00"));
+	for (i = 0; i < G_N_ELEMENTS(fields); i++)
+		ck_assert_msg(strstr(server.request->str, fields[i]) != NULL,
+		    "%s", fields[i]);
 	ck_assert(g_str_has_suffix(server.request->str, "{\"a\":1}"));
 	expect(&o, WIRE_DONE, WIRE_REASON_NONE);
 	ep_free(ep);
 }
 END_TEST
 
+#define ANN(service, address, slots, ttl)                                      \
+	"{\"service\":\"" service "\",\"address\":\"" address                  \
+	"\",\"slots\":" slots ",\"connections\":64,\"ttl_ms\":" ttl "}"
 #define ANNOUNCEMENT                                                           \
-	"{\"service\":\"desk\",\"address\":\"http://127.0.0.1:9\","            \
-	"\"slots\":8,\"connections\":64,\"ttl_ms\":1000,\"slots_in_use\":3}"
+	ANN("desk", "http://127.0.0.1:9", "8", "1000,\"slots_in_use\":3")
 
 static bool
 put(struct ann *ann, const char *json, uint32_t running, int64_t now_ms)
@@ -455,20 +411,13 @@
 START_TEST(announcement)
 {
 	static const char *const bad[] = {"", "[]", "{}", ANNOUNCEMENT "x",
-	    "{\"service\":\"\",\"address\":\"http://127.0.0.1:9\","
-	    "\"slots\":8,\"connections\":64,\"ttl_ms\":1000}",
-	    "{\"service\":\"a\",\"address\":\"https://127.0.0.1:9\","
-	    "\"slots\":8,\"connections\":64,\"ttl_ms\":1000}",
-	    "{\"service\":\"a\",\"address\":\"http://127.0.0.1:9/x\","
-	    "\"slots\":8,\"connections\":64,\"ttl_ms\":1000}",
-	    "{\"service\":\"a\",\"address\":\"http://127.0.0.1:9\","
-	    "\"slots\":0,\"connections\":64,\"ttl_ms\":1000}",
-	    "{\"service\":\"a\",\"address\":\"http://127.0.0.1:9\","
-	    "\"slots\":\"8\",\"connections\":64,\"ttl_ms\":1000}",
-	    "{\"service\":\"a\",\"address\":\"http://127.0.0.1:9\","
-	    "\"slots\":8,\"connections\":64,\"ttl_ms\":1000,\"x\":1}",
-	    "{\"service\":\"a\",\"address\":\"http://127.0.0.1:9\","
-	    "\"slots\":8,\"connections\":64,\"ttl_ms\":1}"};
+	    ANN("", "http://127.0.0.1:9", "8", "1000"),
+	    ANN("a", "https://127.0.0.1:9", "8", "1000"),
+	    ANN("a", "http://127.0.0.1:9/x", "8", "1000"),
+	    ANN("a", "http://127.0.0.1:9", "0", "1000"),
+	    ANN("a", "http://127.0.0.1:9", "\"8\"", "1000"),
+	    ANN("a", "http://127.0.0.1:9", "8", "1000,\"x\":1"),
+	    ANN("a", "http://127.0.0.1:9", "8", "1")};
 	struct ann *ann = ann_new();
 	size_t i;
 
@@ -498,8 +447,6 @@
 }
 END_TEST
 
-TEST_MAIN("endpoint", 60, drop_in_request, drop_in_answer,
-    answer_without_length, refused_is_not_started, too_late_to_send,
-    oversize_answer, deadline, redirect_and_login_are_answers,
-    misdirected_is_sent_once, request_headers, announcement,
-    slots_in_use_by_others)
+ROWS_MAIN("endpoint", 60, G_N_ELEMENTS(rows), one_call, drop_in_request,
+    drop_in_answer, redirect_and_login_are_answers, request_headers,
+    announcement, slots_in_use_by_others)
--- a/tests/test_entrylink.c
+++ b/tests/test_entrylink.c
@@ -13,6 +13,8 @@
 #define FRESHNESS_MS 1000
 #define SEQ_MAX	     64
 
+/* The commands are listed in tests/cases/entrylink.txt. */
+
 /*
  * An entry that this test controls, for a real agent with a real stand-in
  * endpoint.  It holds one listening port and remembers what it was told.
@@ -291,18 +293,44 @@
 	ck_assert_uint_eq(fake.n_states, n);
 }
 
+/* Appends the states of the last answer to a query. */
+static void
+show_states(u_int first, u_int n, GString *actual)
+{
+	static const char *const names[] = {
+	    "unseen", "queued", "running", "done"};
+	u_int i;
+
+	for (i = first - 1; i < first - 1 + n; i++)
+		g_string_append_printf(actual, "%s ", names[fake.states[i]]);
+}
+
 static bool
 has_result(uint64_t seq)
 {
 	return fake.results[seq].seq != 0;
 }
 
+/* A result that says done has the status and the body of its own task. */
 static void
-expect_result(uint64_t seq, wire_outcome outcome, wire_reason reason)
+show_result(uint64_t seq, bool reason, GString *actual)
 {
-	ck_assert(hn_wait_until(has_result(seq), HN_LIMIT_MS));
-	ck_assert_int_eq(fake.results[seq].outcome, outcome);
-	ck_assert_int_eq(fake.results[seq].reason, reason);
+	static const char *const outcomes[] = {
+	    "done", "not_started", "unknown"};
+	static const char *const reasons[] = {"", " stale", " out", " draining",
+	    " deadline", " withdrawn", " sealed", " queue_full", " no_endpoint",
+	    " connect", " broken", " too_large"};
+	struct wire_result *r = &fake.results[seq];
+
+	if (!hn_wait_until(has_result(seq), HN_LIMIT_MS))
+		return;
+	g_string_append_printf(actual, "%s%s", outcomes[r->outcome],
+	    reason ? reasons[r->reason] : "");
+	if (r->outcome != WIRE_DONE)
+		return;
+	ck_assert_uint_eq(r->status, 200);
+	ck_assert_ptr_nonnull(g_strstr_len(r->body.wire_payload_val,
+	    r->body.wire_payload_len, hn_str("\"job\\/%u\"", (unsigned)seq)));
 }
 
 static int64_t
@@ -314,166 +342,122 @@
 	return hn_json_int(hn_http("GET", url, NULL), path);
 }
 
-static void
-wait_hellos(int n)
-{
-	ck_assert(hn_wait_until(
-	    fake.hellos >= n && fake.heartbeats > 0, HN_LIMIT_MS));
-}
-
-/* Every caller gets its own answer, whatever the order of the ends. */
-START_TEST(starts_and_results)
+/* A number that the fake entry or the endpoint counted. */
+static int64_t
+count_of(const char *name)
 {
-	uint64_t seq;
-
-	start_all(4);
-	send_start(fake.conn, 1, 4, 5000, "{\"run_ms\":30}");
-	send_start(fake.conn, 5, 4, 5000, "{}");
-	for (seq = 1; seq <= 8; seq++) {
-		expect_result(seq, WIRE_DONE, WIRE_REASON_NONE);
-		ck_assert_uint_eq(fake.results[seq].status, 200);
-		ck_assert_ptr_nonnull(
-		    g_strstr_len(fake.results[seq].body.wire_payload_val,
-			fake.results[seq].body.wire_payload_len,
-			hn_str("\"job\\/%u\"", (unsigned)seq)));
-	}
-	ck_assert_int_eq(counted("total"), 8);
-	ck_assert_int_eq(counted("duplicates"), 0);
-	ck_assert_int_eq(counted("over_slots"), 0);
-	hn_finish();
+	if (strcmp(name, "hellos") == 0)
+		return fake.hellos;
+	if (strcmp(name, "draining") == 0)
+		return fake.load.draining;
+	if (strcmp(name, "busy") == 0)
+		return fake.load.busy;
+	if (g_str_has_prefix(name, "copies"))
+		return fake.copies[atoi(name + strlen("copies"))];
+	if (g_str_has_prefix(name, "has"))
+		return has_result(strtoull(name + strlen("has"), NULL, 10));
+	return counted(name);
 }
-END_TEST
 
-/* Slots and queue are bounds; what is beyond them is not started. */
-START_TEST(queue_and_withdraw)
+static void *
+start(void)
 {
-	start_all(2);
-	send_start(fake.conn, 1, 7, 5000, "{\"run_ms\":300}");
-	expect_result(7, WIRE_NOT_STARTED, WIRE_REASON_QUEUE_FULL);
-	send_withdraw(1);
-	send_withdraw(3);
-	expect_result(3, WIRE_NOT_STARTED, WIRE_REASON_WITHDRAWN);
-	expect_result(1, WIRE_DONE, WIRE_REASON_NONE);
-	expect_result(6, WIRE_DONE, WIRE_REASON_NONE);
-	ck_assert_int_eq(counted("total"), 5);
-	ck_assert_int_eq(counted("most_in_use"), 2);
-	hn_finish();
+	return &fake;
 }
-END_TEST
 
-/*
- * An open connection that goes silent is replaced, and what is still sent on
- * it never starts; after the seal a late copy is refused on the new one too.
- */
-START_TEST(silent_connection_replaced)
+static void
+end(void *ctx)
 {
-	struct rpc_conn *old;
-
-	start_all(4);
-	send_start(fake.conn, 1, 1, 5000, "{\"run_ms\":2000}");
-	ck_assert(hn_wait_until(counted("total") == 1, HN_LIMIT_MS));
-	old = fake.conn;
-	fake.silent = true;
-	ck_assert(hn_wait_until(fake.hellos == 2, HN_LIMIT_MS));
-	send_start(old, 2, 1, 5000, "{}");
-	query(3, 2);
-	ck_assert_int_eq(fake.states[0], WIRE_STATE_RUNNING);
-	ck_assert_int_eq(fake.states[1], WIRE_STATE_UNSEEN);
-	send_start(fake.conn, 2, 1, 5000, "{}");
-	expect_result(2, WIRE_NOT_STARTED, WIRE_REASON_SEALED);
-	expect_result(1, WIRE_DONE, WIRE_REASON_NONE);
-	ck_assert_int_eq(counted("total"), 1);
+	(void)ctx;
 	hn_finish();
 }
-END_TEST
 
-/* A result lost with its connection is sent again, its start is not. */
-START_TEST(results_resent)
+/* Signals to the processes. */
+static void
+process(const char *command, const char *name, GString *actual)
 {
-	start_all(4);
-	fake.hold_acks = true;
-	send_start(fake.conn, 1, 2, 5000, "{}");
-	expect_result(2, WIRE_DONE, WIRE_REASON_NONE);
-	expect_result(1, WIRE_DONE, WIRE_REASON_NONE);
-	rpc_close(fake.conn, ST_UNAVAILABLE, "test");
-	ck_assert(hn_wait_until(fake.copies[1] == 2, HN_LIMIT_MS));
-	query(3, 2);
-	ck_assert_int_eq(fake.states[0], WIRE_STATE_DONE);
-	ck_assert_int_eq(fake.states[1], WIRE_STATE_DONE);
-	send_start(fake.conn, 1, 2, 5000, "{}");
-	fake.hold_acks = false;
-	hn_sleep(4L * HEARTBEAT_MS);
-	ck_assert_int_eq(counted("total"), 2);
-	rpc_close(fake.conn, ST_UNAVAILABLE, "test");
-	wait_hellos(3);
-	hn_sleep(4L * HEARTBEAT_MS);
-	ck_assert_int_eq(fake.copies[1], 2);
-	hn_finish();
+	struct hn_proc *proc =
+	    strcmp(name, "agent") == 0 ? system_.agent : system_.endpoint;
+
+	if (strcmp(command, "stop") == 0)
+		hn_signal(proc, SIGSTOP);
+	else if (strcmp(command, "continue") == 0)
+		hn_signal(proc, SIGCONT);
+	else if (strcmp(command, "term") == 0)
+		hn_signal(proc, SIGTERM);
+	else if (strcmp(command, "exit") == 0)
+		g_string_append_printf(actual, "%d", hn_wait_exit(proc, 5000));
+	else
+		ck_abort_msg("command %s", command);
 }
-END_TEST
 
-/* Nothing starts on a configuration that is not confirmed. */
-START_TEST(stale_holds)
+/* How the fake entry behaves; false for another command. */
+static bool
+behave(char **words, const char *arg)
 {
-	start_all(4);
-	fake.age_ms = -1;
-	hn_sleep(FRESHNESS_MS + 3L * HEARTBEAT_MS);
-	send_start(fake.conn, 1, 1, 300, "{}");
-	send_start(fake.conn, 2, 1, 20000, "{}");
-	expect_result(1, WIRE_NOT_STARTED, WIRE_REASON_DEADLINE);
-	fake.age_ms = FRESHNESS_MS + 500;
-	hn_sleep(3L * HEARTBEAT_MS);
-	ck_assert_int_eq(counted("total"), 0);
-	fake.age_ms = 0;
-	expect_result(2, WIRE_DONE, WIRE_REASON_NONE);
-	hn_finish();
+	if (strcmp(words[0], "silent") == 0)
+		fake.silent = true;
+	else if (strcmp(words[0], "hold_acks") == 0)
+		fake.hold_acks = atoi(arg);
+	else if (strcmp(words[0], "age") == 0)
+		fake.age_ms = atoi(arg);
+	else if (strcmp(words[0], "disconnect") == 0)
+		rpc_close(fake.conn, ST_UNAVAILABLE, "test");
+	else if (strcmp(words[0], "become") == 0)
+		fake_become(strtoull(arg, NULL, 10));
+	else if (strcmp(words[0], "out") == 0)
+		fake.document = document(++fake.version,
+		    hn_str("{\"kind\":\"%s\",\"name\":\"%s\"}", arg, words[2]));
+	else
+		return false;
+	return true;
 }
-END_TEST
 
-/* Out returns the queue; running tasks end normally. */
-START_TEST(out_while_queued)
+static void
+step(void *ctx, char **words, GString *actual)
 {
-	start_all(1);
-	send_start(fake.conn, 1, 2, 5000, "{\"run_ms\":1000}");
-	ck_assert(hn_wait_until(counted("total") == 1, HN_LIMIT_MS));
-	fake.version = 2;
-	fake.document =
-	    document(2, "{\"kind\":\"failure_domain\",\"name\":\"a\"}");
-	expect_result(2, WIRE_NOT_STARTED, WIRE_REASON_OUT);
-	ck_assert(!has_result(1));
-	send_start(fake.conn, 3, 1, 5000, "{}");
-	expect_result(3, WIRE_NOT_STARTED, WIRE_REASON_OUT);
-	expect_result(1, WIRE_DONE, WIRE_REASON_NONE);
-	hn_finish();
-}
-END_TEST
+	const char *arg = words[1] != NULL ? words[1] : "";
+	uint64_t n = strtoull(arg, NULL, 10);
 
-/*
- * An agent that was stopped while its service was taken out must start
- * nothing of what waited in its sockets and in its queue.
- */
-START_TEST(frozen_agent)
-{
-	start_all(1);
-	send_start(fake.conn, 1, 2, 60000, "{\"run_ms\":200}");
-	ck_assert(hn_wait_until(counted("total") == 1, HN_LIMIT_MS));
-	hn_signal(system_.agent, SIGSTOP);
-	send_start(fake.conn, 3, 1, 60000, "{}");
-	hn_sleep(FRESHNESS_MS + 1000);
-	fake.version = 2;
-	fake.document = document(2, "{\"kind\":\"service\",\"name\":\"desk\"}");
-	hn_signal(system_.agent, SIGCONT);
-	ck_assert(hn_wait_until(fake.hellos == 2, HN_LIMIT_MS));
-	query(4, 3);
-	ck_assert_int_eq(fake.states[2], WIRE_STATE_UNSEEN);
-	ck_assert(hn_wait_until(has_result(2), HN_LIMIT_MS));
-	ck_assert_int_eq(fake.results[2].outcome, WIRE_NOT_STARTED);
-	expect_result(1, WIRE_DONE, WIRE_REASON_NONE);
-	hn_sleep(4L * HEARTBEAT_MS);
-	ck_assert_int_eq(counted("total"), 1);
-	hn_finish();
+	(void)ctx;
+	if (behave(words, arg))
+		return;
+	if (strcmp(words[0], "slots") == 0)
+		start_all((int)n);
+	else if (strcmp(words[0], "start") == 0)
+		send_start(fake.conn, n, (u_int)atoi(words[2]), atoi(words[3]),
+		    words[4]);
+	else if (strcmp(words[0], "start_on_old") == 0)
+		send_start(fake.older->pdata[fake.older->len - 1], n,
+		    (u_int)atoi(words[2]), atoi(words[3]), words[4]);
+	else if (strcmp(words[0], "withdraw") == 0)
+		send_withdraw(n);
+	else if (strcmp(words[0], "result") == 0)
+		show_result(n, true, actual);
+	else if (strcmp(words[0], "any") == 0)
+		show_result(n, false, actual);
+	else if (strcmp(words[0], "query") == 0) {
+		query(n, (u_int)atoi(words[2]));
+		show_states(1, fake.n_states, actual);
+	} else if (strcmp(words[0], "ask") == 0)
+		query(n, (u_int)atoi(words[2]));
+	else if (strcmp(words[0], "state") == 0)
+		show_states((u_int)n, 1, actual);
+	else if (strcmp(words[0], "count") == 0)
+		g_string_append_printf(actual, "%d", (int)count_of(arg));
+	else if (strcmp(words[0], "wait") == 0)
+		ck_assert_msg(
+		    hn_wait_until(count_of(arg) == atoi(words[2]),
+			words[3] != NULL ? atoi(words[3]) : HN_LIMIT_MS),
+		    "%s stays %d", arg, (int)count_of(arg));
+	else if (strcmp(words[0], "service") == 0)
+		ck_assert(hn_wait_until(
+		    strcmp(fake.service_name, arg) == 0, HN_LIMIT_MS));
+	else if (strcmp(words[0], "sleep") == 0)
+		hn_sleep((int64_t)n);
+	else
+		process(words[0], arg, actual);
 }
-END_TEST
 
 /* A restarted agent must not count its predecessor's slots as free. */
 START_TEST(agent_restart)
@@ -492,77 +476,14 @@
 	ck_assert_uint_ne(fake.hello.incarnation, incarnation);
 	ck_assert_uint_eq(fake.load.busy, 1);
 	send_start(fake.conn, 2, 2, 20000, "{\"run_ms\":200}");
-	expect_result(3, WIRE_DONE, WIRE_REASON_NONE);
+	ck_assert(hn_wait_until(has_result(3), HN_LIMIT_MS));
+	ck_assert_int_eq(fake.results[3].outcome, WIRE_DONE);
+	ck_assert_int_eq(fake.results[3].reason, WIRE_REASON_NONE);
 	ck_assert_int_eq(counted("over_slots"), 0);
 	hn_finish();
 }
 END_TEST
 
-/* A new entry incarnation: its predecessor's queue must not run. */
-START_TEST(entry_replaced)
-{
-	start_all(1);
-	send_start(fake.conn, 1, 3, 20000, "{\"run_ms\":700}");
-	ck_assert(hn_wait_until(counted("total") == 1, HN_LIMIT_MS));
-	fake_become(200);
-	ck_assert(hn_wait_until(fake.hellos == 2, HN_LIMIT_MS));
-	send_start(fake.conn, 1, 1, 20000, "{}");
-	expect_result(1, WIRE_DONE, WIRE_REASON_NONE);
-	hn_sleep(300);
-	ck_assert_int_eq(counted("total"), 2);
-	ck_assert(!has_result(2) && !has_result(3));
-	hn_finish();
-}
-END_TEST
-
-/* SIGTERM loses nothing: the queue goes back, the running task ends. */
-START_TEST(agent_drains)
-{
-	start_all(1);
-	send_start(fake.conn, 1, 2, 20000, "{\"run_ms\":1000}");
-	ck_assert(hn_wait_until(counted("total") == 1, HN_LIMIT_MS));
-	hn_signal(system_.agent, SIGTERM);
-	expect_result(2, WIRE_NOT_STARTED, WIRE_REASON_DRAINING);
-	ck_assert(hn_wait_until(fake.load.draining, 500));
-	send_start(fake.conn, 3, 1, 20000, "{}");
-	expect_result(3, WIRE_NOT_STARTED, WIRE_REASON_DRAINING);
-	ck_assert(!has_result(1));
-	expect_result(1, WIRE_DONE, WIRE_REASON_NONE);
-	ck_assert_int_eq(hn_wait_exit(system_.agent, 5000), 0);
-	hn_finish();
-}
-END_TEST
-
-/* An endpoint that leaves or dies gets no more work. */
-START_TEST(endpoint_leaves)
-{
-	start_all(1);
-	send_start(fake.conn, 1, 2, 20000, "{\"run_ms\":500}");
-	ck_assert(hn_wait_until(counted("total") == 1, HN_LIMIT_MS));
-	hn_signal(system_.endpoint, SIGTERM);
-	expect_result(2, WIRE_NOT_STARTED, WIRE_REASON_DRAINING);
-	expect_result(1, WIRE_DONE, WIRE_REASON_NONE);
-	ck_assert_int_eq(hn_wait_exit(system_.endpoint, 5000), 0);
-	ck_assert(hn_wait_until(fake.service_name[0] == '\0', HN_LIMIT_MS));
-	send_start(fake.conn, 3, 1, 20000, "{}");
-	expect_result(3, WIRE_NOT_STARTED, WIRE_REASON_NO_ENDPOINT);
-	hn_finish();
-}
-END_TEST
-
-/* A task whose endpoint died may have run; the next ones have not. */
-START_TEST(endpoint_dies)
-{
-	start_all(1);
-	send_start(fake.conn, 1, 1, 20000, "{\"die\":true}");
-	expect_result(1, WIRE_UNKNOWN, WIRE_REASON_BROKEN);
-	send_start(fake.conn, 2, 1, 20000, "{}");
-	ck_assert(hn_wait_until(has_result(2), HN_LIMIT_MS));
-	ck_assert_int_eq(fake.results[2].outcome, WIRE_NOT_STARTED);
-	hn_finish();
-}
-END_TEST
-
 /* Large results exceed one record and arrive in several, all whole. */
 START_TEST(results_split)
 {
@@ -571,7 +492,9 @@
 	start_all(8);
 	send_start(fake.conn, 1, 8, 20000, "{\"run_ms\":100,\"size\":900000}");
 	for (seq = 1; seq <= 8; seq++) {
-		expect_result(seq, WIRE_DONE, WIRE_REASON_NONE);
+		ck_assert(hn_wait_until(has_result(seq), HN_LIMIT_MS));
+		ck_assert_int_eq(fake.results[seq].outcome, WIRE_DONE);
+		ck_assert_int_eq(fake.results[seq].reason, WIRE_REASON_NONE);
 		ck_assert_uint_gt(
 		    fake.results[seq].body.wire_payload_len, 900000);
 	}
@@ -580,7 +503,5 @@
 }
 END_TEST
 
-TEST_MAIN("entrylink", 60, starts_and_results, queue_and_withdraw,
-    silent_connection_replaced, results_resent, stale_holds, out_while_queued,
-    frozen_agent, agent_restart, entry_replaced, agent_drains, endpoint_leaves,
-    endpoint_dies, results_split)
+/* Each case says which failure it guards against. */
+REPLAY_MAIN("entrylink", 60, start, end, step, agent_restart, results_split)
