--- a/include/sequoiaplank.h
+++ b/include/sequoiaplank.h
@@ -17,7 +17,7 @@
 
 enum sp_result {
 	SP_OK = 0,
-	SP_INVALID = 1,	    /* settings or text are wrong: key and place given */
+	SP_INVALID = 1, /* settings or text are wrong: key and place given */
 	SP_UNAVAILABLE = 2, /* an address can't be listened on */
 	SP_INTERRUPTED = 3  /* requests still ran when drain_timeout_ms ended */
 };
@@ -34,8 +34,8 @@
  * Checks an operators' text of len bytes.  name stands for it in the message
  * ("name:line:column: ...").  Errors: SP_INVALID.
  */
-enum sp_result sp_text_check(const char *name, const char *text, size_t len,
-    struct sp_error *error);
+enum sp_result sp_text_check(
+    const char *name, const char *text, size_t len, struct sp_error *error);
 
 /* Checks a settings file and starts nothing.  Errors: SP_INVALID. */
 enum sp_result sp_entry_check(const char *path, struct sp_error *error);
--- a/src/connection/localhttp.c
+++ b/src/connection/localhttp.c
@@ -2,6 +2,7 @@
 #include <libsoup/soup.h>
 #include <string.h>
 
+#include "connection/address.h"
 #include "connection/localhttp.h"
 #include "process/clock.h"
 
@@ -90,31 +91,11 @@
 	}
 }
 
-static GSocketAddress *
-parse_address(const char *text, struct status *st)
-{
-	GSocketConnectable *parsed = g_network_address_parse(text, 0, NULL);
-	GSocketAddress *address = NULL;
-	GNetworkAddress *net;
-
-	if (parsed != NULL) {
-		net = G_NETWORK_ADDRESS(parsed);
-		address = g_inet_socket_address_new_from_string(
-		    g_network_address_get_hostname(net),
-		    g_network_address_get_port(net));
-		g_object_unref(parsed);
-	}
-	if (address == NULL)
-		st_set(st, ST_INVALID, "listen \"%s\": expected \"ip:port\"",
-		    text);
-	return address;
-}
-
 /* Binds the address and serves from the main loop. */
 struct lh *
 lh_new(const struct lh_options *opts, struct status *st)
 {
-	GSocketAddress *address = parse_address(opts->listen, st);
+	GSocketAddress *address = addr_parse(opts->listen, st);
 	GError *error = NULL;
 	struct lh *lh;
 
--- a/src/connection/rpc.c
+++ b/src/connection/rpc.c
@@ -29,7 +29,6 @@
 	GSocket *socket;
 	GSource *read_source;
 	GSource *write_source;
-	guint tick_id;
 	guint closed_id;
 	bool open;
 	bool detached;
@@ -49,6 +48,19 @@
 	int64_t bytes_in, bytes_out, records_in, records_out;
 } totals;
 
+static GPtrArray *open_conns; /* struct rpc_conn, not referenced */
+static guint tick_id;	      /* runs while any connection is open */
+
+static void
+stop_ticks(struct rpc_conn *conn)
+{
+	g_ptr_array_remove_fast(open_conns, conn);
+	if (open_conns->len > 0)
+		return;
+	g_clear_handle_id(&tick_id, g_source_remove);
+	g_clear_pointer(&open_conns, g_ptr_array_unref);
+}
+
 /* Copies the totals of all connections of this process to its counters. */
 void
 rpc_export(struct ctr_registry *reg)
@@ -77,9 +89,10 @@
 {
 	if (--conn->refs > 0)
 		return;
-	if (conn->open)
+	if (conn->open) {
+		stop_ticks(conn);
 		g_io_stream_close(G_IO_STREAM(conn->stream), NULL, NULL);
-	g_clear_handle_id(&conn->tick_id, g_source_remove);
+	}
 	g_clear_handle_id(&conn->closed_id, g_source_remove);
 	if (conn->read_source != NULL) {
 		g_source_destroy(conn->read_source);
@@ -154,7 +167,7 @@
 	st_set(&conn->why, code, "%s", why);
 	clear_source(&conn->read_source);
 	clear_source(&conn->write_source);
-	g_clear_handle_id(&conn->tick_id, g_source_remove);
+	stop_ticks(conn);
 	g_io_stream_close(G_IO_STREAM(conn->stream), NULL, NULL);
 	conn->closed_id = g_idle_add_full(
 	    G_PRIORITY_DEFAULT, deliver_closed, rpc_ref(conn), NULL);
@@ -596,19 +609,46 @@
 	return false;
 }
 
-static gboolean
-on_tick(gpointer data)
+static void
+tick(struct rpc_conn *conn, int64_t now_ms)
 {
-	struct rpc_conn *conn = rpc_ref(data);
-	int64_t now_ms = clk_now_ms();
-
 	while (conn->open && expire_one(conn, now_ms))
 		continue;
 	if (conn->open && conn->opts.silence_ms > 0 &&
 	    now_ms - conn->last_input_ms > conn->opts.silence_ms)
 		rpc_close(conn, ST_TIMEOUT, "no input from the peer");
-	rpc_unref(conn);
-	return G_SOURCE_CONTINUE;
+}
+
+/*
+ * Timeouts of all open connections are checked by one timer.  With a timer
+ * each, an idle entry woke up 10 times a second for every agent.
+ */
+static gboolean
+on_tick(gpointer data)
+{
+	GPtrArray *conns = g_ptr_array_sized_new(open_conns->len);
+	int64_t now_ms = clk_now_ms();
+	guint i;
+
+	(void)data;
+	for (i = 0; i < open_conns->len; i++)
+		g_ptr_array_add(conns, rpc_ref(open_conns->pdata[i]));
+	for (i = 0; i < conns->len; i++) {
+		tick(conns->pdata[i], now_ms);
+		rpc_unref(conns->pdata[i]);
+	}
+	g_ptr_array_unref(conns);
+	return G_SOURCE_CONTINUE; /* removed by then when none is open */
+}
+
+static void
+start_ticks(struct rpc_conn *conn)
+{
+	if (open_conns == NULL)
+		open_conns = g_ptr_array_new();
+	g_ptr_array_add(open_conns, conn);
+	if (tick_id == 0)
+		tick_id = g_timeout_add(TICK_MS, on_tick, NULL);
 }
 
 /*
@@ -642,6 +682,6 @@
 	g_source_set_callback(
 	    conn->read_source, G_SOURCE_FUNC(on_readable), conn, NULL);
 	g_source_attach(conn->read_source, g_main_context_get_thread_default());
-	conn->tick_id = g_timeout_add(TICK_MS, on_tick, conn);
+	start_ticks(conn);
 	return conn;
 }
--- a/src/process/library.c
+++ b/src/process/library.c
@@ -136,6 +136,5 @@
 		result = SP_INTERRUPTED;
 	agent_free(agent);
 	set_agent_free(set);
-	return fail(
-	    error, result, result == SP_OK ? "" : "tasks were cut off");
+	return fail(error, result, result == SP_OK ? "" : "tasks were cut off");
 }
--- a/tests/runner.h
+++ b/tests/runner.h
@@ -4,9 +4,13 @@
 #include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "casefile.h"
+#include "replay.h"
+
 static inline int
 run_tcase(const char *name, TCase *tc, double limit_s)
 {
@@ -88,4 +92,74 @@
 		    name, tests, sizeof(tests) / sizeof(tests[0]), limit_s);   \
 	}
 
+/* The tests, then the first once for each row, with its index in _i. */
+static inline int
+run_with_rows(const char *name, const TTest *const *tests, size_t n_tests,
+    int n_rows, double limit_s)
+{
+	TCase *tc = tcase_create(name);
+	size_t i;
+
+	tcase_add_loop_test(tc, tests[0], 0, n_rows);
+	for (i = 1; i < n_tests; i++)
+		tcase_add_test(tc, tests[i]);
+	return run_tcase(name, tc, limit_s);
+}
+
+/* Defines main() for a test of n_rows rows and the tests named. */
+#define ROWS_MAIN(name, limit_s, n_rows, ...)                                  \
+	int main(void)                                                         \
+	{                                                                      \
+		const TTest *const tests[] = {__VA_ARGS__};                    \
+                                                                               \
+		return run_with_rows(name, tests,                              \
+		    sizeof(tests) / sizeof(tests[0]), n_rows, limit_s);        \
+	}
+
+/*
+ * Defines main() for the traces of tests/cases/NAME.txt, one test for each
+ * case, and the tests named.  The functions are those of struct replay.
+ */
+#define REPLAY_MAIN(name, limit_s, start, end, step, ...)                      \
+	START_TEST(one_case)                                                   \
+	{                                                                      \
+		static const struct replay replay = {start, end, step};        \
+		char *error =                                                  \
+		    replay_case("tests/cases/" name ".txt", &replay, _i);      \
+                                                                               \
+		ck_assert_msg(error == NULL, "%s", error);                     \
+	}                                                                      \
+	END_TEST                                                               \
+	ROWS_MAIN(name, limit_s, replay_count("tests/cases/" name ".txt"),     \
+	    one_case, ##__VA_ARGS__)
+
+/*
+ * Defines main() for the text cases of tests/cases/NAME.txt, one test each,
+ * and the tests named.  run(name, input) returns what the case gave, to be
+ * freed with g_free().
+ */
+#define CASES_MAIN(suite, run, ...)                                            \
+	static struct text_case *text_cases;                                   \
+	static size_t n_cases;                                                 \
+                                                                               \
+	START_TEST(text_case)                                                  \
+	{                                                                      \
+		const struct text_case *tc = &text_cases[_i];                  \
+		char *actual = run(tc->name, tc->input);                       \
+                                                                               \
+		ck_assert_msg(strcmp(actual, tc->expected) == 0,               \
+		    "%s: got \"%s\", expected \"%s\"", tc->name, actual,       \
+		    tc->expected);                                             \
+		g_free(actual);                                                \
+	}                                                                      \
+	END_TEST                                                               \
+                                                                               \
+	static int load_cases(void)                                            \
+	{                                                                      \
+		text_cases =                                                   \
+		    casefile_load("tests/cases/" suite ".txt", &n_cases);      \
+		return (int)n_cases;                                           \
+	}                                                                      \
+	ROWS_MAIN(suite, 0, load_cases(), text_case, ##__VA_ARGS__)
+
 #endif
