--- a/src/request/operators.c
+++ b/src/request/operators.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "connection/address.h"
 #include "operators.h"
 #include "process/clock.h"
 #include "process/jsonc.h"
@@ -514,32 +515,19 @@
 start_listening(struct ops *ops, struct status *st)
 {
 	GError *error = NULL;
-	GSocketConnectable *parsed;
-	GSocketAddress *address;
+	GSocketAddress *address = addr_parse(ops->opts.listen, st);
 	GSList *uris;
-	char *uri = g_strconcat("http://", ops->opts.listen, NULL);
 	bool ok;
 
-	parsed = g_network_address_parse_uri(uri, 80, &error);
-	g_free(uri);
-	if (parsed == NULL) {
-		st_set(st, ST_INVALID, "operator_listen %s: %s",
-		    ops->opts.listen, error->message);
-		g_error_free(error);
+	if (address == NULL) {
+		st_wrap(st, ST_INVALID, "operator_listen");
 		return false;
 	}
-	address = g_inet_socket_address_new_from_string(
-	    g_network_address_get_hostname(G_NETWORK_ADDRESS(parsed)),
-	    g_network_address_get_port(G_NETWORK_ADDRESS(parsed)));
-	g_object_unref(parsed);
-	ok = address != NULL &&
-	     soup_server_listen(ops->server, address, 0, &error);
-	if (address != NULL)
-		g_object_unref(address);
+	ok = soup_server_listen(ops->server, address, 0, &error);
+	g_object_unref(address);
 	if (!ok) {
 		st_set(st, ST_UNAVAILABLE, "operator_listen %s: %s",
-		    ops->opts.listen,
-		    error != NULL ? error->message : "not a numeric address");
+		    ops->opts.listen, error->message);
 		g_clear_error(&error);
 		return false;
 	}
--- a/tests/test_endpoint.c
+++ b/tests/test_endpoint.c
@@ -373,20 +373,20 @@
 START_TEST(refused_by_endpoint)
 {
 #define NOT_RUN "Sequoiaplank-Not-Run: "
-#define EMPTY	"\r\nContent-Length: 0\r\n\r\n"
+#define NO_BODY "\r\nContent-Length: 0\r\n\r\n"
 	static const struct {
 		const char *answer;
 		int64_t start_by_ms;
 		enum wire_outcome outcome;
 		enum wire_reason reason;
-	} rows[] = {{"HTTP/1.1 412 No\r\n" NOT_RUN "true" EMPTY, 6000,
-			WIRE_NOT_STARTED, WIRE_REASON_DEADLINE},
-	    {"HTTP/1.1 412 No\r\n" NOT_RUN "true" EMPTY, 1000, WIRE_NOT_STARTED,
-		WIRE_REASON_STALE},
-	    {"HTTP/1.1 412 No\r\n" NOT_RUN "false" EMPTY, 5000, WIRE_DONE,
+	} refusals[] = {{"HTTP/1.1 412 No\r\n" NOT_RUN "true" NO_BODY, 6000,
+			    WIRE_NOT_STARTED, WIRE_REASON_DEADLINE},
+	    {"HTTP/1.1 412 No\r\n" NOT_RUN "true" NO_BODY, 1000,
+		WIRE_NOT_STARTED, WIRE_REASON_STALE},
+	    {"HTTP/1.1 412 No\r\n" NOT_RUN "false" NO_BODY, 5000, WIRE_DONE,
 		WIRE_REASON_NONE},
-	    {"HTTP/1.1 412 No" EMPTY, 5000, WIRE_DONE, WIRE_REASON_NONE},
-	    {"HTTP/1.1 500 No\r\n" NOT_RUN "true" EMPTY, 5000, WIRE_DONE,
+	    {"HTTP/1.1 412 No" NO_BODY, 5000, WIRE_DONE, WIRE_REASON_NONE},
+	    {"HTTP/1.1 500 No\r\n" NOT_RUN "true" NO_BODY, 5000, WIRE_DONE,
 		WIRE_REASON_NONE},
 	    {"HTTP/1.1 412 No\r\n" NOT_RUN "true\r\nContent-Length: 2\r\n\r\nx",
 		5000, WIRE_UNKNOWN, WIRE_REASON_BROKEN}};
@@ -397,11 +397,11 @@
 
 	server_start();
 	plan.address = server.address;
-	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
-		server.answer = rows[i].answer;
-		plan.start_by_ms = rows[i].start_by_ms;
+	for (i = 0; i < G_N_ELEMENTS(refusals); i++) {
+		server.answer = refusals[i].answer;
+		plan.start_by_ms = refusals[i].start_by_ms;
 		o = call(ep, &plan);
-		expect(&o, rows[i].outcome, rows[i].reason);
+		expect(&o, refusals[i].outcome, refusals[i].reason);
 	}
 	ep_free(ep);
 }
