Move the RPC listener and the peers out of entry.c

Ruled out: moving the construction of placement and requests, which is the job of the root object. Change: connection/listener finds out who called; process/peering exchanges the configuration's state, forwards jobs and keeps the list of members. Ran: test_operators 3 of 3, test_callers 54 of 54, test_shutdown 2 of 2; lint of the changed files clean.

--- a/src/process/entry.c
+++ b/src/process/entry.c
@@ -4,10 +4,11 @@
 #include <sys/random.h>
 
 #include "connection/agentlink.h"
-#include "connection/peerlink.h"
+#include "connection/listener.h"
 #include "process/clock.h"
 #include "process/entry.h"
 #include "process/log.h"
+#include "process/peering.h"
 #include "request/callers.h"
 #include "request/operators.h"
 #include "version/members.h"
@@ -15,21 +16,20 @@
 #include "version/etcd.h"
 #include "version/reader.h"
 
-#define TICK_MS		 20  /* deadlines, pauses of agents */
-#define SLOW_TICK_MS	 200 /* retention, lost agents, gauges */
-#define GRACE_MS	 250 /* a failing job waits for withdrawals */
-#define RESOLVE_MS	 5000
-#define FORGET_MS	 60000
-#define LINGER_MS	 2000 /* after a drain, for answers not fetched */
-#define MAX_AGENTS	 4096
-#define MAX_OUTSTANDING	 200000U
-#define MAX_WAITERS	 64
-#define MAX_REQUESTS	 20000
-#define MAX_UNIDENTIFIED 1024
-#define MAX_JOB_BYTES	 (2ULL << 30) /* payloads and results held */
-#define RETRY_PERCENT	 10
-#define RETRY_BURST	 100
-#define RETRY_ATTEMPTS	 3
+#define TICK_MS		20  /* deadlines, pauses of agents */
+#define SLOW_TICK_MS	200 /* retention, lost agents, gauges */
+#define GRACE_MS	250 /* a failing job waits for withdrawals */
+#define RESOLVE_MS	5000
+#define FORGET_MS	60000
+#define LINGER_MS	2000 /* after a drain, for answers not fetched */
+#define MAX_AGENTS	4096
+#define MAX_OUTSTANDING 200000U
+#define MAX_WAITERS	64
+#define MAX_REQUESTS	20000
+#define MAX_JOB_BYTES	(2ULL << 30) /* payloads and results held */
+#define RETRY_PERCENT	10
+#define RETRY_BURST	100
+#define RETRY_ATTEMPTS	3
 
 struct entry {
 	const struct set_entry *set;
@@ -46,7 +46,6 @@
 	struct mem_entry registration; /* of this entry */
 	struct quo *quorum;
 	struct chg *change;
-	GArray *wire_members; /* strings of the members list */
 	/* requests */
 	struct place *place;
 	struct eject *eject;
@@ -59,11 +58,10 @@
 	struct pass *pass;
 	/* connections */
 	struct al_set *agents;
-	struct pl_set *peers;
+	struct peering *peering;
+	struct ln *listener;
 	struct http *http;
 	struct ops *operators;
-	GSocketService *listener;
-	GHashTable *unidentified; /* connections before their first call */
 	guint wake_id;
 	guint tick_id;
 	guint slow_tick_id;
@@ -137,16 +135,6 @@
 	return dsp_next_seq(entry->dispatch);
 }
 
-static const wire_member *
-member_list(size_t *n, uint64_t *digest, void *ctx)
-{
-	struct entry *entry = ctx;
-
-	*n = entry->wire_members->len;
-	*digest = mem_digest(entry->members);
-	return (const wire_member *)(void *)entry->wire_members->data;
-}
-
 static void
 on_agent_up(struct al *al, const struct place_worker *worker, void *ctx)
 {
@@ -227,18 +215,14 @@
 	facts->place = entry->place;
 }
 
-/* Jobs of other entries. */
+/* The other entries. */
 
 static enum api_owner
 find_owner(uint64_t incarnation, void *ctx)
 {
 	struct entry *entry = ctx;
 
-	if (pl_is_connected(entry->peers, incarnation))
-		return API_OWNER_REACHABLE;
-	if (mem_is_gone(entry->members, incarnation, clk_now_ms()))
-		return API_OWNER_GONE;
-	return API_OWNER_UNREACHABLE;
+	return peering_owner(entry->peering, incarnation);
 }
 
 static bool
@@ -246,42 +230,25 @@
     api_answer_fn fn, void *fn_ctx, void *ctx)
 {
 	struct entry *entry = ctx;
-	wire_peer_job_args args = {
-	    .method = (char *)request->method,
-	    .job_id = (char *)request->id,
-	    .team = "",
-	    .wait_ms = request->wait_ms,
-	    .traceparent = (char *)request->traceparent,
-	};
 
-	args.body.body_val = (char *)request->body;
-	args.body.body_len = (u_int)request->body_len;
-	return pl_forward(entry->peers, incarnation, &args, fn, fn_ctx);
+	return peering_forward(
+	    entry->peering, incarnation, request, fn, fn_ctx);
 }
 
-static void *
-serve_peer_job(
-    const wire_peer_job_args *args, pl_answer_fn fn, void *fn_ctx, void *ctx)
+static const wire_member *
+member_list(size_t *n, uint64_t *digest, void *ctx)
 {
 	struct entry *entry = ctx;
-	struct api_request request = {
-	    .method = args->method,
-	    .id = args->job_id,
-	    .wait_ms = CLAMP(args->wait_ms, 0, API_MAX_WAIT_MS),
-	    .body = args->body.body_val != NULL ? args->body.body_val : "",
-	    .body_len = args->body.body_len,
-	    .traceparent = args->traceparent,
-	    .forwarded = true,
-	};
 
-	return api_handle(entry->api, &request, fn, fn_ctx);
+	return peering_members(entry->peering, n, digest);
 }
 
 static void
-cancel_peer_job(void *job, void *ctx)
+on_members_changed(void *ctx)
 {
-	(void)ctx;
-	api_cancel(job);
+	struct entry *entry = ctx;
+
+	peering_update(entry->peering);
 }
 
 /* Configuration. */
@@ -297,124 +264,6 @@
 	wake(entry);
 }
 
-static uint64_t
-version_held(void *ctx)
-{
-	struct entry *entry = ctx;
-
-	return fresh_version(entry->fresh);
-}
-
-static void
-fill_status(uint64_t held, wire_peer_status_result *result, void *ctx)
-{
-	struct entry *entry = ctx;
-	struct quo_answer self = chg_self(entry->change);
-	struct cfg *cfg = fresh_config(entry->fresh);
-	size_t len;
-
-	result->incarnation = self.incarnation;
-	result->vouches = self.vouches;
-	result->store_age_ms = self.store_age_ms;
-	result->config.config_version = fresh_version(entry->fresh);
-	result->config.age_ms = fresh_age_ms(entry->fresh, clk_now_ms());
-	if (cfg == NULL || cfg_version(cfg) <= held)
-		return;
-	result->config.document.document_val = (char *)cfg_document(cfg, &len);
-	result->config.document.document_len = (u_int)len;
-}
-
-static void
-take_document(struct entry *entry, const wire_config *config)
-{
-	struct status st;
-	struct cfg *cfg;
-
-	if (config->document.document_len == 0)
-		return;
-	cfg = cfg_parse(
-	    config->document.document_val, config->document.document_len, &st);
-	if (cfg == NULL) {
-		log_line(LOG_ERR, "configuration from a peer: %s", st.message);
-		return;
-	}
-	fresh_take(entry->fresh, cfg);
-	cfg_unref(cfg);
-}
-
-static void
-on_peer_status(
-    const wire_peer_status_result *result, int64_t sent_ms, void *ctx)
-{
-	struct entry *entry = ctx;
-	struct quo_answer answer = {
-	    .incarnation = result->incarnation,
-	    .version = result->config.config_version,
-	    .store_age_ms = result->store_age_ms,
-	    .vouches = result->vouches,
-	    .as_of_ms = sent_ms,
-	};
-
-	take_document(entry, &result->config);
-	quo_answer(entry->quorum, &answer, clk_now_ms());
-	chg_tick(entry->change);
-}
-
-static void
-clear_member(gpointer data)
-{
-	wire_member *member = data;
-
-	g_free(member->name);
-	g_free(member->failure_domain);
-	g_free(member->address);
-}
-
-/* Dials the seeds of the settings and the registered entries. */
-static void
-update_targets(struct entry *entry)
-{
-	GPtrArray *addresses = g_ptr_array_new();
-	const char *own = entry->self.address;
-	const struct mem_entry *list;
-	size_t i, n;
-
-	list = mem_list(entry->members, &n);
-	for (i = 0; i < n; i++) {
-		if (list[i].incarnation != id_incarnation(entry->ids) &&
-		    strcmp(list[i].address, own) != 0)
-			g_ptr_array_add(addresses, (char *)list[i].address);
-	}
-	for (i = 0; entry->set->peers != NULL && entry->set->peers[i] != NULL;
-	     i++) {
-		if (strcmp(entry->set->peers[i], own) != 0)
-			g_ptr_array_add(addresses, entry->set->peers[i]);
-	}
-	pl_set_targets(entry->peers, (const char *const *)addresses->pdata,
-	    addresses->len);
-	g_ptr_array_unref(addresses);
-}
-
-static void
-on_members_changed(void *ctx)
-{
-	struct entry *entry = ctx;
-	const struct mem_entry *list;
-	wire_member member;
-	size_t i, n;
-
-	list = mem_list(entry->members, &n);
-	g_array_set_size(entry->wire_members, 0);
-	for (i = 0; i < MIN(n, WIRE_MEMBERS_MAX); i++) {
-		member.incarnation = list[i].incarnation;
-		member.name = g_strdup(list[i].name);
-		member.failure_domain = g_strdup(list[i].failure_domain);
-		member.address = g_strdup(list[i].address);
-		g_array_append_val(entry->wire_members, member);
-	}
-	update_targets(entry);
-}
-
 /* Timers. */
 
 static gboolean
@@ -509,92 +358,6 @@
 	       fresh_is_current(entry->fresh, clk_now_ms());
 }
 
-/* Connections of agents and peers. */
-
-static void
-on_unidentified_closed(
-    struct rpc_conn *conn, const struct status *why, void *ctx)
-{
-	struct entry *entry = ctx;
-
-	(void)why;
-	if (g_hash_table_remove(entry->unidentified, conn))
-		rpc_unref(conn);
-}
-
-static void
-on_first_call(struct rpc_conn *conn, const struct rpc_call *call, void *ctx)
-{
-	struct entry *entry = ctx;
-
-	if (!g_hash_table_contains(entry->unidentified, conn)) {
-		rpc_close(conn, ST_INVALID, "call after a refusal");
-		return;
-	}
-	g_hash_table_remove(entry->unidentified, conn);
-	if (call->prog == WIRE_AGENT_PROG)
-		al_accept(entry->agents, conn, call);
-	else if (call->prog == WIRE_PEER_PROG)
-		pl_accept(entry->peers, conn, call);
-	else
-		rpc_close(conn, ST_INVALID, "unknown program");
-	rpc_unref(conn);
-}
-
-static gboolean
-on_incoming(GSocketService *service, GSocketConnection *socket, GObject *source,
-    gpointer data)
-{
-	struct entry *entry = data;
-	struct rpc_options opts = {
-	    .socket = socket,
-	    .silence_ms = entry->set->silence_ms,
-	    .on_call = on_first_call,
-	    .on_closed = on_unidentified_closed,
-	    .ctx = entry,
-	};
-
-	(void)service;
-	(void)source;
-	if (g_hash_table_size(entry->unidentified) < MAX_UNIDENTIFIED)
-		g_hash_table_add(entry->unidentified, rpc_new(&opts));
-	return TRUE;
-}
-
-static bool
-listen_rpc(struct entry *entry, struct status *st)
-{
-	GError *error = NULL;
-	GSocketAddress *address = NULL;
-	GSocketConnectable *parsed;
-	GSocketAddressEnumerator *each;
-	bool ok = false;
-
-	entry->listener = g_socket_service_new();
-	parsed = g_network_address_parse(entry->set->rpc_listen, 0, &error);
-	if (parsed != NULL) {
-		each = g_socket_connectable_enumerate(parsed);
-		address = g_socket_address_enumerator_next(each, NULL, &error);
-		g_object_unref(each);
-		g_object_unref(parsed);
-	}
-	if (address != NULL) {
-		ok = g_socket_listener_add_address(
-		    G_SOCKET_LISTENER(entry->listener), address,
-		    G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL, NULL,
-		    &error);
-		g_object_unref(address);
-	}
-	if (!ok)
-		st_set(st, ST_UNAVAILABLE, "listen on %s: %s",
-		    entry->set->rpc_listen,
-		    error != NULL ? error->message : "no such address");
-	g_clear_error(&error);
-	g_signal_connect(
-	    entry->listener, "incoming", G_CALLBACK(on_incoming), entry);
-	return ok;
-}
-
 /* Construction. */
 
 static void
@@ -629,8 +392,6 @@
 	entry->store = etcd_new(&etcd);
 	reader.store = members.store = entry->store;
 	reader.fresh = entry->fresh;
-	entry->wire_members = g_array_new(FALSE, FALSE, sizeof(wire_member));
-	g_array_set_clear_func(entry->wire_members, clear_member);
 	entry->reader = rdr_new(&reader);
 	entry->members = mem_new(&members);
 	change.self = entry->registration = members.self;
@@ -737,24 +498,22 @@
 	    .outcome = on_outcome,
 	    .ctx = entry,
 	};
-	struct pl_options peers = {
-	    .cluster_key = set->cluster_key,
+	struct peering_options peers = {
 	    .self = &entry->self,
+	    .cluster_key = set->cluster_key,
+	    .seeds = set->peers,
 	    .counters = entry->counters,
+	    .fresh = entry->fresh,
+	    .quorum = entry->quorum,
+	    .change = entry->change,
+	    .members = entry->members,
+	    .api = entry->api,
 	    .silence_ms = set->silence_ms,
 	    .status_ms = set->store_poll_ms,
-	    .fill_status = fill_status,
-	    .version_held = version_held,
-	    .on_status = on_peer_status,
-	    .on_job = serve_peer_job,
-	    .cancel_job = cancel_peer_job,
-	    .ctx = entry,
 	};
 
 	entry->agents = al_set_new(&agents);
-	entry->peers = pl_set_new(&peers);
-	entry->unidentified = g_hash_table_new(NULL, NULL);
-	update_targets(entry);
+	entry->peering = peering_new(&peers);
 }
 
 static void
@@ -838,8 +597,15 @@
 	    .is_ready = is_ready,
 	    .ctx = entry,
 	};
+	struct ln_options listener = {
+	    .listen = entry->set->rpc_listen,
+	    .agents = entry->agents,
+	    .silence_ms = entry->set->silence_ms,
+	};
 
-	if (!listen_rpc(entry, st) || !serve_operators(entry, st))
+	listener.peers = peering_links(entry->peering);
+	entry->listener = ln_new(&listener, st);
+	if (entry->listener == NULL || !serve_operators(entry, st))
 		return false;
 	entry->http = http_new(&http, st);
 	if (entry->http == NULL)
@@ -899,23 +665,12 @@
 static void
 close_connections(struct entry *entry)
 {
-	GHashTableIter iter;
-	gpointer conn;
-
 	if (entry->http != NULL)
 		http_free(entry->http);
 	if (entry->operators != NULL)
 		ops_free(entry->operators);
-	g_socket_service_stop(entry->listener);
-	g_socket_listener_close(G_SOCKET_LISTENER(entry->listener));
-	g_object_unref(entry->listener);
-	g_hash_table_iter_init(&iter, entry->unidentified);
-	while (g_hash_table_iter_next(&iter, &conn, NULL)) {
-		rpc_detach(conn);
-		rpc_unref(conn);
-	}
-	g_hash_table_unref(entry->unidentified);
-	pl_set_free(entry->peers);
+	ln_free(entry->listener);
+	peering_free(entry->peering);
 	al_set_free(entry->agents);
 }
 
@@ -941,7 +696,6 @@
 	entry->store->ops->free(entry->store);
 	quo_free(entry->quorum);
 	fresh_free(entry->fresh);
-	g_array_unref(entry->wire_members);
 	id_free(entry->ids);
 	trc_free(entry->traces);
 	ctr_free(entry->counters);
