Split the table of jobs from one job

Cause: job.c had 760 lines and two subjects. Ruled out: a table without access to the fields of a job, which would need an accessor for each count. Change: job_table.c holds the records, their bounds and retention; job_private.h is shared by the two files only. No change of behaviour. Ran: test_job, test_dispatch: pass; lint of the changed files clean.

--- a/src/request/job.c
+++ b/src/request/job.c
@@ -1,6 +1,6 @@
 #include <string.h>
 
-#include "request/job.h"
+#include "request/job_private.h"
 
 struct waiter {
 	uint64_t number;
@@ -8,96 +8,9 @@
 	void *ctx;
 };
 
-struct job {
-	int refs;
-	struct job_table *table; /* NULL after the table is freed */
-	struct job_spec spec;	 /* strings owned by the job */
-	struct job_task *tasks;
-	uint32_t n_waiting;
-	uint32_t n_placed;
-	uint32_t *order; /* indexes of the tasks by rank */
-	uint32_t cursor; /* no task of a lower rank waits */
-	enum job_state state;
-	enum job_cause cause;
-	int64_t finished_ms;
-	uint64_t answer_bytes;
-	uint64_t bytes; /* payloads and results, as counted by the table */
-	GArray *waiters;
-	uint64_t next_waiter;
-	bool delivered;
-};
-
-struct job_table {
-	struct job_options opts;
-	GHashTable *jobs; /* id -> job, holds a reference */
-	GQueue finished;  /* oldest first; no reference */
-	uint32_t n_open;
-	uint32_t n_undelivered;
-	uint64_t bytes;
-};
-
-/* Makes an empty table. */
-struct job_table *
-job_table_new(const struct job_options *opts)
-{
-	struct job_table *table = g_new0(struct job_table, 1);
-
-	table->opts = *opts;
-	table->jobs = g_hash_table_new(g_str_hash, g_str_equal);
-	g_queue_init(&table->finished);
-	return table;
-}
-
-/* Frees the table; jobs that others still refer to outlive it. */
+/* Counts bytes that the job holds. */
 void
-job_table_free(struct job_table *table)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, table->jobs);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct job *job = value;
-
-		g_hash_table_iter_remove(&iter);
-		job->table = NULL;
-		job_unref(job);
-	}
-	g_hash_table_unref(table->jobs);
-	g_queue_clear(&table->finished);
-	g_free(table);
-}
-
-/* Returns the number of records. */
-uint32_t
-job_table_count(const struct job_table *table)
-{
-	return g_hash_table_size(table->jobs);
-}
-
-/* Returns the number of jobs that are not finished. */
-uint32_t
-job_table_open(const struct job_table *table)
-{
-	return table->n_open;
-}
-
-/* Returns the number of finished jobs whose answer was not fetched. */
-uint32_t
-job_table_undelivered(const struct job_table *table)
-{
-	return table->n_undelivered;
-}
-
-/* Returns the bytes of payloads and results held. */
-uint64_t
-job_table_bytes(const struct job_table *table)
-{
-	return table->bytes;
-}
-
-static void
-add_bytes(struct job *job, uint64_t bytes)
+job_add_bytes(struct job *job, uint64_t bytes)
 {
 	job->bytes += bytes;
 	if (job->table != NULL)
@@ -191,78 +104,9 @@
 	g_free(job);
 }
 
-/* Removes the record; the id, if it has one, is expired from now on. */
-static void
-drop_record(struct job_table *table, struct job *job)
-{
-	if (job->spec.counter != 0)
-		id_raise_low_water(table->opts.ids, job->spec.counter + 1);
-	if (job->spec.counter != 0 && !job->delivered)
-		table->n_undelivered--;
-	g_hash_table_remove(table->jobs, job->spec.id);
-	table->bytes -= job->bytes;
-	job->table = NULL;
-	job_unref(job);
-}
-
-static bool
-drop_oldest(struct job_table *table)
-{
-	struct job *job = g_queue_pop_head(&table->finished);
-
-	if (job == NULL)
-		return false;
-	drop_record(table, job);
-	return true;
-}
-
-/* Drops finished records that are older than the retention time. */
-void
-job_expire(struct job_table *table, int64_t now_ms)
-{
-	struct job *job;
-
-	while ((job = g_queue_peek_head(&table->finished)) != NULL &&
-	       now_ms - job->finished_ms >= table->opts.retention_ms)
-		drop_oldest(table);
-}
-
-/* Finds the record of a job, finished or not. */
+/* Makes a job whose tasks all wait, with one reference. */
 struct job *
-job_find(struct job_table *table, const char *id)
-{
-	return g_hash_table_lookup(table->jobs, id);
-}
-
-/* Says whether an id with this body is new, known, or refused. */
-enum job_put
-job_peek(struct job_table *table, const char *id, uint64_t counter,
-    const uint8_t digest[JOB_DIGEST_BYTES])
-{
-	struct job *job = job_find(table, id);
-
-	if (job != NULL)
-		return memcmp(job->spec.digest, digest, JOB_DIGEST_BYTES) == 0
-			   ? JOB_SAME
-			   : JOB_CONFLICT;
-	if (counter != 0 && counter < id_low_water(table->opts.ids))
-		return JOB_EXPIRED;
-	return JOB_CREATED;
-}
-
-static uint64_t
-spec_bytes(const struct job_spec *spec)
-{
-	uint64_t bytes = 0;
-	uint32_t i;
-
-	for (i = 0; i < spec->n_tasks; i++)
-		bytes += g_bytes_get_size(spec->tasks[i].payload);
-	return bytes;
-}
-
-static struct job *
-new_job(struct job_table *table, const struct job_spec *spec)
+job_new(struct job_table *table, const struct job_spec *spec)
 {
 	struct job *job = g_new0(struct job, 1);
 	uint32_t i;
@@ -291,36 +135,6 @@
 	return job;
 }
 
-/*
- * Creates the job, or finds the one with the same id.  A second body for an
- * id is a conflict, so an id never stands for two submissions.
- */
-enum job_put
-job_put(struct job_table *table, const struct job_spec *spec, struct job **job)
-{
-	enum job_put put;
-	uint64_t bytes;
-
-	put = job_peek(table, spec->id, spec->counter, spec->digest);
-	*job = put == JOB_SAME ? job_find(table, spec->id) : NULL;
-	if (put != JOB_CREATED)
-		return put;
-	bytes = spec_bytes(spec);
-	while (job_table_count(table) >= table->opts.max_jobs ||
-	       table->bytes + bytes > table->opts.max_bytes) {
-		if (!drop_oldest(table))
-			return JOB_FULL;
-	}
-	/* Dropping records may have raised the mark past this id. */
-	if (spec->counter != 0 && spec->counter < id_low_water(table->opts.ids))
-		return JOB_EXPIRED;
-	*job = new_job(table, spec);
-	add_bytes(*job, bytes);
-	g_hash_table_insert(table->jobs, (char *)(*job)->spec.id, *job);
-	table->n_open++;
-	return JOB_CREATED;
-}
-
 /* Returns the submission id, owned by the job. */
 const char *
 job_id(const struct job *job)
@@ -543,20 +357,11 @@
 		if (state == JOB_FAILED && job->spec.method == NULL)
 			free_result(job, &job->tasks[i]);
 	}
-	if (table != NULL) {
-		table->n_open--;
-		if (job->spec.counter == 0)
-			drop_record(table, job);
-		else {
-			g_queue_push_tail(&table->finished, job);
-			table->n_undelivered++;
-		}
-	}
+	if (table != NULL)
+		job_table_finished(table, job);
 	tell_waiters(job);
-	/* Results grow after admission, so the bound is restored here. */
-	if (table != NULL && table->bytes > table->opts.max_bytes &&
-	    g_queue_peek_head(&table->finished) != job)
-		drop_oldest(table);
+	if (table != NULL)
+		job_table_trim(table, job);
 	job_unref(job);
 }
 
@@ -687,7 +492,7 @@
 	task->body = g_bytes_new(result->body, result->body_len);
 	task->headers = copy_headers(result->headers, result->n_headers);
 	task->n_headers = result->n_headers;
-	add_bytes(job, result->body_len);
+	job_add_bytes(job, result->body_len);
 	job->answer_bytes += result->body_len;
 }
 
