Collect the starts of a message in a module of its own

Ruled out: splitting retries and outcomes off, which share the open starts. No change of behaviour. Ran: test_dispatch: pass; lint of both files clean.

--- a/src/request/dispatch.c
+++ b/src/request/dispatch.c
@@ -1,11 +1,9 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "request/batch.h"
 #include "request/dispatch.h"
 
-#define BATCH_BYTES    1048576U /* well under the record limit */
-#define START_OVERHEAD 512
-
 /* A submitted job that is not finished. */
 struct djob {
 	struct job *job;
@@ -21,14 +19,6 @@
 	uint32_t waiting;
 };
 
-/* Starts of one job for one agent, collected into one message. */
-struct batch {
-	void *agent;
-	GArray *starts; /* wire_start */
-	GPtrArray *ids; /* the strings they point to */
-	size_t bytes;
-};
-
 /* A pass over the queued tasks of a service, as place.h describes it. */
 struct pass {
 	int64_t now_ms;
@@ -73,16 +63,6 @@
 	g_free(dj);
 }
 
-static void
-free_batch(gpointer data)
-{
-	struct batch *batch = data;
-
-	g_array_unref(batch->starts);
-	g_ptr_array_unref(batch->ids);
-	g_free(batch);
-}
-
 static void
 free_out(gpointer data)
 {
@@ -122,7 +102,7 @@
 	dsp->queues =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_queue);
 	dsp->jobs = g_hash_table_new_full(NULL, NULL, NULL, free_djob);
-	dsp->batches = g_ptr_array_new_with_free_func(free_batch);
+	dsp->batches = g_ptr_array_new_with_free_func(bat_free);
 	dsp->outs = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, g_free, free_out);
 	dsp->timers = g_sequence_new(NULL);
@@ -349,32 +329,6 @@
 	dsp_run(dsp, now_ms);
 }
 
-static void
-fill_start(struct dispatch *dsp, struct batch *batch, struct job *job,
-    uint32_t index, wire_start *start, int64_t now_ms)
-{
-	const struct job_spec *spec = job_request(job);
-	char *id = g_strdup_printf("%s/%u", spec->id, index);
-	gsize len;
-
-	g_ptr_array_add(batch->ids, id);
-	memset(start, 0, sizeof(*start));
-	start->seq = dsp->next_seq++;
-	start->task_id = id;
-	start->service = (char *)spec->service;
-	start->deadline_ms = MAX(spec->deadline_ms - now_ms, 1);
-	start->method = (char *)(spec->method != NULL ? spec->method : "");
-	start->path = (char *)(spec->path != NULL ? spec->path : "");
-	/* struct job_header has the layout of wire_header. */
-	start->headers.headers_val = (wire_header *)spec->headers;
-	start->headers.headers_len = spec->n_headers;
-	start->payload.wire_payload_val =
-	    (char *)g_bytes_get_data(job_task(job, index)->spec.payload, &len);
-	start->payload.wire_payload_len = len;
-	start->traceparent =
-	    (char *)(spec->traceparent != NULL ? spec->traceparent : "");
-}
-
 /* Undoes starts of a batch that was not sent. */
 static void
 return_batch(struct dispatch *dsp, struct batch *batch, int64_t now_ms)
@@ -406,55 +360,26 @@
 	} else {
 		return_batch(dsp, batch, now_ms);
 	}
-	g_array_set_size(batch->starts, 0);
-	g_ptr_array_set_size(batch->ids, 0);
-	batch->bytes = 0;
-}
-
-/* In the order of the first start, so that a trace replays identically. */
-static struct batch *
-get_batch(struct dispatch *dsp, void *agent)
-{
-	struct batch *batch;
-	guint i;
-
-	for (i = 0; i < dsp->batches->len; i++) {
-		batch = dsp->batches->pdata[i];
-		if (batch->agent == agent)
-			return batch;
-	}
-	batch = g_new0(struct batch, 1);
-	batch->agent = agent;
-	batch->starts = g_array_new(FALSE, FALSE, sizeof(wire_start));
-	batch->ids = g_ptr_array_new_with_free_func(g_free);
-	g_ptr_array_add(dsp->batches, batch);
-	return batch;
+	bat_clear(batch);
 }
 
 static void
 add_start(struct dispatch *dsp, struct djob *dj, uint32_t index, void *agent,
     uint32_t place_id, int64_t now_ms)
 {
-	struct batch *batch = get_batch(dsp, agent);
+	struct batch *batch = bat_get(dsp->batches, agent);
 	struct out *out = g_new0(struct out, 1);
-	wire_start start;
-	size_t bytes;
+	uint64_t seq = dsp->next_seq++;
 
-	bytes = g_bytes_get_size(job_task(dj->job, index)->spec.payload) +
-		START_OVERHEAD;
-	if (batch->starts->len > 0 && (batch->bytes + bytes > BATCH_BYTES ||
-					  batch->starts->len >= WIRE_BATCH_MAX))
+	if (bat_is_full(batch, dj->job, index))
 		send_batch(dsp, batch, now_ms);
-	fill_start(dsp, batch, dj->job, index, &start, now_ms);
 	out->job = job_ref(dj->job);
 	out->task = index;
 	out->agent = agent;
 	out->place_id = place_id;
-	g_hash_table_insert(
-	    dsp->outs, g_memdup2(&start.seq, sizeof(start.seq)), out);
-	job_placed(dj->job, index, start.seq);
-	g_array_append_val(batch->starts, start);
-	batch->bytes += bytes;
+	g_hash_table_insert(dsp->outs, g_memdup2(&seq, sizeof(seq)), out);
+	job_placed(dj->job, index, seq);
+	bat_add(batch, dj->job, index, seq, now_ms);
 }
 
 static void
