--- a/bench/workload.c
+++ b/bench/workload.c
@@ -144,7 +144,9 @@
 		uint32_t k;
 
 		j->first = first;
-		j->n = MIN(job_size(opts, rng), load->n_tasks - first);
+		/* MIN would draw the size twice. */
+		j->n = job_size(opts, rng);
+		j->n = MIN(j->n, load->n_tasks - first);
 		j->entry = (uint32_t)(rng_uniform(rng) * opts->entries);
 		now_us += exponential(
 		    rng, gap_us * j->n / (burst ? BURST_RATE : calm));
