Bound unidentified connections and endless bodies; test bad input

Bytes that never become a HELLO held an RPC connection as long as they kept coming (test_bad_input no_hello: still open after 30 s), with records of up to 4 MB. Now it closes after silence_ms without a call, and the first record is at most 64 KB. The agent's listener stored a body of any length (endless_body: 262808 kB more), because an early handler of another path is not asked; it now has one of its own.

--- a/src/connection/agentlink.c
+++ b/src/connection/agentlink.c
@@ -419,21 +419,27 @@
 		rpc_close(al->conn, ST_INTERNAL, "QUERY was not sent");
 }
 
+static struct al *
+find_agent(const struct al_set *set, const wire_hello_args *args)
+{
+	char *key =
+	    g_strdup_printf("%s/%s", args->failure_domain, args->worker);
+	struct al *al = g_hash_table_lookup(set->agents, key);
+
+	g_free(key);
+	return al;
+}
+
 static struct al *
 get_agent(struct al_set *set, const wire_hello_args *args)
 {
-	char *key;
-	struct al *al;
+	struct al *al = find_agent(set, args);
 
-	key = g_strdup_printf("%s/%s", args->failure_domain, args->worker);
-	al = g_hash_table_lookup(set->agents, key);
-	if (al != NULL) {
-		g_free(key);
+	if (al != NULL)
 		return al;
-	}
 	al = g_new0(struct al, 1);
 	al->set = set;
-	al->key = key;
+	al->key = g_strdup_printf("%s/%s", args->failure_domain, args->worker);
 	al->worker = g_strdup(args->worker);
 	al->failure_domain = g_strdup(args->failure_domain);
 	al->service = g_strdup("");
@@ -462,7 +468,9 @@
 	if (args->worker[0] == '\0' || args->failure_domain[0] == '\0' ||
 	    args->incarnation == 0)
 		return "worker, failure domain or incarnation is missing";
-	if (g_hash_table_size(set->agents) >= set->opts.max_agents)
+	/* One that is known must come back, or its starts become unknown. */
+	if (g_hash_table_size(set->agents) >= set->opts.max_agents &&
+	    find_agent(set, args) == NULL)
 		return "too many agents";
 	return NULL;
 }
--- a/src/connection/localhttp.c
+++ b/src/connection/localhttp.c
@@ -126,6 +126,8 @@
 	    lh->server, "/v1/announce", on_announce, lh, NULL);
 	soup_server_add_handler(lh->server, NULL, on_read, lh, NULL);
 	soup_server_add_early_handler(lh->server, NULL, on_headers, lh, NULL);
+	soup_server_add_early_handler(
+	    lh->server, "/v1/announce", on_headers, lh, NULL);
 	hl_limit_receive(lh->server, HL_RECEIVE_MS);
 	if (!hl_listen(lh->server, opts->listen, st)) {
 		lh_free(lh);
--- a/src/connection/peerlink.c
+++ b/src/connection/peerlink.c
@@ -140,6 +140,8 @@
 	    .entry = *opts->self,
 	};
 
+	/* The timeout of the client is for connecting only. */
+	g_socket_set_timeout(g_socket_connection_get_socket(socket), 0);
 	peer->conn = rpc_new(&options);
 	if (!rpc_request(peer->conn, WIRE_PEER_HELLO,
 		(xdrproc_t)xdr_wire_peer_hello_args, &args, opts->silence_ms,
--- a/src/connection/rpc.c
+++ b/src/connection/rpc.c
@@ -5,15 +5,17 @@
 #include "connection/rpc.h"
 #include "process/clock.h"
 
-#define LAST_FRAGMENT	    0x80000000U
-#define MARK_BYTES	    4
-#define CALL_HEADER_BYTES   40 /* call with null credentials */
-#define REPLY_HEADER_BYTES  64
-#define READ_CHUNK_BYTES    65536
-#define READS_PER_WAKEUP    16 /* lets other connections of the loop run */
-#define TICK_MS		    100
-#define DEFAULT_RECORD_MAX  (4 * 1024 * 1024 + 65536)
-#define DEFAULT_QUEUE_MAX   (64 * 1024 * 1024)
+#define LAST_FRAGMENT	   0x80000000U
+#define MARK_BYTES	   4
+#define CALL_HEADER_BYTES  40 /* call with null credentials */
+#define REPLY_HEADER_BYTES 64
+#define READ_CHUNK_BYTES   65536
+#define READS_PER_WAKEUP   16 /* lets other connections of the loop run */
+#define TICK_MS		   100
+#define DEFAULT_RECORD_MAX (4 * 1024 * 1024 + 65536)
+#define DEFAULT_QUEUE_MAX  (64 * 1024 * 1024)
+/* A HELLO is far smaller; unknown peers must not fill the memory. */
+#define FIRST_RECORD_MAX    65536
 #define RPC_PROGRAM_VERSION 1
 
 struct pending {
@@ -40,6 +42,7 @@
 	size_t out_pos;
 	uint64_t bytes_out;
 	uint32_t next_xid;
+	int64_t opened_ms;
 	int64_t last_input_ms;
 	GHashTable *pending; /* xid -> struct pending */
 };
@@ -210,6 +213,7 @@
 		rpc_close(conn, ST_INVALID, "unexpected call");
 		return;
 	}
+	conn->opts.first_call_ms = 0;
 	conn->opts.on_call(conn, &call, conn->opts.ctx);
 }
 
@@ -270,6 +274,14 @@
 	handle_call(conn, &xdrs, &msg);
 }
 
+static uint32_t
+record_limit(const struct rpc_conn *conn)
+{
+	return conn->opts.first_call_ms > 0
+		   ? MIN(conn->opts.max_record_bytes, FIRST_RECORD_MAX)
+		   : conn->opts.max_record_bytes;
+}
+
 /* Consumes one fragment from the input; returns false when more is needed. */
 static bool
 parse_fragment(struct rpc_conn *conn, size_t *pos)
@@ -286,7 +298,7 @@
 	len = mark & ~LAST_FRAGMENT;
 	/* Empty fragments carry nothing but would keep the connection busy. */
 	if (len == 0 ||
-	    (uint64_t)conn->record->len + len > conn->opts.max_record_bytes) {
+	    (uint64_t)conn->record->len + len > record_limit(conn)) {
 		rpc_close(conn, ST_INVALID, "record length out of range");
 		return false;
 	}
@@ -584,6 +596,10 @@
 	if (conn->open && conn->opts.silence_ms > 0 &&
 	    now_ms - conn->last_input_ms > conn->opts.silence_ms)
 		rpc_close(conn, ST_TIMEOUT, "no input from the peer");
+	/* Input that never becomes a call would hold the connection. */
+	if (conn->open && conn->opts.first_call_ms > 0 &&
+	    now_ms - conn->opened_ms > conn->opts.first_call_ms)
+		rpc_close(conn, ST_TIMEOUT, "no call from the peer");
 	rpc_unref(conn);
 	return G_SOURCE_CONTINUE;
 }
@@ -612,7 +628,7 @@
 	conn->record = g_byte_array_new();
 	conn->out = g_byte_array_new();
 	conn->next_xid = 1;
-	conn->last_input_ms = clk_now_ms();
+	conn->opened_ms = conn->last_input_ms = clk_now_ms();
 	conn->pending =
 	    g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
 	conn->read_source = g_socket_create_source(conn->socket, G_IO_IN, NULL);
--- a/src/process/entry.c
+++ b/src/process/entry.c
@@ -549,6 +549,7 @@
 	struct rpc_options opts = {
 	    .socket = socket,
 	    .silence_ms = entry->set->silence_ms,
+	    .first_call_ms = entry->set->silence_ms,
 	    .on_call = on_first_call,
 	    .on_closed = on_unidentified_closed,
 	    .ctx = entry,
--- a/src/process/log.c
+++ b/src/process/log.c
@@ -55,6 +55,16 @@
 	return "notice";
 }
 
+/* Peers choose some of the text; it must not look like lines of its own. */
+static void
+replace_controls(char *s)
+{
+	for (; *s != '\0'; s++) {
+		if ((unsigned char)*s < ' ' || *s == 0x7f)
+			*s = '?';
+	}
+}
+
 /* Writes one line "time program[pid]: level: message" to standard error. */
 void
 log_line(int level, const char *fmt, ...)
@@ -72,6 +82,7 @@
 	va_start(ap, fmt);
 	vsnprintf(message, sizeof(message), fmt, ap);
 	va_end(ap);
+	replace_controls(message);
 	fprintf(stderr, "%s.%03ldZ %s[%d]: %s: %s\n", when,
 	    ts.tv_nsec / 1000000, log_program, (int)getpid(), level_name(level),
 	    message);
--- a/src/request/api.c
+++ b/src/request/api.c
@@ -409,6 +409,23 @@
 	return call;
 }
 
+/* Reports whether nothing can have been submitted with the id. */
+bool
+api_is_unused(const struct api *api, const char *id)
+{
+	struct id_parts parts;
+
+	switch (id_check(api->opts.ids, id, &parts)) {
+	case ID_OWN:
+		return parts.counter >= id_low_water(api->opts.ids) &&
+		       job_find(api->opts.jobs, id) == NULL;
+	case ID_OTHER:
+		return false;
+	default:
+		return true; /* no entry issued it */
+	}
+}
+
 /*
  * Answers a request about one job.  fn may run before this returns, and then
  * the result is NULL.
--- a/src/request/api.h
+++ b/src/request/api.h
@@ -72,6 +72,8 @@
 struct api_call *api_handle(struct api *api, const struct api_request *request,
     api_answer_fn fn, void *ctx);
 /* The caller went away; its job goes on. */
+/* Whether nothing with this id can have started, at any entry. */
+bool api_is_unused(const struct api *api, const char *id);
 void api_cancel(struct api_call *call);
 /* Mints ids; the caller frees the JSON with g_free(). */
 char *api_mint(struct api *api, uint32_t count);
--- a/src/request/callers.c
+++ b/src/request/callers.c
@@ -220,6 +220,26 @@
 	return true;
 }
 
+/*
+ * Refuses a request by its headers.  A job with the same id may have been
+ * submitted before, here or at the entry that owns it.
+ */
+static void
+refuse_headers(struct http *http, SoupServerMessage *msg, const char *path,
+    enum ref_code code)
+{
+	char *body;
+
+	if (!g_str_has_prefix(path, JOBS_PREFIX) ||
+	    api_is_unused(http->opts.api, path + strlen(JOBS_PREFIX))) {
+		hr_refuse(msg, code, refusal_message(code));
+		return;
+	}
+	body = ref_json_of(ref_name(code), "unknown", refusal_message(code));
+	hr_json(msg, ref_http_status(code), body, strlen(body));
+	g_free(body);
+}
+
 static void
 on_request(SoupServer *server, SoupServerMessage *msg, const char *path,
     GHashTable *query, gpointer data)
@@ -231,7 +251,7 @@
 	if (req == NULL)
 		hr_refuse(msg, REF_BAD_REQUEST, "malformed request");
 	else if (req->refusal != REF_NONE)
-		hr_refuse(msg, req->refusal, refusal_message(req->refusal));
+		refuse_headers(http, msg, path, req->refusal);
 	else if (g_str_has_prefix(path, JOBS_PREFIX))
 		handle_job(http, msg, path + strlen(JOBS_PREFIX), query);
 	else if (g_str_has_prefix(path, PASS_PREFIX))
