--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -11,7 +11,7 @@
 #include "system.h"
 
 #define JOBS	    200
-#define RSS_MORE_KB (64 * 1024) /* the bound of control traffic per node */
+#define RSS_MORE_KB (64L * 1024) /* the bound of control traffic per node */
 #define DOMAIN                                                                 \
 	"{\"failure_domains\":[{\"name\":\"domain-0\",\"entries\":true}],"
 #define TEAMS "\"teams\":[{\"name\":\"blue\"}]}"
