--- a/src/connection/listener.c
+++ b/src/connection/listener.c
@@ -1,5 +1,6 @@
 #include <gio/gio.h>
 
+#include "connection/address.h"
 #include "connection/listener.h"
 
 #define MAX_UNIDENTIFIED 1024
@@ -48,6 +49,7 @@
 	struct rpc_options opts = {
 	    .socket = socket,
 	    .silence_ms = ln->opts.silence_ms,
+	    .first_call_ms = ln->opts.silence_ms,
 	    .on_call = on_first_call,
 	    .on_closed = on_unidentified_closed,
 	    .ctx = ln,
@@ -63,31 +65,25 @@
 static bool
 listen_on(struct ln *ln, struct status *st)
 {
+	GSocketAddress *address = addr_parse(ln->opts.listen, st);
 	GError *error = NULL;
-	GSocketAddress *address = NULL;
-	GSocketConnectable *parsed;
-	GSocketAddressEnumerator *each;
-	bool ok = false;
+	bool ok;
 
 	ln->service = g_socket_service_new();
-	parsed = g_network_address_parse(ln->opts.listen, 0, &error);
-	if (parsed != NULL) {
-		each = g_socket_connectable_enumerate(parsed);
-		address = g_socket_address_enumerator_next(each, NULL, &error);
-		g_object_unref(each);
-		g_object_unref(parsed);
-	}
-	if (address != NULL) {
-		ok = g_socket_listener_add_address(
-		    G_SOCKET_LISTENER(ln->service), address,
-		    G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL, NULL,
-		    &error);
-		g_object_unref(address);
-	}
-	if (!ok)
+	if (address == NULL)
+		return false;
+	/* Every agent connects again at once when an entry returns. */
+	g_socket_listener_set_backlog(
+	    G_SOCKET_LISTENER(ln->service), MAX_UNIDENTIFIED);
+	ok = g_socket_listener_add_address(G_SOCKET_LISTENER(ln->service),
+	    address, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL, NULL,
+	    &error);
+	g_object_unref(address);
+	if (!ok) {
 		st_set(st, ST_UNAVAILABLE, "listen on %s: %s", ln->opts.listen,
-		    error != NULL ? error->message : "no such address");
-	g_clear_error(&error);
+		    error->message);
+		g_error_free(error);
+	}
 	g_signal_connect(ln->service, "incoming", G_CALLBACK(on_incoming), ln);
 	return ok;
 }
--- a/src/connection/localhttp.c
+++ b/src/connection/localhttp.c
@@ -2,10 +2,12 @@
 #include <libsoup/soup.h>
 #include <string.h>
 
-#include "connection/address.h"
+#include "connection/httplisten.h"
 #include "connection/localhttp.h"
 #include "process/clock.h"
 
+#define MAX_BODY_BYTES 65536 /* of an announcement */
+
 struct lh {
 	struct lh_options opts;
 	SoupServer *server;
@@ -44,6 +46,8 @@
 
 	(void)server;
 	(void)query;
+	if (soup_server_message_get_status(msg) != 0)
+		return; /* refused by on_headers() */
 	if (strcmp(path, "/v1/announce") != 0) {
 		reply_error(msg, SOUP_STATUS_NOT_FOUND, "not_found", path);
 	} else if (strcmp(method, "DELETE") == 0) {
@@ -71,6 +75,8 @@
 	char *text;
 
 	(void)server;
+	if (soup_server_message_get_status(msg) != 0)
+		return; /* refused by on_headers() */
 	if (strcmp(soup_server_message_get_method(msg), "GET") != 0) {
 		reply_error(msg, SOUP_STATUS_METHOD_NOT_ALLOWED,
 		    "method_not_allowed", "expected GET");
@@ -91,30 +97,42 @@
 	}
 }
 
+/* A body that will be refused is not stored. */
+static void
+on_headers(SoupServer *server, SoupServerMessage *msg, const char *path,
+    GHashTable *query, gpointer data)
+{
+	(void)server;
+	(void)path;
+	(void)query;
+	(void)data;
+	if (!hl_body_exceeds(msg, MAX_BODY_BYTES))
+		return;
+	hl_refuse_body(msg);
+	reply_error(msg, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, "too_large",
+	    "a body needs Content-Length and is at most 64 KB");
+}
+
 /* Binds the address and serves from the main loop. */
 struct lh *
 lh_new(const struct lh_options *opts, struct status *st)
 {
-	GSocketAddress *address = addr_parse(opts->listen, st);
-	GError *error = NULL;
 	struct lh *lh;
 
-	if (address == NULL)
-		return NULL;
 	lh = g_new0(struct lh, 1);
 	lh->opts = *opts;
 	lh->server = soup_server_new(NULL, NULL);
 	soup_server_add_handler(
 	    lh->server, "/v1/announce", on_announce, lh, NULL);
 	soup_server_add_handler(lh->server, NULL, on_read, lh, NULL);
-	if (!soup_server_listen(lh->server, address, 0, &error)) {
-		st_set(st, ST_UNAVAILABLE, "listen \"%s\": %s", opts->listen,
-		    error->message);
-		g_error_free(error);
+	soup_server_add_early_handler(lh->server, NULL, on_headers, lh, NULL);
+	soup_server_add_early_handler(
+	    lh->server, "/v1/announce", on_headers, lh, NULL);
+	hl_limit_receive(lh->server, HL_RECEIVE_MS);
+	if (!hl_listen(lh->server, opts->listen, st)) {
 		lh_free(lh);
 		lh = NULL;
 	}
-	g_object_unref(address);
 	return lh;
 }
 
