--- a/src/process/library.c
+++ b/src/process/library.c
@@ -1,5 +1,5 @@
+#include <glib.h>
 #include <signal.h>
-#include <string.h>
 #include <sys/resource.h>
 
 #include "process/agent.h"
@@ -21,10 +21,8 @@
 static enum sp_result
 fail(struct sp_error *error, enum sp_result result, const char *message)
 {
-	if (error != NULL) {
-		strncpy(error->message, message, SP_MESSAGE_MAX - 1);
-		error->message[SP_MESSAGE_MAX - 1] = '\0';
-	}
+	if (error != NULL)
+		g_strlcpy(error->message, message, SP_MESSAGE_MAX);
 	return result;
 }
 
