Test that an entry missing from its own list keeps its agents

Cause of the reconnect loop at startup: the agent dropped an open entry that no list named, found no entry left, and dialled the seed again at once. The drain rows of test_bad_input now have a limit below the default of drain_timeout_ms, so that they show that the setting is used.

--- a/tests/test_bad_input.c
+++ b/tests/test_bad_input.c
@@ -252,7 +252,10 @@
 }
 END_TEST
 
-/* An agent ends within drain_timeout_ms although its entry can't answer. */
+/*
+ * An agent ends after drain_timeout_ms although its entry can't answer.  The
+ * limit is below the default of the setting, 30 s.
+ */
 START_TEST(drain_without_entry)
 {
 	struct sys_options opts = one;
@@ -272,7 +275,7 @@
 	else
 		hn_signal(sys.entry[0].proc, SIGSTOP);
 	hn_signal(sys.agent[0].proc, SIGTERM);
-	ck_assert_int_ge(hn_wait_exit(sys.agent[0].proc, HN_LIMIT_MS), 0);
+	ck_assert_int_ge(hn_wait_exit(sys.agent[0].proc, 15000), 0);
 	if (_i == 2)
 		hn_signal(sys.entry[0].proc, SIGCONT);
 	hn_http_cancel(http);
--- a/tests/test_entrylink.c
+++ b/tests/test_entrylink.c
@@ -27,6 +27,7 @@
 	GPtrArray *older;      /* connections that it replaced */
 	struct wire_hello_args hello;
 	int hellos, heartbeats, messages;
+	bool lists_other;
 	struct wire_load load;
 	char service_name[WIRE_NAME_MAX + 1];
 	int64_t age_ms; /* told to the agent */
@@ -69,6 +70,12 @@
 	config->document.document_len = strlen(fake.document);
 }
 
+/* An entry that nobody can reach. */
+static struct wire_member other = {.incarnation = 99,
+    .name = "other",
+    .failure_domain = "a",
+    .address = "127.0.0.1:1"};
+
 static void
 on_hello(struct rpc_conn *conn, const struct rpc_call *call)
 {
@@ -87,6 +94,10 @@
 	    .failure_domain = "a",
 	    .address = (char *)hn_str("127.0.0.1:%u", fake.port)};
 	result.echo_ns = fake.hello.sent_ns;
+	if (fake.lists_other) {
+		result.members.members_val = &other;
+		result.members.members_len = 1;
+	}
 	fill_config(&result.config, fake.hello.config_version);
 	ck_assert(rpc_reply(
 	    conn, call->xid, (xdrproc_t)xdr_wire_hello_result, &result));
@@ -399,6 +410,8 @@
 		fake.silent = true;
 	else if (strcmp(words[0], "hold_acks") == 0)
 		fake.hold_acks = atoi(arg);
+	else if (strcmp(words[0], "lists_other") == 0)
+		fake.lists_other = true;
 	else if (strcmp(words[0], "age") == 0)
 		fake.age_ms = atoi(arg);
 	else if (strcmp(words[0], "disconnect") == 0)
