--- a/bench/bench_slopes.c
+++ b/bench/bench_slopes.c
@@ -136,8 +136,8 @@
 	int i;
 
 	for (i = 0; i < sys.opts.agents; i++) {
-		if ((int64_t)metric(agent_metrics(&sys, i), "config_version") <
-		    version)
+		if ((int64_t)metric(
+			agent_metrics(&sys, i), "sp_config_version") < version)
 			return false;
 	}
 	return true;
@@ -258,9 +258,10 @@
 		sys_add_agents(&sys, 1,
 		    hn_str(",\"entry_connections\":%d", (int)counts[i]));
 	for (i = 0; i < 4; i++)
-		need(hn_wait_until((int)metric(agent_metrics(&sys, i),
-				       "entries_connected") == (int)counts[i],
-			 LIMIT_MS),
+		need(
+		    hn_wait_until((int)metric(agent_metrics(&sys, i),
+				      "sp_entries_connected") == (int)counts[i],
+			LIMIT_MS),
 		    "an agent lacks connections");
 	hn_sleep(2000);
 	entry = read_entry(&sys, 7);
--- a/src/process/agent.c
+++ b/src/process/agent.c
@@ -396,13 +396,13 @@
 {
 	struct ctr_registry *reg = agent->counters;
 
-	agent->busy = ctr_gauge(reg, "slots_busy", "Slots in use.");
-	agent->queued = ctr_gauge(reg, "starts_queued", "Starts waiting.");
+	agent->busy = ctr_gauge(reg, "sp_slots_busy", "Slots in use.");
+	agent->queued = ctr_gauge(reg, "sp_starts_queued", "Starts waiting.");
 	agent->open_links =
-	    ctr_gauge(reg, "entries_connected", "Entries connected.");
+	    ctr_gauge(reg, "sp_entries_connected", "Entries connected.");
 	agent->version =
-	    ctr_gauge(reg, "config_version", "Configuration held.");
-	agent->age = ctr_gauge(reg, "config_age_ms",
+	    ctr_gauge(reg, "sp_config_version", "Configuration held.");
+	agent->age = ctr_gauge(reg, "sp_config_age_ms",
 	    "Time since the configuration was confirmed, -1 never.");
 }
 
--- a/src/process/executor.c
+++ b/src/process/executor.c
@@ -73,13 +73,14 @@
 	size_t i;
 
 	ex->starts = ctr_counter(
-	    reg, "endpoint_calls_total", "Calls made to the endpoint.");
+	    reg, "sp_endpoint_calls_total", "Calls made to the endpoint.");
 	for (i = 0; i < N_OUTCOMES; i++)
-		ex->outcomes[i] = labelled(reg, "results_total", "outcome",
+		ex->outcomes[i] = labelled(reg, "sp_results_total", "outcome",
 		    outcomes[i], "Starts by their outcome.");
 	for (i = 0; i < N_REASONS; i++)
-		ex->reasons[i] = labelled(reg, "result_reasons_total", "reason",
-		    reasons[i], "Starts by the reason of their outcome.");
+		ex->reasons[i] =
+		    labelled(reg, "sp_result_reasons_total", "reason",
+			reasons[i], "Starts by the reason of their outcome.");
 }
 
 /* Makes an executor with an empty queue. */
