Make three tests hold with the sanitizers and the kept policy

Cause, each seen in a run: test_overload row 4 required work at two of three failing workers, but its 8 requests at once fit into two workers of 4 slots, so one may rightly stay idle since placement fills the earliest finish first (1 of 3 in two runs). The fault proxy passed a null pointer with length 0 to memmem.

--- a/tests/fault_proxy.c
+++ b/tests/fault_proxy.c
@@ -139,8 +139,8 @@
 matches(const struct rule *rule, const GByteArray *head)
 {
 	return rule->match[0] == '\0' ||
-	       memmem(head->data, head->len, rule->match,
-		   strlen(rule->match)) != NULL;
+	       (head->len > 0 && memmem(head->data, head->len, rule->match,
+				     strlen(rule->match)) != NULL);
 }
 
 static void
--- a/tests/runner.h
+++ b/tests/runner.h
@@ -11,6 +11,16 @@
 #include "casefile.h"
 #include "replay.h"
 
+/*
+ * For programs that bound the memory of processes: the address sanitizer keeps
+ * up to 256 MB of freed memory in each, which would count as held.
+ */
+static inline void
+limit_quarantine(void)
+{
+	setenv("ASAN_OPTIONS", "quarantine_size_mb=1", 1);
+}
+
 static inline int
 run_tcase(const char *name, TCase *tc, double limit_s)
 {
--- a/tests/test_bad_input.c
+++ b/tests/test_bad_input.c
@@ -287,8 +287,10 @@
 main(void)
 {
 	const TTest *const tests[] = {garbage, no_hello, wrong_key};
-	int red = run_tests("bad input", tests, 3, 240);
+	int red;
 
+	limit_quarantine();
+	red = run_tests("bad input", tests, 3, 240);
 	red |= run_table("endless body", endless_body, 3, 240);
 	return red |
 	       run_table("drain without entry", drain_without_entry, 3, 240);
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -160,7 +160,11 @@
 	sys_load_stop(load);
 }
 
-/* More than a third of the workers must never be ejected. */
+/*
+ * More than a third of the workers must never be ejected.  24 requests at once
+ * need all three workers of 4 slots that remain; with fewer, one of them may
+ * rightly stay idle.
+ */
 static void
 many_failing_workers(struct sys *sys)
 {
@@ -169,7 +173,7 @@
 	int i, kept = 0;
 
 	modes(sys, 0, 3, "fail=1");
-	load = sys_load_start(sys, 0, 8, 1, "{\"run_ms\":50}");
+	load = sys_load_start(sys, 0, 24, 1, "{\"run_ms\":50}");
 	ck_assert(hn_wait_until(
 	    sys_load_counts(load).failed >= 100, 2 * HN_LIMIT_MS));
 	for (i = 0; i < 4; i++)
@@ -550,6 +554,7 @@
 int
 main(void)
 {
+	limit_quarantine();
 	return run_table(
 	    "overload", overload, sizeof(rows) / sizeof(rows[0]), 240);
 }
