--- a/tests/test_callers.c
+++ b/tests/test_callers.c
@@ -194,6 +194,8 @@
 	world.pass = pass_new(&pass);
 }
 
+static int64_t receive_ms; /* 0: the default */
+
 /* max_requests 0: enough for all. */
 static void
 setup(uint32_t max_requests)
@@ -202,6 +204,7 @@
 	struct http_options http = {.listen = "127.0.0.1:0",
 	    .max_body_bytes = 4000,
 	    .max_requests = max_requests != 0 ? max_requests : 100,
+	    .receive_ms = receive_ms,
 	    .is_ready = is_ready};
 	struct status st;
 
@@ -575,5 +578,27 @@
 }
 END_TEST
 
+/* A sender that stops within its request must not hold the connection. */
+START_TEST(slow_sender)
+{
+	static const char *const parts[] = {"PUT /v1/jobs/x HT",
+	    "PUT /v1/jobs/x HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n"
+	    "abc"};
+	int64_t end_ms;
+	size_t i;
+
+	receive_ms = 300;
+	setup(0);
+	for (i = 0; i < G_N_ELEMENTS(parts); i++)
+		g_free(exchange(parts[i], strlen(parts[i])));
+	end_ms = clk_now_ms() + LIMIT_MS;
+	while (http_in_progress(world.http) > 0 && clk_now_ms() < end_ms)
+		g_main_context_iteration(NULL, FALSE);
+	ck_assert_uint_eq(http_in_progress(world.http), 0);
+	expect("GET", "x", "", "400 bad_id not_run");
+	teardown();
+}
+END_TEST
+
 CASES_MAIN("callers", send_case, life_of_a_job, caller_goes_away,
-    too_many_requests, chunked_body, malformed_http)
+    too_many_requests, chunked_body, malformed_http, slow_sender)
