End the lease of a silent worker

The new fields of the abandoned line showed one or two tasks of each as sent and nothing else open; all were at the worker that goes dark from 12.0 to 15.8 s. A call without an answer may have been carried out, so every call for a report and every start moved the bound of the lease, and the agent reported the tasks as lost only when the worker came back.

Change: after a call without an answer the lease is not renewed until the next answer; a start in that time carries the former end of the lease while half of it is left. The abandoned line says how far the job had come.

--- a/src/connection/holder.c
+++ b/src/connection/holder.c
@@ -16,8 +16,12 @@
 /* Ends that come together are fetched by one call. */
 #define GATHER_MS 4
 #define RETRY_MS  50
-/* Without an answer for this long no task is sent to the worker. */
-#define SILENT_MS 700
+/*
+ * No task is sent to the worker while it has not answered for this long, a
+ * waiting call included, or while calls since this long went unanswered.
+ */
+#define SILENT_MS     700
+#define UNANSWERED_MS 250
 /* The worker's clock may be slow by 2%; rounding and the kill take more. */
 #define LEASE_SLACK_PERCENT 3
 #define LEASE_SLACK_MS	    60
@@ -41,11 +45,13 @@
 	int64_t last_end;
 	int64_t clock_ms; /* of the worker at clock_at_ms */
 	int64_t clock_at_ms;
-	int64_t sent_ms;	/* the call in progress, 0: none */
-	int64_t answered_ms;	/* last answer of this incarnation */
-	int64_t lease_ends_ms;	/* upper bound, 0: no lease was given */
-	uint64_t generation;	/* of the target; older answers are dropped */
-	int64_t doubt_until_ms; /* calls went unanswered recently */
+	int64_t sent_ms;	 /* the call in progress, 0: none */
+	int64_t answered_ms;	 /* last answer of this incarnation */
+	int64_t deadline_ms;	 /* of the lease, on the worker's clock */
+	int64_t lease_ends_ms;	 /* upper bound, 0: no lease was given */
+	int64_t silent_since_ms; /* first call without an answer, 0: none */
+	uint64_t generation;	 /* of the target; older answers are dropped */
+	int64_t doubt_until_ms;	 /* calls went unanswered recently */
 	struct ans answers;
 	bool looking; /* a call of hold_look() is in progress */
 	bool look_again;
@@ -65,6 +71,7 @@
 /* A start or stop; its answer goes on to the caller. */
 struct order {
 	struct hold *hold;
+	uint64_t generation;
 	int64_t sent_ms;
 	wp_answer_fn fn;
 	void *ctx;
@@ -105,8 +112,12 @@
 bool
 hold_is_ready(const struct hold *hold)
 {
+	int64_t now_ms = clk_now_ms();
+
 	return hold->phase == READY &&
-	       clk_now_ms() - hold->answered_ms <= SILENT_MS;
+	       now_ms - hold->answered_ms <= SILENT_MS &&
+	       (hold->silent_since_ms == 0 ||
+		   now_ms - hold->silent_since_ms <= UNANSWERED_MS);
 }
 
 uint64_t
@@ -142,29 +153,49 @@
 	};
 }
 
-/* Takes the time that an answer needed, or that there was none. */
+/* Takes the answer of a call that could be answered since sent_ms, or its lack. */
 static void
-note_answer(struct hold *hold, enum wp_verdict verdict, int64_t took_ms)
+note_answer(struct hold *hold, enum wp_verdict verdict, int64_t sent_ms)
 {
+	int64_t now_ms = clk_now_ms();
+
 	if (verdict != WP_NO_ANSWER) {
-		ans_came(&hold->answers, took_ms);
+		ans_came(&hold->answers, now_ms - sent_ms);
+		hold->silent_since_ms = 0;
 		return;
 	}
 	ans_missed(&hold->answers);
-	hold->doubt_until_ms = clk_now_ms() + DOUBT_MS;
+	hold->doubt_until_ms = now_ms + DOUBT_MS;
+	if (hold->silent_since_ms == 0)
+		hold->silent_since_ms = sent_ms;
 }
 
-/* End of a lease of full length, on the worker's clock. */
+/* Extends the lease to its full length; returns its end. */
 static int64_t
-new_deadline_ms(struct hold *hold)
+extend_lease(struct hold *hold)
 {
 	int64_t now_ms = clk_now_ms();
 
 	hold->lease_ends_ms =
 	    now_ms + hold->opts.lease_ms * (100 + LEASE_SLACK_PERCENT) / 100 +
 	    LEASE_SLACK_MS;
-	return hold->clock_ms + (now_ms - hold->clock_at_ms) +
-	       hold->opts.lease_ms;
+	hold->deadline_ms =
+	    hold->clock_ms + (now_ms - hold->clock_at_ms) + hold->opts.lease_ms;
+	return hold->deadline_ms;
+}
+
+/*
+ * The end of the lease for a start.  A call without an answer may have been
+ * carried out, so a lease that each of them extends would never be known to
+ * have ended while the worker is silent.
+ */
+static int64_t
+start_deadline_ms(struct hold *hold)
+{
+	if (hold->silent_since_ms != 0 &&
+	    hold->lease_ends_ms - clk_now_ms() > hold->opts.lease_ms / 2)
+		return hold->deadline_ms;
+	return extend_lease(hold);
 }
 
 static gboolean
@@ -215,6 +246,7 @@
 	size_t i;
 
 	hold->answered_ms = clk_now_ms();
+	hold->silent_since_ms = 0;
 	hold->clock_ms = report->answer.clock_ms;
 	hold->clock_at_ms = hold->answered_ms;
 	for (i = 0; i < report->n_ended; i++)
@@ -254,8 +286,8 @@
 		hold->sent_ms = 0;
 	/* The wait ends early when a run ends, so only misses count. */
 	if (report->answer.verdict == WP_NO_ANSWER || call->wait_ms == 0)
-		note_answer(
-		    hold, report->answer.verdict, clk_now_ms() - call->sent_ms);
+		note_answer(hold, report->answer.verdict,
+		    call->sent_ms + call->wait_ms);
 	if (report->answer.verdict == WP_FENCED)
 		hold->token += TOKEN_SKIP;
 	if (is_report_of(hold, report))
@@ -299,8 +331,9 @@
 		args.wait_ms = clk_now_ms() < hold->doubt_until_ms
 				   ? DOUBT_WAIT_MS
 				   : WAIT_MS;
-		if (hold->opts.wanted(hold->opts.ctx))
-			args.deadline_ms = new_deadline_ms(hold);
+		if (hold->silent_since_ms == 0 &&
+		    hold->opts.wanted(hold->opts.ctx))
+			args.deadline_ms = extend_lease(hold);
 	}
 	send_hold(hold, &args, false);
 }
@@ -328,6 +361,7 @@
 	hold->born_ms = worker->born_ms;
 	hold->last_end = 0;
 	hold->sent_ms = 0;
+	hold->silent_since_ms = 0;
 	hold->looking = hold->look_again = false;
 	hold->answered_ms = clk_now_ms();
 	hold->was_ready = false;
@@ -401,6 +435,7 @@
 	struct order *order = g_new0(struct order, 1);
 
 	order->hold = hold;
+	order->generation = hold->generation;
 	order->sent_ms = clk_now_ms();
 	order->fn = fn;
 	order->ctx = ctx;
@@ -412,8 +447,8 @@
 {
 	g_autofree struct order *order = ctx;
 
-	note_answer(
-	    order->hold, answer->verdict, clk_now_ms() - order->sent_ms);
+	if (order->generation == order->hold->generation)
+		note_answer(order->hold, answer->verdict, order->sent_ms);
 	order->fn(answer, order->ctx);
 }
 
@@ -426,7 +461,7 @@
 	    .task = task,
 	    .spec = spec,
 	    .run = run,
-	    .deadline_ms = new_deadline_ms(hold),
+	    .deadline_ms = start_deadline_ms(hold),
 	};
 
 	hold->opts.wp->start(hold->opts.wp->port, &target, &start, on_order,
--- a/src/process/jobentry.c
+++ b/src/process/jobentry.c
@@ -777,6 +777,22 @@
 	return 0;
 }
 
+static void
+tell_abandoned(const struct je *je, const struct waiter *waiter)
+{
+	struct sch_progress at;
+
+	if (!sch_progress(je->sch, waiter->job, &at))
+		return;
+	evt_write("abandoned",
+	    "\"job\":\"%s\",\"ms_held\":%" G_GINT64_FORMAT
+	    ",\"queue\":\"%s\",\"tasks\":%u,\"ready\":%u,\"sent\":%u,"
+	    "\"unresolved\":%u,\"done\":%u,\"jobs\":%u",
+	    waiter->job, clk_now_ms() - waiter->since_ms, at.queue, at.n_tasks,
+	    at.n_ready, at.n_sent, at.n_unresolved, at.n_done,
+	    sch_n_jobs(je->sch));
+}
+
 void
 je_abandon(struct je *je, uint64_t ticket)
 {
@@ -784,8 +800,7 @@
 
 	if (waiter == NULL)
 		return;
-	evt_write("abandoned", "\"job\":\"%s\",\"ms_held\":%" G_GINT64_FORMAT,
-	    waiter->job, clk_now_ms() - waiter->since_ms);
+	tell_abandoned(je, waiter);
 	sch_cancel(je->sch, waiter->job);
 	g_hash_table_remove(je->waiters, &ticket);
 }
--- a/src/request/sched.c
+++ b/src/request/sched.c
@@ -879,6 +879,29 @@
 	return g_hash_table_contains(sch->jobs, id);
 }
 
+bool
+sch_progress(
+    const struct sch *sch, const char *id, struct sch_progress *progress)
+{
+	const struct job *job = g_hash_table_lookup(sch->jobs, id);
+	uint32_t n[DONE + 1] = {0};
+	uint32_t i;
+
+	if (job == NULL)
+		return false;
+	for (i = 0; i < job->n_tasks; i++)
+		n[job->tasks[i].state]++;
+	*progress = (struct sch_progress){
+	    .queue = job->queue,
+	    .n_tasks = job->n_tasks,
+	    .n_ready = n[READY],
+	    .n_sent = n[SENT],
+	    .n_unresolved = n[UNRESOLVED],
+	    .n_done = n[DONE],
+	};
+	return true;
+}
+
 bool
 sch_cancel(struct sch *sch, const char *id)
 {
--- a/src/request/sched.h
+++ b/src/request/sched.h
@@ -104,6 +104,16 @@
 	void *waiter;
 };
 
+/* How far a job has come. */
+struct sch_progress {
+	const char *queue;
+	uint32_t n_tasks;
+	uint32_t n_ready; /* wait for a worker */
+	uint32_t n_sent;
+	uint32_t n_unresolved; /* sent to an agent that was lost */
+	uint32_t n_done;
+};
+
 struct sch *sch_new(const struct sch_options *opts);
 void sch_free(struct sch *sch);
 
@@ -127,6 +137,9 @@
 /* Another request for a job that is known here takes it over. */
 void *sch_take_over(struct sch *sch, const char *job, void *waiter);
 bool sch_has_job(const struct sch *sch, const char *job);
+/* False when the job is not known. */
+bool sch_progress(
+    const struct sch *sch, const char *job, struct sch_progress *progress);
 /* Nobody waits for the job any more; ended() is not called. */
 bool sch_cancel(struct sch *sch, const char *job);
 void sch_result(struct sch *sch, uint64_t seq, enum sch_outcome outcome,
--- /dev/null
+++ b/tests/test_holder.c
@@ -0,0 +1,305 @@
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "connection/holder.h"
+#include "process/clock.h"
+#include "runner.h"
+
+/* The commands are listed in tests/cases/holder.txt. */
+
+#define LEASE_MS 1000
+#define MAX_ROWS 8
+
+/* A call without an answer. */
+struct call {
+	wp_report_fn report;
+	wp_answer_fn answer;
+	void *ctx;
+};
+
+/* A worker that answers when the trace says so. */
+struct world {
+	struct wp wp;
+	struct hold *hold;
+	GQueue reports; /* struct call */
+	GQueue starts;
+	GString *actual;
+};
+
+static int64_t now_ms;
+
+/* These stand in for the clock of the library. */
+int64_t
+clk_now_ms(void)
+{
+	return now_ms;
+}
+
+int64_t
+clk_now_ns(void)
+{
+	return now_ms * 1000000;
+}
+
+int64_t
+clk_wall_ms(void)
+{
+	return now_ms;
+}
+
+static void
+say(struct world *w, const char *fmt, ...)
+{
+	va_list ap;
+
+	if (w->actual == NULL)
+		return;
+	if (w->actual->len > 0)
+		g_string_append_c(w->actual, ' ');
+	va_start(ap, fmt);
+	g_string_append_vprintf(w->actual, fmt, ap);
+	va_end(ap);
+}
+
+static const char *
+lease(int64_t deadline_ms)
+{
+	static char text[16];
+
+	if (deadline_ms == 0)
+		return "-";
+	g_snprintf(text, sizeof(text), "%d", (int)(deadline_ms - now_ms));
+	return text;
+}
+
+static void
+push(GQueue *calls, wp_report_fn report, wp_answer_fn answer, void *ctx)
+{
+	struct call *call = g_new0(struct call, 1);
+
+	call->report = report;
+	call->answer = answer;
+	call->ctx = ctx;
+	g_queue_push_tail(calls, call);
+}
+
+static void
+on_start(void *port, const struct wp_target *target,
+    const struct wp_start *start, wp_answer_fn fn, void *ctx)
+{
+	struct world *w = port;
+
+	(void)target;
+	say(w, "start(%s,%d,lease=%s)", start->task, (int)start->run,
+	    lease(start->deadline_ms));
+	push(&w->starts, NULL, fn, ctx);
+}
+
+static void
+on_stop(void *port, const struct wp_target *target, const char *task,
+    int64_t run, wp_answer_fn fn, void *ctx)
+{
+	struct wp_answer done = {.verdict = WP_DONE, .clock_ms = now_ms};
+	struct world *w = port;
+
+	(void)target;
+	say(w, "stop(%s,%d)", task, (int)run);
+	fn(&done, ctx);
+}
+
+static void
+on_hold(void *port, const struct wp_target *target, const struct wp_hold *hold,
+    wp_report_fn fn, void *ctx)
+{
+	struct world *w = port;
+
+	(void)target;
+	say(w, "hold(wait=%d,lease=%s)", (int)hold->wait_ms,
+	    lease(hold->deadline_ms));
+	push(&w->reports, fn, NULL, ctx);
+}
+
+static bool
+on_wanted(void *ctx)
+{
+	(void)ctx;
+	return true;
+}
+
+static void
+on_report(const struct wp_report *report, int64_t sent_ms, void *ctx)
+{
+	(void)report;
+	(void)sent_ms;
+	say(ctx, "report");
+}
+
+static void
+on_lost(const char *reason, void *ctx)
+{
+	(void)reason;
+	say(ctx, "lost");
+}
+
+static void
+on_changed(void *ctx)
+{
+	say(ctx, "changed");
+}
+
+static void
+on_started(const struct wp_answer *answer, void *ctx)
+{
+	say(ctx, answer->verdict == WP_DONE ? "started" : "unanswered");
+}
+
+static void *
+start(void)
+{
+	struct world *w = g_new0(struct world, 1);
+	struct hold_options opts = {
+	    .wp = &w->wp,
+	    .lease_ms = LEASE_MS,
+	    .wanted = on_wanted,
+	    .report = on_report,
+	    .lost = on_lost,
+	    .changed = on_changed,
+	    .ctx = w,
+	};
+
+	now_ms = 0;
+	w->wp = (struct wp){w, on_start, on_stop, on_hold};
+	g_queue_init(&w->reports);
+	g_queue_init(&w->starts);
+	w->hold = hold_new(&opts);
+	return w;
+}
+
+/* Ends the oldest call of a kind. */
+static void
+end_call(GQueue *calls, const struct wp_report *report)
+{
+	g_autofree struct call *call = g_queue_pop_head(calls);
+
+	ck_assert_ptr_nonnull(call);
+	if (call->report != NULL)
+		call->report(report, call->ctx);
+	else
+		call->answer(&report->answer, call->ctx);
+}
+
+static void
+end(void *ctx)
+{
+	struct wp_report none = {.answer = {.verdict = WP_NO_ANSWER}};
+	struct world *w = ctx;
+
+	w->actual = NULL;
+	hold_close(w->hold);
+	while (!g_queue_is_empty(&w->reports))
+		end_call(&w->reports, &none);
+	while (!g_queue_is_empty(&w->starts))
+		end_call(&w->starts, &none);
+	hold_free(w->hold);
+	g_free(w);
+}
+
+static void
+beat(struct world *w, char **words)
+{
+	struct wp_worker worker = {
+	    .instance = "i",
+	    .address = "127.0.0.1:1",
+	    .seq = atoi(words[1]),
+	    .born_ms = (uint64_t)atoi(words[2]),
+	};
+
+	hold_heartbeat(w->hold, &worker);
+}
+
+/* answer [running TASK RUN]... [ended N TASK RUN]... */
+static void
+answer(struct world *w, char **words)
+{
+	struct wp_running running[MAX_ROWS] = {0};
+	struct wp_ended ended[MAX_ROWS] = {0};
+	struct wp_report report = {
+	    .answer = {.verdict = WP_DONE, .clock_ms = now_ms},
+	    .running = running,
+	    .ended = ended,
+	};
+	int i = 1;
+
+	while (words[i] != NULL) {
+		if (strcmp(words[i], "running") == 0) {
+			running[report.n_running].task = words[i + 1];
+			running[report.n_running++].run = atoi(words[i + 2]);
+			i += 3;
+		} else {
+			ended[report.n_ended].number = atoi(words[i + 1]);
+			ended[report.n_ended].task = words[i + 2];
+			ended[report.n_ended].how = WP_ENDED_STOPPED;
+			ended[report.n_ended++].run = atoi(words[i + 3]);
+			i += 4;
+		}
+	}
+	end_call(&w->reports, &report);
+}
+
+static void
+wait_for_call(struct world *w)
+{
+	while (g_queue_is_empty(&w->reports))
+		g_main_context_iteration(NULL, TRUE);
+}
+
+static void
+step_calls(struct world *w, char **words)
+{
+	struct wp_report none = {.answer = {.verdict = WP_NO_ANSWER}};
+	struct wp_report done = {
+	    .answer = {.verdict = WP_DONE, .clock_ms = now_ms}};
+
+	if (strcmp(words[0], "answer") == 0)
+		answer(w, words);
+	else if (strcmp(words[0], "drop") == 0)
+		end_call(&w->reports, &none);
+	else if (strcmp(words[0], "started") == 0)
+		end_call(&w->starts, &done);
+	else if (strcmp(words[0], "unstarted") == 0)
+		end_call(&w->starts, &none);
+	else
+		ck_abort_msg("command %s", words[0]);
+}
+
+static void
+step(void *ctx, char **words, GString *actual)
+{
+	struct world *w = ctx;
+
+	w->actual = actual;
+	if (strcmp(words[0], "at") == 0) {
+		now_ms = atoi(words[1]);
+		hold_tick(w->hold);
+	} else if (strcmp(words[0], "beat") == 0)
+		beat(w, words);
+	else if (strcmp(words[0], "left") == 0)
+		hold_left(w->hold, "i");
+	else if (strcmp(words[0], "next") == 0)
+		wait_for_call(w);
+	else if (strcmp(words[0], "ready") == 0)
+		say(w, hold_is_ready(w->hold) ? "yes" : "no");
+	else if (strcmp(words[0], "start") == 0)
+		hold_start(
+		    w->hold, words[1], "spec", atoi(words[2]), on_started, w);
+	else
+		step_calls(w, words);
+}
+
+/*
+ * A trace fails when tasks stay with a worker that is gone, when a lease is
+ * taken to have ended too early, or when a task goes to a worker whose runs
+ * are not known.
+ */
+REPLAY_MAIN("holder", 0, start, end, step)
