Split the scheduler: jobtask and workerset

Change: workerset (wks_) holds what is known of the workers and which are usable, jobtask (jt_) a job's tasks and their states; sched.c keeps the order, the choice, loss and ends. Callers describe workers in the set itself. No behaviour changes.

--- a/src/process/jobentry.c
+++ b/src/process/jobentry.c
@@ -37,7 +37,7 @@
 struct agent {
 	struct je *je;
 	struct wlk *link;
-	struct sch_worker *worker;
+	struct wks_worker *worker;
 	char *name;
 	bool listed;
 };
@@ -233,7 +233,7 @@
 {
 	struct je *je = ctx;
 	struct agent *agent = agent_of(je, link);
-	struct sch_description d = {
+	struct wks_description d = {
 	    .name = wlk_address(link),
 	    .incarnation = args->incarnation,
 	    .service = args->service,
@@ -252,7 +252,7 @@
 	    ",\"service\":\"%s\",\"failure_domain\":\"%s\",\"draining\":%s",
 	    d.name, d.incarnation, d.service, d.failure_domain,
 	    d.draining ? "true" : "false");
-	sch_describe(je->sch, agent->worker, &d);
+	wks_describe(sch_workers(je->sch), agent->worker, &d);
 }
 
 static void
@@ -301,7 +301,7 @@
 	    args->free.cpu_milli, args->free.memory_mb, args->free.gpus};
 	uint32_t i;
 
-	sch_room(je->sch, agent->worker, &room, args->accepting, clk_now_ms());
+	wks_set_room(agent->worker, &room, args->accepting, clk_now_ms());
 	for (i = 0; i < args->results.results_len; i++) {
 		const run_result *r = &args->results.results_val[i];
 
@@ -363,7 +363,7 @@
 	agent = g_new0(struct agent, 1);
 	agent->je = je;
 	agent->link = link;
-	agent->worker = sch_add_worker(je->sch, agent);
+	agent->worker = wks_add(sch_workers(je->sch), agent);
 	agent->name = g_strdup(address);
 	g_hash_table_insert(je->agents, agent->name, agent);
 }
@@ -601,7 +601,7 @@
 	if (getrandom(&je->incarnation, sizeof(je->incarnation), 0) < 0)
 		je->incarnation = (uint64_t)clk_now_ns();
 	je->sch = sch_new(&sch);
-	sch_set_out(je->sch, is_out, je);
+	wks_set_out(sch_workers(je->sch), is_out, je);
 	je->out = g_hash_table_new(g_str_hash, g_str_equal);
 	je->out_list = g_new0(char *, 1);
 	je->agents =
--- a/src/request/sched.h
+++ b/src/request/sched.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "request/work.h"
+#include "request/workerset.h"
 #include "version/routes.h"
 
 /*
@@ -14,7 +15,6 @@
  * sockets and reads no clock.
  */
 struct sch;
-struct sch_worker;
 
 enum sch_outcome {
 	SCH_DONE,
@@ -84,19 +84,6 @@
 	void *ctx;
 };
 
-/* What a worker says of itself; strings are copied. */
-struct sch_description {
-	const char *name;
-	uint64_t incarnation;
-	const char *service;
-	const char *failure_domain;
-	const char *const *labels;
-	size_t n_labels;
-	struct wk_size capacity;
-	bool draining;
-	bool local;
-};
-
 struct sch_request {
 	struct wk_job *job; /* taken over when it was accepted */
 	const struct rts_queue *queue;
@@ -117,20 +104,13 @@
 struct sch *sch_new(const struct sch_options *opts);
 void sch_free(struct sch *sch);
 
-/* link is passed to the callbacks. */
-struct sch_worker *sch_add_worker(struct sch *sch, void *link);
+/* The workers that tasks go to; their links are passed to the callbacks. */
+struct wks *sch_workers(struct sch *sch);
 /* Frees the worker; its open starts are lost after resolve_ms. */
 void sch_remove_worker(
-    struct sch *sch, struct sch_worker *worker, int64_t now_ms);
-void sch_describe(struct sch *sch, struct sch_worker *worker,
-    const struct sch_description *description);
-void sch_room(struct sch *sch, struct sch_worker *worker,
-    const struct wk_size *room, bool accepting, int64_t now_ms);
+    struct sch *sch, struct wks_worker *worker, int64_t now_ms);
 /* The connection was lost: as sch_remove_worker(), but the worker stays. */
-void sch_disconnect(struct sch *sch, struct sch_worker *worker, int64_t now_ms);
-/* Whether a failure domain is out of service. */
-void sch_set_out(
-    struct sch *sch, bool (*is_out)(const char *domain, void *ctx), void *ctx);
+void sch_disconnect(struct sch *sch, struct wks_worker *worker, int64_t now_ms);
 
 enum sch_verdict sch_submit(
     struct sch *sch, const struct sch_request *request, int64_t now_ms);
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -11,7 +11,7 @@
 
 struct link {
 	char *name;
-	struct sch_worker *worker;
+	struct wks_worker *worker;
 	bool broken;
 };
 
@@ -127,7 +127,7 @@
 	t->links =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, link_free);
 	t->out = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	sch_set_out(t->sch, is_out, t);
+	wks_set_out(sch_workers(t->sch), is_out, t);
 	return t;
 }
 
@@ -163,7 +163,7 @@
 {
 	struct link *link = g_hash_table_lookup(t->links, w[1]);
 	const char *labels[] = {w[4], "rack1"};
-	struct sch_description d = {
+	struct wks_description d = {
 	    .name = w[1],
 	    .incarnation = 1,
 	    .service = "desk",
@@ -178,10 +178,10 @@
 		link = g_new0(struct link, 1);
 		link->name = g_strdup(w[1]);
 		g_hash_table_insert(t->links, link->name, link);
-		link->worker = sch_add_worker(t->sch, link);
+		link->worker = wks_add(sch_workers(t->sch), link);
 	}
-	sch_describe(t->sch, link->worker, &d);
-	sch_room(t->sch, link->worker, &d.capacity, true, t->now_ms);
+	wks_describe(sch_workers(t->sch), link->worker, &d);
+	wks_set_room(link->worker, &d.capacity, true, t->now_ms);
 }
 
 /* COUNTxCPUxESTIMATE[@label][/after] */
@@ -263,7 +263,7 @@
 	else if (strcmp(w[0], "room") == 0) {
 		struct wk_size room = {.cpu_milli = number(w[2])};
 
-		sch_room(t->sch, find(t, w[1])->worker, &room, true, t->now_ms);
+		wks_set_room(find(t, w[1])->worker, &room, true, t->now_ms);
 	} else if (strcmp(w[0], "lost") == 0)
 		sch_disconnect(t->sch, find(t, w[1])->worker, t->now_ms);
 	else if (strcmp(w[0], "remove") == 0) {
