--- a/src/connection/httplisten.h
+++ b/src/connection/httplisten.h
@@ -10,7 +10,7 @@
 /* How long a request may take to arrive, and a connection stay idle. */
 #define HL_RECEIVE_MS 60000
 
-/* listen is "ip:port"; the server serves from the default main context. */
+/* listen is "ip:port"; the server serves from the thread-default main context. */
 bool hl_listen(SoupServer *server, const char *listen, struct status *st);
 /* Call before hl_listen(). */
 void hl_limit_receive(SoupServer *server, int64_t receive_ms);
