Wake an entry less: one timer for its links, no idle passes

Cause: each of 58 links had a heartbeat timer, four wakes a second apart from the others; every update of an agent caused a scheduling pass in an iteration of its own, also when no task waited; in a backlog a pass judged every worker for each of 64 tasks that could not fit.

Change: the entry's tick sends the heartbeats of all links; a pass is made only when a task may be ready; a pass remembers the smallest task without a place and skips those that ask as much.

--- a/src/connection/worklink.c
+++ b/src/connection/worklink.c
@@ -29,7 +29,6 @@
 	GPtrArray *specs; /* of the starts */
 	GArray *cancels;  /* seqs */
 	guint retry_id;
-	guint beat_id;
 	guint flush_id;
 };
 
@@ -83,7 +82,6 @@
 
 	if (conn == NULL)
 		return;
-	g_clear_handle_id(&link->beat_id, g_source_remove);
 	forget_unsent(link);
 	rpc_detach(conn);
 	rpc_unref(conn);
@@ -139,18 +137,16 @@
 	return clk_now_ms() - link->beat_ms > PAUSE_MS;
 }
 
-static gboolean
-on_beat(gpointer data)
+/* Sends the heartbeat that is due. */
+void
+wlk_tick(struct wlk *link)
 {
-	struct wlk *link = data;
-
-	if (!was_paused(link)) {
+	if (link->conn == NULL)
+		return;
+	if (was_paused(link))
+		wlk_reconnect(link, "process was paused");
+	else if (clk_now_ms() - link->beat_ms >= BEAT_MS)
 		wlk_beat(link);
-		return G_SOURCE_CONTINUE;
-	}
-	link->beat_id = 0;
-	wlk_reconnect(link, "process was paused");
-	return G_SOURCE_REMOVE;
 }
 
 static void
@@ -186,7 +182,6 @@
 	args.incarnation = link->opts.incarnation;
 	rpc_send(link->conn, RUN_OPEN, (xdrproc_t)xdr_run_open_args, &args);
 	wlk_beat(link);
-	link->beat_id = g_timeout_add(BEAT_MS, on_beat, link);
 }
 
 static void
--- a/src/connection/worklink.h
+++ b/src/connection/worklink.h
@@ -43,6 +43,11 @@
 void wlk_flush(struct wlk *link);
 /* Sends a heartbeat now, for news. */
 void wlk_beat(struct wlk *link);
+/*
+ * To be called several times as often as heartbeats are due.  The links share
+ * the caller's timer: each timer of its own would wake the process apart.
+ */
+void wlk_tick(struct wlk *link);
 /* Closes the connection and makes a new one. */
 void wlk_reconnect(struct wlk *link, const char *why);
 
--- a/src/process/jobentry.c
+++ b/src/process/jobentry.c
@@ -98,7 +98,7 @@
 static void
 run_soon(struct je *je)
 {
-	if (je->run_id == 0)
+	if (je->run_id == 0 && sch_is_waiting(je->sch))
 		je->run_id = g_idle_add(on_run, je);
 }
 
@@ -526,12 +526,24 @@
 	je->opts.drained(je->opts.ctx);
 }
 
+static void
+tick_links(struct je *je)
+{
+	GHashTableIter iter;
+	gpointer agent;
+
+	g_hash_table_iter_init(&iter, je->agents);
+	while (g_hash_table_iter_next(&iter, NULL, &agent))
+		wlk_tick(((struct agent *)agent)->link);
+}
+
 static gboolean
 on_tick(gpointer data)
 {
 	struct je *je = data;
 
 	check_pause(je);
+	tick_links(je);
 	sch_tick(je->sch, clk_now_ms());
 	*je->open_jobs = sch_n_jobs(je->sch);
 	finish_drain(je);
--- a/src/request/sched.c
+++ b/src/request/sched.c
@@ -27,6 +27,7 @@
 	GTree *lists;		  /* priority to GQueue of jobs */
 	uint64_t next_seq;
 	int64_t first_ms; /* of the clock, 0: not read yet */
+	bool waiting;	  /* a task may be ready */
 };
 
 static gint
@@ -195,12 +196,18 @@
 	wks_remove(sch->workers, w);
 }
 
+static const struct wk_step *
+step_of(const struct jt_task *task)
+{
+	return &task->job->spec->steps[task->step];
+}
+
 /* Expected time to a good end of the task on the worker. */
 static double
 cost_of(const struct sch *sch, const struct wks_worker *w,
     const struct jt_task *task, int64_t now_ms)
 {
-	const struct wk_step *step = &task->job->spec->steps[task->step];
+	const struct wk_step *step = step_of(task);
 	double cost =
 	    spd_run_ms(task->job->speed, &w->speed, w->kind, step->estimate_ms);
 
@@ -216,7 +223,7 @@
 static struct wks_worker *
 choose(const struct sch *sch, const struct jt_task *task, int64_t now_ms)
 {
-	const struct wk_step *step = &task->job->spec->steps[task->step];
+	const struct wk_step *step = step_of(task);
 	struct wks_worker *best = NULL;
 	double best_cost = INFINITY;
 	size_t i;
@@ -250,7 +257,7 @@
 static int64_t
 expected_ms(const struct jt_task *task, const struct wks_worker *w)
 {
-	const struct wk_step *step = &task->job->spec->steps[task->step];
+	const struct wk_step *step = step_of(task);
 	double run_ms =
 	    spd_run_ms(task->job->speed, &w->speed, w->kind, step->estimate_ms);
 
@@ -262,7 +269,7 @@
     struct sch *sch, struct jt_task *task, struct wks_worker *w, int64_t now_ms)
 {
 	struct jt_job *job = task->job;
-	const struct wk_step *step = &job->spec->steps[task->step];
+	const struct wk_step *step = step_of(task);
 	struct sch_start start = {
 	    .seq = ++sch->next_seq,
 	    .job = job->spec->id,
@@ -291,33 +298,63 @@
 	return true;
 }
 
-/* Returns the number of tasks that found no worker, up to limit. */
-static uint32_t
-place_job(struct sch *sch, struct jt_job *job, uint32_t limit, int64_t now_ms)
+/* One pass over the waiting tasks. */
+struct pass {
+	struct sch *sch;
+	int64_t now_ms;
+	uint32_t misses;
+	const struct jt_task
+	    *missed; /* smallest task that any worker could take */
+};
+
+/* A task found no worker that asked no more of one than this task does. */
+static bool
+must_miss(const struct pass *pass, const struct jt_task *task)
+{
+	return pass->missed != NULL &&
+	       strcmp(pass->missed->job->service, task->job->service) == 0 &&
+	       wk_fits(&step_of(pass->missed)->size, &step_of(task)->size);
+}
+
+static void
+note_miss(struct pass *pass, const struct jt_task *task)
 {
-	uint32_t i, misses = 0;
+	const struct wk_step *step = step_of(task);
 
-	for (i = 0; i < job->n_tasks && misses < limit; i++) {
-		struct jt_task *task = &job->tasks[i];
-		struct wks_worker *w;
+	pass->misses++;
+	if (step->required_label == NULL && step->max_per_worker == 0 &&
+	    (pass->missed == NULL ||
+		wk_fits(&step->size, &step_of(pass->missed)->size)))
+		pass->missed = task;
+}
 
-		if (task->state != JT_READY)
-			continue;
-		/* A link that takes nothing is out until its next report. */
-		while ((w = choose(sch, task, now_ms)) != NULL &&
-		       !send(sch, task, w, now_ms))
-			w->accepting = false;
-		if (w == NULL)
-			misses++;
+static void
+place_task(struct pass *pass, struct jt_task *task)
+{
+	struct wks_worker *w = NULL;
+
+	if (must_miss(pass, task)) {
+		pass->misses++;
+		return;
 	}
-	return misses;
+	/* A link that takes nothing is out until its next report. */
+	while ((w = choose(pass->sch, task, pass->now_ms)) != NULL &&
+	       !send(pass->sch, task, w, pass->now_ms))
+		w->accepting = false;
+	if (w == NULL)
+		note_miss(pass, task);
 }
 
-struct pass {
-	struct sch *sch;
-	int64_t now_ms;
-	uint32_t misses;
-};
+static void
+place_job(struct pass *pass, struct jt_job *job)
+{
+	uint32_t i;
+
+	for (i = 0; i < job->n_tasks && pass->misses < MAX_MISSES; i++) {
+		if (job->tasks[i].state == JT_READY)
+			place_task(pass, &job->tasks[i]);
+	}
+}
 
 static gboolean
 place_list(gpointer key, gpointer value, gpointer data)
@@ -329,11 +366,16 @@
 	(void)key;
 	for (l = list->head; l != NULL && pass->misses < MAX_MISSES;
 	     l = l->next)
-		pass->misses += place_job(pass->sch, l->data,
-		    MAX_MISSES - pass->misses, pass->now_ms);
+		place_job(pass, l->data);
 	return pass->misses >= MAX_MISSES;
 }
 
+bool
+sch_is_waiting(const struct sch *sch)
+{
+	return sch->waiting;
+}
+
 void
 sch_run(struct sch *sch, int64_t now_ms)
 {
@@ -341,6 +383,7 @@
 	size_t i;
 
 	g_tree_foreach(sch->lists, place_list, &pass);
+	sch->waiting = pass.misses > 0;
 	for (i = 0; i < wks_count(sch->workers); i++) {
 		struct wks_worker *w = wks_get(sch->workers, i);
 
@@ -354,6 +397,8 @@
 static void
 task_done(struct sch *sch, struct jt_task *task)
 {
+	if (task->job->spec->n_steps > 1)
+		sch->waiting = true; /* the next step may be ready */
 	if (jt_done(task))
 		end_job(sch, task->job, SCH_COMPLETED, "");
 }
@@ -363,6 +408,7 @@
 task_again(struct sch *sch, struct jt_task *task, const char *reason)
 {
 	task->state = JT_READY;
+	sch->waiting = true;
 	if (task->failures >= task->job->max_attempts)
 		end_job(sch, task->job, SCH_JOB_FAILED, reason);
 	else if (task->sends >= MAX_SENDS)
@@ -373,7 +419,7 @@
 measure(const struct jt_task *task, struct wks_worker *w, int64_t run_ms)
 {
 	spd_measure(task->job->speed, &w->speed, w->kind, run_ms,
-	    task->job->spec->steps[task->step].estimate_ms);
+	    step_of(task)->estimate_ms);
 }
 
 /* The tasks of one job count once, unless the worker is being probed. */
@@ -511,6 +557,7 @@
 	job->speed = queue_speed(sch, job->queue);
 	g_hash_table_insert(sch->jobs, job->spec->id, job);
 	g_queue_push_tail_link(list_of(sch, job->priority), &job->link);
+	sch->waiting = true;
 	return SCH_ACCEPTED;
 }
 
--- a/src/request/sched.h
+++ b/src/request/sched.h
@@ -124,6 +124,8 @@
 bool sch_cancel(struct sch *sch, const char *job);
 void sch_result(struct sch *sch, uint64_t seq, enum sch_outcome outcome,
     int64_t run_ms, const char *reason, int64_t now_ms);
+/* Whether a task waits for a worker, so that a run may place it. */
+bool sch_is_waiting(const struct sch *sch);
 /* Places what can be placed. */
 void sch_run(struct sch *sch, int64_t now_ms);
 void sch_tick(struct sch *sch, int64_t now_ms);
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -287,6 +287,8 @@
 		sch_give_up_all(t->sch, "");
 	else if (strcmp(w[0], "expected") == 0)
 		say(t, "%d", (int)t->expected_ms);
+	else if (strcmp(w[0], "waiting") == 0)
+		say(t, sch_is_waiting(t->sch) ? "yes" : "no");
 	else if (strcmp(w[0], "pending") == 0)
 		say(t, "%u", sch_pending(t->sch, "q"));
 	else
