Refuse at arrival what the backlog makes worthless

Change: the wait of a queue's first unsent job, if that asks no more of a worker, is the expected wait of a new one; with the job's chain beyond three objectives the job is refused at arrival, and Retry-After is at least that wait. The refusal line carries wait_ms.

--- a/src/process/jobentry.c
+++ b/src/process/jobentry.c
@@ -699,24 +699,26 @@
 }
 
 static void
-refuse(struct je *je, const struct rts_queue *queue, const struct wk_job *job,
+refuse(struct je *je, const struct sch_request *request,
     enum sch_verdict verdict, je_answer_fn fn, void *ctx)
 {
 	static const char *const reasons[] = {
 	    [SCH_NO_WORKERS] = "no usable worker of the service",
 	    [SCH_TOO_LARGE] = "a task is larger than any worker",
 	    [SCH_OVERLOADED] = "too many open jobs",
+	    [SCH_BACKLOG] = "the queue's backlog is too long",
 	    [SCH_UNSERVED] = "queues with advice are not served"};
+	bool overloaded = verdict == SCH_OVERLOADED || verdict == SCH_BACKLOG;
 
 	++*je->refusals;
 	evt_write("refusal",
 	    "\"job\":\"%s\",\"queue\":\"%s\",\"reason\":\"%s\","
-	    "\"jobs\":%u,\"config\":%" G_GINT64_FORMAT,
-	    job->id, queue->name, reasons[verdict], sch_n_jobs(je->sch),
-	    rts_version(je->routes));
-	answer_now(fn, ctx,
-	    verdict == SCH_OVERLOADED ? JE_OVERLOADED : JE_REFUSED,
-	    reasons[verdict], RETRY_AFTER_MS);
+	    "\"wait_ms\":%" G_GINT64_FORMAT
+	    ",\"jobs\":%u,\"config\":%" G_GINT64_FORMAT,
+	    request->job->id, request->queue->name, reasons[verdict],
+	    request->wait_ms, sch_n_jobs(je->sch), rts_version(je->routes));
+	answer_now(fn, ctx, overloaded ? JE_OVERLOADED : JE_REFUSED,
+	    reasons[verdict], MAX(RETRY_AFTER_MS, request->wait_ms));
 }
 
 static struct waiter *
@@ -785,7 +787,7 @@
 		return waiter->ticket;
 	}
 	g_hash_table_remove(je->waiters, &waiter->ticket);
-	refuse(je, queue, job, verdict, fn, ctx);
+	refuse(je, &request, verdict, fn, ctx);
 	wk_job_free(job);
 	return 0;
 }
--- a/src/request/jobtask.h
+++ b/src/request/jobtask.h
@@ -50,6 +50,7 @@
 	char *service;
 	uint32_t priority;
 	uint32_t max_attempts;
+	int64_t arrived_ms;
 	int64_t deadline_ms;
 	int64_t useful_until_ms; /* an answer is worth nothing later */
 	void *waiter;
--- a/src/request/sched.c
+++ b/src/request/sched.c
@@ -515,17 +515,46 @@
 	return SCH_ACCEPTED;
 }
 
+/* For how long an answer to the request is worth something, 0: always. */
 static int64_t
-useful_until_ms(const struct sch_request *request, int64_t now_ms)
+useful_ms(const struct sch_request *request)
 {
 	int64_t chain_ms = wk_job_chain_ms(request->job);
 	double objective_ms = request->queue->stretch * (double)chain_ms +
 			      (double)request->queue->target_ms;
 
-	if (chain_ms == 0)
-		return request->deadline_ms;
-	return MIN(request->deadline_ms,
-	    now_ms + (int64_t)(USEFUL_OBJECTIVES * objective_ms));
+	return chain_ms == 0 ? 0 : (int64_t)(USEFUL_OBJECTIVES * objective_ms);
+}
+
+/* Whether the first step of b asks as much of a worker as that of a. */
+static bool
+asks_as_much(const struct wk_job *a, const struct wk_job *b)
+{
+	return a->steps[0].required_label == NULL &&
+	       a->steps[0].max_per_worker == 0 &&
+	       wk_fits(&a->steps[0].size, &b->steps[0].size);
+}
+
+/*
+ * Expected wait of a new job until a task of it is sent.  In a queue that is
+ * served in order, the time that its first job has waited is what a new one
+ * must expect; jobs that ask more of a worker say nothing about it.
+ */
+static int64_t
+expected_wait_ms(
+    struct sch *sch, const struct sch_request *request, int64_t now_ms)
+{
+	GList *l = list_of(sch, request->queue->priority)->head;
+
+	for (; l != NULL; l = l->next) {
+		const struct jt_job *job = l->data;
+
+		if (!job->sent &&
+		    strcmp(job->queue, request->queue->name) == 0 &&
+		    asks_as_much(job->spec, request->job))
+			return now_ms - job->arrived_ms;
+	}
+	return 0;
 }
 
 static void
@@ -536,8 +565,9 @@
 }
 
 enum sch_verdict
-sch_submit(struct sch *sch, const struct sch_request *request, int64_t now_ms)
+sch_submit(struct sch *sch, struct sch_request *request, int64_t now_ms)
 {
+	int64_t useful = useful_ms(request);
 	enum sch_verdict verdict;
 	struct jt_job *job;
 
@@ -550,9 +580,16 @@
 		return verdict;
 	if (g_hash_table_size(sch->jobs) >= sch->opts.max_jobs)
 		return SCH_OVERLOADED;
+	request->wait_ms = expected_wait_ms(sch, request, now_ms);
+	if (useful != 0 &&
+	    request->wait_ms + wk_job_chain_ms(request->job) > useful)
+		return SCH_BACKLOG;
 	job = jt_new(request->job, request->queue);
+	job->arrived_ms = now_ms;
 	job->deadline_ms = request->deadline_ms;
-	job->useful_until_ms = useful_until_ms(request, now_ms);
+	job->useful_until_ms = useful == 0
+				   ? request->deadline_ms
+				   : MIN(request->deadline_ms, now_ms + useful);
 	job->waiter = request->waiter;
 	job->speed = queue_speed(sch, job->queue);
 	g_hash_table_insert(sch->jobs, job->spec->id, job);
--- a/src/request/sched.h
+++ b/src/request/sched.h
@@ -37,6 +37,7 @@
 	SCH_NO_WORKERS, /* none of the service is usable now */
 	SCH_TOO_LARGE,	/* no known worker could ever run a task */
 	SCH_OVERLOADED, /* too many jobs are open */
+	SCH_BACKLOG,	/* would wait until its answer is worth nothing */
 	SCH_UNSERVED	/* the queue needs what this product has not */
 };
 
@@ -89,6 +90,7 @@
 	const struct rts_queue *queue;
 	int64_t deadline_ms;
 	void *waiter;
+	int64_t wait_ms; /* set: expected time until a task is sent */
 };
 
 /* How far a job has come. */
@@ -113,7 +115,7 @@
 void sch_disconnect(struct sch *sch, struct wks_worker *worker, int64_t now_ms);
 
 enum sch_verdict sch_submit(
-    struct sch *sch, const struct sch_request *request, int64_t now_ms);
+    struct sch *sch, struct sch_request *request, int64_t now_ms);
 /* Another request for a job that is known here takes it over. */
 void *sch_take_over(struct sch *sch, const char *job, void *waiter);
 bool sch_has_job(const struct sch *sch, const char *job);
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -29,7 +29,7 @@
 static const char *const outcomes[] = {
     "done", "failed", "not_started", "lost", "stalled"};
 static const char *const verdicts[] = {
-    "accepted", "no_workers", "too_large", "overloaded", "unserved"};
+    "accepted", "no_workers", "too_large", "overloaded", "backlog", "unserved"};
 
 static void
 say(struct trace *t, const char *fmt, ...)
