Place jobs that can be in time before late ones

Change: within a priority, jobs that were begun or can still meet their objective go first, in order of arrival, then the late ones. The objective is computed with the learned ratio of run time to estimate. A job is refused at arrival when late ones of its queue are being given up and the oldest that can be in time has used half of its time to start.

--- a/src/request/jobtask.h
+++ b/src/request/jobtask.h
@@ -52,6 +52,7 @@
 	uint32_t max_attempts;
 	int64_t arrived_ms;
 	int64_t deadline_ms;
+	int64_t start_by_ms;	 /* its objective is missed if not sent */
 	int64_t useful_until_ms; /* an answer is worth nothing later */
 	void *waiter;
 	struct jt_step *steps;
--- a/src/request/sched.c
+++ b/src/request/sched.c
@@ -356,17 +356,39 @@
 	}
 }
 
+/* Whether the job goes before those whose objective is missed already. */
+static bool
+goes_first(const struct jt_job *job, int64_t now_ms)
+{
+	return job->sent || now_ms <= job->start_by_ms;
+}
+
+static void
+place_jobs(struct pass *pass, const GQueue *list, bool first)
+{
+	GList *l;
+
+	for (l = list->head; l != NULL && pass->misses < MAX_MISSES;
+	     l = l->next) {
+		struct jt_job *job = l->data;
+
+		if (goes_first(job, pass->now_ms) == first)
+			place_job(pass, job);
+	}
+}
+
+/*
+ * In an overload that lasts, strict order of arrival would make every job
+ * late; the jobs that can still be in time are, if the late ones wait.
+ */
 static gboolean
 place_list(gpointer key, gpointer value, gpointer data)
 {
 	struct pass *pass = data;
-	GQueue *list = value;
-	GList *l;
 
 	(void)key;
-	for (l = list->head; l != NULL && pass->misses < MAX_MISSES;
-	     l = l->next)
-		place_job(pass, l->data);
+	place_jobs(pass, value, true);
+	place_jobs(pass, value, false);
 	return pass->misses >= MAX_MISSES;
 }
 
@@ -515,15 +537,27 @@
 	return SCH_ACCEPTED;
 }
 
-/* For how long an answer to the request is worth something, 0: always. */
-static int64_t
-useful_ms(const struct sch_request *request)
+/* When answers to a request are worth what, from its arrival. */
+struct worth {
+	int64_t chain_ms;  /* expected run time, 0: not known */
+	int64_t start_ms;  /* in full, if its tasks are sent by then */
+	int64_t useful_ms; /* nothing later than this */
+};
+
+static struct worth
+worth_of(const struct sch_request *request, const struct spd_queue *speed)
 {
-	int64_t chain_ms = wk_job_chain_ms(request->job);
-	double objective_ms = request->queue->stretch * (double)chain_ms +
-			      (double)request->queue->target_ms;
+	int64_t chain_ms = (int64_t)((double)wk_job_chain_ms(request->job) *
+				     spd_queue_ratio(speed));
+	int64_t objective_ms =
+	    (int64_t)(request->queue->stretch * (double)chain_ms) +
+	    request->queue->target_ms;
 
-	return chain_ms == 0 ? 0 : (int64_t)(USEFUL_OBJECTIVES * objective_ms);
+	return (struct worth){
+	    .chain_ms = chain_ms,
+	    .start_ms = objective_ms - chain_ms,
+	    .useful_ms = USEFUL_OBJECTIVES * objective_ms,
+	};
 }
 
 /* Whether the first step of b asks as much of a worker as that of a. */
@@ -535,26 +569,50 @@
 	       wk_fits(&a->steps[0].size, &b->steps[0].size);
 }
 
+/* How long jobs of a queue that wait for their first start have waited. */
+struct waits {
+	int64_t oldest_ms;
+	int64_t in_time_ms; /* the oldest of those that can still be in time */
+};
+
 /*
- * Expected wait of a new job until a task of it is sent.  In a queue that is
- * served in order, the time that its first job has waited is what a new one
- * must expect; jobs that ask more of a worker say nothing about it.
+ * In a queue that is served in order, the time that its first job has waited
+ * is what a new one must expect; jobs that ask more of a worker say nothing
+ * about it.
  */
-static int64_t
-expected_wait_ms(
-    struct sch *sch, const struct sch_request *request, int64_t now_ms)
+static struct waits
+waits_of(struct sch *sch, const struct sch_request *request, int64_t now_ms)
 {
 	GList *l = list_of(sch, request->queue->priority)->head;
+	struct waits waits = {0};
 
 	for (; l != NULL; l = l->next) {
 		const struct jt_job *job = l->data;
 
-		if (!job->sent &&
-		    strcmp(job->queue, request->queue->name) == 0 &&
-		    asks_as_much(job->spec, request->job))
-			return now_ms - job->arrived_ms;
+		if (job->sent ||
+		    strcmp(job->queue, request->queue->name) != 0 ||
+		    !asks_as_much(job->spec, request->job))
+			continue;
+		if (waits.oldest_ms == 0)
+			waits.oldest_ms = now_ms - job->arrived_ms;
+		if (now_ms <= job->start_by_ms) {
+			waits.in_time_ms = now_ms - job->arrived_ms;
+			break;
+		}
 	}
-	return 0;
+	return waits;
+}
+
+/*
+ * Jobs are being given up, and a new one would be late too.  Those that can
+ * be in time are let in as long as half of their time to start is left.
+ */
+static bool
+is_hopeless(const struct waits *waits, const struct worth *worth)
+{
+	return worth->chain_ms > 0 &&
+	       waits->oldest_ms + worth->chain_ms > worth->useful_ms &&
+	       waits->in_time_ms > worth->start_ms / 2;
 }
 
 static void
@@ -567,7 +625,9 @@
 enum sch_verdict
 sch_submit(struct sch *sch, struct sch_request *request, int64_t now_ms)
 {
-	int64_t useful = useful_ms(request);
+	struct spd_queue *speed;
+	struct worth worth;
+	struct waits waits;
 	enum sch_verdict verdict;
 	struct jt_job *job;
 
@@ -580,18 +640,22 @@
 		return verdict;
 	if (g_hash_table_size(sch->jobs) >= sch->opts.max_jobs)
 		return SCH_OVERLOADED;
-	request->wait_ms = expected_wait_ms(sch, request, now_ms);
-	if (useful != 0 &&
-	    request->wait_ms + wk_job_chain_ms(request->job) > useful)
+	speed = queue_speed(sch, request->queue->name);
+	worth = worth_of(request, speed);
+	waits = waits_of(sch, request, now_ms);
+	request->wait_ms = waits.oldest_ms;
+	if (is_hopeless(&waits, &worth))
 		return SCH_BACKLOG;
 	job = jt_new(request->job, request->queue);
+	job->speed = speed;
+	job->waiter = request->waiter;
 	job->arrived_ms = now_ms;
 	job->deadline_ms = request->deadline_ms;
-	job->useful_until_ms = useful == 0
-				   ? request->deadline_ms
-				   : MIN(request->deadline_ms, now_ms + useful);
-	job->waiter = request->waiter;
-	job->speed = queue_speed(sch, job->queue);
+	job->start_by_ms = now_ms + worth.start_ms;
+	job->useful_until_ms = request->deadline_ms;
+	if (worth.chain_ms > 0)
+		job->useful_until_ms =
+		    MIN(request->deadline_ms, now_ms + worth.useful_ms);
 	g_hash_table_insert(sch->jobs, job->spec->id, job);
 	g_queue_push_tail_link(list_of(sch, job->priority), &job->link);
 	sch->waiting = true;
--- a/src/request/speed.c
+++ b/src/request/speed.c
@@ -55,6 +55,12 @@
 	add(&kind->log_slowness, slowness, KIND_WEIGHT);
 }
 
+double
+spd_queue_ratio(const struct spd_queue *queue)
+{
+	return exp(queue->log_ratio.value);
+}
+
 /* Expected run time of a task on a worker. */
 double
 spd_run_ms(const struct spd_queue *queue, const struct spd_worker *worker,
--- a/src/request/speed.h
+++ b/src/request/speed.h
@@ -25,6 +25,8 @@
 
 void spd_measure(struct spd_queue *queue, struct spd_worker *worker,
     struct spd_worker *kind, int64_t run_ms, int64_t estimate_ms);
+/* Run time over estimate on a worker of speed 1. */
+double spd_queue_ratio(const struct spd_queue *queue);
 double spd_run_ms(const struct spd_queue *queue,
     const struct spd_worker *worker, const struct spd_worker *kind,
     int64_t estimate_ms);
