Add a soak of random faults on the platform's programs

Cause: the users ask for a soak of the real programs; test_platform brings one fault a run about, at one moment.

Change: test_soak starts entries, agents and the stand-in with a fault proxy on every connection between them, and brings about faults drawn from a seed, overlapping: processes frozen, killed, terminated, reloaded; connections cut, delayed, frozen one way or both; the store down; orders late; workers failing, standing still, silent, born anew; configurations and domains changed. Clients send jobs again as the platform's do. Checked: capacity, no task twice at once, true refusals, an end of every job, service again after the last fault. Three seeds run with the tests; SOAK_SEED and SOAK_SEEDS choose others. The processes' start moved from test_platform to tests/deployment (dpl_). An agent has the setting advertise, so that a proxy fits between; the stand-in has silent workers, for which test_platform got a row.

--- a/src/process/jobagent.c
+++ b/src/process/jobagent.c
@@ -568,7 +568,7 @@
 {
 	struct enl_options opts = {
 	    .ks = ja->opts.ks,
-	    .address = ja->opts.listen,
+	    .address = ja->opts.advertise,
 	    .recalled = on_recalled,
 	    .ctx = ja,
 	};
--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -99,6 +99,7 @@
 static const struct field job_agent_fields[] = {
     JOB_COMMON,
     {"worker_listen", ADDRESS, REQ, J(worker_listen), NULL, 0, 0, 0},
+    {"advertise", ADDRESS, OPT, J(advertise), NULL, 0, 0, 0},
 };
 /* clang-format on */
 
@@ -403,6 +404,7 @@
 	g_free(set->listen);
 	g_free(set->ready_listen);
 	g_free(set->worker_listen);
+	g_free(set->advertise);
 	g_free(set->metrics_listen);
 	g_free(set->store);
 	g_free(set);
--- /dev/null
+++ b/tests/deployment.c
@@ -0,0 +1,174 @@
+#include <string.h>
+
+#include "deployment.h"
+#include "runner.h"
+
+const char *
+dpl_url(const struct dpl *dpl, int entry, const char *path)
+{
+	return hn_str(
+	    "http://127.0.0.1:%u%s", dpl->path[DPL_CLIENTS_ENTRY][entry], path);
+}
+
+struct hn_http *
+dpl_control(const struct dpl *dpl, const char *method, const char *path,
+    const char *body)
+{
+	return hn_http(method,
+	    hn_str("http://127.0.0.1:%u/control/%s", dpl->store_port, path),
+	    body);
+}
+
+void
+dpl_configure(const struct dpl *dpl, int version, const char *prefix)
+{
+	dpl_control(dpl, "PUT", "key?key=op/config",
+	    hn_str("{\"version\":%d,\"routes\":[{\"name\":\"q\",\"host\":"
+		   "\"127.0.0.1\",\"prefix\":\"%s\",\"service\":\"desk\","
+		   "\"priority\":0,\"max_attempts\":4,\"stretch\":1.5,"
+		   "\"target_completion_ms\":60}],\"services\":[],"
+		   "\"limits\":{}}",
+		version, prefix));
+}
+
+static void
+start_entry(struct dpl *dpl, int i)
+{
+	const char *path = hn_write(hn_str("entry%d.json", i),
+	    hn_str("{\"name\":\"e%d\",\"failure_domain\":\"z%d\","
+		   "\"listen\":\"127.0.0.1:%u\",\"ready_listen\":"
+		   "\"127.0.0.1:%u\",\"store\":\"127.0.0.1:%u\","
+		   "\"drain_ms\":3000}",
+		i, i, dpl->entry_port[i], hn_port(),
+		dpl->path[DPL_ENTRY_STORE][i]));
+
+	dpl->entry[i] = hn_start("spjobd",
+	    (const char *const[]){"spjobd", "entry", "--settings", path, NULL});
+}
+
+static void
+start_agent(struct dpl *dpl, int i, uint16_t control_port)
+{
+	uint16_t metrics_port = hn_port();
+	const char *path = hn_write(hn_str("agent%d.json", i),
+	    hn_str("{\"name\":\"a%d\",\"failure_domain\":\"z%d\","
+		   "\"listen\":\"127.0.0.1:%u\",\"advertise\":"
+		   "\"127.0.0.1:%u\",\"worker_listen\":"
+		   "\"127.0.0.1:%u\",\"store\":\"127.0.0.1:%u\",\"metrics_"
+		   "listen\":\"127.0.0.1:%u\"}",
+		i, i, dpl->agent_port[i], dpl->path[DPL_ENTRIES_AGENT][i],
+		control_port, dpl->path[DPL_AGENT_STORE][i], metrics_port));
+
+	if (i == 0)
+		dpl->metrics_port = metrics_port;
+	dpl->agent[i] = hn_start("spjobd",
+	    (const char *const[]){"spjobd", "agent", "--settings", path, NULL});
+}
+
+bool
+dpl_accepts(const struct dpl *dpl, int entry)
+{
+	static int n;
+	struct hn_http *http = hn_http("POST",
+	    dpl_url(
+		dpl, entry, hn_str("/q/%016x", 0xf0000000U + (unsigned)n++)),
+	    "{\"spec\":\"1\",\"best_effort\":true,\"steps\":[{\"count\":12,"
+	    "\"cpu\":1000,\"mem_mb\":1,\"estimate_ms\":100}]}");
+
+	return http->status == 200;
+}
+
+/* The port at the far end of a path. */
+static uint16_t
+target_of(const struct dpl *dpl, enum dpl_path path, int index)
+{
+	switch (path) {
+	case DPL_CLIENTS_ENTRY:
+		return index < DPL_ENTRIES ? dpl->entry_port[index] : 0;
+	case DPL_ENTRY_STORE:
+		return index < DPL_ENTRIES ? dpl->store_port : 0;
+	case DPL_AGENT_STORE:
+		return dpl->store_port;
+	case DPL_ENTRIES_AGENT:
+	case DPL_N_PATHS:
+		break;
+	}
+	return dpl->agent_port[index];
+}
+
+static void
+make_ports(struct dpl *dpl, bool proxied)
+{
+	int i, p;
+
+	dpl->store_port = hn_port();
+	for (i = 0; i < DPL_ENTRIES; i++)
+		dpl->entry_port[i] = hn_port();
+	for (i = 0; i < DPL_AGENTS; i++)
+		dpl->agent_port[i] = hn_port();
+	for (p = 0; p < DPL_N_PATHS; p++) {
+		for (i = 0; i < DPL_AGENTS; i++)
+			dpl->path[p][i] =
+			    proxied ? hn_port() : target_of(dpl, p, i);
+	}
+}
+
+static void
+start_proxy(struct dpl *dpl)
+{
+	const char *argv[3 + DPL_N_PATHS * DPL_AGENTS] = {"fault_proxy"};
+	int i, p, n = 1;
+
+	dpl->proxy_port = hn_port();
+	argv[n++] = hn_str("%u", dpl->proxy_port);
+	for (p = 0; p < DPL_N_PATHS; p++) {
+		for (i = 0; i < DPL_AGENTS; i++) {
+			if (target_of(dpl, p, i) != 0)
+				argv[n++] = hn_str("%u=%u", dpl->path[p][i],
+				    target_of(dpl, p, i));
+		}
+	}
+	dpl->proxy = hn_start("fault_proxy", argv);
+}
+
+void
+dpl_start(struct dpl *dpl, const struct dpl_options *opts)
+{
+	uint16_t control_port[DPL_AGENTS];
+	const char *argv[4 + 2 * DPL_AGENTS] = {"standin_platform"};
+	int i, n = 1;
+
+	memset(dpl, 0, sizeof(*dpl));
+	make_ports(dpl, opts->proxied);
+	if (opts->proxied)
+		start_proxy(dpl);
+	argv[n++] = "--store";
+	argv[n++] = hn_str("%u", dpl->store_port);
+	for (i = 0; i < DPL_AGENTS; i++) {
+		control_port[i] = hn_port();
+		argv[n++] = "--worker";
+		argv[n++] = hn_str("%u:%u:z%d", hn_port(), control_port[i], i);
+	}
+	dpl->platform = hn_start("standin_platform", argv);
+	ck_assert(hn_wait_until(
+	    dpl_control(dpl, "GET", "counts", NULL)->status == 200,
+	    HN_LIMIT_MS));
+	dpl_configure(dpl, 1, "/q/");
+	for (i = 0; i < DPL_AGENTS; i++)
+		start_agent(dpl, i, control_port[i]);
+	for (i = 0; i < DPL_ENTRIES; i++)
+		start_entry(dpl, i);
+	for (i = 0; i < DPL_ENTRIES; i++)
+		ck_assert(hn_wait_until(dpl_accepts(dpl, i), HN_LIMIT_MS));
+}
+
+void
+dpl_fault(const struct dpl *dpl, enum dpl_path path, int index,
+    const char *direction, const char *action, int ms)
+{
+	hn_http("POST",
+	    hn_str("http://127.0.0.1:%u/?pair=%u&action=%s&ms=%d%s%s",
+		dpl->proxy_port, dpl->path[path][index], action, ms,
+		*direction == '\0' ? "" : "&direction=", direction),
+	    NULL);
+}
--- a/tests/standin_platform.c
+++ b/tests/standin_platform.c
@@ -10,7 +10,9 @@
  * GET    /control/counts        counts since the start
  * GET    /control/mode?...      store=down|up; late=PERCENT of the orders get
  *   no answer and are carried out later; fail=N, stall=N, drain=N: worker N
- *   (-1: none) fails, halts or drains; crash=N: starts anew at once
+ *   (-1: none) fails, halts or drains; mute=N: worker N takes no call and
+ *   sends no heartbeat; crash=N: starts anew at once
+ * GET    /control/starts?job=ID  starts of the job's tasks
  */
 #include <argp.h>
 #include <glib.h>
@@ -88,8 +90,9 @@
 static struct {
 	bool store_down;
 	int late_percent;
-	int fail, stall, drain;
-} mode = {.fail = -1, .stall = -1, .drain = -1};
+	int fail, stall, drain, mute;
+} mode = {.fail = -1, .stall = -1, .drain = -1, .mute = -1};
+static GHashTable *job_starts; /* job to count of starts */
 
 static void
 reply(SoupServerMessage *msg, guint code, struct json_object *body)
@@ -410,6 +413,15 @@
 	g_ptr_array_remove_index(w->runs, index);
 }
 
+static void
+count_start(const char *task)
+{
+	char *job = g_strndup(task, strcspn(task, "."));
+	int n = GPOINTER_TO_INT(g_hash_table_lookup(job_starts, job));
+
+	g_hash_table_replace(job_starts, job, GINT_TO_POINTER(n + 1));
+}
+
 static bool
 runs_anywhere(const char *task)
 {
@@ -439,6 +451,7 @@
 	run->fails = strcmp(get_string(body, "spec"), "fail") == 0;
 	if (runs_anywhere(run->task))
 		counts.twice++;
+	count_start(run->task);
 	g_ptr_array_add(w->runs, run);
 	if (w->runs->len * TASK_MILLI > CAPACITY_MILLI)
 		counts.limit++;
@@ -566,6 +579,11 @@
 
 	(void)server;
 	(void)query;
+	if (mode.mute == w->index) {
+		g_clear_pointer(&body, json_object_put);
+		soup_server_message_pause(msg); /* until the caller closes */
+		return;
+	}
 	if (body == NULL) {
 		counts.malformed++;
 		reply(msg, 400, json_object_new_object());
@@ -676,8 +694,10 @@
 	int i;
 
 	(void)data;
-	for (i = 0; i < n_workers; i++)
-		send_heartbeat(&workers[i]);
+	for (i = 0; i < n_workers; i++) {
+		if (mode.mute != i)
+			send_heartbeat(&workers[i]);
+	}
 	return G_SOURCE_CONTINUE;
 }
 
@@ -703,12 +723,23 @@
 	set_number(query, "fail", &mode.fail);
 	set_number(query, "stall", &mode.stall);
 	set_number(query, "drain", &mode.drain);
+	set_number(query, "mute", &mode.mute);
 	set_number(query, "crash", &crash);
 	if (crash >= 0 && crash < n_workers)
 		begin_life(&workers[crash]);
 	on_heartbeat(NULL);
 }
 
+static struct json_object *
+starts_json(const char *job)
+{
+	struct json_object *body = json_object_new_object();
+
+	add(body, "starts",
+	    GPOINTER_TO_INT(g_hash_table_lookup(job_starts, job)));
+	return body;
+}
+
 static struct json_object *
 counts_json(void)
 {
@@ -744,7 +775,9 @@
 			: g_bytes_new(body->data, (gsize)body->length));
 	else if (g_str_has_suffix(path, "mode"))
 		set_mode(query);
-	reply(msg, 200, counts_json());
+	reply(msg, 200,
+	    g_str_has_suffix(path, "starts") ? starts_json(param(query, "job"))
+					     : counts_json());
 }
 
 static void
@@ -818,6 +851,8 @@
 	signal(SIGPIPE, SIG_IGN);
 	items =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, item_free);
+	job_starts =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	watches = g_ptr_array_new();
 	session = soup_session_new_with_options(
 	    "proxy-resolver", NULL, "timeout", WATCH_TIMEOUT_S, NULL);
