Fence off calls to a former incarnation

A start on its way then meets the new incarnation: the id matches, the token is the same, and its deadline, in the former clock, lies in the future of the new one. If it is carried out after the first report, the agent does not know of it (capacity); if before, its task has been reported lost and placed elsewhere until the stop (twice).

Change: the agent raises its fencing token for each incarnation and after each loss of a silent worker, so the first report closes the door; the runs of a replaced worker are reported as lost only when the new one has been cleared.

--- a/src/connection/holder.c
+++ b/src/connection/holder.c
@@ -52,6 +52,7 @@
 	int64_t silent_since_ms; /* first call without an answer, 0: none */
 	uint64_t generation;	 /* of the target; older answers are dropped */
 	int64_t doubt_until_ms;	 /* calls went unanswered recently */
+	const char *replaced;	 /* why runs are lost once cleared, or NULL */
 	struct ans answers;
 	bool looking; /* a call of hold_look() is in progress */
 	bool look_again;
@@ -241,6 +242,24 @@
 		    hold->instance, report->n_running);
 }
 
+/*
+ * A call without an answer may still be carried out, also by a worker that was
+ * born anew under the same name, unless that has seen a higher token.
+ */
+static void
+fence(struct hold *hold)
+{
+	hold->token++;
+}
+
+static void
+lose(struct hold *hold, const char *reason)
+{
+	hold->lease_ends_ms = 0;
+	hold->replaced = NULL;
+	hold->opts.lost(reason, hold->opts.ctx);
+}
+
 static void
 take_report(struct hold *hold, const struct wp_report *report, int64_t sent_ms)
 {
@@ -255,16 +274,11 @@
 	if (hold->phase == CLEARING)
 		clear_runs(hold, report);
 	hold->opts.report(report, sent_ms, hold->opts.ctx);
+	if (hold->phase == READY && hold->replaced != NULL)
+		lose(hold, hold->replaced);
 	check_ready(hold);
 }
 
-static void
-lose(struct hold *hold, const char *reason)
-{
-	hold->lease_ends_ms = 0;
-	hold->opts.lost(reason, hold->opts.ctx);
-}
-
 /* False when the report is of another incarnation, or there is none. */
 static bool
 is_report_of(const struct hold *hold, const struct wp_report *report)
@@ -371,8 +385,14 @@
 	hold->instance = g_strdup(worker->instance);
 	g_free(hold->address);
 	hold->address = g_strdup(worker->address);
-	if (had)
-		lose(hold, "worker was replaced");
+	if (had) {
+		/*
+		 * A start to the former incarnation may run on this one until
+		 * it is stopped; its task must not go elsewhere before.
+		 */
+		fence(hold);
+		hold->replaced = "worker was replaced";
+	}
 	evt_write("worker",
 	    "\"instance\":\"%s\",\"born_ms\":%" G_GUINT64_FORMAT
 	    ",\"address\":\"%s\",\"state\":\"registered\"",
@@ -425,6 +445,7 @@
 	if (hold->lease_ends_ms != 0 && now_ms > hold->lease_ends_ms &&
 	    !hold_is_ready(hold)) {
 		hold->phase = CLEARING;
+		fence(hold);
 		lose(hold, "worker is silent and its lease has ended");
 	}
 	call_later(hold, GATHER_MS);
--- a/tests/test_holder.c
+++ b/tests/test_holder.c
@@ -22,6 +22,7 @@
 struct world {
 	struct wp wp;
 	struct hold *hold;
+	int64_t token;	/* of the last call for a report */
 	GQueue reports; /* struct call */
 	GQueue starts;
 	GString *actual;
@@ -114,7 +115,7 @@
 {
 	struct world *w = port;
 
-	(void)target;
+	w->token = target->token;
 	say(w, "hold(wait=%d,lease=%s)", (int)hold->wait_ms,
 	    lease(hold->deadline_ms));
 	push(&w->reports, fn, NULL, ctx);
@@ -161,6 +162,7 @@
 	struct hold_options opts = {
 	    .wp = &w->wp,
 	    .lease_ms = LEASE_MS,
+	    .token = 10,
 	    .wanted = on_wanted,
 	    .report = on_report,
 	    .lost = on_lost,
@@ -284,6 +286,8 @@
 		hold_tick(w->hold);
 	} else if (strcmp(words[0], "beat") == 0)
 		beat(w, words);
+	else if (strcmp(words[0], "token") == 0)
+		say(w, "%d", (int)w->token);
 	else if (strcmp(words[0], "left") == 0)
 		hold_left(w->hold, "i");
 	else if (strcmp(words[0], "next") == 0)
--- a/tests/test_soak.c
+++ b/tests/test_soak.c
@@ -32,8 +32,11 @@
 #define FAULT_MAX_MS  1500
 #define MAX_FAULTS    64
 
-/* Seeds of every run of the tests. */
-static const uint32_t fixed_seeds[] = {1, 2, 3};
+/*
+ * Seeds of every run of the tests.  122, 126, 143, 145 and 147 failed once: a
+ * start to a worker was carried out by its next incarnation.
+ */
+static const uint32_t fixed_seeds[] = {1, 2, 3, 122, 126, 143, 145, 147};
 
 struct job {
 	struct job *next;
