Test the end of a shutdown and the recall of a worker

Cause: two findings had no test that would notice them again: an entry that ends before its last jobs are answered, and an agent that waits for a heartbeat after its restart.

Change: test_platform sends a job in the middle of an entry's shutdown and asks for its answer, and restarts every agent while no worker sends heartbeats.

--- a/tests/standin_platform.c
+++ b/tests/standin_platform.c
@@ -11,7 +11,8 @@
  * GET    /control/mode?...      store=down|up; late=PERCENT of the orders get
  *   no answer and are carried out later; fail=N, stall=N, drain=N: worker N
  *   (-1: none) fails, halts or drains; mute=N: worker N takes no call and
- *   sends no heartbeat; crash=N: starts anew at once
+ *   sends no heartbeat; crash=N: starts anew at once; beats=0: no worker
+ *   sends heartbeats
  * GET    /control/starts?job=ID  starts of the job's tasks
  */
 #include <argp.h>
@@ -91,7 +92,8 @@
 	bool store_down;
 	int late_percent;
 	int fail, stall, drain, mute;
-} mode = {.fail = -1, .stall = -1, .drain = -1, .mute = -1};
+	int beats;
+} mode = {.fail = -1, .stall = -1, .drain = -1, .mute = -1, .beats = 1};
 static GHashTable *job_starts; /* job to count of starts */
 
 static void
@@ -695,7 +697,7 @@
 
 	(void)data;
 	for (i = 0; i < n_workers; i++) {
-		if (mode.mute != i)
+		if (mode.mute != i && mode.beats != 0)
 			send_heartbeat(&workers[i]);
 	}
 	return G_SOURCE_CONTINUE;
@@ -724,6 +726,7 @@
 	set_number(query, "stall", &mode.stall);
 	set_number(query, "drain", &mode.drain);
 	set_number(query, "mute", &mode.mute);
+	set_number(query, "beats", &mode.beats);
 	set_number(query, "crash", &crash);
 	if (crash >= 0 && crash < n_workers)
 		begin_life(&workers[crash]);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -323,6 +323,60 @@
 }
 END_TEST
 
+static struct hn_http *
+post_job(struct dpl *dpl, unsigned id, int run_ms)
+{
+	return hn_http_start("POST", dpl_url(dpl, 0, hn_str("/q/%016x", id)),
+	    NULL,
+	    hn_str("{\"spec\":\"%d\",\"best_effort\":true,\"steps\":["
+		   "{\"count\":1,\"cpu\":1000,\"mem_mb\":1}]}",
+		run_ms));
+}
+
+/*
+ * An entry that ended a fixed time after SIGTERM cut off what it had accepted
+ * shortly before.  Callers go on using open connections, so a job that comes
+ * in the first half of the shutdown is served too.
+ */
+START_TEST(shutdown_answers_all)
+{
+	struct hn_http *before, *after;
+	struct dpl dpl;
+
+	dpl_start(&dpl, &(struct dpl_options){0});
+	before = post_job(&dpl, 0xc1, 1500);
+	hn_sleep(200);
+	hn_signal(dpl.entry[0], SIGTERM);
+	hn_sleep(1000);
+	after = post_job(&dpl, 0xc2, 1200);
+	ck_assert_int_eq(hn_http_wait(before, HN_LIMIT_MS)->status, 200);
+	ck_assert_int_eq(hn_http_wait(after, HN_LIMIT_MS)->status, 200);
+	ck_assert_int_eq(hn_wait_exit(dpl.entry[0], HN_LIMIT_MS), 0);
+	hn_finish();
+}
+END_TEST
+
+/*
+ * A restarted agent that waits for the worker's next heartbeat leaves the
+ * worker idle; it asks the worker that its key in the store names.
+ */
+START_TEST(worker_recalled)
+{
+	struct dpl dpl;
+	int i;
+
+	dpl_start(&dpl, &(struct dpl_options){0});
+	dpl_control(&dpl, "GET", "mode?beats=0", NULL);
+	for (i = 0; i < DPL_AGENTS; i++) {
+		hn_kill(dpl.agent[i]);
+		hn_restart(dpl.agent[i]);
+	}
+	for (i = 0; i < DPL_ENTRIES; i++)
+		ck_assert(hn_wait_until(dpl_accepts(&dpl, i), HN_LIMIT_MS));
+	hn_finish();
+}
+END_TEST
+
 /* What is malformed or not served is refused with a reason. */
 START_TEST(refused)
 {
@@ -367,12 +421,14 @@
 int
 main(void)
 {
-	const TTest *const tests[] = {
-	    domain_out, idle_sessions_last, queue_replaced, refused};
+	const TTest *const tests[] = {domain_out, idle_sessions_last,
+	    queue_replaced, shutdown_answers_all, worker_recalled, refused};
 	int red = run_table("platform", fault_while_jobs_run,
 	    sizeof(rows) / sizeof(rows[0]), 2 * HN_LIMIT_MS / 1000.0 + 30);
 
 	if (getenv("SCENARIO") != NULL)
 		return red;
-	return red | run_tests("platform", tests, 4, 2 * HN_LIMIT_MS / 1000.0);
+	return red |
+	       run_tests("platform", tests, sizeof(tests) / sizeof(tests[0]),
+		   2 * HN_LIMIT_MS / 1000.0);
 }
