Reset links, so that nothing is delivered after their close

An entry that closes a silent link counts its runs as ended 1.1 s later, but close() in order goes on to deliver what is in the socket; a start could reach an agent that had heard a delayed message shortly before.

Change: links are reset at their close (SO_LINGER 0) and by the kernel when data stays unacknowledged for 800 ms (TCP_USER_TIMEOUT); the runs of a lost agent are again counted as ended after 1.3 s, as before, which had taken 200 ms from the margin. test_worklink failed before: the agent saw an orderly end.

--- a/src/connection/worklink.c
+++ b/src/connection/worklink.c
@@ -1,10 +1,15 @@
+#include <errno.h>
 #include <gio/gio.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "connection/address.h"
 #include "connection/rpc.h"
 #include "connection/worklink.h"
 #include "process/clock.h"
+#include "process/events.h"
 
 #define BEAT_MS 250
 /* The agent has ended its side when this process did not run for so long. */
@@ -149,6 +154,27 @@
 		wlk_beat(link);
 }
 
+/*
+ * An orderly close goes on to deliver what is in the socket, which may be a
+ * start whose task is elsewhere by then: the connection is reset instead, by
+ * the kernel too when data stays without an acknowledgement.
+ */
+static void
+drop_undelivered(GSocketConnection *conn)
+{
+	GSocket *socket = g_socket_connection_get_socket(conn);
+	struct linger abort_at_close = {.l_onoff = 1, .l_linger = 0};
+
+	if (setsockopt(g_socket_get_fd(socket), SOL_SOCKET, SO_LINGER,
+		&abort_at_close, sizeof(abort_at_close)) < 0)
+		evt_write(
+		    "agent", "\"reason\":\"SO_LINGER: %s\"", g_strerror(errno));
+	if (!g_socket_set_option(
+		socket, IPPROTO_TCP, TCP_USER_TIMEOUT, SILENCE_MS, NULL))
+		evt_write("agent", "\"reason\":\"TCP_USER_TIMEOUT: %s\"",
+		    g_strerror(errno));
+}
+
 static void
 on_connected(GObject *source, GAsyncResult *result, gpointer data)
 {
@@ -176,6 +202,7 @@
 		retry_later(link);
 		return;
 	}
+	drop_undelivered(socket);
 	link->conn = rpc_new(&opts);
 	g_object_unref(socket);
 	args.entry = (char *)link->opts.name;
--- a/src/process/jobentry.c
+++ b/src/process/jobentry.c
@@ -2,7 +2,6 @@
 #include <string.h>
 #include <sys/random.h>
 
-#include "connection/holder.h"
 #include "connection/worklink.h"
 #include "process/clock.h"
 #include "process/enlist.h"
@@ -596,10 +595,10 @@
 je_new(const struct je_options *opts)
 {
 	struct je *je = g_new0(struct je, 1);
-	int64_t lease_ms = MIN(opts->lease_ms, HOLD_LEASE_MS);
 	struct sch_options sch = {
 	    .cross_rack_factor = opts->cross_rack_factor,
-	    .resolve_ms = MAX(lease_ms, AGENT_SILENCE_MS) + STOP_MARGIN_MS,
+	    .resolve_ms =
+		MAX(opts->lease_ms, AGENT_SILENCE_MS) + STOP_MARGIN_MS,
 	    .max_jobs = MAX_JOBS,
 	    .start = start_task,
 	    .flush = flush_agent,
--- /dev/null
+++ b/tests/test_worklink.c
@@ -0,0 +1,121 @@
+#include <check.h>
+#include <errno.h>
+#include <gio/gio.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "connection/worklink.h"
+#include "harness.h"
+#include "runner.h"
+
+/* An agent that accepts a connection and says nothing. */
+struct agent {
+	GSocket *listener;
+	GSocket *conn;
+	char address[32];
+	bool closed;
+};
+
+static void
+on_beat(struct run_beat_args *args, void *ctx)
+{
+	(void)ctx;
+	memset(args, 0, sizeof(*args));
+}
+
+static void
+on_worker(struct wlk *link, const struct run_worker_args *args, void *ctx)
+{
+	(void)link;
+	(void)args;
+	(void)ctx;
+}
+
+static void
+on_update(struct wlk *link, const struct run_update_args *args, void *ctx)
+{
+	(void)link;
+	(void)args;
+	(void)ctx;
+}
+
+static void
+on_closed(struct wlk *link, const struct status *why, void *ctx)
+{
+	struct agent *agent = ctx;
+
+	(void)link;
+	(void)why;
+	agent->closed = true;
+}
+
+static void
+open_agent(struct agent *agent)
+{
+	uint16_t port = hn_port();
+	g_autoptr(GSocketAddress) address =
+	    g_inet_socket_address_new_from_string("127.0.0.1", port);
+
+	agent->listener = g_socket_new(G_SOCKET_FAMILY_IPV4,
+	    G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL);
+	ck_assert(g_socket_bind(agent->listener, address, TRUE, NULL));
+	ck_assert(g_socket_listen(agent->listener, NULL));
+	g_socket_set_blocking(agent->listener, FALSE);
+	g_snprintf(
+	    agent->address, sizeof(agent->address), "127.0.0.1:%u", port);
+}
+
+static bool
+has_accepted(struct agent *agent)
+{
+	agent->conn = g_socket_accept(agent->listener, NULL, NULL);
+	return agent->conn != NULL;
+}
+
+/* Reads to the end of the connection; returns errno of the end, 0: orderly. */
+static int
+read_to_end(struct agent *agent)
+{
+	int fd = g_socket_get_fd(agent->conn);
+	char buf[4096];
+	ssize_t n;
+
+	while ((n = recv(fd, buf, sizeof(buf), 0)) > 0)
+		;
+	return n == 0 ? 0 : errno;
+}
+
+/*
+ * A start that waits in the socket of a closed connection was delivered when
+ * the path was whole again, after its task had been placed elsewhere.  A
+ * reset drops it; an orderly end does not.
+ */
+START_TEST(close_drops_what_was_not_delivered)
+{
+	struct agent agent = {0};
+	struct wlk_options opts = {
+	    .address = agent.address,
+	    .name = "e0",
+	    .beat = on_beat,
+	    .worker = on_worker,
+	    .update = on_update,
+	    .closed = on_closed,
+	    .ctx = &agent,
+	};
+	struct wlk *link;
+
+	open_agent(&agent);
+	link = wlk_new(&opts);
+	ck_assert(hn_wait_until(has_accepted(&agent), HN_LIMIT_MS));
+	ck_assert(hn_wait_until(wlk_is_open(link), HN_LIMIT_MS));
+	wlk_free(link);
+	ck_assert(agent.closed);
+	g_socket_set_blocking(agent.conn, TRUE);
+	ck_assert_int_eq(read_to_end(&agent), ECONNRESET);
+	g_object_unref(agent.conn);
+	g_object_unref(agent.listener);
+	hn_finish();
+}
+END_TEST
+
+TEST_MAIN("worklink", 0, close_drops_what_was_not_delivered)
