--- a/src/process/jobagent.h
+++ b/src/process/jobagent.h
@@ -17,7 +17,7 @@
 
 struct ja_options {
 	const char *listen;	    /* "ip:port", entries */
-	const char *advertise; /* "ip:port" under which entries reach it */
+	const char *advertise;	    /* "ip:port" under which entries reach it */
 	const struct ks *ks;	    /* borrowed */
 	const char *failure_domain; /* used until the worker names its own */
 	const struct wp *wp;	    /* borrowed */
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -67,7 +67,7 @@
 	char *listen;	      /* "ip:port"; entry: clients, agent: entries */
 	char *ready_listen;   /* entry: "ip:port", the balancer's check */
 	char *worker_listen;  /* agent: "ip:port", the worker's heartbeats */
-	char *advertise; /* agent; where entries reach it, NULL: listen */
+	char *advertise;      /* agent; where entries reach it, NULL: listen */
 	char *metrics_listen; /* "ip:port" */
 	char *store;	      /* "ip:port" */
 	int64_t lease_ms;     /* longest lease that a worker grants */
