Drop requests whose connection ended before they were read

The caller sends such a request again at once; the other entry accepts it after 10 ms. The first entry reads the request from the reset connection up to 25 ms later, starts its tasks and learns of the reset only then, so its stops come after the start elsewhere.

Change: the thread for clients looks at the connection once more when a request is complete and drops it if the client has gone. Accepted jobs and started runs are events.

--- a/src/connection/httplisten.c
+++ b/src/connection/httplisten.c
@@ -1,5 +1,7 @@
+#include <errno.h>
 #include "connection/address.h"
 #include "connection/httplisten.h"
+#include <sys/socket.h>
 
 /*
  * With GLib's default of 10, the kernel dropped connections when 200 callers
@@ -113,3 +115,16 @@
 	       (uint64_t)soup_message_headers_get_content_length(headers) >
 		   max_bytes;
 }
+
+bool
+hl_client_has_gone(GSocket *socket)
+{
+	char byte;
+	ssize_t n;
+
+	do
+		n = recv(
+		    g_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	while (n < 0 && errno == EINTR);
+	return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
--- a/src/connection/httplisten.h
+++ b/src/connection/httplisten.h
@@ -25,5 +25,10 @@
 void hl_discard_body(SoupServerMessage *msg);
 /* Whether the headers declare a body above max_bytes or of unknown length. */
 bool hl_body_exceeds(SoupServerMessage *msg, uint64_t max_bytes);
+/*
+ * Whether the client has closed or reset the connection.  False while unread
+ * data precedes the end of an orderly close.
+ */
+bool hl_client_has_gone(GSocket *socket);
 
 #endif
--- a/src/process/jobagent.c
+++ b/src/process/jobagent.c
@@ -345,6 +345,8 @@
 	if (ja->calls_disabled)
 		return;
 	++*ja->starts;
+	evt_write(
+	    "run", "\"task\":\"%s\",\"run\":%" G_GINT64_FORMAT, task, run);
 	hold_start(ja->hold, task, spec, run, on_started, run_context(ja, run));
 }
 
--- a/src/process/jobentry.c
+++ b/src/process/jobentry.c
@@ -77,7 +77,8 @@
 	guint tick_id;
 	guint placement_id;
 	int64_t *ended_counters[SCH_BROKEN + 1];
-	int64_t *refused, *accepted, *tasks_done, *tasks_failed, *tasks_lost;
+	int64_t *refused, *accepted, *gone;
+	int64_t *tasks_done, *tasks_failed, *tasks_lost;
 	int64_t *open_jobs;
 	struct hst *job_times;
 };
@@ -578,6 +579,8 @@
 	    ctr_counter(reg, "sp_jobs_accepted_total", "Jobs accepted.");
 	je->refused =
 	    ctr_counter(reg, "sp_jobs_refused_total", "Jobs refused.");
+	je->gone = ctr_counter(reg, "sp_requests_gone_total",
+	    "Requests dropped since their connection had ended.");
 	je->open_jobs = ctr_gauge(reg, "sp_jobs_open", "Jobs in progress.");
 	je->job_times = hst_new(
 	    reg, "sp_job_ms", "Time from a job's arrival to its completion.");
@@ -797,6 +800,9 @@
 	verdict = sch_submit(je->sch, &request, clk_now_ms());
 	if (verdict == SCH_ACCEPTED) {
 		++*je->accepted;
+		evt_write("accepted",
+		    "\"job\":\"%s\",\"queue\":\"%s\",\"jobs\":%u", job->id,
+		    queue->name, sch_n_jobs(je->sch));
 		schedule_placement(je);
 		return waiter->ticket;
 	}
@@ -834,6 +840,13 @@
 	g_hash_table_remove(je->waiters, &ticket);
 }
 
+void
+je_record_gone(struct je *je, const char *job)
+{
+	++*je->gone;
+	evt_write("gone", "\"job\":\"%s\"", job);
+}
+
 void
 je_query_state(struct je *je, const char *host, const char *path,
     const char *job, je_answer_fn fn, void *ctx)
--- a/src/process/jobentry.h
+++ b/src/process/jobentry.h
@@ -86,6 +86,8 @@
     struct wk_job *job, int64_t deadline_ms, je_answer_fn fn, void *ctx);
 /* The caller has disconnected: fn does not run, and the job is cancelled. */
 void je_abandon(struct je *je, uint64_t ticket);
+/* Records a job whose connection had ended before its request was read. */
+void je_record_gone(struct je *je, const char *job);
 /* Answers JE_RUNNING while the job is open here, else JE_UNKNOWN_JOB. */
 void je_query_state(struct je *je, const char *host, const char *path,
     const char *job, je_answer_fn fn, void *ctx);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -4,9 +4,11 @@
  * resubmitted as by the platform's callers.  No worker may be given more than
  * its capacity, no task may run twice at once, and every job must complete.
  */
+#include <arpa/inet.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "deployment.h"
 #include "runner.h"
@@ -283,6 +285,16 @@
 }
 END_TEST
 
+static struct hn_http *
+get_metrics(uint16_t port)
+{
+	struct hn_http *http =
+	    hn_http("GET", hn_str("http://127.0.0.1:%u/metrics", port), NULL);
+
+	ck_assert_int_eq(http->status, 200);
+	return http;
+}
+
 /* An idle agent must keep its sessions: losing one would stop its tasks. */
 START_TEST(idle_sessions_last)
 {
@@ -291,15 +303,73 @@
 
 	dpl_start(&dpl, &(struct dpl_options){0});
 	hn_sleep(2500);
-	http = hn_http("GET",
-	    hn_str("http://127.0.0.1:%u/metrics", dpl.metrics_port), NULL);
-	ck_assert_int_eq(http->status, 200);
+	http = get_metrics(dpl.agent_metrics_port);
 	ck_assert_msg(strstr(http->body, "sp_sessions_lost_total 0\n") != NULL,
 	    "%s", http->body);
 	hn_finish();
 }
 END_TEST
 
+/* Value of a counter without labels in a metrics page; -1: not there. */
+static int64_t
+metric(const struct hn_http *http, const char *name)
+{
+	const char *at = strstr(http->body, hn_str("\n%s ", name));
+
+	return at == NULL ? -1 : strtoll(at + strlen(name) + 2, NULL, 10);
+}
+
+/* Sends a complete request and resets the connection. */
+static void
+send_and_reset(uint16_t port, const char *request)
+{
+	struct linger reset_at_close = {.l_onoff = 1, .l_linger = 0};
+	struct sockaddr_in to = {.sin_family = AF_INET,
+	    .sin_port = htons(port),
+	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	ck_assert_int_eq(
+	    connect(fd, (const struct sockaddr *)&to, sizeof(to)), 0);
+	ck_assert_int_eq(
+	    send(fd, request, strlen(request), 0), (int)strlen(request));
+	ck_assert_int_eq(setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset_at_close,
+			     sizeof(reset_at_close)),
+	    0);
+	ck_assert_int_eq(close(fd), 0);
+}
+
+/*
+ * An entry read requests from connections that had been reset before, while the
+ * callers had already sent them to another entry, and started their tasks a
+ * second time.
+ */
+START_TEST(reset_request_not_accepted)
+{
+	static const char body[] =
+	    "{\"spec\":\"1\",\"best_effort\":true,\"steps\":["
+	    "{\"count\":1,\"cpu\":1000,\"mem_mb\":1}]}";
+	struct hn_http *before, *after;
+	struct dpl dpl;
+
+	dpl_start(&dpl, &(struct dpl_options){0});
+	before = get_metrics(dpl.entry_metrics_port);
+	hn_signal(dpl.entry[0], SIGSTOP);
+	send_and_reset(dpl.entry_port[0],
+	    hn_str("POST /q/00000000000000cc HTTP/1.1\r\nHost: 127.0.0.1\r\n"
+		   "Content-Type: application/json\r\n"
+		   "Content-Length: %zu\r\n\r\n%s",
+		strlen(body), body));
+	hn_signal(dpl.entry[0], SIGCONT);
+	hn_sleep(300);
+	after = get_metrics(dpl.entry_metrics_port);
+	ck_assert_int_eq(metric(after, "sp_jobs_accepted_total"),
+	    metric(before, "sp_jobs_accepted_total"));
+	ck_assert_int_eq(metric(after, "sp_requests_gone_total"), 1);
+	hn_finish();
+}
+END_TEST
+
 /* A removed queue must answer 404, and an added one must be served. */
 START_TEST(queue_replaced)
 {
@@ -423,8 +493,9 @@
 main(void)
 {
 	const TTest *const tests[] = {no_start_in_evacuated_domain,
-	    idle_sessions_last, queue_replaced, shutdown_answers_all,
-	    restarted_agent_finds_worker, invalid_jobs_refused};
+	    idle_sessions_last, reset_request_not_accepted, queue_replaced,
+	    shutdown_answers_all, restarted_agent_finds_worker,
+	    invalid_jobs_refused};
 	int red = run_table("platform", fault_while_jobs_run,
 	    sizeof(rows) / sizeof(rows[0]), 2 * HN_LIMIT_MS / 1000.0 + 30);
 
