Choose a share of the agents, and bound an agent's reports

Change: an entry chooses 64 agents of each service by rendezvous hashing, half of them in its own domain, more when agents have under 12 sessions (subset, agentpool, which also takes the links out of jobentry). An agent sends results to their session at once and free capacity at most 300 times a second over all sessions (updates).

--- a/src/connection/entryset.c
+++ b/src/connection/entryset.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "connection/entryset.h"
+#include "request/rendezvous.h"
 
 /* Interval of the selection, which also closes surplus links that are idle. */
 #define RESELECT_INTERVAL_MS 1000
@@ -21,23 +22,6 @@
 	bool local;
 };
 
-/* FNV-1a with a final mix: the same value in every process and version. */
-static uint64_t
-hash_pair(const char *a, const char *b)
-{
-	uint64_t hash = 0xcbf29ce484222325ULL;
-
-	for (; *a != '\0'; a++)
-		hash = (hash ^ (unsigned char)*a) * 0x100000001b3ULL;
-	hash = (hash ^ 0xff) * 0x100000001b3ULL;
-	for (; *b != '\0'; b++)
-		hash = (hash ^ (unsigned char)*b) * 0x100000001b3ULL;
-	hash ^= hash >> 33;
-	hash *= 0xff51afd7ed558ccdULL;
-	hash ^= hash >> 33;
-	return hash;
-}
-
 static gint
 compare_targets(gconstpointer left, gconstpointer right)
 {
@@ -78,7 +62,7 @@
 		struct target t = {
 		    .address = m->address,
 		    .entry = m->incarnation,
-		    .score = hash_pair(es->opts.worker, m->address),
+		    .score = rdv_score(es->opts.worker, m->address),
 		    .local =
 			strcmp(m->failure_domain, es->opts.failure_domain) == 0,
 		};
--- a/src/connection/run.x
+++ b/src/connection/run.x
@@ -2,6 +2,9 @@
  * Messages between an entry and the agents of workers that run tasks under
  * leases (RUN_PROG).  The entry connects.  No call has a reply.  Times are
  * milliseconds; sizes are those of request/work.h.
+ *
+ * The program number changes with the messages, so that processes of different
+ * versions refuse each other's connections.
  */
 
 const RUN_NAME_MAX = 256;
@@ -84,6 +87,7 @@
 	run_result results<RUN_BATCH_MAX>;
 	run_size free;		/* negative when starts are queued */
 	bool accepting;		/* whether starts are accepted */
+	uint32_t sessions;	/* entries connected to the agent */
 };
 
 program RUN_PROG {
@@ -95,4 +99,4 @@
 		void RUN_WORKER(run_worker_args) = 5;
 		void RUN_UPDATE(run_update_args) = 6;
 	} = 1;
-} = 0x20005352;
+} = 0x20005353;
--- a/src/connection/run_xdr.c
+++ b/src/connection/run_xdr.c
@@ -178,5 +178,7 @@
 		return FALSE;
 	if (!xdr_bool(xdrs, &objp->accepting))
 		return FALSE;
+	if (!xdr_uint32_t(xdrs, &objp->sessions))
+		return FALSE;
 	return TRUE;
 }
--- a/src/connection/run_xdr.h
+++ b/src/connection/run_xdr.h
@@ -115,10 +115,11 @@
 	} results;
 	run_size free;
 	bool_t accepting;
+	uint32_t sessions;
 };
 typedef struct run_update_args run_update_args;
 
-#define RUN_PROG 0x20005352
+#define RUN_PROG 0x20005353
 #define RUN_V1	 1
 
 #if defined(__STDC__) || defined(__cplusplus)
--- /dev/null
+++ b/src/process/agentpool.c
@@ -0,0 +1,469 @@
+#include <glib.h>
+#include <string.h>
+
+#include "process/agentpool.h"
+#include "process/clock.h"
+#include "process/enlist.h"
+#include "process/events.h"
+#include "request/subset.h"
+#include "version/mirror.h"
+
+/* Interval of the choice of agents, which notices links that stay down. */
+#define CHOOSE_INTERVAL_MS 200
+/* Delay of the choice after a change, so that one covers several. */
+#define CHOOSE_DELAY_MS 50
+/* Interval at which the number of chosen agents is adapted. */
+#define ADAPT_INTERVAL_MS 1000
+/* New links a choice makes; more wait for the next one. */
+#define MAX_NEW_LINKS 16
+/* A link that has been down for longer counts as not usable. */
+#define LINK_DOWN_MS 300
+/* An idle link to an agent that is no longer chosen is closed after this. */
+#define SURPLUS_MS 10000
+
+struct agp_agent {
+	struct agp *pool;
+	struct wlk *link;
+	struct wks_worker *worker;
+	char *address;	/* key in pool->agents */
+	bool listed;	/* in the store */
+	bool connected; /* described by its agent since the link opened */
+	uint32_t sessions;
+	int64_t surplus_since_ms; /* 0: chosen */
+};
+
+struct agp {
+	struct agp_options opts;
+	struct mir *mirror;
+	struct sub *sub;
+	GHashTable *agents;    /* address to struct agp_agent */
+	GHashTable *revisions; /* address to the revision that was parsed */
+	int64_t choose_at_ms;
+	int64_t adapt_at_ms;
+	int64_t *n_registered, *n_linked;
+};
+
+static struct agp_agent *
+find_agent(const struct agp *pool, const char *address)
+{
+	return g_hash_table_lookup(pool->agents, address);
+}
+
+static void
+choose_soon(struct agp *pool)
+{
+	pool->choose_at_ms =
+	    MIN(pool->choose_at_ms, clk_now_ms() + CHOOSE_DELAY_MS);
+}
+
+static void
+on_worker(struct wlk *link, const struct run_worker_args *args, void *ctx)
+{
+	struct agp *pool = ctx;
+	struct agp_agent *agent = find_agent(pool, wlk_address(link));
+	struct wks_description d = {
+	    .name = wlk_address(link),
+	    .incarnation = args->incarnation,
+	    .service = args->service,
+	    .failure_domain = args->failure_domain,
+	    .labels = (const char *const *)args->labels.labels_val,
+	    .n_labels = args->labels.labels_len,
+	    .capacity = {args->capacity.cpu_milli, args->capacity.memory_mb,
+		args->capacity.gpus},
+	    .draining = args->draining,
+	    .local =
+		g_strcmp0(args->failure_domain, pool->opts.failure_domain) == 0,
+	};
+
+	evt_write("agent",
+	    "\"agent\":\"%s\",\"incarnation\":%" G_GUINT64_FORMAT
+	    ",\"service\":\"%s\",\"failure_domain\":\"%s\",\"draining\":%s",
+	    d.name, d.incarnation, d.service, d.failure_domain,
+	    d.draining ? "true" : "false");
+	agent->connected = true;
+	wks_describe(sch_workers(pool->opts.sch), agent->worker, &d);
+}
+
+static void
+on_update(struct wlk *link, const struct run_update_args *args, void *ctx)
+{
+	struct agp *pool = ctx;
+	struct agp_agent *agent = find_agent(pool, wlk_address(link));
+	struct wk_size room = {
+	    args->free.cpu_milli, args->free.memory_mb, args->free.gpus};
+
+	agent->sessions = args->sessions;
+	wks_set_room(agent->worker, &room, args->accepting, clk_now_ms());
+	pool->opts.update(args, pool->opts.ctx);
+}
+
+static void
+on_link_closed(struct wlk *link, const struct status *why, void *ctx)
+{
+	struct agp *pool = ctx;
+	struct agp_agent *agent = find_agent(pool, wlk_address(link));
+
+	if (agent == NULL)
+		return;
+	evt_write("agent",
+	    "\"agent\":\"%s\",\"state\":\"lost\",\"reason\":\"%s\"",
+	    wlk_address(link), why->message);
+	agent->connected = false;
+	sch_disconnect(pool->opts.sch, agent->worker, clk_now_ms());
+}
+
+static void
+fill_heartbeat(struct run_heartbeat_args *args, void *ctx)
+{
+	struct agp *pool = ctx;
+
+	pool->opts.fill_heartbeat(args, pool->opts.ctx);
+}
+
+static void
+agent_free(gpointer data)
+{
+	struct agp_agent *agent = data;
+
+	sch_remove_worker(agent->pool->opts.sch, agent->worker, clk_now_ms());
+	wlk_free(agent->link);
+	g_free(agent->address);
+	g_free(agent);
+}
+
+static void
+add_agent(struct agp *pool, const char *address)
+{
+	struct wlk_options opts = {
+	    .address = address,
+	    .name = pool->opts.name,
+	    .incarnation = pool->opts.incarnation,
+	    .fill_heartbeat = fill_heartbeat,
+	    .worker = on_worker,
+	    .update = on_update,
+	    .closed = on_link_closed,
+	    .ctx = pool,
+	};
+	struct wlk *link = wlk_new(&opts);
+	struct agp_agent *agent;
+
+	if (link == NULL) {
+		evt_write("agent",
+		    "\"state\":\"ignored\","
+		    "\"reason\":\"key without a valid address\"");
+		return;
+	}
+	agent = g_new0(struct agp_agent, 1);
+	agent->pool = pool;
+	agent->link = link;
+	agent->worker = wks_add(sch_workers(pool->opts.sch), agent);
+	agent->address = g_strdup(address);
+	agent->listed = true;
+	g_hash_table_insert(pool->agents, agent->address, agent);
+}
+
+/*
+ * An agent whose link has been down for a while, or whose worker leaves, keeps
+ * its link, since it may return; another one is chosen beside it.
+ */
+static enum sub_state
+agent_state(const char *address, const char *failure_domain, void *ctx)
+{
+	const struct agp *pool = ctx;
+	const struct agp_agent *agent = find_agent(pool, address);
+	bool out = *failure_domain != '\0' &&
+		   pool->opts.is_out(failure_domain, pool->opts.ctx);
+
+	if (agent == NULL)
+		return out ? SUB_UNUSABLE : SUB_USABLE;
+	if (out || (agent->connected && agent->worker->draining) ||
+	    clk_now_ms() - wlk_last_open_ms(agent->link) > LINK_DOWN_MS)
+		return SUB_CONNECTED;
+	return SUB_USABLE;
+}
+
+static void
+mark_surplus(struct agp *pool, GHashTable *chosen)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, pool->agents);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct agp_agent *agent = value;
+
+		if (g_hash_table_contains(chosen, agent->address))
+			agent->surplus_since_ms = 0;
+		else if (agent->surplus_since_ms == 0)
+			agent->surplus_since_ms = clk_now_ms();
+	}
+}
+
+static gboolean
+is_removable(gpointer key, gpointer value, gpointer data)
+{
+	const struct agp_agent *agent = value;
+
+	(void)key;
+	(void)data;
+	if (agent->surplus_since_ms == 0)
+		return FALSE;
+	if (!wlk_is_open(agent->link))
+		return TRUE;
+	return agent->listed && agent->worker->open == 0 &&
+	       clk_now_ms() - agent->surplus_since_ms > SURPLUS_MS;
+}
+
+/* Makes links to chosen agents; returns false when some are left for later. */
+static bool
+add_links(struct agp *pool, GHashTable *chosen)
+{
+	GHashTableIter iter;
+	gpointer address;
+	uint32_t n = 0;
+
+	g_hash_table_iter_init(&iter, chosen);
+	while (g_hash_table_iter_next(&iter, &address, NULL)) {
+		if (find_agent(pool, address) != NULL)
+			continue;
+		if (n++ == MAX_NEW_LINKS)
+			return false;
+		add_agent(pool, address);
+	}
+	return true;
+}
+
+static void
+choose_agents(struct agp *pool)
+{
+	GHashTable *chosen = sub_choose(pool->sub, clk_now_ms());
+
+	pool->choose_at_ms = clk_now_ms() + CHOOSE_INTERVAL_MS;
+	if (!add_links(pool, chosen))
+		choose_soon(pool);
+	mark_surplus(pool, chosen);
+	g_hash_table_unref(chosen);
+	g_hash_table_foreach_remove(pool->agents, is_removable, NULL);
+	*pool->n_registered = sub_count(pool->sub);
+	*pool->n_linked = g_hash_table_size(pool->agents);
+}
+
+/* Receives the parsed registration of an agent. */
+struct registration {
+	struct agp *pool;
+	const char *address;
+};
+
+static void
+put_worker(const struct wp_worker *worker, void *ctx)
+{
+	const struct registration *r = ctx;
+	struct sub_agent agent = {
+	    .address = r->address,
+	    .service = worker->service,
+	    .failure_domain = worker->failure_domain,
+	    .labels = worker->labels,
+	    .n_labels = worker->n_labels,
+	};
+
+	sub_put(r->pool->sub, &agent);
+}
+
+static void
+parse_registration(
+    struct agp *pool, const char *address, const struct mir_item *item)
+{
+	struct registration r = {.pool = pool, .address = address};
+	struct sub_agent unknown = {
+	    .address = address, .service = "", .failure_domain = ""};
+	int64_t *revision = g_hash_table_lookup(pool->revisions, address);
+	gsize len;
+	const char *data;
+
+	if (revision != NULL && *revision == item->revision)
+		return;
+	g_hash_table_replace(pool->revisions, g_strdup(address),
+	    g_memdup2(&item->revision, sizeof(item->revision)));
+	data = g_bytes_get_data(item->data, &len);
+	if (!enl_parse(data, len, put_worker, &r))
+		sub_put(pool->sub, &unknown);
+}
+
+static void
+forget_unlisted(struct agp *pool, GHashTable *items)
+{
+	GHashTableIter iter;
+	gpointer address;
+
+	g_hash_table_iter_init(&iter, pool->revisions);
+	while (g_hash_table_iter_next(&iter, &address, NULL)) {
+		g_autofree char *key = g_strconcat(ENL_PREFIX, address, NULL);
+		struct agp_agent *agent = find_agent(pool, address);
+
+		if (agent != NULL)
+			agent->listed = g_hash_table_contains(items, key);
+		if (g_hash_table_contains(items, key))
+			continue;
+		sub_remove(pool->sub, address);
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
+static void
+on_agents_changed(struct mir *mir, void *ctx)
+{
+	struct agp *pool = ctx;
+	GHashTableIter iter;
+	gpointer key, item;
+
+	g_hash_table_iter_init(&iter, mir_items(mir));
+	while (g_hash_table_iter_next(&iter, &key, &item))
+		parse_registration(
+		    pool, (const char *)key + strlen(ENL_PREFIX), item);
+	forget_unlisted(pool, mir_items(mir));
+	choose_soon(pool);
+}
+
+static void
+on_store_state(
+    struct mir *mir, bool reachable, const struct status *st, void *ctx)
+{
+	struct agp *pool = ctx;
+
+	pool->opts.store_state(
+	    reachable, st, mir_revision(mir), pool->opts.ctx);
+}
+
+struct agp *
+agp_new(const struct agp_options *opts)
+{
+	struct agp *pool = g_new0(struct agp, 1);
+	struct sub_options sub = {
+	    .entry = opts->name,
+	    .failure_domain = opts->failure_domain,
+	    .size = opts->n_chosen,
+	    .state = agent_state,
+	    .ctx = pool,
+	};
+	struct mir_options mirror = {
+	    .ks = opts->ks,
+	    .prefix = ENL_PREFIX,
+	    .wait_ms = opts->watch_ms,
+	    .changed = on_agents_changed,
+	    .reachable = on_store_state,
+	    .ctx = pool,
+	};
+
+	pool->opts = *opts;
+	pool->n_registered = ctr_gauge(
+	    opts->counters, "sp_agents_registered", "Agents in the store.");
+	pool->n_linked = ctr_gauge(opts->counters, "sp_agents_chosen",
+	    "Agents that this entry has a link to.");
+	pool->sub = sub_new(&sub);
+	pool->agents =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, agent_free);
+	pool->revisions =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	pool->mirror = mir_new(&mirror);
+	return pool;
+}
+
+void
+agp_free(struct agp *pool)
+{
+	/* Freeing an agent closes its link, whose callback uses the table. */
+	g_hash_table_remove_all(pool->agents);
+	g_hash_table_unref(pool->agents);
+	g_hash_table_unref(pool->revisions);
+	mir_free(pool->mirror);
+	sub_free(pool->sub);
+	g_free(pool);
+}
+
+static void
+adapt(struct agp *pool)
+{
+	GHashTableIter iter;
+	gpointer value;
+	double sum = 0;
+	uint32_t n = 0;
+
+	pool->adapt_at_ms = clk_now_ms() + ADAPT_INTERVAL_MS;
+	g_hash_table_iter_init(&iter, pool->agents);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct agp_agent *agent = value;
+
+		if (!agent->connected || agent->sessions == 0)
+			continue;
+		sum += agent->sessions;
+		n++;
+	}
+	if (n > 0)
+		sub_adapt(pool->sub, sum / n);
+}
+
+void
+agp_tick(struct agp *pool)
+{
+	int64_t now_ms = clk_now_ms();
+	GHashTableIter iter;
+	gpointer agent;
+
+	if (now_ms >= pool->adapt_at_ms)
+		adapt(pool);
+	if (now_ms >= pool->choose_at_ms)
+		choose_agents(pool);
+	g_hash_table_iter_init(&iter, pool->agents);
+	while (g_hash_table_iter_next(&iter, NULL, &agent))
+		wlk_tick(((struct agp_agent *)agent)->link);
+}
+
+void
+agp_domains_changed(struct agp *pool)
+{
+	GHashTableIter iter;
+	gpointer agent;
+
+	choose_soon(pool);
+	g_hash_table_iter_init(&iter, pool->agents);
+	while (g_hash_table_iter_next(&iter, NULL, &agent))
+		wlk_send_heartbeat(((struct agp_agent *)agent)->link);
+}
+
+void
+agp_reconnect(struct agp *pool, const char *why)
+{
+	GHashTableIter iter;
+	gpointer agent;
+
+	g_hash_table_iter_init(&iter, pool->agents);
+	while (g_hash_table_iter_next(&iter, NULL, &agent))
+		wlk_reconnect(((struct agp_agent *)agent)->link, why);
+}
+
+bool
+agp_want(struct agp *pool, const char *service, const struct wk_job *job)
+{
+	int64_t now_ms = clk_now_ms();
+	bool known = true;
+	uint32_t i;
+
+	for (i = 0; i < job->n_steps; i++) {
+		const struct wk_step *step = &job->steps[i];
+
+		if (step->preferred_rack != NULL)
+			sub_want_label(
+			    pool->sub, service, step->preferred_rack, now_ms);
+		if (step->required_label != NULL &&
+		    !sub_want_label(
+			pool->sub, service, step->required_label, now_ms))
+			known = false;
+	}
+	return known;
+}
+
+struct wlk *
+agp_link(const struct agp_agent *agent)
+{
+	return agent->link;
+}
--- a/src/process/enlist.c
+++ b/src/process/enlist.c
@@ -89,20 +89,19 @@
 	    !json_object_is_type(array, json_type_array))
 		return labels;
 	for (i = 0; i < json_object_array_length(array); i++)
-		g_ptr_array_add(
-		    labels, (gpointer)json_object_get_string(
-				json_object_array_get_idx(array, i)));
+		if (json_object_is_type(
+			json_object_array_get_idx(array, i), json_type_string))
+			g_ptr_array_add(
+			    labels, (gpointer)json_object_get_string(
+					json_object_array_get_idx(array, i)));
 	return labels;
 }
 
-/*
- * Passes on the worker that an earlier process registered, unless a heartbeat
- * has described the worker meanwhile.
- */
-static void
-recall(struct enl *enl, const struct ks_item *item)
+bool
+enl_parse(const char *data, size_t len,
+    void (*fn)(const struct wp_worker *worker, void *ctx), void *ctx)
 {
-	g_autofree char *text = g_strndup(item->data, item->len);
+	g_autofree char *text = g_strndup(data, len);
 	struct json_object *from = json_tokener_parse(text);
 	GPtrArray *labels = labels_of(from);
 	struct wp_worker worker = {
@@ -120,16 +119,37 @@
 	    .labels = (const char *const *)labels->pdata,
 	    .n_labels = labels->len,
 	};
+	bool named = worker.instance != NULL && worker.service != NULL &&
+		     worker.address != NULL && worker.failure_domain != NULL &&
+		     worker.born_ms != 0;
 
-	if (worker.instance != NULL && worker.service != NULL &&
-	    worker.address != NULL && worker.failure_domain != NULL &&
-	    worker.born_ms != 0 && !enl->dirty) {
-		g_free(enl->text);
-		enl->text = g_steal_pointer(&text);
-		enl->opts.recalled(&worker, enl->opts.ctx);
-	}
+	if (named)
+		fn(&worker, ctx);
 	g_ptr_array_unref(labels);
 	json_object_put(from);
+	return named;
+}
+
+static void
+pass_on_recalled(const struct wp_worker *worker, void *ctx)
+{
+	struct enl *enl = ctx;
+
+	enl->opts.recalled(worker, enl->opts.ctx);
+}
+
+/*
+ * Passes on the worker that an earlier process registered, unless a heartbeat
+ * has described the worker meanwhile.
+ */
+static void
+recall(struct enl *enl, const struct ks_item *item)
+{
+	if (enl->dirty ||
+	    !enl_parse(item->data, item->len, pass_on_recalled, enl))
+		return;
+	g_free(enl->text);
+	enl->text = g_strndup(item->data, item->len);
 }
 
 static void
--- a/src/process/enlist.h
+++ b/src/process/enlist.h
@@ -29,6 +29,13 @@
 /* Registers the worker unless its description is unchanged. */
 void enl_update(struct enl *enl, const struct wp_worker *worker);
 
+/*
+ * Parses a registration and passes its worker to fn, with strings that are
+ * valid during the call.  Returns false, without a call, if it names no worker.
+ */
+bool enl_parse(const char *data, size_t len,
+    void (*fn)(const struct wp_worker *worker, void *ctx), void *ctx);
+
 /* Key prefix of all registrations; the agent's address follows. */
 #define ENL_PREFIX "sequoiaplank/agents/"
 
--- a/src/process/jobagent.c
+++ b/src/process/jobagent.c
@@ -9,12 +9,10 @@
 #include "process/histogram.h"
 #include "process/jobagent.h"
 #include "request/ledger.h"
+#include "request/updates.h"
 
 #define JA_TICK_MS	  50
 #define MAX_QUEUED_STARTS 4096
-/* Delays of an update to the entries, which batch changes close together. */
-#define RESULT_UPDATE_MS   4
-#define CAPACITY_UPDATE_MS 15 /* without results */
 /* A heartbeat is answered if the last update was sent longer ago than this. */
 #define HEARTBEAT_REPLY_MS 200
 /*
@@ -28,7 +26,6 @@
 struct outbox {
 	GArray *results; /* run_result, strings owned */
 	bool worker_due; /* send the worker's description first */
-	int64_t sent_ms; /* time of the last update */
 };
 
 struct ja {
@@ -38,6 +35,7 @@
 	struct ses *ses;
 	struct enl *enlist;
 	GHashTable *outboxes;	 /* session to struct outbox */
+	struct upd *updates;	 /* when the sessions are sent updates */
 	GHashTable *out_domains; /* failure domains out of service */
 	int64_t out_revision;	 /* store revision of that list */
 	char *service;
@@ -51,7 +49,8 @@
 	int64_t drain_deadline_ms;
 	guint tick_id;
 	guint update_id;
-	bool update_urgent;
+	int64_t update_due_ms; /* when update_id runs */
+	bool accepting;	       /* as last marked for updates */
 	int64_t *starts, *done, *failed, *runs_lost, *refused, *stalled;
 	int64_t *sessions_lost;
 	struct hst *run_times;
@@ -145,36 +144,56 @@
 	    .results = {box->results->len, (run_result *)box->results->data},
 	    .free = size_to_wire(&room),
 	    .accepting = is_accepting(ja, &reason),
+	    .sessions = g_hash_table_size(ja->outboxes),
 	};
 	ses_send(ja->ses, session, RUN_UPDATE, (xdrproc_t)xdr_run_update_args,
 	    &args);
 	g_array_set_size(box->results, 0);
-	box->sent_ms = clk_now_ms();
+	upd_record_sent(ja->updates, session, clk_now_ms());
 }
 
+static void schedule_updates(struct ja *ja);
+
 static gboolean
-send_updates(gpointer data)
+on_updates_due(gpointer data)
 {
 	struct ja *ja = data;
-	g_autofree uint64_t *ids = NULL;
-	uint32_t i, n;
+	uint64_t session;
 
 	ja->update_id = 0;
-	ids = ses_ids(ja->ses, &n);
-	for (i = 0; i < n; i++)
-		send_update(ja, ids[i]);
+	while ((session = upd_take(ja->updates, clk_now_ms())) != 0)
+		send_update(ja, session);
+	schedule_updates(ja);
 	return G_SOURCE_REMOVE;
 }
 
 static void
-schedule_update(struct ja *ja, bool urgent)
+schedule_updates(struct ja *ja)
 {
-	if (ja->update_id != 0 && (ja->update_urgent || !urgent))
-		return;
+	int64_t next_ms = upd_next_ms(ja->updates);
+	int64_t pause_ms = next_ms - clk_now_ms();
+
 	g_clear_handle_id(&ja->update_id, g_source_remove);
-	ja->update_urgent = urgent;
-	ja->update_id = g_timeout_add(
-	    urgent ? RESULT_UPDATE_MS : CAPACITY_UPDATE_MS, send_updates, ja);
+	if (next_ms >= 0)
+		ja->update_id =
+		    g_timeout_add((guint)MAX(pause_ms, 0), on_updates_due, ja);
+}
+
+/*
+ * Plans updates after a change of the free capacity.  Entries must not miss
+ * that starts are no longer accepted, or are again.
+ */
+static void
+plan_updates(struct ja *ja)
+{
+	const char *reason;
+	bool accepting = is_accepting(ja, &reason);
+
+	upd_mark_room(ja->updates, clk_now_ms());
+	if (accepting != ja->accepting)
+		upd_mark_all_urgent(ja->updates, clk_now_ms());
+	ja->accepting = accepting;
+	schedule_updates(ja);
 }
 
 static void
@@ -186,7 +205,8 @@
 	g_hash_table_iter_init(&iter, ja->outboxes);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		((struct outbox *)value)->worker_due = true;
-	schedule_update(ja, true);
+	upd_mark_all_urgent(ja->updates, clk_now_ms());
+	plan_updates(ja);
 }
 
 static void
@@ -204,7 +224,8 @@
 	box->worker_due = true;
 	g_hash_table_insert(
 	    ja->outboxes, g_memdup2(&session, sizeof(session)), box);
-	schedule_update(ja, true);
+	upd_open(ja->updates, session, clk_now_ms());
+	schedule_updates(ja);
 }
 
 static void
@@ -219,7 +240,8 @@
 	++*ja->sessions_lost;
 	led_end_session(ja->led, session, clk_now_ms());
 	g_hash_table_remove(ja->outboxes, &session);
-	schedule_update(ja, false);
+	upd_close(ja->updates, session);
+	plan_updates(ja);
 }
 
 static void
@@ -248,7 +270,7 @@
 			start.start_by_ms = now_ms - 1;
 		led_submit(ja->led, &start, now_ms);
 	}
-	schedule_update(ja, false);
+	plan_updates(ja);
 }
 
 static void
@@ -260,16 +282,15 @@
 	for (i = 0; i < args->seqs.seqs_len; i++)
 		led_cancel(
 		    ja->led, session, args->seqs.seqs_val[i], clk_now_ms());
-	schedule_update(ja, false);
+	plan_updates(ja);
 }
 
 /* Entries disconnect from an agent that sends nothing for too long. */
 static void
 answer_heartbeat(struct ja *ja, uint64_t session)
 {
-	const struct outbox *box = g_hash_table_lookup(ja->outboxes, &session);
-
-	if (box != NULL && clk_now_ms() - box->sent_ms > HEARTBEAT_REPLY_MS)
+	if (clk_now_ms() - upd_sent_ms(ja->updates, session) >
+	    HEARTBEAT_REPLY_MS)
 		send_update(ja, session);
 }
 
@@ -288,7 +309,7 @@
 	for (i = 0; i < args->out.out_len; i++)
 		g_hash_table_add(
 		    ja->out_domains, g_strdup(args->out.out_val[i]));
-	schedule_update(ja, true);
+	plan_updates(ja);
 }
 
 static bool
@@ -415,11 +436,12 @@
 	};
 
 	count_result(ja, result);
-	schedule_update(ja, box != NULL);
-	if (box == NULL)
-		return;
-	message.reason = g_strdup(result->reason);
-	g_array_append_val(box->results, message);
+	if (box != NULL) {
+		message.reason = g_strdup(result->reason);
+		g_array_append_val(box->results, message);
+		upd_mark_urgent(ja->updates, result->session, clk_now_ms());
+	}
+	plan_updates(ja);
 }
 
 static bool
@@ -455,6 +477,16 @@
 	led_start_queued(ja->led, clk_now_ms());
 }
 
+static void
+send_all_updates(struct ja *ja)
+{
+	uint32_t i, n;
+	g_autofree uint64_t *ids = ses_ids(ja->ses, &n);
+
+	for (i = 0; i < n; i++)
+		send_update(ja, ids[i]);
+}
+
 static void
 finish_drain(struct ja *ja)
 {
@@ -463,7 +495,7 @@
 	if (led_active(ja->led) > 0 && clk_now_ms() < ja->drain_deadline_ms)
 		return;
 	ja->drained = true;
-	send_updates(ja);
+	send_all_updates(ja);
 	ja->opts.drained(ja->opts.ctx);
 }
 
@@ -610,6 +642,7 @@
 	    g_int64_hash, g_int64_equal, g_free, outbox_free);
 	ja->out_domains =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	ja->updates = upd_new();
 	make_counters(ja);
 	make_run_state(ja);
 	ja->ses = ses_new(&ses, st);
@@ -641,6 +674,7 @@
 	hold_free(ja->hold);
 	led_free(ja->led);
 	g_hash_table_unref(ja->outboxes);
+	upd_free(ja->updates);
 	g_hash_table_unref(ja->out_domains);
 	g_free(ja->service);
 	g_free(ja->failure_domain);
--- a/src/process/jobentry.c
+++ b/src/process/jobentry.c
@@ -3,8 +3,8 @@
 #include <sys/random.h>
 
 #include "connection/worklink.h"
+#include "process/agentpool.h"
 #include "process/clock.h"
-#include "process/enlist.h"
 #include "process/events.h"
 #include "process/histogram.h"
 #include "process/jobentry.h"
@@ -38,15 +38,6 @@
 /* Time for the last answers to be sent before the process exits. */
 #define DRAIN_FLUSH_MS 200
 
-/* An agent registered in the store. */
-struct agent {
-	struct je *je;
-	struct wlk *link;
-	struct wks_worker *worker;
-	char *name;  /* address, also the key in je->agents */
-	bool listed; /* in the store as of the last update */
-};
-
 /* A call waiting for its job to end. */
 struct waiter {
 	uint64_t ticket;
@@ -61,12 +52,11 @@
 	uint64_t incarnation;
 	struct sch *sch;
 	struct mir *config_mirror;
-	struct mir *agents_mirror;
 	struct rts *routes;
 	GHashTable *out_domains; /* failure domains out of service */
 	char **out_names;	 /* the same as an array; owns the strings */
-	GHashTable *agents;	 /* address to struct agent */
-	GHashTable *waiters;	 /* ticket to struct waiter */
+	struct agp *agents;
+	GHashTable *waiters; /* ticket to struct waiter */
 	uint64_t next_ticket;
 	int64_t tick_ms;
 	int64_t drain_since_ms;
@@ -120,7 +110,7 @@
 static bool
 start_task(void *data, const struct sch_start *start, void *ctx)
 {
-	struct agent *agent = data;
+	struct agp_agent *agent = data;
 	g_autofree char *task = g_strdup_printf(
 	    "%s.0.%u.%u", start->job, start->step, start->index);
 	run_start message = {
@@ -135,25 +125,25 @@
 	};
 
 	(void)ctx;
-	return wlk_start(agent->link, &message, start->spec);
+	return wlk_start(agp_link(agent), &message, start->spec);
 }
 
 static void
 flush_agent(void *data, void *ctx)
 {
-	struct agent *agent = data;
+	struct agp_agent *agent = data;
 
 	(void)ctx;
-	wlk_flush(agent->link);
+	wlk_flush(agp_link(agent));
 }
 
 static void
 cancel_task(void *data, uint64_t seq, void *ctx)
 {
-	struct agent *agent = data;
+	struct agp_agent *agent = data;
 
 	(void)ctx;
-	wlk_cancel(agent->link, seq);
+	wlk_cancel(agp_link(agent), seq);
 }
 
 static enum je_result
@@ -229,39 +219,6 @@
 	args->out.out_val = je->out_names;
 }
 
-static struct agent *
-find_agent(struct je *je, const struct wlk *link)
-{
-	return g_hash_table_lookup(je->agents, wlk_address(link));
-}
-
-static void
-on_worker(struct wlk *link, const struct run_worker_args *args, void *ctx)
-{
-	struct je *je = ctx;
-	struct agent *agent = find_agent(je, link);
-	struct wks_description d = {
-	    .name = wlk_address(link),
-	    .incarnation = args->incarnation,
-	    .service = args->service,
-	    .failure_domain = args->failure_domain,
-	    .labels = (const char *const *)args->labels.labels_val,
-	    .n_labels = args->labels.labels_len,
-	    .capacity = {args->capacity.cpu_milli, args->capacity.memory_mb,
-		args->capacity.gpus},
-	    .draining = args->draining,
-	    .local =
-		g_strcmp0(args->failure_domain, je->opts.failure_domain) == 0,
-	};
-
-	evt_write("agent",
-	    "\"agent\":\"%s\",\"incarnation\":%" G_GUINT64_FORMAT
-	    ",\"service\":\"%s\",\"failure_domain\":\"%s\",\"draining\":%s",
-	    d.name, d.incarnation, d.service, d.failure_domain,
-	    d.draining ? "true" : "false");
-	wks_describe(sch_workers(je->sch), agent->worker, &d);
-}
-
 static void
 count_result(struct je *je, const run_result *result)
 {
@@ -281,7 +238,7 @@
 	    [SCH_NOT_STARTED] = "not_started",
 	    [SCH_LOST] = "lost",
 	    [SCH_STALLED] = "stalled"};
-	struct agent *agent = data;
+	struct agp_agent *agent = data;
 
 	(void)ctx;
 	evt_write("task",
@@ -289,13 +246,13 @@
 	    "%" G_GUINT64_FORMAT
 	    ",\"outcome\":\"%s\",\"reason\":\"%s\",\"failures\":%u,"
 	    "\"max_attempts\":%u,\"sent_ms_ago\":%" G_GINT64_FORMAT,
-	    s->job, s->step, s->index, wlk_address(agent->link), s->seq,
+	    s->job, s->step, s->index, wlk_address(agp_link(agent)), s->seq,
 	    names[s->outcome], s->reason, s->failures, s->max_attempts,
 	    clk_now_ms() - s->sent_ms);
 }
 
 static void
-on_update(struct wlk *link, const struct run_update_args *args, void *ctx)
+on_update(const struct run_update_args *args, void *ctx)
 {
 	static const enum sch_outcome outcomes[] = {[RUN_DONE] = SCH_DONE,
 	    [RUN_FAILED] = SCH_FAILED,
@@ -303,12 +260,8 @@
 	    [RUN_LOST] = SCH_LOST,
 	    [RUN_STALLED] = SCH_STALLED};
 	struct je *je = ctx;
-	struct agent *agent = find_agent(je, link);
-	struct wk_size room = {
-	    args->free.cpu_milli, args->free.memory_mb, args->free.gpus};
 	uint32_t i;
 
-	wks_set_room(agent->worker, &room, args->accepting, clk_now_ms());
 	for (i = 0; i < args->results.results_len; i++) {
 		const run_result *r = &args->results.results_val[i];
 
@@ -319,96 +272,6 @@
 	schedule_placement(je);
 }
 
-static void
-on_link_closed(struct wlk *link, const struct status *why, void *ctx)
-{
-	struct je *je = ctx;
-	struct agent *agent = find_agent(je, link);
-
-	if (agent == NULL)
-		return;
-	evt_write("agent",
-	    "\"agent\":\"%s\",\"state\":\"lost\","
-	    "\"reason\":\"%s\"",
-	    wlk_address(link), why->message);
-	sch_disconnect(je->sch, agent->worker, clk_now_ms());
-}
-
-static void
-agent_free(gpointer data)
-{
-	struct agent *agent = data;
-
-	sch_remove_worker(agent->je->sch, agent->worker, clk_now_ms());
-	wlk_free(agent->link);
-	g_free(agent->name);
-	g_free(agent);
-}
-
-static void
-add_agent(struct je *je, const char *address)
-{
-	struct wlk_options opts = {
-	    .address = address,
-	    .name = je->opts.name,
-	    .incarnation = je->incarnation,
-	    .fill_heartbeat = fill_heartbeat,
-	    .worker = on_worker,
-	    .update = on_update,
-	    .closed = on_link_closed,
-	    .ctx = je,
-	};
-	struct wlk *link = wlk_new(&opts);
-	struct agent *agent;
-
-	if (link == NULL) {
-		evt_write("agent",
-		    "\"state\":\"ignored\","
-		    "\"reason\":\"key without a valid address\"");
-		return;
-	}
-	agent = g_new0(struct agent, 1);
-	agent->je = je;
-	agent->link = link;
-	agent->worker = wks_add(sch_workers(je->sch), agent);
-	agent->name = g_strdup(address);
-	g_hash_table_insert(je->agents, agent->name, agent);
-}
-
-static gboolean
-is_removable(gpointer key, gpointer value, gpointer data)
-{
-	const struct agent *agent = value;
-
-	(void)key;
-	(void)data;
-	return !agent->listed && !wlk_is_open(agent->link);
-}
-
-static void
-on_agents_changed(struct mir *mir, void *ctx)
-{
-	struct je *je = ctx;
-	GHashTableIter iter;
-	gpointer key, value;
-
-	g_hash_table_iter_init(&iter, je->agents);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		((struct agent *)value)->listed = false;
-	g_hash_table_iter_init(&iter, mir_items(mir));
-	while (g_hash_table_iter_next(&iter, &key, NULL)) {
-		const char *address = (char *)key + strlen(ENL_PREFIX);
-		struct agent *agent;
-
-		if (!g_hash_table_contains(je->agents, address))
-			add_agent(je, address);
-		agent = g_hash_table_lookup(je->agents, address);
-		if (agent != NULL)
-			agent->listed = true;
-	}
-	g_hash_table_foreach_remove(je->agents, is_removable, NULL);
-}
-
 static void
 update_routes(struct je *je, GHashTable *items)
 {
@@ -449,8 +312,6 @@
 on_config_changed(struct mir *mir, void *ctx)
 {
 	struct je *je = ctx;
-	GHashTableIter iter;
-	gpointer value;
 
 	update_routes(je, mir_items(mir));
 	update_out_domains(je, mir_items(mir));
@@ -460,24 +321,35 @@
 	    je->routes == NULL ? 0 : rts_version(je->routes), mir_revision(mir),
 	    je->routes == NULL ? 0 : rts_n_queues(je->routes),
 	    g_strv_length(je->out_names));
-	g_hash_table_iter_init(&iter, je->agents);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		wlk_send_heartbeat(((struct agent *)value)->link);
+	agp_domains_changed(je->agents);
 	schedule_placement(je);
 }
 
 static void
-on_store_state(
-    struct mir *mir, bool reachable, const struct status *st, void *ctx)
+log_store_state(
+    const char *copy, bool reachable, const struct status *st, int64_t revision)
 {
-	struct je *je = ctx;
-
 	evt_write("store",
 	    "\"copy\":\"%s\",\"reachable\":%s,\"reason\":\"%s\","
 	    "\"revision\":%" G_GINT64_FORMAT,
-	    mir == je->agents_mirror ? "agents" : "operators",
-	    reachable ? "true" : "false", reachable ? "" : st->message,
-	    mir_revision(mir));
+	    copy, reachable ? "true" : "false", reachable ? "" : st->message,
+	    revision);
+}
+
+static void
+on_store_state(
+    struct mir *mir, bool reachable, const struct status *st, void *ctx)
+{
+	(void)ctx;
+	log_store_state("operators", reachable, st, mir_revision(mir));
+}
+
+static void
+on_agents_store_state(
+    bool reachable, const struct status *st, int64_t revision, void *ctx)
+{
+	(void)ctx;
+	log_store_state("agents", reachable, st, revision);
 }
 
 /*
@@ -489,17 +361,12 @@
 handle_pause(struct je *je)
 {
 	int64_t now_ms = clk_now_ms();
-	GHashTableIter iter;
-	gpointer value;
 
 	if (now_ms - je->tick_ms > ENTRY_PAUSE_MS) {
 		evt_write("pause", "\"ms\":%" G_GINT64_FORMAT ",\"jobs\":%u",
 		    now_ms - je->tick_ms, sch_n_jobs(je->sch));
 		sch_abort_all(je->sch, "entry was paused");
-		g_hash_table_iter_init(&iter, je->agents);
-		while (g_hash_table_iter_next(&iter, NULL, &value))
-			wlk_reconnect(((struct agent *)value)->link,
-			    "process was paused");
+		agp_reconnect(je->agents, "process was paused");
 	}
 	je->tick_ms = now_ms;
 }
@@ -538,24 +405,13 @@
 	je->opts.drained(je->opts.ctx);
 }
 
-static void
-tick_agents(struct je *je)
-{
-	GHashTableIter iter;
-	gpointer agent;
-
-	g_hash_table_iter_init(&iter, je->agents);
-	while (g_hash_table_iter_next(&iter, NULL, &agent))
-		wlk_tick(((struct agent *)agent)->link);
-}
-
 static gboolean
 on_tick(gpointer data)
 {
 	struct je *je = data;
 
 	handle_pause(je);
-	tick_agents(je);
+	agp_tick(je->agents);
 	sch_tick(je->sch, clk_now_ms());
 	*je->open_jobs = sch_n_jobs(je->sch);
 	finish_drain(je);
@@ -592,14 +448,13 @@
 }
 
 static struct mir *
-make_mirror(
-    struct je *je, const char *prefix, void (*changed)(struct mir *, void *))
+make_config_mirror(struct je *je)
 {
 	struct mir_options opts = {
 	    .ks = je->opts.ks,
-	    .prefix = prefix,
+	    .prefix = je->opts.layout->operators_prefix,
 	    .wait_ms = STORE_WATCH_MS,
-	    .changed = changed,
+	    .changed = on_config_changed,
 	    .reachable = on_store_state,
 	    .ctx = je,
 	};
@@ -607,6 +462,28 @@
 	return mir_new(&opts);
 }
 
+static struct agp *
+make_agents(struct je *je)
+{
+	struct agp_options opts = {
+	    .name = je->opts.name,
+	    .failure_domain = je->opts.failure_domain,
+	    .incarnation = je->incarnation,
+	    .ks = je->opts.ks,
+	    .counters = je->opts.counters,
+	    .sch = je->sch,
+	    .n_chosen = je->opts.agent_connections,
+	    .watch_ms = STORE_WATCH_MS,
+	    .is_out = is_domain_out,
+	    .fill_heartbeat = fill_heartbeat,
+	    .update = on_update,
+	    .store_state = on_agents_store_state,
+	    .ctx = je,
+	};
+
+	return agp_new(&opts);
+}
+
 struct je *
 je_new(const struct je_options *opts)
 {
@@ -631,14 +508,11 @@
 	wks_set_out_check(sch_workers(je->sch), is_domain_out, je);
 	je->out_domains = g_hash_table_new(g_str_hash, g_str_equal);
 	je->out_names = g_new0(char *, 1);
-	je->agents =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, agent_free);
 	je->waiters = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, waiter_free);
 	make_counters(je);
-	je->config_mirror =
-	    make_mirror(je, opts->layout->operators_prefix, on_config_changed);
-	je->agents_mirror = make_mirror(je, ENL_PREFIX, on_agents_changed);
+	je->agents = make_agents(je);
+	je->config_mirror = make_config_mirror(je);
 	je->tick_ms = clk_now_ms();
 	je->tick_id = g_timeout_add(JE_TICK_MS, on_tick, je);
 	return je;
@@ -651,11 +525,8 @@
 		return;
 	g_clear_handle_id(&je->tick_id, g_source_remove);
 	g_clear_handle_id(&je->placement_id, g_source_remove);
-	/* Freeing an agent closes its link, whose callback uses the table. */
-	g_hash_table_remove_all(je->agents);
-	g_hash_table_unref(je->agents);
+	agp_free(je->agents);
 	mir_free(je->config_mirror);
-	mir_free(je->agents_mirror);
 	sch_free(je->sch);
 	g_hash_table_unref(je->waiters);
 	g_hash_table_unref(je->out_domains);
@@ -797,6 +668,7 @@
 	waiter = add_waiter(je, job->id, fn, ctx);
 	request.queue = queue;
 	request.waiter = waiter;
+	request.workers_known = agp_want(je->agents, queue->service, job);
 	verdict = sch_submit(je->sch, &request, clk_now_ms());
 	if (verdict == SCH_ACCEPTED) {
 		++*je->accepted;
--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -94,6 +94,7 @@
     JOB_COMMON,
     {"ready_listen", ADDRESS, REQ, J(ready_listen), NULL, 0, 0, 0},
     {"cross_rack_percent", INT64, OPT, J(cross_rack_percent), NULL, 150, 100, 10000},
+    {"agent_connections", UINT32, OPT, J(agent_connections), NULL, 64, 1, 4096},
 };
 
 static const struct field job_agent_fields[] = {
--- a/src/request/sched.c
+++ b/src/request/sched.c
@@ -545,17 +545,40 @@
 	requeue_task(sch, task, reason);
 }
 
+/*
+ * Whether workers with the label that the step requires are about to be
+ * connected.
+ */
+static bool
+is_label_expected(const struct sch *sch, const struct sch_request *request,
+    const struct wk_step *step)
+{
+	size_t i;
+
+	if (step->required_label == NULL || !request->workers_known)
+		return false;
+	for (i = 0; i < wks_count(sch->workers); i++) {
+		if (wks_has_label(
+			wks_get(sch->workers, i), step->required_label))
+			return false;
+	}
+	return true;
+}
+
 /* Checks that the service has a worker for each step. */
 static enum sch_submit_result
-check_workers(const struct sch *sch, const char *service,
-    const struct wk_job *spec, int64_t now_ms)
+check_workers(
+    const struct sch *sch, const struct sch_request *request, int64_t now_ms)
 {
 	bool starting = now_ms - sch->first_ms < STARTUP_GRACE_MS;
+	const struct wk_job *spec = request->job;
 	uint32_t i;
 
 	for (i = 0; i < spec->n_steps; i++) {
-		switch (
-		    wks_check(sch->workers, service, &spec->steps[i], now_ms)) {
+		if (is_label_expected(sch, request, &spec->steps[i]))
+			continue;
+		switch (wks_check(sch->workers, request->queue->service,
+		    &spec->steps[i], now_ms)) {
 		case WKS_USABLE:
 			break;
 		case WKS_TOO_LARGE:
@@ -671,8 +694,7 @@
 	if (request->queue->external_placement)
 		return SCH_UNSUPPORTED;
 	record_first_time(sch, now_ms);
-	verdict =
-	    check_workers(sch, request->queue->service, request->job, now_ms);
+	verdict = check_workers(sch, request, now_ms);
 	if (verdict != SCH_ACCEPTED)
 		return verdict;
 	if (g_hash_table_size(sch->jobs) >= sch->opts.max_jobs)
--- a/src/request/sched.h
+++ b/src/request/sched.h
@@ -91,6 +91,11 @@
 	const struct rts_queue *queue;
 	int64_t deadline_ms;
 	void *waiter;
+	/*
+	 * Workers with the labels that the steps require exist, although none
+	 * may be connected yet.
+	 */
+	bool workers_known;
 	int64_t wait_ms; /* output: expected time until the first start */
 };
 
