Give equal workers tasks in turn

Cause: of several workers that are expected to finish a task at the same time, choose() took the first in the order of the agents' table, which is the same in every entry. All entries with the same reports filled the same worker, while others were empty.

Change: among workers whose cost differs by less than 8% the one with the largest free share is chosen; the search begins at another place in each process.

--- a/src/process/jobentry.c
+++ b/src/process/jobentry.c
@@ -493,6 +493,7 @@
 	    .lost_run_timeout_ms =
 		MAX(opts->lease_ms, ENTRY_SILENCE_MS) + STOP_MARGIN_MS,
 	    .max_jobs = JE_MAX_JOBS,
+	    .scan_offset = g_random_int(),
 	    .start = start_task,
 	    .flush = flush_agent,
 	    .cancel = cancel_task,
--- a/src/request/sched.c
+++ b/src/request/sched.c
@@ -14,6 +14,8 @@
 #define MAX_UNPLACED_TASKS 64
 /* Cost factor of a worker outside the entry's failure domain. */
 #define REMOTE_COST_FACTOR 1.04
+/* Workers whose costs differ by less are held to be equally good. */
+#define SIMILAR_COST 1.08
 /* Added cost of a worker with failure rate 1, in run times of the task. */
 #define FAILURE_COST_RUNS 20.0
 /*
@@ -27,6 +29,12 @@
  */
 #define MAX_USEFUL_OBJECTIVES 3
 
+/* A worker that can take the task being placed. */
+struct candidate {
+	struct wks_worker *w;
+	double cost;
+};
+
 struct sch {
 	struct sch_options opts;
 	struct wks *workers;
@@ -35,6 +43,7 @@
 	GHashTable *unresolved;	  /* set of struct jt_task */
 	GHashTable *queue_speeds; /* queue name to struct spd_queue */
 	GTree *jobs_by_priority;  /* priority to GQueue of struct jt_job */
+	GArray *candidates;	  /* struct candidate, of the last choice */
 	uint64_t next_seq;
 	int64_t first_ms; /* of the first call; taken as the process start */
 	bool waiting;	  /* a task may be ready to be sent */
@@ -74,6 +83,7 @@
 	sch->unresolved = g_hash_table_new(NULL, NULL);
 	sch->queue_speeds =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	sch->candidates = g_array_new(FALSE, FALSE, sizeof(struct candidate));
 	sch->jobs_by_priority =
 	    g_tree_new_full(compare_priorities, NULL, NULL, list_free);
 	return sch;
@@ -89,6 +99,7 @@
 	g_hash_table_unref(sch->unresolved);
 	g_hash_table_unref(sch->jobs);
 	g_tree_unref(sch->jobs_by_priority);
+	g_array_unref(sch->candidates);
 	wks_free(sch->workers);
 	g_hash_table_unref(sch->queue_speeds);
 	g_free(sch);
@@ -237,32 +248,61 @@
 	return w->local ? cost : cost * REMOTE_COST_FACTOR;
 }
 
-static struct wks_worker *
-choose(const struct sch *sch, const struct jt_task *task, int64_t now_ms)
+/* Whether a start of the task can be sent to the worker now. */
+static bool
+can_take(const struct sch *sch, const struct wks_worker *w,
+    const struct jt_task *task, int64_t now_ms)
 {
 	const struct wk_step *step = step_of(task);
+
+	return wks_is_usable(sch->workers, w, task->job->service) &&
+	       wks_could_run(w, step) && wk_fits(&step->size, &w->room) &&
+	       hlt_may_start(&w->health, w->open, now_ms) &&
+	       (step->max_per_worker == 0 || jt_n_sent_to(task->job, task->step,
+						 w) < step->max_per_worker);
+}
+
+/* Share of the worker's processor that is free. */
+static double
+free_share(const struct wks_worker *w)
+{
+	return w->capacity.cpu_milli == 0
+		   ? 0
+		   : (double)w->room.cpu_milli / (double)w->capacity.cpu_milli;
+}
+
+/*
+ * Chooses the worker that is expected to finish the task first.  Among those
+ * with similar expectations it is the one with the largest free share: other
+ * entries choose from the same reports, and would all take the same worker.
+ */
+static struct wks_worker *
+choose(struct sch *sch, const struct jt_task *task, int64_t now_ms)
+{
 	struct wks_worker *best = NULL;
-	double best_cost = INFINITY;
-	size_t i;
+	double best_cost = INFINITY, best_share = -1;
+	size_t i, n = wks_count(sch->workers);
 
-	for (i = 0; i < wks_count(sch->workers); i++) {
-		struct wks_worker *w = wks_get(sch->workers, i);
-		double cost;
+	g_array_set_size(sch->candidates, 0);
+	for (i = 0; i < n; i++) {
+		struct candidate c = {.w = wks_get(sch->workers,
+					  (sch->opts.scan_offset + i) % n)};
 
-		if (!wks_is_usable(sch->workers, w, task->job->service) ||
-		    !wks_could_run(w, step) ||
-		    !wk_fits(&step->size, &w->room) ||
-		    !hlt_may_start(&w->health, w->open, now_ms))
+		if (!can_take(sch, c.w, task, now_ms))
 			continue;
-		if (step->max_per_worker > 0 &&
-		    jt_n_sent_to(task->job, task->step, w) >=
-			step->max_per_worker)
+		c.cost = cost_of(sch, c.w, task, now_ms);
+		best_cost = MIN(best_cost, c.cost);
+		g_array_append_val(sch->candidates, c);
+	}
+	for (i = 0; i < sch->candidates->len; i++) {
+		const struct candidate *c =
+		    &g_array_index(sch->candidates, struct candidate, i);
+
+		if (c->cost > best_cost * SIMILAR_COST ||
+		    free_share(c->w) <= best_share)
 			continue;
-		cost = cost_of(sch, w, task, now_ms);
-		if (cost < best_cost) {
-			best = w;
-			best_cost = cost;
-		}
+		best = c->w;
+		best_share = free_share(c->w);
 	}
 	return best;
 }
