Measure a worker's slowness at its agent

Cause: every entry learned the speed of a worker from its own tasks alone. With 55 entries, each sees about one task of a worker a second, so a worker that turns slow hurts every entry separately before each has noticed.

Change: entries send the run time that any worker of the kind should need; the agent measures its worker against it over the tasks of all entries (slowness) and reports it in UPDATE. An entry's own figure is corrected where the two differ by a factor of more than 1.5.

--- a/src/connection/run.x
+++ b/src/connection/run.x
@@ -35,6 +35,7 @@
 	run_size size;
 	uint32_t priority;	/* 0 first */
 	int64_t expected_ms;	/* run time on this worker */
+	int64_t nominal_ms;	/* run time on any worker of its kind */
 	int64_t start_within_ms;	/* latest start, after receipt */
 };
 
@@ -88,6 +89,7 @@
 	run_size free;		/* negative when starts are queued */
 	bool accepting;		/* whether starts are accepted */
 	uint32_t sessions;	/* entries connected to the agent */
+	uint32_t slowness_permille;	/* run times against nominal, 0: unknown */
 };
 
 program RUN_PROG {
--- a/src/connection/run_xdr.c
+++ b/src/connection/run_xdr.c
@@ -60,6 +60,8 @@
 		return FALSE;
 	if (!xdr_int64_t(xdrs, &objp->expected_ms))
 		return FALSE;
+	if (!xdr_int64_t(xdrs, &objp->nominal_ms))
+		return FALSE;
 	if (!xdr_int64_t(xdrs, &objp->start_within_ms))
 		return FALSE;
 	return TRUE;
@@ -180,5 +182,7 @@
 		return FALSE;
 	if (!xdr_uint32_t(xdrs, &objp->sessions))
 		return FALSE;
+	if (!xdr_uint32_t(xdrs, &objp->slowness_permille))
+		return FALSE;
 	return TRUE;
 }
--- a/src/connection/run_xdr.h
+++ b/src/connection/run_xdr.h
@@ -43,6 +43,7 @@
 	run_size size;
 	uint32_t priority;
 	int64_t expected_ms;
+	int64_t nominal_ms;
 	int64_t start_within_ms;
 };
 typedef struct run_start run_start;
@@ -116,6 +117,7 @@
 	run_size free;
 	bool_t accepting;
 	uint32_t sessions;
+	uint32_t slowness_permille;
 };
 typedef struct run_update_args run_update_args;
 
--- a/src/process/agentpool.c
+++ b/src/process/agentpool.c
@@ -93,6 +93,7 @@
 	    args->free.cpu_milli, args->free.memory_mb, args->free.gpus};
 
 	agent->sessions = args->sessions;
+	agent->worker->speed.reported_permille = args->slowness_permille;
 	wks_set_room(agent->worker, &room, args->accepting, clk_now_ms());
 	pool->opts.update(args, pool->opts.ctx);
 }
--- a/src/process/jobagent.c
+++ b/src/process/jobagent.c
@@ -9,6 +9,7 @@
 #include "process/histogram.h"
 #include "process/jobagent.h"
 #include "request/ledger.h"
+#include "request/slowness.h"
 #include "request/updates.h"
 
 #define JA_TICK_MS	  50
@@ -35,6 +36,8 @@
 	struct ses *ses;
 	struct enl *enlist;
 	GHashTable *outboxes;	 /* session to struct outbox */
+	struct slw slowness;	 /* of the worker */
+	uint64_t slowness_of;	 /* incarnation that it was measured with */
 	struct upd *updates;	 /* when the sessions are sent updates */
 	GHashTable *out_domains; /* failure domains out of service */
 	int64_t out_revision;	 /* store revision of that list */
@@ -145,6 +148,7 @@
 	    .free = size_to_wire(&room),
 	    .accepting = is_accepting(ja, &reason),
 	    .sessions = g_hash_table_size(ja->outboxes),
+	    .slowness_permille = slw_permille(&ja->slowness, clk_now_ms()),
 	};
 	ses_send(ja->ses, session, RUN_UPDATE, (xdrproc_t)xdr_run_update_args,
 	    &args);
@@ -263,6 +267,7 @@
 		    .size = size_from_wire(&s->size),
 		    .priority = s->priority,
 		    .expected_ms = s->expected_ms,
+		    .nominal_ms = s->nominal_ms,
 		    .start_by_ms = now_ms + s->start_within_ms,
 		};
 
@@ -418,6 +423,20 @@
 	    ja->out_revision);
 }
 
+/* A new incarnation of the worker may run on another machine. */
+static void
+measure_worker(struct ja *ja, const struct led_result *result)
+{
+	uint64_t incarnation = hold_incarnation(ja->hold);
+
+	if (ja->slowness_of != incarnation)
+		ja->slowness = (struct slw){0};
+	ja->slowness_of = incarnation;
+	if (result->outcome == LED_DONE || result->outcome == LED_STALLED)
+		slw_measure(&ja->slowness, result->run_ms, result->nominal_ms,
+		    clk_now_ms());
+}
+
 static void
 on_result(const struct led_result *result, void *ctx)
 {
@@ -436,6 +455,7 @@
 	};
 
 	count_result(ja, result);
+	measure_worker(ja, result);
 	if (box != NULL) {
 		message.reason = g_strdup(result->reason);
 		g_array_append_val(box->results, message);
--- a/src/process/jobentry.c
+++ b/src/process/jobentry.c
@@ -121,6 +121,7 @@
 		start->size.gpus},
 	    .priority = start->priority,
 	    .expected_ms = start->expected_ms,
+	    .nominal_ms = start->nominal_ms,
 	    .start_within_ms = start->start_within_ms,
 	};
 
--- a/src/request/ledger.c
+++ b/src/request/ledger.c
@@ -52,6 +52,7 @@
 	uint32_t renumbers;
 	const char *stop_reason; /* why the run is being stopped */
 	int64_t expected_ms;
+	int64_t nominal_ms;
 	int64_t percent;    /* as last reported, -1: never */
 	int64_t changed_ms; /* worker's clock at its last change */
 	int64_t first_ms;   /* worker's clock of the first report */
@@ -147,6 +148,7 @@
 	    .seq = run->seq,
 	    .outcome = outcome,
 	    .run_ms = run_ms,
+	    .nominal_ms = run->nominal_ms,
 	    .reason = reason,
 	    .task = run->task,
 	    .run = run->number,
@@ -203,6 +205,7 @@
 	run->order = led->next_order++;
 	run->start_by_ms = start->start_by_ms;
 	run->expected_ms = start->expected_ms;
+	run->nominal_ms = start->nominal_ms;
 	run->percent = -1;
 	if (!wk_fits(&run->size, &led->capacity)) {
 		report_result(
--- a/src/request/ledger.h
+++ b/src/request/ledger.h
@@ -26,6 +26,7 @@
 	struct wk_size size;
 	uint32_t priority;
 	int64_t expected_ms; /* run time on this worker, 0: unknown */
+	int64_t nominal_ms;  /* run time on any worker of its kind, likewise */
 	int64_t start_by_ms;
 };
 
@@ -42,6 +43,7 @@
 	uint64_t seq;
 	enum led_outcome outcome;
 	int64_t run_ms; /* measured, or projected when stalled; 0: unknown */
+	int64_t nominal_ms;
 	const char *reason;
 	const char *task;
 	int64_t run;
--- a/src/request/sched.c
+++ b/src/request/sched.c
@@ -227,6 +227,17 @@
 	return &task->job->spec->steps[task->step];
 }
 
+/* How much longer a task of the step runs because of the worker's rack. */
+static double
+rack_factor(const struct sch *sch, const struct wks_worker *w,
+    const struct wk_step *step)
+{
+	return step->preferred_rack != NULL &&
+		       !wks_has_label(w, step->preferred_rack)
+		   ? sch->opts.cross_rack_factor
+		   : 1;
+}
+
 /*
  * Expected run time of the task on the worker, raised by its failure rate and
  * by an earlier failure of the task there.
@@ -239,9 +250,7 @@
 	double cost =
 	    spd_run_ms(task->job->speed, &w->speed, w->kind, step->estimate_ms);
 
-	if (step->preferred_rack != NULL &&
-	    !wks_has_label(w, step->preferred_rack))
-		cost *= sch->opts.cross_rack_factor;
+	cost *= rack_factor(sch, w, step);
 	cost *= 1 + FAILURE_COST_RUNS * hlt_failure_rate(&w->health, now_ms);
 	if (jt_has_failed_on(task, w))
 		cost *= 1 + FAILURE_COST_RUNS;
@@ -322,6 +331,18 @@
 	return MAX((int64_t)run_ms, task->projected_ms);
 }
 
+/* Run time that any worker of this one's kind should need. */
+static int64_t
+nominal_ms(const struct sch *sch, const struct jt_task *task,
+    const struct wks_worker *w)
+{
+	const struct wk_step *step = step_of(task);
+	double run_ms =
+	    spd_nominal_ms(task->job->speed, w->kind, step->estimate_ms);
+
+	return (int64_t)(run_ms * rack_factor(sch, w, step));
+}
+
 static bool
 send(
     struct sch *sch, struct jt_task *task, struct wks_worker *w, int64_t now_ms)
@@ -338,6 +359,7 @@
 	    .size = step->size,
 	    .priority = job->priority,
 	    .expected_ms = expected_ms(task, w),
+	    .nominal_ms = nominal_ms(sch, task, w),
 	    .start_within_ms = job->deadline_ms - now_ms,
 	};
 
--- a/src/request/sched.h
+++ b/src/request/sched.h
@@ -52,6 +52,7 @@
 	struct wk_size size;
 	uint32_t priority;
 	int64_t expected_ms; /* run time on this worker */
+	int64_t nominal_ms;  /* run time on any worker of its kind */
 	int64_t start_within_ms;
 };
 
--- a/src/request/speed.c
+++ b/src/request/speed.c
@@ -11,6 +11,13 @@
 #define QUEUE_WEIGHT  (1.0 / 64)
 #define WORKER_WEIGHT (1.0 / 10)
 #define KIND_WEIGHT   (1.0 / 64)
+/*
+ * Differences below a factor of 1.5 between the slowness that an entry and an
+ * agent have measured are held to be noise: the tasks of a job share the error
+ * of their estimate.
+ */
+#define NOISE_LOG 0.4
+#define PERMILLE  1000.0
 /* With this many samples a worker's own speed gets half the weight. */
 #define SPEED_PRIOR_SAMPLES 4.0
 
@@ -24,12 +31,21 @@
 	mean->value += weight * (value - mean->value);
 }
 
+/* Removes a difference that may be noise of the run times. */
+static double
+beyond_noise(double difference)
+{
+	if (fabs(difference) <= NOISE_LOG)
+		return 0;
+	return difference > 0 ? difference - NOISE_LOG : difference + NOISE_LOG;
+}
+
 /*
  * Mean of the worker's own slowness and that of its kind, weighted by the
  * number of its samples.  A worker without samples is as slow as its kind.
  */
 static double
-log_slowness(const struct spd_worker *worker, const struct spd_worker *kind)
+own_log_slowness(const struct spd_worker *worker, const struct spd_worker *kind)
 {
 	double n = worker->log_slowness.samples;
 	double own = n / (n + SPEED_PRIOR_SAMPLES);
@@ -38,6 +54,24 @@
 	       (1 - own) * kind->log_slowness.value;
 }
 
+/*
+ * The entry's own samples tell workers apart in the long run.  The agent sees
+ * the runs of all entries and so is first to notice a worker that turns slow or
+ * recovers; its figure corrects the entry's when they differ by much.
+ */
+static double
+log_slowness(const struct spd_worker *worker, const struct spd_worker *kind)
+{
+	double own = own_log_slowness(worker, kind);
+	double reported;
+
+	if (worker->reported_permille == 0)
+		return own;
+	reported = kind->log_slowness.value +
+		   log(worker->reported_permille / PERMILLE);
+	return own + beyond_noise(reported - own);
+}
+
 static double
 estimate_or_default_ms(int64_t estimate_ms)
 {
@@ -71,6 +105,14 @@
 	return exp(queue->log_ratio.value);
 }
 
+double
+spd_nominal_ms(const struct spd_queue *queue, const struct spd_worker *kind,
+    int64_t estimate_ms)
+{
+	return estimate_or_default_ms(estimate_ms) *
+	       exp(queue->log_ratio.value + kind->log_slowness.value);
+}
+
 /* Expected run time of a task on a worker. */
 double
 spd_run_ms(const struct spd_queue *queue, const struct spd_worker *worker,
--- a/src/request/speed.h
+++ b/src/request/speed.h
@@ -21,12 +21,20 @@
 /* Of a worker, or of a kind: all workers that have the same first label. */
 struct spd_worker {
 	struct spd_mean log_slowness;
+	/*
+	 * Run time in thousandths of that of its kind, as the worker's agent
+	 * has measured it with the runs of all entries; 0: unknown.
+	 */
+	uint32_t reported_permille;
 };
 
 void spd_measure(struct spd_queue *queue, struct spd_worker *worker,
     struct spd_worker *kind, int64_t run_ms, int64_t estimate_ms);
 /* Expected run time over estimate, on a worker of average speed. */
 double spd_queue_ratio(const struct spd_queue *queue);
+/* Expected run time on any worker of the kind. */
+double spd_nominal_ms(const struct spd_queue *queue,
+    const struct spd_worker *kind, int64_t estimate_ms);
 double spd_run_ms(const struct spd_queue *queue,
     const struct spd_worker *worker, const struct spd_worker *kind,
     int64_t estimate_ms);
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -275,6 +275,9 @@
 		g_hash_table_add(t->out, g_strdup(w[1]));
 	else if (strcmp(w[0], "in") == 0)
 		g_hash_table_remove(t->out, w[1]);
+	else if (strcmp(w[0], "slow") == 0)
+		find(t, w[1])->worker->speed.reported_permille =
+		    (uint32_t)number(w[2]);
 	else if (strcmp(w[0], "job") == 0)
 		job(t, w);
 	else if (strcmp(w[0], "run") == 0)
