Fetch many registrations with one watch

Cause: every registration of an agent answered the waiting watch of every entry, and an agent wrote its key twice, once without a worker.

Change: after a change the mirror of the registrations waits 250 to 500 ms before it watches again; an agent writes its key when it knows its worker.

--- a/src/process/agentpool.c
+++ b/src/process/agentpool.c
@@ -12,6 +12,11 @@
 #define CHOOSE_INTERVAL_MS 200
 /* Delay of the choice after a change, so that one covers several. */
 #define CHOOSE_DELAY_MS 50
+/*
+ * Pause between watches of the registrations while they change, so that one
+ * answer holds many of them.  A new agent is known within it.
+ */
+#define WATCH_PAUSE_MS 500
 /* Interval at which the number of chosen agents is adapted. */
 #define ADAPT_INTERVAL_MS 1000
 /* New links a choice makes; more wait for the next one. */
@@ -350,6 +355,7 @@
 	    .ks = opts->ks,
 	    .prefix = ENL_PREFIX,
 	    .wait_ms = opts->watch_ms,
+	    .pause_ms = WATCH_PAUSE_MS,
 	    .changed = on_agents_changed,
 	    .reachable = on_store_state,
 	    .ctx = pool,
--- a/src/process/enlist.c
+++ b/src/process/enlist.c
@@ -156,7 +156,6 @@
 on_read(const struct status *st, const struct ks_page *page, void *ctx)
 {
 	struct enl *enl = ctx;
-	bool found = false;
 	size_t i;
 
 	if (st->code != ST_OK) {
@@ -167,11 +166,8 @@
 	for (i = 0; i < page->n_items; i++) {
 		if (strcmp(page->items[i].key, enl->key) != 0)
 			continue;
-		found = true;
 		recall(enl, &page->items[i]);
 	}
-	if (!found)
-		enl->dirty = true;
 	sync_registration(enl);
 }
 
--- a/src/version/mirror.c
+++ b/src/version/mirror.c
@@ -75,22 +75,28 @@
 }
 
 /*
- * Half of the delay is random, so that processes do not all reconnect at the
- * same time.
+ * Half of the delay is random, so that processes do not all call the store at
+ * the same time.
  */
 static void
-schedule_retry(struct mir *mir, const struct status *st)
+call_later(struct mir *mir, int64_t delay_ms)
 {
-	int64_t pause_ms;
+	int64_t half_ms = delay_ms / 2;
+
+	mir->retry_id = g_timeout_add(
+	    (guint)(half_ms + g_random_int_range(0, (gint32)half_ms + 1)),
+	    on_retry, mir);
+}
 
+static void
+schedule_retry(struct mir *mir, const struct status *st)
+{
 	if (mir->reachable && mir->opts.reachable != NULL)
 		mir->opts.reachable(mir, false, st, mir->opts.ctx);
 	mir->reachable = false;
 	mir->backoff_ms =
 	    CLAMP(mir->backoff_ms * 2, BACKOFF_MIN_MS, BACKOFF_MAX_MS);
-	pause_ms = mir->backoff_ms / 2 +
-		   g_random_int_range(0, (gint32)(mir->backoff_ms / 2) + 1);
-	mir->retry_id = g_timeout_add((guint)pause_ms, on_retry, mir);
+	call_later(mir, mir->backoff_ms);
 }
 
 static void
@@ -240,7 +246,10 @@
 	mir->revision = MAX(mir->revision, page->as_of);
 	if (changed)
 		mir->opts.changed(mir, mir->opts.ctx);
-	start_next_call(mir);
+	if (changed && mir->opts.pause_ms > 0)
+		call_later(mir, mir->opts.pause_ms);
+	else
+		start_next_call(mir);
 }
 
 /*
--- a/src/version/mirror.h
+++ b/src/version/mirror.h
@@ -29,6 +29,11 @@
 	 * watch fails and the next one uses another connection.
 	 */
 	int64_t wait_ms;
+	/*
+	 * Pause before the watch that follows a change, so that one call
+	 * fetches the changes of many keys; half of it is random.  0: none.
+	 */
+	int64_t pause_ms;
 	/*
 	 * Runs when the copy is complete for the first time, and after each
 	 * change.
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -63,37 +63,53 @@
 	record(t, "changed");
 }
 
-static void *
-start(void)
+static void
+make_mirror(struct trace *t, int64_t pause_ms)
 {
-	struct trace *t = g_new0(struct trace, 1);
 	struct mir_options opts = {
 	    .ks = &t->ks,
 	    .prefix = "op/",
 	    .wait_ms = 1000,
+	    .pause_ms = pause_ms,
 	    .changed = on_changed,
 	    .ctx = t,
 	};
 
-	t->ks = (struct ks){.store = t, .list = on_list, .watch = on_watch};
 	t->mir = mir_new(&opts);
+}
+
+static void *
+start(void)
+{
+	struct trace *t = g_new0(struct trace, 1);
+
+	t->ks = (struct ks){.store = t, .list = on_list, .watch = on_watch};
+	make_mirror(t, 0);
 	return t;
 }
 
 static void
-end(void *ctx)
+free_mirror(struct trace *t)
 {
-	struct trace *t = ctx;
 	struct status st = {.code = ST_UNAVAILABLE};
 	ks_page_fn fn = t->fn;
 
-	t->actual = NULL;
+	t->fn = NULL;
 	mir_free(t->mir);
 	/*
 	 * The callback of a call in progress runs after the mirror was freed.
 	 */
 	if (fn != NULL)
 		fn(&st, NULL, t->ctx);
+}
+
+static void
+end(void *ctx)
+{
+	struct trace *t = ctx;
+
+	t->actual = NULL;
+	free_mirror(t);
 	g_free(t);
 }
 
@@ -161,6 +177,9 @@
 	else if (strcmp(w[0], "retry") == 0) {
 		while (t->fn == NULL)
 			g_main_context_iteration(NULL, TRUE);
+	} else if (strcmp(w[0], "pause") == 0) {
+		free_mirror(t);
+		make_mirror(t, strtoll(w[1], NULL, 10));
 	} else if (strcmp(w[0], "get") == 0) {
 		item = mir_get(t->mir, w[1]);
 		if (item == NULL)
