Write events as typed fields

Cause: a line of the log was put together with printf at every call, so that a quote, a control byte or invalid UTF-8 in a reason, a name or a path broke the line, and a search for the job missed it.

Change: evt_write() takes typed fields and json-c writes the line; bytes that are not UTF-8 are replaced.

--- a/src/connection/holder.c
+++ b/src/connection/holder.c
@@ -150,11 +150,9 @@
 	if (ready == hold->was_ready)
 		return;
 	hold->was_ready = ready;
-	evt_write("worker",
-	    "\"instance\":\"%s\",\"ready\":%s,"
-	    "\"answer_age_ms\":%" G_GINT64_FORMAT,
-	    hold->instance, ready ? "true" : "false",
-	    clk_now_ms() - hold->answered_ms);
+	evt_write("worker", evt_text("instance", hold->instance),
+	    evt_bool("ready", ready),
+	    evt_int("answer_age_ms", clk_now_ms() - hold->answered_ms));
 	hold->opts.changed(hold->opts.ctx);
 }
 
@@ -256,8 +254,8 @@
 	if (report->n_running == 0)
 		hold->phase = READY;
 	else
-		evt_write("clear", "\"instance\":\"%s\",\"runs\":%zu",
-		    hold->instance, report->n_running);
+		evt_write("clear", evt_text("instance", hold->instance),
+		    evt_int("runs", report->n_running));
 }
 
 /*
@@ -417,10 +415,10 @@
 		raise_token(hold);
 		hold->lost_reason = "worker was replaced";
 	}
-	evt_write("worker",
-	    "\"instance\":\"%s\",\"born_ms\":%" G_GUINT64_FORMAT
-	    ",\"address\":\"%s\",\"state\":\"registered\"",
-	    hold->instance, hold->born_ms, hold->address);
+	evt_write("worker", evt_text("instance", hold->instance),
+	    evt_uint("born_ms", hold->born_ms),
+	    evt_text("address", hold->address),
+	    evt_text("state", "registered"));
 	hold->opts.changed(hold->opts.ctx);
 	poll_worker(hold);
 }
@@ -452,8 +450,8 @@
 	hold->was_ready = false;
 	g_clear_handle_id(&hold->poll_id, g_source_remove);
 	report_runs_lost(hold, "worker left");
-	evt_write(
-	    "worker", "\"instance\":\"%s\",\"state\":\"left\"", hold->instance);
+	evt_write("worker", evt_text("instance", hold->instance),
+	    evt_text("state", "left"));
 	hold->opts.changed(hold->opts.ctx);
 }
 
--- a/src/connection/worklink.c
+++ b/src/connection/worklink.c
@@ -170,12 +170,12 @@
 
 	if (setsockopt(g_socket_get_fd(socket), SOL_SOCKET, SO_LINGER,
 		&abort_at_close, sizeof(abort_at_close)) < 0)
-		evt_write(
-		    "agent", "\"reason\":\"SO_LINGER: %s\"", g_strerror(errno));
+		evt_write("agent", evt_text("option", "SO_LINGER"),
+		    evt_text("reason", g_strerror(errno)));
 	if (!g_socket_set_option(
 		socket, IPPROTO_TCP, TCP_USER_TIMEOUT, INPUT_TIMEOUT_MS, NULL))
-		evt_write("agent", "\"reason\":\"TCP_USER_TIMEOUT: %s\"",
-		    g_strerror(errno));
+		evt_write("agent", evt_text("option", "TCP_USER_TIMEOUT"),
+		    evt_text("reason", g_strerror(errno)));
 }
 
 static void
--- a/src/process/agentpool.c
+++ b/src/process/agentpool.c
@@ -80,11 +80,11 @@
 		g_strcmp0(args->failure_domain, pool->opts.failure_domain) == 0,
 	};
 
-	evt_write("agent",
-	    "\"agent\":\"%s\",\"incarnation\":%" G_GUINT64_FORMAT
-	    ",\"service\":\"%s\",\"failure_domain\":\"%s\",\"draining\":%s",
-	    d.name, d.incarnation, d.service, d.failure_domain,
-	    d.draining ? "true" : "false");
+	evt_write("agent", evt_text("agent", d.name),
+	    evt_uint("incarnation", d.incarnation),
+	    evt_text("service", d.service),
+	    evt_text("failure_domain", d.failure_domain),
+	    evt_bool("draining", d.draining));
 	agent->connected = true;
 	wks_describe(sch_workers(pool->opts.sch), agent->worker, &d);
 }
@@ -111,9 +111,8 @@
 
 	if (agent == NULL)
 		return;
-	evt_write("agent",
-	    "\"agent\":\"%s\",\"state\":\"lost\",\"reason\":\"%s\"",
-	    wlk_address(link), why->message);
+	evt_write("agent", evt_text("agent", wlk_address(link)),
+	    evt_text("state", "lost"), evt_text("reason", why->message));
 	agent->connected = false;
 	sch_disconnect(pool->opts.sch, agent->worker, clk_now_ms());
 }
@@ -154,9 +153,8 @@
 	struct agp_agent *agent;
 
 	if (link == NULL) {
-		evt_write("agent",
-		    "\"state\":\"ignored\","
-		    "\"reason\":\"key without a valid address\"");
+		evt_write("agent", evt_text("state", "ignored"),
+		    evt_text("reason", "key without a valid address"));
 		return;
 	}
 	agent = g_new0(struct agp_agent, 1);
--- a/src/process/enlist.c
+++ b/src/process/enlist.c
@@ -33,8 +33,8 @@
 static void
 retry_later(struct enl *enl, const struct status *st)
 {
-	evt_write(
-	    "enlist", "\"state\":\"failed\",\"reason\":\"%s\"", st->message);
+	evt_write("enlist", evt_text("state", "failed"),
+	    evt_text("reason", st->message));
 	if (enl->retry_id == 0)
 		enl->retry_id =
 		    g_timeout_add(ENL_RETRY_MS + (guint)g_random_int_range(
@@ -53,7 +53,7 @@
 		retry_later(enl, st);
 		return;
 	}
-	evt_write("enlist", "\"state\":\"written\"");
+	evt_write("enlist", evt_text("state", "written"));
 	sync_registration(enl);
 }
 
--- a/src/process/events.c
+++ b/src/process/events.c
@@ -1,9 +1,8 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <glib.h>
-#include <stdarg.h>
+#include <json-c/json.h>
 #include <stdbool.h>
-#include <stdio.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -88,41 +87,82 @@
 		log_state.dropped++;
 }
 
+/* Bytes that are not UTF-8 are replaced, since JSON can't hold them. */
+static struct json_object *
+text_value(const char *text)
+{
+	g_autofree char *valid =
+	    g_utf8_make_valid(text == NULL ? "" : text, -1);
+
+	return json_object_new_string(valid);
+}
+
+static struct json_object *
+value_of(const struct evt_field *field)
+{
+	switch (field->type) {
+	case EVT_TEXT:
+		return text_value(field->text);
+	case EVT_INT:
+		return json_object_new_int64(field->number);
+	case EVT_UINT:
+		return json_object_new_uint64(field->unsigned_number);
+	case EVT_BOOL:
+		return json_object_new_boolean(field->flag);
+	}
+	return NULL;
+}
+
+static struct json_object *
+make_line(const char *event, uint64_t n_suppressed,
+    const struct evt_field *fields, size_t n_fields)
+{
+	struct json_object *line = json_object_new_object();
+	size_t i;
+
+	json_object_object_add(
+	    line, "ms", json_object_new_int64(clk_wall_ms()));
+	json_object_object_add(line, "role", text_value(log_state.opts.role));
+	json_object_object_add(line, "node", text_value(log_state.node));
+	json_object_object_add(line, "event", text_value(event));
+	json_object_object_add(
+	    line, "left_out", json_object_new_uint64(n_suppressed));
+	for (i = 0; i < n_fields; i++)
+		json_object_object_add(
+		    line, fields[i].name, value_of(&fields[i]));
+	return line;
+}
+
 void
-evt_write(const char *event, const char *fields, ...)
+evt_write_fields(
+    const char *event, const struct evt_field *fields, size_t n_fields)
 {
-	char line[EVENT_MAX_BYTES];
-	int64_t now_ms = clk_now_ms();
+	struct json_object *line;
 	struct event_rate *rate;
-	va_list ap;
-	int n, fields_len;
+	g_autofree char *text = NULL;
+	size_t len;
 
 	if (!log_state.open)
 		return;
-	rate = current_rate(event, now_ms);
+	rate = current_rate(event, clk_now_ms());
 	if (rate->lines >= log_state.opts.lines_per_s) {
 		rate->n_suppressed++;
 		log_state.suppressed++;
 		return;
 	}
 	rate->lines++;
-	n = snprintf(line, sizeof(line),
-	    "{\"ms\":%" G_GINT64_FORMAT ",\"role\":\"%s\",\"node\":\"%s\","
-	    "\"event\":\"%s\",\"left_out\":%" G_GUINT64_FORMAT ",",
-	    clk_wall_ms(), log_state.opts.role, log_state.node, event,
-	    rate->n_suppressed);
+	line = make_line(event, rate->n_suppressed, fields, n_fields);
 	rate->n_suppressed = 0;
-	va_start(ap, fields);
-	fields_len = vsnprintf(line + n, sizeof(line) - (size_t)n, fields, ap);
-	va_end(ap);
-	n += fields_len;
-	if (fields_len < 0 || n + 3 > (int)sizeof(line)) {
+	text = g_strconcat(
+	    json_object_to_json_string_ext(
+		line, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE),
+	    "\n", NULL);
+	json_object_put(line);
+	len = strlen(text);
+	if (len > EVENT_MAX_BYTES)
 		log_state.dropped++;
-		return;
-	}
-	line[n++] = '}';
-	line[n++] = '\n';
-	write_line(line, (size_t)n);
+	else
+		write_line(text, len);
 }
 
 uint64_t
--- a/src/process/jobagent.c
+++ b/src/process/jobagent.c
@@ -219,10 +219,8 @@
 	struct ja *ja = ctx;
 	struct outbox *box = g_new0(struct outbox, 1);
 
-	evt_write("entry",
-	    "\"entry\":\"%s\",\"session\":%" G_GUINT64_FORMAT
-	    ",\"state\":\"connected\"",
-	    entry, session);
+	evt_write("entry", evt_text("entry", entry),
+	    evt_uint("session", session), evt_text("state", "connected"));
 	box->results = g_array_new(FALSE, FALSE, sizeof(run_result));
 	g_array_set_clear_func(box->results, result_clear);
 	box->worker_due = true;
@@ -237,10 +235,8 @@
 {
 	struct ja *ja = ctx;
 
-	evt_write("entry",
-	    "\"session\":%" G_GUINT64_FORMAT
-	    ",\"state\":\"lost\",\"reason\":\"%s\"",
-	    session, why->message);
+	evt_write("entry", evt_uint("session", session),
+	    evt_text("state", "lost"), evt_text("reason", why->message));
 	++*ja->sessions_lost;
 	led_end_session(ja->led, session, clk_now_ms());
 	g_hash_table_remove(ja->outboxes, &session);
@@ -371,8 +367,7 @@
 	if (ja->calls_disabled)
 		return;
 	++*ja->starts;
-	evt_write(
-	    "run", "\"task\":\"%s\",\"run\":%" G_GINT64_FORMAT, task, run);
+	evt_write("run", evt_text("task", task), evt_int("run", run));
 	hold_start(ja->hold, task, spec, run, on_started, run_context(ja, run));
 }
 
@@ -383,8 +378,7 @@
 
 	if (ja->calls_disabled)
 		return;
-	evt_write(
-	    "stop", "\"task\":\"%s\",\"run\":%" G_GINT64_FORMAT, task, run);
+	evt_write("stop", evt_text("task", task), evt_int("run", run));
 	hold_stop(ja->hold, task, run, on_stopped, run_context(ja, run));
 }
 
@@ -415,12 +409,10 @@
 		hst_add(ja->run_times, result->run_ms);
 		return;
 	}
-	evt_write(names[result->outcome],
-	    "\"task\":\"%s\",\"run\":%" G_GINT64_FORMAT
-	    ",\"run_ms\":%" G_GINT64_FORMAT ",\"reason\":\"%s\","
-	    "\"out_revision\":%" G_GINT64_FORMAT,
-	    result->task, result->run, result->run_ms, result->reason,
-	    ja->out_revision);
+	evt_write(names[result->outcome], evt_text("task", result->task),
+	    evt_int("run", result->run), evt_int("run_ms", result->run_ms),
+	    evt_text("reason", result->reason),
+	    evt_int("out_revision", ja->out_revision));
 }
 
 /* A new incarnation of the worker may run on another machine. */
@@ -621,8 +613,8 @@
 {
 	struct ja *ja = ctx;
 
-	evt_write("worker", "\"instance\":\"%s\",\"state\":\"recalled\"",
-	    worker->instance);
+	evt_write("worker", evt_text("instance", worker->instance),
+	    evt_text("state", "recalled"));
 	apply_worker(ja, worker);
 }
 
--- a/src/process/jobentry.c
+++ b/src/process/jobentry.c
@@ -203,10 +203,11 @@
 	if (end == SCH_COMPLETED)
 		hst_add(je->job_times, clk_now_ms() - waiter->submitted_ms);
 	evt_write(end == SCH_COMPLETED ? "job" : "job_unserved",
-	    "\"job\":\"%s\",\"end\":\"%s\",\"reason\":\"%s\","
-	    "\"ms_held\":%" G_GINT64_FORMAT ",\"config\":%" G_GINT64_FORMAT,
-	    job, job_end_name(end), reason, clk_now_ms() - waiter->submitted_ms,
-	    je->routes == NULL ? 0 : rts_version(je->routes));
+	    evt_text("job", job), evt_text("end", job_end_name(end)),
+	    evt_text("reason", reason),
+	    evt_int("ms_held", clk_now_ms() - waiter->submitted_ms),
+	    evt_int(
+		"config", je->routes == NULL ? 0 : rts_version(je->routes)));
 	answer_waiter(je, waiter, &a);
 }
 
@@ -240,16 +241,16 @@
 	    [SCH_LOST] = "lost",
 	    [SCH_STALLED] = "stalled"};
 	struct agp_agent *agent = data;
+	g_autofree char *task =
+	    g_strdup_printf("%s.0.%u.%u", s->job, s->step, s->index);
 
 	(void)ctx;
-	evt_write("task",
-	    "\"task\":\"%s.0.%u.%u\",\"agent\":\"%s\",\"seq\":"
-	    "%" G_GUINT64_FORMAT
-	    ",\"outcome\":\"%s\",\"reason\":\"%s\",\"failures\":%u,"
-	    "\"max_attempts\":%u,\"sent_ms_ago\":%" G_GINT64_FORMAT,
-	    s->job, s->step, s->index, wlk_address(agp_link(agent)), s->seq,
-	    names[s->outcome], s->reason, s->failures, s->max_attempts,
-	    clk_now_ms() - s->sent_ms);
+	evt_write("task", evt_text("task", task),
+	    evt_text("agent", wlk_address(agp_link(agent))),
+	    evt_uint("seq", s->seq), evt_text("outcome", names[s->outcome]),
+	    evt_text("reason", s->reason), evt_int("failures", s->failures),
+	    evt_int("max_attempts", s->max_attempts),
+	    evt_int("sent_ms_ago", clk_now_ms() - s->sent_ms));
 }
 
 static void
@@ -281,8 +282,8 @@
 	bool first;
 
 	if (routes == NULL) {
-		evt_write("config", "\"state\":\"ignored\",\"reason\":\"%s\"",
-		    st.message);
+		evt_write("config", evt_text("state", "ignored"),
+		    evt_text("reason", st.message));
 		return;
 	}
 	if (je->routes != NULL &&
@@ -317,11 +318,12 @@
 	update_routes(je, mir_items(mir));
 	update_out_domains(je, mir_items(mir));
 	evt_write("config",
-	    "\"version\":%" G_GINT64_FORMAT ",\"revision\":%" G_GINT64_FORMAT
-	    ",\"queues\":%zu,\"out\":%u",
-	    je->routes == NULL ? 0 : rts_version(je->routes), mir_revision(mir),
-	    je->routes == NULL ? 0 : rts_n_queues(je->routes),
-	    g_strv_length(je->out_names));
+	    evt_int(
+		"version", je->routes == NULL ? 0 : rts_version(je->routes)),
+	    evt_int("revision", mir_revision(mir)),
+	    evt_int(
+		"queues", je->routes == NULL ? 0 : rts_n_queues(je->routes)),
+	    evt_int("out", g_strv_length(je->out_names)));
 	agp_domains_changed(je->agents);
 	schedule_placement(je);
 }
@@ -330,11 +332,10 @@
 log_store_state(
     const char *copy, bool reachable, const struct status *st, int64_t revision)
 {
-	evt_write("store",
-	    "\"copy\":\"%s\",\"reachable\":%s,\"reason\":\"%s\","
-	    "\"revision\":%" G_GINT64_FORMAT,
-	    copy, reachable ? "true" : "false", reachable ? "" : st->message,
-	    revision);
+	evt_write("store", evt_text("copy", copy),
+	    evt_bool("reachable", reachable),
+	    evt_text("reason", reachable ? "" : st->message),
+	    evt_int("revision", revision));
 }
 
 static void
@@ -364,8 +365,8 @@
 	int64_t now_ms = clk_now_ms();
 
 	if (now_ms - je->tick_ms > ENTRY_PAUSE_MS) {
-		evt_write("pause", "\"ms\":%" G_GINT64_FORMAT ",\"jobs\":%u",
-		    now_ms - je->tick_ms, sch_n_jobs(je->sch));
+		evt_write("pause", evt_int("paused_ms", now_ms - je->tick_ms),
+		    evt_int("jobs", sch_n_jobs(je->sch)));
 		sch_abort_all(je->sch, "entry was paused");
 		agp_reconnect(je->agents, "process was paused");
 	}
@@ -574,7 +575,8 @@
 	const struct rts_queue *queue;
 
 	if (je->routes == NULL) {
-		evt_write("refusal", "\"reason\":\"no configuration yet\"");
+		evt_write(
+		    "refusal", evt_text("reason", "no configuration yet"));
 		answer_now(fn, ctx, JE_NOT_READY, "no configuration yet",
 		    RETRY_AFTER_MIN_MS);
 		return NULL;
@@ -598,12 +600,12 @@
 	bool overloaded = verdict == SCH_OVERLOADED || verdict == SCH_BACKLOG;
 
 	++*je->refused;
-	evt_write("refusal",
-	    "\"job\":\"%s\",\"queue\":\"%s\",\"reason\":\"%s\","
-	    "\"wait_ms\":%" G_GINT64_FORMAT
-	    ",\"jobs\":%u,\"config\":%" G_GINT64_FORMAT,
-	    request->job->id, request->queue->name, reasons[verdict],
-	    request->wait_ms, sch_n_jobs(je->sch), rts_version(je->routes));
+	evt_write("refusal", evt_text("job", request->job->id),
+	    evt_text("queue", request->queue->name),
+	    evt_text("reason", reasons[verdict]),
+	    evt_int("wait_ms", request->wait_ms),
+	    evt_int("jobs", sch_n_jobs(je->sch)),
+	    evt_int("config", rts_version(je->routes)));
 	answer_now(fn, ctx, overloaded ? JE_OVERLOADED : JE_REFUSED,
 	    reasons[verdict], MAX(RETRY_AFTER_MIN_MS, request->wait_ms));
 }
@@ -634,7 +636,7 @@
 	struct je_answer a = {
 	    .result = JE_ABORTED, .reason = "the job was sent again"};
 
-	evt_write("resend", "\"job\":\"%s\"", job);
+	evt_write("resend", evt_text("job", job));
 	if (former != NULL)
 		answer_waiter(je, former, &a);
 	return waiter->ticket;
@@ -674,9 +676,9 @@
 	verdict = sch_submit(je->sch, &request, clk_now_ms());
 	if (verdict == SCH_ACCEPTED) {
 		++*je->accepted;
-		evt_write("accepted",
-		    "\"job\":\"%s\",\"queue\":\"%s\",\"jobs\":%u", job->id,
-		    queue->name, sch_n_jobs(je->sch));
+		evt_write("accepted", evt_text("job", job->id),
+		    evt_text("queue", queue->name),
+		    evt_int("jobs", sch_n_jobs(je->sch)));
 		schedule_placement(je);
 		return waiter->ticket;
 	}
@@ -693,13 +695,12 @@
 
 	if (!sch_progress(je->sch, waiter->job, &at))
 		return;
-	evt_write("abandoned",
-	    "\"job\":\"%s\",\"ms_held\":%" G_GINT64_FORMAT
-	    ",\"queue\":\"%s\",\"tasks\":%u,\"ready\":%u,\"sent\":%u,"
-	    "\"unresolved\":%u,\"done\":%u,\"jobs\":%u",
-	    waiter->job, clk_now_ms() - waiter->submitted_ms, at.queue,
-	    at.n_tasks, at.n_ready, at.n_sent, at.n_unresolved, at.n_done,
-	    sch_n_jobs(je->sch));
+	evt_write("abandoned", evt_text("job", waiter->job),
+	    evt_int("ms_held", clk_now_ms() - waiter->submitted_ms),
+	    evt_text("queue", at.queue), evt_int("tasks", at.n_tasks),
+	    evt_int("ready", at.n_ready), evt_int("sent", at.n_sent),
+	    evt_int("unresolved", at.n_unresolved), evt_int("done", at.n_done),
+	    evt_int("jobs", sch_n_jobs(je->sch)));
 }
 
 void
@@ -718,7 +719,7 @@
 je_record_gone(struct je *je, const char *job)
 {
 	++*je->gone;
-	evt_write("gone", "\"job\":\"%s\"", job);
+	evt_write("gone", evt_text("job", job));
 }
 
 void
