Forget a worker that has left

The agent was started again 6 s later, read the key and adopted the worker that had gone. No task was sent to it, since a worker gets none before it has answered.

--- a/src/process/enlist.c
+++ b/src/process/enlist.c
@@ -8,11 +8,16 @@
 /* Delay before a failed store call is retried, plus up to half of it. */
 #define ENL_RETRY_MS 300
 
+/* Registration without a worker. */
+#define NO_WORKER "{}"
+
 struct enl {
 	struct enl_options opts;
 	char *key;
-	char *text; /* JSON that the registration should hold */
-	bool read;  /* the registration was read once */
+	char *text;	/* JSON that the registration should hold */
+	char *instance; /* of the worker in text, NULL: none */
+	char *left;	/* instance that left last, NULL: none */
+	bool read;	/* the registration was read once */
 	bool writing;
 	bool dirty; /* another write of text is needed */
 	guint retry_id;
@@ -131,22 +136,34 @@
 }
 
 static void
-pass_on_recalled(const struct wp_worker *worker, void *ctx)
+set_instance(struct enl *enl, const char *instance)
+{
+	g_free(enl->instance);
+	enl->instance = g_strdup(instance);
+}
+
+static void
+recall(const struct wp_worker *worker, void *ctx)
 {
 	struct enl *enl = ctx;
 
+	if (g_strcmp0(worker->instance, enl->left) == 0) {
+		enl->dirty = true;
+		return;
+	}
+	set_instance(enl, worker->instance);
 	enl->opts.recalled(worker, enl->opts.ctx);
 }
 
 /*
  * Passes on the worker that an earlier process registered, unless a heartbeat
- * has described the worker meanwhile.
+ * has described the worker meanwhile, or that worker has left.
  */
 static void
-recall(struct enl *enl, const struct ks_item *item)
+recall_item(struct enl *enl, const struct ks_item *item)
 {
-	if (enl->dirty ||
-	    !enl_parse(item->data, item->len, pass_on_recalled, enl))
+	if (enl->dirty || !enl_parse(item->data, item->len, recall, enl) ||
+	    enl->dirty)
 		return;
 	g_free(enl->text);
 	enl->text = g_strndup(item->data, item->len);
@@ -166,7 +183,7 @@
 	for (i = 0; i < page->n_items; i++) {
 		if (strcmp(page->items[i].key, enl->key) != 0)
 			continue;
-		recall(enl, &page->items[i]);
+		recall_item(enl, &page->items[i]);
 	}
 	sync_registration(enl);
 }
@@ -195,7 +212,7 @@
 
 	enl->opts = *opts;
 	enl->key = g_strconcat(ENL_PREFIX, opts->address, NULL);
-	enl->text = g_strdup("{}");
+	enl->text = g_strdup(NO_WORKER);
 	sync_registration(enl);
 	return enl;
 }
@@ -208,6 +225,8 @@
 	g_clear_handle_id(&enl->retry_id, g_source_remove);
 	g_free(enl->key);
 	g_free(enl->text);
+	g_free(enl->instance);
+	g_free(enl->left);
 	g_free(enl);
 }
 
@@ -249,11 +268,10 @@
 	return text;
 }
 
-void
-enl_update(struct enl *enl, const struct wp_worker *worker)
+/* Takes ownership of text. */
+static void
+set_text(struct enl *enl, char *text)
 {
-	char *text = encode(worker);
-
 	if (strcmp(text, enl->text) == 0) {
 		g_free(text);
 		return;
@@ -264,3 +282,21 @@
 	if (enl->read)
 		sync_registration(enl);
 }
+
+void
+enl_update(struct enl *enl, const struct wp_worker *worker)
+{
+	set_instance(enl, worker->instance);
+	set_text(enl, encode(worker));
+}
+
+void
+enl_worker_left(struct enl *enl, const char *instance)
+{
+	g_free(enl->left);
+	enl->left = g_strdup(instance);
+	if (g_strcmp0(enl->instance, instance) != 0)
+		return;
+	set_instance(enl, NULL);
+	set_text(enl, g_strdup(NO_WORKER));
+}
--- a/src/process/enlist.h
+++ b/src/process/enlist.h
@@ -22,13 +22,18 @@
 	void *ctx;
 };
 
-/* Reads the registration, or writes one without a worker if there is none. */
+/* Reads the registration that an earlier process wrote. */
 struct enl *enl_new(const struct enl_options *opts);
 /* Stop the store client first, so that no call in progress calls back. */
 void enl_free(struct enl *enl);
 /* Registers the worker unless its description is unchanged. */
 void enl_update(struct enl *enl, const struct wp_worker *worker);
 
+/*
+ * Removes the worker from the registration, since it has left: a later process
+ * of this agent must not serve it.
+ */
+void enl_worker_left(struct enl *enl, const char *instance);
 /*
  * Parses a registration and passes its worker to fn, with strings that are
  * valid during the call.  Returns false, without a call, if it names no worker.
--- a/src/process/jobagent.c
+++ b/src/process/jobagent.c
@@ -706,6 +706,7 @@
 ja_worker_left(struct ja *ja, const char *instance)
 {
 	hold_worker_left(ja->hold, instance);
+	enl_worker_left(ja->enlist, instance);
 }
 
 void
