Serve short jobs until the end of a shutdown

Change: a job is accepted as long as three times its estimate and half a second are left; later ones are refused with a line.

Measured: shutdown_answers_all fails with the former program (503 for a job of 20 ms, 1.25 s before the end) and passes now.

--- a/src/process/jobentry.c
+++ b/src/process/jobentry.c
@@ -35,6 +35,8 @@
  * this entry is not ready.
  */
 #define DRAIN_ACCEPT_PERCENT 55
+#define DRAIN_PATH_FACTOR    3
+#define DRAIN_SPARE_MS	     500
 /* Time for the last answers to be sent before the process exits. */
 #define DRAIN_FLUSH_MS 200
 
@@ -381,6 +383,23 @@
 		   je->opts.drain_ms * DRAIN_ACCEPT_PERCENT / 100;
 }
 
+/*
+ * After that part a job is still accepted if it is short enough to be done
+ * before the end of the shutdown, even if it takes several times as long as
+ * estimated.
+ */
+static bool
+accepts_job(const struct je *je, const struct wk_job *job)
+{
+	int64_t path_ms = wk_job_critical_path_ms(job);
+
+	return accepts_jobs(je) ||
+	       (path_ms > 0 && clk_now_ms() - je->drain_since_ms +
+				       DRAIN_PATH_FACTOR * path_ms +
+				       DRAIN_SPARE_MS <=
+				   je->opts.drain_ms);
+}
+
 /*
  * Completes the shutdown once no job has been open for DRAIN_FLUSH_MS.  Jobs
  * still open after drain_ms are given up.
@@ -610,6 +629,18 @@
 	    reasons[verdict], MAX(RETRY_AFTER_MIN_MS, request->wait_ms));
 }
 
+static void
+refuse_draining(
+    struct je *je, const struct wk_job *job, je_answer_fn fn, void *ctx)
+{
+	static const char reason[] = "entry is shutting down";
+
+	++*je->refused;
+	evt_write("refusal", evt_text("job", job->id),
+	    evt_text("reason", reason), evt_int("jobs", sch_n_jobs(je->sch)));
+	answer_now(fn, ctx, JE_REFUSED, reason, RETRY_AFTER_MIN_MS);
+}
+
 static struct waiter *
 add_waiter(struct je *je, const char *job, je_answer_fn fn, void *ctx)
 {
@@ -658,9 +689,8 @@
 		wk_job_free(job);
 		return 0;
 	}
-	if (!accepts_jobs(je)) {
-		answer_now(fn, ctx, JE_REFUSED, "entry is shutting down",
-		    RETRY_AFTER_MIN_MS);
+	if (!accepts_job(je, job)) {
+		refuse_draining(je, job, fn, ctx);
 		wk_job_free(job);
 		return 0;
 	}
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -399,18 +399,20 @@
 	return hn_http_start("POST", dpl_url(dpl, 0, hn_str("/q/%016x", id)),
 	    NULL,
 	    hn_str("{\"spec\":\"%d\",\"best_effort\":true,\"steps\":["
-		   "{\"count\":1,\"cpu\":1000,\"mem_mb\":1}]}",
-		run_ms));
+		   "{\"count\":1,\"cpu\":1000,\"mem_mb\":1,"
+		   "\"estimate_ms\":%d}]}",
+		run_ms, run_ms));
 }
 
 /*
  * An entry that exited a fixed time after SIGTERM dropped jobs that it had
  * accepted shortly before.  Callers keep using open connections, so a job that
- * arrives in the first half of the shutdown must be served too.
+ * arrives in the first half of the shutdown must be served too, and a short
+ * one also later; a long one that arrives later must be refused.
  */
 START_TEST(shutdown_answers_all)
 {
-	struct hn_http *before, *after;
+	struct hn_http *before, *after, *late_short, *late_long;
 	struct dpl dpl;
 
 	dpl_start(&dpl, &(struct dpl_options){0});
@@ -419,8 +421,13 @@
 	hn_signal(dpl.entry[0], SIGTERM);
 	hn_sleep(1000);
 	after = post_job(&dpl, 0xc2, 1200);
+	hn_sleep(750);
+	late_short = post_job(&dpl, 0xc3, 20);
+	late_long = post_job(&dpl, 0xc4, 1200);
 	ck_assert_int_eq(hn_http_wait(before, HN_LIMIT_MS)->status, 200);
 	ck_assert_int_eq(hn_http_wait(after, HN_LIMIT_MS)->status, 200);
+	ck_assert_int_eq(hn_http_wait(late_short, HN_LIMIT_MS)->status, 200);
+	ck_assert_int_eq(hn_http_wait(late_long, HN_LIMIT_MS)->status, 503);
 	ck_assert_int_eq(hn_wait_exit(dpl.entry[0], HN_LIMIT_MS), 0);
 	hn_finish();
 }
