Connect to all chosen agents at once after a start

Cause: the first choice waited for the next tick and made 16 links in 50 ms, so that an entry of a fleet of 60 agents needed up to 250 ms more to reach them all after a restart than before the choice existed.

--- a/src/process/agentpool.c
+++ b/src/process/agentpool.c
@@ -20,7 +20,7 @@
 /* Interval at which the number of chosen agents is adapted. */
 #define ADAPT_INTERVAL_MS 1000
 /* New links a choice makes; more wait for the next one. */
-#define MAX_NEW_LINKS 16
+#define MAX_NEW_LINKS 64
 /* A link that has been down for longer counts as not usable. */
 #define LINK_DOWN_MS 300
 /* An idle link to an agent that is no longer chosen is closed after this. */
@@ -325,7 +325,11 @@
 		parse_registration(
 		    pool, (const char *)key + strlen(ENL_PREFIX), item);
 	forget_unlisted(pool, mir_items(mir));
-	choose_soon(pool);
+	/* After a start the first agents are wanted at once. */
+	if (g_hash_table_size(pool->agents) == 0)
+		choose_agents(pool);
+	else
+		choose_soon(pool);
 }
 
 static void
