Bound the connection attempts after the loss of many agents

Cause: agents whose link is down do not count as chosen, so that after the loss of all of them, or a start beside them, an entry would have tried the whole fleet within a second, with the load of a full mesh.

Change: at most three times the wanted number of agents is tried, and a link that never was up counts as wanted for 1.5 s.

--- a/src/process/agentpool.c
+++ b/src/process/agentpool.c
@@ -21,8 +21,12 @@
 #define ADAPT_INTERVAL_MS 1000
 /* New links a choice makes; more wait for the next one. */
 #define MAX_NEW_LINKS 64
-/* A link that has been down for longer counts as not usable. */
+/*
+ * A link that has been down for longer counts as not usable; one that never
+ * was up gets more time, since agents may start at the same time as the entry.
+ */
 #define LINK_DOWN_MS 300
+#define LINK_NEW_MS  1500
 /* An idle link to an agent that is no longer chosen is closed after this. */
 #define SURPLUS_MS 10000
 
@@ -33,6 +37,7 @@
 	char *address;	/* key in pool->agents */
 	bool listed;	/* in the store */
 	bool connected; /* described by its agent since the link opened */
+	bool was_connected;
 	uint32_t sessions;
 	int64_t surplus_since_ms; /* 0: chosen */
 };
@@ -85,7 +90,7 @@
 	    evt_text("service", d.service),
 	    evt_text("failure_domain", d.failure_domain),
 	    evt_bool("draining", d.draining));
-	agent->connected = true;
+	agent->connected = agent->was_connected = true;
 	wks_describe(sch_workers(pool->opts.sch), agent->worker, &d);
 }
 
@@ -177,11 +182,13 @@
 	const struct agp_agent *agent = find_agent(pool, address);
 	bool out = *failure_domain != '\0' &&
 		   pool->opts.is_out(failure_domain, pool->opts.ctx);
+	int64_t down_ms;
 
 	if (agent == NULL)
 		return out ? SUB_UNUSABLE : SUB_USABLE;
+	down_ms = clk_now_ms() - wlk_last_open_ms(agent->link);
 	if (out || (agent->connected && agent->worker->draining) ||
-	    clk_now_ms() - wlk_last_open_ms(agent->link) > LINK_DOWN_MS)
+	    down_ms > (agent->was_connected ? LINK_DOWN_MS : LINK_NEW_MS))
 		return SUB_CONNECTED;
 	return SUB_USABLE;
 }
--- a/src/request/subset.c
+++ b/src/request/subset.c
@@ -8,6 +8,11 @@
 /* Agents that are chosen for a wanted label at least, and for how long. */
 #define MIN_PER_LABEL	 8
 #define LABEL_TIMEOUT_MS 30000
+/*
+ * Limit of chosen agents, usable or not, in multiples of the usable ones
+ * wanted: when most agents are down, an entry must not try all of them.
+ */
+#define MAX_TRIED_FACTOR 3
 /*
  * Entries that should be connected to an agent: with fewer, the load of an
  * entry may exceed what its agents can take while others are idle.  The number
@@ -228,12 +233,16 @@
 choose_best(const struct sub *sub, GHashTable *chosen,
     const struct range *range, uint32_t quota, bool local_only)
 {
+	guint n_before = g_hash_table_size(chosen);
 	uint32_t n = 0;
 	guint i;
 
 	for (i = range->begin; i < range->end && n < quota; i++) {
 		struct member *m = sub->sorted->pdata[i];
 
+		if (g_hash_table_size(chosen) - n_before >=
+		    quota * MAX_TRIED_FACTOR)
+			break;
 		if ((local_only && !m->local) ||
 		    g_hash_table_contains(chosen, m->address))
 			continue;
--- a/tests/test_subset.c
+++ b/tests/test_subset.c
@@ -294,6 +294,24 @@
 }
 END_TEST
 
+/* After the loss of all agents an entry must not connect to the whole fleet. */
+START_TEST(lost_fleet_is_not_tried_whole)
+{
+	struct fleet *fleet = fleet_new(1, 3000, 5);
+	GHashTable *chosen;
+	uint32_t agent;
+
+	for (agent = 0; agent < 3000; agent++)
+		g_hash_table_add(
+		    fleet->unreachable, g_strdup(address_of(agent)));
+	chosen = sub_choose(fleet->entries->pdata[0], 1000);
+	ck_assert_uint_ge(g_hash_table_size(chosen), SIZE);
+	ck_assert_uint_le(g_hash_table_size(chosen), 5 * SIZE);
+	g_hash_table_unref(chosen);
+	fleet_free(fleet);
+}
+END_TEST
+
 /* One rack wanted by all: every entry must reach workers of that rack. */
 START_TEST(wanted_rack_is_reached)
 {
@@ -367,6 +385,7 @@
 	tcase_add_test(tc, joins_move_few_choices);
 	tcase_add_test(tc, lost_domain_is_replaced);
 	tcase_add_test(tc, unreachable_agents_are_replaced);
+	tcase_add_test(tc, lost_fleet_is_not_tried_whole);
 	tcase_add_test(tc, wanted_rack_is_reached);
 	tcase_add_test(tc, few_entries_choose_more);
 	tcase_add_test(tc, removed_agent_is_not_chosen);
