--- a/tests/test_subset.c
+++ b/tests/test_subset.c
@@ -5,7 +5,7 @@
 #include "request/subset.h"
 #include "runner.h"
 
-#define SIZE 64
+#define SIZE UINT64_C(64)
 /* The fleet of 300 entries and 3,000 agents takes seconds. */
 #define LIMIT_S 60
 
@@ -143,7 +143,7 @@
 static double
 busiest_domain(const struct fleet *fleet)
 {
-	g_autofree double *load = g_new0(double, fleet->n_domains);
+	double *load = g_new0(double, fleet->n_domains);
 	double most = 0;
 	GHashTableIter iter;
 	gpointer address;
@@ -160,6 +160,7 @@
 	}
 	for (i = 0; i < fleet->n_domains; i++)
 		most = MAX(most, load[i]);
+	g_free(load);
 	return most * fleet->n_domains / fleet->n_entries;
 }
 
--- a/tests/test_updates.c
+++ b/tests/test_updates.c
@@ -59,7 +59,7 @@
 {
 	uint64_t i, session, n_sessions = number(w[1]);
 	int64_t end_ms, duration_ms = (int64_t)number(w[2]);
-	g_autofree unsigned *sent = g_new0(unsigned, n_sessions + 1);
+	unsigned *sent = g_new0(unsigned, n_sessions + 1);
 	int64_t n = 0;
 	bool even = true;
 
@@ -78,6 +78,7 @@
 	}
 	for (i = 1; i <= n_sessions; i++)
 		even = even && sent[i] > 0 && sent[i] == sent[1];
+	g_free(sent);
 	g_string_append_printf(actual, "%s %s",
 	    n * 1000 <= MAX_UPDATES_PER_S * duration_ms ? "bounded"
 							: "exceeded",
