Test that garbage on every port and in every key harms nobody

Broken registrations, configurations and keys of domains, records of impossible length, calls of other programs and HTTP on the agents' port, RPC on the clients' port: no process ends and both entries complete jobs.

--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -5,6 +5,7 @@
  * its capacity, no task may run twice at once, and every job must complete.
  */
 #include <arpa/inet.h>
+#include <glib.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
@@ -319,11 +320,10 @@
 	return at == NULL ? -1 : strtoll(at + strlen(name) + 2, NULL, 10);
 }
 
-/* Sends a complete request and resets the connection. */
-static void
-send_and_reset(uint16_t port, const char *request)
+/* Connects, sends the bytes and returns the socket. */
+static int
+send_bytes(uint16_t port, const char *bytes, size_t len)
 {
-	struct linger reset_at_close = {.l_onoff = 1, .l_linger = 0};
 	struct sockaddr_in to = {.sin_family = AF_INET,
 	    .sin_port = htons(port),
 	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
@@ -331,8 +331,17 @@
 
 	ck_assert_int_eq(
 	    connect(fd, (const struct sockaddr *)&to, sizeof(to)), 0);
-	ck_assert_int_eq(
-	    send(fd, request, strlen(request), 0), (int)strlen(request));
+	ck_assert_int_eq(send(fd, bytes, len, 0), (int)len);
+	return fd;
+}
+
+/* Sends a complete request and resets the connection. */
+static void
+send_and_reset(uint16_t port, const char *request)
+{
+	struct linger reset_at_close = {.l_onoff = 1, .l_linger = 0};
+	int fd = send_bytes(port, request, strlen(request));
+
 	ck_assert_int_eq(setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset_at_close,
 			     sizeof(reset_at_close)),
 	    0);
@@ -370,6 +379,49 @@
 }
 END_TEST
 
+/*
+ * Bytes that no peer of the system sends, on every port and in every key that
+ * it reads, must not end a process or keep it from its work.
+ */
+START_TEST(garbage_harms_nobody)
+{
+	static const char *const texts[] = {"{", "[1,{\"instance\":7", "\"x\"",
+	    "{\"instance\":7,\"service\":[],\"labels\":{},\"born_ms\":\"x\"}",
+	    "{\"version\":\"x\",\"routes\":[{\"name\":3}]}"};
+	static const char *const keys[] = {"sequoiaplank/agents/10.0.0.1:7",
+	    "sequoiaplank/agents/nowhere", "op/config", "op/other",
+	    "op/evacuate/"};
+	/* A record of 2 GB, one of no length, a call of another program. */
+	static const char frames[][12] = {"\377\377\377\377garbage",
+	    "\200\0\0\0\200\0\0\0", "\200\0\0\10\0\0\0\1\0\0\0", "GET / HTTP/"};
+	struct dpl dpl;
+	size_t i, k;
+
+	dpl_start(&dpl, &(struct dpl_options){0});
+	for (i = 0; i < G_N_ELEMENTS(texts); i++) {
+		for (k = 0; k < G_N_ELEMENTS(keys); k++)
+			dpl_control(&dpl, "PUT", hn_str("key?key=%s", keys[k]),
+			    texts[i]);
+	}
+	for (i = 0; i < G_N_ELEMENTS(frames); i++) {
+		for (k = 0; k < DPL_AGENTS; k++)
+			send_bytes(
+			    dpl.agent_port[k], frames[i], sizeof(frames[i]));
+		for (k = 0; k < DPL_ENTRIES; k++)
+			send_bytes(
+			    dpl.entry_port[k], frames[i], sizeof(frames[i]));
+	}
+	hn_sleep(500);
+	for (i = 0; i < DPL_ENTRIES; i++) {
+		ck_assert_int_eq(hn_wait_exit(dpl.entry[i], 0), -1);
+		ck_assert(dpl_completes_job(&dpl, (int)i));
+	}
+	for (i = 0; i < DPL_AGENTS; i++)
+		ck_assert_int_eq(hn_wait_exit(dpl.agent[i], 0), -1);
+	hn_finish();
+}
+END_TEST
+
 /* A removed queue must answer 404, and an added one must be served. */
 START_TEST(queue_replaced)
 {
@@ -500,9 +552,9 @@
 main(void)
 {
 	const TTest *const tests[] = {no_start_in_evacuated_domain,
-	    idle_sessions_last, reset_request_not_accepted, queue_replaced,
-	    shutdown_answers_all, restarted_agent_finds_worker,
-	    invalid_jobs_refused};
+	    idle_sessions_last, reset_request_not_accepted,
+	    garbage_harms_nobody, queue_replaced, shutdown_answers_all,
+	    restarted_agent_finds_worker, invalid_jobs_refused};
 	int red = run_table("platform", fault_while_jobs_run,
 	    sizeof(rows) / sizeof(rows[0]), 2 * HN_LIMIT_MS / 1000.0 + 30);
 
