--- a/src/process/jobentry.c
+++ b/src/process/jobentry.c
@@ -510,11 +510,14 @@
 {
 	struct je *je = g_new0(struct je, 1);
 	struct sch_options sch = {
-	    .cross_rack_factor = opts->cross_rack_factor,
+	    .choice =
+		{
+		    .cross_rack_factor = opts->cross_rack_factor,
+		    .scan_offset = g_random_int(),
+		},
 	    .lost_run_timeout_ms =
 		MAX(opts->lease_ms, ENTRY_SILENCE_MS) + STOP_MARGIN_MS,
 	    .max_jobs = JE_MAX_JOBS,
-	    .scan_offset = g_random_int(),
 	    .start = start_task,
 	    .flush = flush_agent,
 	    .cancel = cancel_task,
--- a/src/request/jobtask.c
+++ b/src/request/jobtask.c
@@ -81,6 +81,12 @@
 	}
 }
 
+const struct wk_step *
+jt_step_of(const struct jt_task *task)
+{
+	return &task->job->spec->steps[task->step];
+}
+
 bool
 jt_mark_done(struct jt_task *task)
 {
--- a/src/request/jobtask.h
+++ b/src/request/jobtask.h
@@ -68,6 +68,7 @@
 struct jt_job *jt_new(struct wk_job *spec, const struct rts_queue *queue);
 void jt_free(struct jt_job *job);
 
+const struct wk_step *jt_step_of(const struct jt_task *task);
 /* Marks a task as done; returns true when it was the last of its job. */
 bool jt_mark_done(struct jt_task *task);
 /* Number of tasks of the step that are sent to the worker. */
--- a/src/request/sched.c
+++ b/src/request/sched.c
@@ -1,7 +1,7 @@
 #include <glib.h>
-#include <math.h>
 #include <string.h>
 
+#include "request/choice.h"
 #include "request/jobtask.h"
 #include "request/sched.h"
 
@@ -12,12 +12,6 @@
 #define MAX_STARTS_PER_TASK 12
 /* A pass stops after this many tasks that found no worker. */
 #define MAX_UNPLACED_TASKS 64
-/* Cost factor of a worker outside the entry's failure domain. */
-#define REMOTE_COST_FACTOR 1.04
-/* Workers whose costs differ by less are held to be equally good. */
-#define SIMILAR_COST 1.08
-/* Added cost of a worker with failure rate 1, in run times of the task. */
-#define FAILURE_COST_RUNS 20.0
 /*
  * For this long after the start of the process, a job is accepted although no
  * worker of its service has been described yet.
@@ -29,12 +23,6 @@
  */
 #define MAX_USEFUL_OBJECTIVES 3
 
-/* A worker that can take the task being placed. */
-struct candidate {
-	struct wks_worker *w;
-	double cost;
-};
-
 struct sch {
 	struct sch_options opts;
 	struct wks *workers;
@@ -43,7 +31,7 @@
 	GHashTable *unresolved;	  /* set of struct jt_task */
 	GHashTable *queue_speeds; /* queue name to struct spd_queue */
 	GTree *jobs_by_priority;  /* priority to GQueue of struct jt_job */
-	GArray *candidates;	  /* struct candidate, of the last choice */
+	struct chc *choice;
 	uint64_t next_seq;
 	int64_t first_ms; /* of the first call; taken as the process start */
 	bool waiting;	  /* a task may be ready to be sent */
@@ -83,7 +71,7 @@
 	sch->unresolved = g_hash_table_new(NULL, NULL);
 	sch->queue_speeds =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	sch->candidates = g_array_new(FALSE, FALSE, sizeof(struct candidate));
+	sch->choice = chc_new(sch->workers, &opts->choice);
 	sch->jobs_by_priority =
 	    g_tree_new_full(compare_priorities, NULL, NULL, list_free);
 	return sch;
@@ -99,7 +87,7 @@
 	g_hash_table_unref(sch->unresolved);
 	g_hash_table_unref(sch->jobs);
 	g_tree_unref(sch->jobs_by_priority);
-	g_array_unref(sch->candidates);
+	chc_free(sch->choice);
 	wks_free(sch->workers);
 	g_hash_table_unref(sch->queue_speeds);
 	g_free(sch);
@@ -221,134 +209,12 @@
 	wks_remove(sch->workers, w);
 }
 
-static const struct wk_step *
-step_of(const struct jt_task *task)
-{
-	return &task->job->spec->steps[task->step];
-}
-
-/* How much longer a task of the step runs because of the worker's rack. */
-static double
-rack_factor(const struct sch *sch, const struct wks_worker *w,
-    const struct wk_step *step)
-{
-	return step->preferred_rack != NULL &&
-		       !wks_has_label(w, step->preferred_rack)
-		   ? sch->opts.cross_rack_factor
-		   : 1;
-}
-
-/*
- * Expected run time of the task on the worker, raised by its failure rate and
- * by an earlier failure of the task there.
- */
-static double
-cost_of(const struct sch *sch, const struct wks_worker *w,
-    const struct jt_task *task, int64_t now_ms)
-{
-	const struct wk_step *step = step_of(task);
-	double cost =
-	    spd_run_ms(task->job->speed, &w->speed, w->kind, step->estimate_ms);
-
-	cost *= rack_factor(sch, w, step);
-	cost *= 1 + FAILURE_COST_RUNS * hlt_failure_rate(&w->health, now_ms);
-	if (jt_has_failed_on(task, w))
-		cost *= 1 + FAILURE_COST_RUNS;
-	return w->local ? cost : cost * REMOTE_COST_FACTOR;
-}
-
-/* Whether a start of the task can be sent to the worker now. */
-static bool
-can_take(const struct sch *sch, const struct wks_worker *w,
-    const struct jt_task *task, int64_t now_ms)
-{
-	const struct wk_step *step = step_of(task);
-
-	return wks_is_usable(sch->workers, w, task->job->service) &&
-	       wks_could_run(w, step) && wk_fits(&step->size, &w->room) &&
-	       hlt_may_start(&w->health, w->open, now_ms) &&
-	       (step->max_per_worker == 0 || jt_n_sent_to(task->job, task->step,
-						 w) < step->max_per_worker);
-}
-
-/* Share of the worker's processor that is free. */
-static double
-free_share(const struct wks_worker *w)
-{
-	return w->capacity.cpu_milli == 0
-		   ? 0
-		   : (double)w->room.cpu_milli / (double)w->capacity.cpu_milli;
-}
-
-/*
- * Chooses the worker that is expected to finish the task first.  Among those
- * with similar expectations it is the one with the largest free share: other
- * entries choose from the same reports, and would all take the same worker.
- */
-static struct wks_worker *
-choose(struct sch *sch, const struct jt_task *task, int64_t now_ms)
-{
-	struct wks_worker *best = NULL;
-	double best_cost = INFINITY, best_share = -1;
-	size_t i, n = wks_count(sch->workers);
-
-	g_array_set_size(sch->candidates, 0);
-	for (i = 0; i < n; i++) {
-		struct candidate c = {.w = wks_get(sch->workers,
-					  (sch->opts.scan_offset + i) % n)};
-
-		if (!can_take(sch, c.w, task, now_ms))
-			continue;
-		c.cost = cost_of(sch, c.w, task, now_ms);
-		best_cost = MIN(best_cost, c.cost);
-		g_array_append_val(sch->candidates, c);
-	}
-	for (i = 0; i < sch->candidates->len; i++) {
-		const struct candidate *c =
-		    &g_array_index(sch->candidates, struct candidate, i);
-
-		if (c->cost > best_cost * SIMILAR_COST ||
-		    free_share(c->w) <= best_share)
-			continue;
-		best = c->w;
-		best_share = free_share(c->w);
-	}
-	return best;
-}
-
-/*
- * Run time expected on the worker.  Estimates are often far off: a task that
- * was stopped once as too slow is probably a long one, so its projected run
- * time is expected on every worker; otherwise each would stop it again.
- */
-static int64_t
-expected_ms(const struct jt_task *task, const struct wks_worker *w)
-{
-	const struct wk_step *step = step_of(task);
-	double run_ms =
-	    spd_run_ms(task->job->speed, &w->speed, w->kind, step->estimate_ms);
-
-	return MAX((int64_t)run_ms, task->projected_ms);
-}
-
-/* Run time that any worker of this one's kind should need. */
-static int64_t
-nominal_ms(const struct sch *sch, const struct jt_task *task,
-    const struct wks_worker *w)
-{
-	const struct wk_step *step = step_of(task);
-	double run_ms =
-	    spd_nominal_ms(task->job->speed, w->kind, step->estimate_ms);
-
-	return (int64_t)(run_ms * rack_factor(sch, w, step));
-}
-
 static bool
 send(
     struct sch *sch, struct jt_task *task, struct wks_worker *w, int64_t now_ms)
 {
 	struct jt_job *job = task->job;
-	const struct wk_step *step = step_of(task);
+	const struct wk_step *step = jt_step_of(task);
 	struct sch_start start = {
 	    .seq = ++sch->next_seq,
 	    .job = job->spec->id,
@@ -358,8 +224,8 @@
 	    .service = job->service,
 	    .size = step->size,
 	    .priority = job->priority,
-	    .expected_ms = expected_ms(task, w),
-	    .nominal_ms = nominal_ms(sch, task, w),
+	    .expected_ms = chc_expected_ms(task, w),
+	    .nominal_ms = chc_nominal_ms(sch->choice, task, w),
 	    .start_within_ms = job->deadline_ms - now_ms,
 	};
 
@@ -396,18 +262,19 @@
 {
 	return pass->smallest != NULL &&
 	       strcmp(pass->smallest->job->service, task->job->service) == 0 &&
-	       wk_fits(&step_of(pass->smallest)->size, &step_of(task)->size);
+	       wk_fits(
+		   &jt_step_of(pass->smallest)->size, &jt_step_of(task)->size);
 }
 
 static void
 record_unplaced(struct pass *pass, const struct jt_task *task)
 {
-	const struct wk_step *step = step_of(task);
+	const struct wk_step *step = jt_step_of(task);
 
 	pass->n_unplaced++;
 	if (step->required_label == NULL && step->max_per_worker == 0 &&
 	    (pass->smallest == NULL ||
-		wk_fits(&step->size, &step_of(pass->smallest)->size)))
+		wk_fits(&step->size, &jt_step_of(pass->smallest)->size)))
 		pass->smallest = task;
 }
 
@@ -424,8 +291,9 @@
 	 * A worker to which a start can't be sent is skipped until its next
 	 * report.
 	 */
-	while ((w = choose(pass->sch, task, pass->now_ms)) != NULL &&
-	       !send(pass->sch, task, w, pass->now_ms))
+	while (
+	    (w = chc_choose(pass->sch->choice, task, pass->now_ms)) != NULL &&
+	    !send(pass->sch, task, w, pass->now_ms))
 		w->accepting = false;
 	if (w == NULL)
 		record_unplaced(pass, task);
@@ -534,7 +402,7 @@
 learn_run_time(const struct jt_task *task, struct wks_worker *w, int64_t run_ms)
 {
 	spd_measure(task->job->speed, &w->speed, w->kind, run_ms,
-	    step_of(task)->estimate_ms);
+	    jt_step_of(task)->estimate_ms);
 }
 
 /*
--- a/src/request/sched.h
+++ b/src/request/sched.h
@@ -5,6 +5,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "request/choice.h"
 #include "request/work.h"
 #include "request/workerset.h"
 #include "version/routes.h"
@@ -70,15 +71,10 @@
 };
 
 struct sch_options {
-	double cross_rack_factor; /* on run times outside a preferred rack */
+	struct chc_options choice;
 	/* Time in which an agent that lost its connection ends its runs. */
 	int64_t lost_run_timeout_ms;
 	uint32_t max_jobs;
-	/*
-	 * Where the search for a worker begins, so that entries with the same
-	 * reports do not choose the same of several equal workers.
-	 */
-	uint32_t scan_offset;
 	/* Returns false when nothing was sent. */
 	bool (*start)(void *link, const struct sch_start *start, void *ctx);
 	/* Called when a pass has made its last start() on the link. */
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -110,7 +110,7 @@
 {
 	struct trace *t = g_new0(struct trace, 1);
 	struct sch_options opts = {
-	    .cross_rack_factor = 1.5,
+	    .choice = {.cross_rack_factor = 1.5},
 	    .lost_run_timeout_ms = LOST_RUN_TIMEOUT_MS,
 	    .max_jobs = 8,
 	    .start = on_start,
