Copy the names that the choice of agents keeps

Cause: sub_new() kept the caller's pointers to the entry's name and domain.

Change: both strings are copied. test_subset passes under the sanitizers.

--- a/src/request/subset.c
+++ b/src/request/subset.c
@@ -39,6 +39,8 @@
 
 struct sub {
 	struct sub_options opts;
+	char *entry;
+	char *failure_domain;
 	GHashTable *members; /* address to struct member */
 	GPtrArray *sorted;   /* by service, kind and falling score; borrowed */
 	bool is_sorted;
@@ -75,6 +77,8 @@
 	struct sub *sub = g_new0(struct sub, 1);
 
 	sub->opts = *opts;
+	sub->entry = g_strdup(opts->entry);
+	sub->failure_domain = g_strdup(opts->failure_domain);
 	sub->size = opts->size;
 	sub->members =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, member_free);
@@ -91,6 +95,8 @@
 	g_ptr_array_unref(sub->sorted);
 	g_ptr_array_unref(sub->wanted);
 	g_hash_table_unref(sub->members);
+	g_free(sub->entry);
+	g_free(sub->failure_domain);
 	g_free(sub);
 }
 
@@ -107,8 +113,8 @@
 	m->labels = g_new0(char *, agent->n_labels + 1);
 	for (i = 0; i < agent->n_labels; i++)
 		m->labels[i] = g_strdup(agent->labels[i]);
-	m->score = rdv_score(sub->opts.entry, agent->address);
-	m->local = strcmp(agent->failure_domain, sub->opts.failure_domain) == 0;
+	m->score = rdv_score(sub->entry, agent->address);
+	m->local = strcmp(agent->failure_domain, sub->failure_domain) == 0;
 	g_hash_table_replace(sub->members, m->address, m);
 	sub->is_sorted = false;
 }
--- a/src/request/subset.h
+++ b/src/request/subset.h
@@ -31,8 +31,8 @@
 };
 
 struct sub_options {
-	const char *entry;
-	const char *failure_domain; /* of the entry */
+	const char *entry;	    /* name of the entry; copied */
+	const char *failure_domain; /* of the entry; copied */
 	/* Agents of a service that are chosen at least, if there are as many. */
 	uint32_t size;
 	enum sub_state (*state)(
