Log which runs a crashed worker had, and which was started last

The agent now records a crash with the runs that were active, ordered by the distance of their start from the worker's last answer, and says later whether another incarnation came or the same one answered again. START carries the queue; the RPC program number changes with it.

--- a/src/connection/holder.c
+++ b/src/connection/holder.c
@@ -54,6 +54,7 @@
 	int64_t clock_at_ms;
 	int64_t sent_ms;       /* of the poll in progress, 0: none */
 	int64_t answered_ms;   /* last report of this incarnation */
+	int64_t heard_ms;      /* last answer to any call */
 	int64_t deadline_ms;   /* of the lease, on the worker's clock */
 	int64_t lease_ends_ms; /* upper bound, 0: no lease was given */
 	/*
@@ -65,8 +66,8 @@
 	/* Counts worker changes; answers to earlier calls are ignored. */
 	uint64_t generation;
 	int64_t short_poll_until_ms;
-	/* Reason for reporting runs as lost when clearing is done, or NULL. */
-	const char *lost_reason;
+	/* Runs to be reported as lost after clearing; incarnation 0: none. */
+	struct hold_lost replaced;
 	struct ans answers;
 	bool extra_in_progress; /* call of hold_request_report() */
 	bool extra_pending;	/* requested during that call */
@@ -177,6 +178,7 @@
 	int64_t now_ms = clk_now_ms();
 
 	if (verdict != WP_NO_ANSWER) {
+		hold->heard_ms = now_ms;
 		ans_received(&hold->answers, now_ms - sent_ms);
 		hold->unanswered_since_ms = 0;
 		return;
@@ -269,11 +271,23 @@
 }
 
 static void
-report_runs_lost(struct hold *hold, const char *reason)
+report_runs_lost(struct hold *hold, const struct hold_lost *lost)
 {
+	struct hold_lost copy = *lost;
+
 	hold->lease_ends_ms = 0;
-	hold->lost_reason = NULL;
-	hold->opts.runs_lost(reason, hold->opts.ctx);
+	hold->replaced.incarnation = 0;
+	hold->opts.runs_lost(&copy, hold->opts.ctx);
+}
+
+static struct hold_lost
+current_runs_lost(const struct hold *hold, enum hold_loss why)
+{
+	return (struct hold_lost){
+	    .why = why,
+	    .incarnation = hold->born_ms,
+	    .heard_ms = hold->heard_ms,
+	};
 }
 
 static void
@@ -282,7 +296,7 @@
 {
 	size_t i;
 
-	hold->answered_ms = clk_now_ms();
+	hold->answered_ms = hold->heard_ms = clk_now_ms();
 	hold->unanswered_since_ms = 0;
 	hold->clock_ms = report->answer.clock_ms;
 	hold->clock_at_ms = hold->answered_ms;
@@ -291,8 +305,8 @@
 	if (hold->phase == CLEARING)
 		clear_runs(hold, report);
 	hold->opts.report(report, sent_ms, hold->opts.ctx);
-	if (hold->phase == READY && hold->lost_reason != NULL)
-		report_runs_lost(hold, hold->lost_reason);
+	if (hold->phase == READY && hold->replaced.incarnation != 0)
+		report_runs_lost(hold, &hold->replaced);
 	update_ready(hold);
 }
 
@@ -392,6 +406,8 @@
 {
 	bool had_worker = hold->phase != ABSENT;
 
+	if (had_worker && hold->replaced.incarnation == 0)
+		hold->replaced = current_runs_lost(hold, HOLD_REPLACED);
 	hold->generation++;
 	hold->phase = CLEARING;
 	hold->born_ms = worker->born_ms;
@@ -413,7 +429,6 @@
 		 * restart elsewhere, only after it was cleared.
 		 */
 		raise_token(hold);
-		hold->lost_reason = "worker was replaced";
 	}
 	evt_write("worker", evt_text("instance", hold->instance),
 	    evt_uint("born_ms", hold->born_ms),
@@ -442,6 +457,8 @@
 void
 hold_worker_left(struct hold *hold, const char *instance)
 {
+	struct hold_lost lost = current_runs_lost(hold, HOLD_LEFT);
+
 	if (hold->phase == ABSENT || g_strcmp0(instance, hold->instance) != 0)
 		return;
 	hold->generation++;
@@ -449,7 +466,7 @@
 	hold->sent_ms = 0;
 	hold->was_ready = false;
 	g_clear_handle_id(&hold->poll_id, g_source_remove);
-	report_runs_lost(hold, "worker left");
+	report_runs_lost(hold, &lost);
 	evt_write("worker", evt_text("instance", hold->instance),
 	    evt_text("state", "left"));
 	hold->opts.changed(hold->opts.ctx);
@@ -462,6 +479,7 @@
 void
 hold_tick(struct hold *hold)
 {
+	struct hold_lost lost = current_runs_lost(hold, HOLD_SILENT);
 	int64_t now_ms = clk_now_ms();
 
 	if (hold->phase == ABSENT)
@@ -471,8 +489,7 @@
 	    !hold_is_ready(hold)) {
 		hold->phase = CLEARING;
 		raise_token(hold);
-		report_runs_lost(
-		    hold, "worker is silent and its lease has ended");
+		report_runs_lost(hold, &lost);
 	}
 	schedule_poll(hold, POLL_DELAY_MS);
 }
--- a/src/connection/holder.h
+++ b/src/connection/holder.h
@@ -22,6 +22,19 @@
  */
 #define HOLD_MAX_LEASE_MS 500
 
+/* Why no run is active on the worker any more. */
+enum hold_loss {
+	HOLD_SILENT,   /* it does not answer and its lease has ended */
+	HOLD_REPLACED, /* another incarnation has taken its place */
+	HOLD_LEFT      /* it was deregistered */
+};
+
+struct hold_lost {
+	enum hold_loss why;
+	uint64_t incarnation; /* that the runs were active on */
+	int64_t heard_ms;     /* time of its last answer to any call */
+};
+
 struct hold_options {
 	const struct wp *wp; /* borrowed */
 	int64_t lease_ms;    /* longest lease that the worker grants */
@@ -35,7 +48,7 @@
 	void (*report)(
 	    const struct wp_report *report, int64_t sent_ms, void *ctx);
 	/* None of the runs started so far is active; outcomes are unknown. */
-	void (*runs_lost)(const char *reason, void *ctx);
+	void (*runs_lost)(const struct hold_lost *lost, void *ctx);
 	/* The worker, or the value of hold_is_ready(), has changed. */
 	void (*changed)(void *ctx);
 	void *ctx;
--- a/src/connection/run.x
+++ b/src/connection/run.x
@@ -32,6 +32,7 @@
 	run_name task;
 	uint32_t spec;		/* index in specs of the message */
 	run_name service;
+	run_name queue;
 	run_size size;
 	uint32_t priority;	/* 0 first */
 	int64_t expected_ms;	/* run time on this worker */
@@ -101,4 +102,4 @@
 		void RUN_WORKER(run_worker_args) = 5;
 		void RUN_UPDATE(run_update_args) = 6;
 	} = 1;
-} = 0x20005353;
+} = 0x20005354;
--- a/src/connection/run_xdr.c
+++ b/src/connection/run_xdr.c
@@ -54,6 +54,8 @@
 		return FALSE;
 	if (!xdr_run_name(xdrs, &objp->service))
 		return FALSE;
+	if (!xdr_run_name(xdrs, &objp->queue))
+		return FALSE;
 	if (!xdr_run_size(xdrs, &objp->size))
 		return FALSE;
 	if (!xdr_uint32_t(xdrs, &objp->priority))
--- a/src/connection/run_xdr.h
+++ b/src/connection/run_xdr.h
@@ -40,6 +40,7 @@
 	run_name task;
 	uint32_t spec;
 	run_name service;
+	run_name queue;
 	run_size size;
 	uint32_t priority;
 	int64_t expected_ms;
@@ -121,7 +122,7 @@
 };
 typedef struct run_update_args run_update_args;
 
-#define RUN_PROG 0x20005353
+#define RUN_PROG 0x20005354
 #define RUN_V1	 1
 
 #if defined(__STDC__) || defined(__cplusplus)
--- a/src/connection/worklink.c
+++ b/src/connection/worklink.c
@@ -49,6 +49,7 @@
 
 	g_free(start->task);
 	g_free(start->service);
+	g_free(start->queue);
 }
 
 static gboolean
@@ -322,6 +323,7 @@
 		return false;
 	copy.task = g_strdup(start->task);
 	copy.service = g_strdup(start->service);
+	copy.queue = g_strdup(start->queue);
 	copy.spec = spec_index(link, spec);
 	g_array_append_val(link->starts, copy);
 	return true;
--- a/src/process/jobagent.c
+++ b/src/process/jobagent.c
@@ -8,6 +8,7 @@
 #include "process/events.h"
 #include "process/histogram.h"
 #include "process/jobagent.h"
+#include "request/crashlog.h"
 #include "request/ledger.h"
 #include "request/slowness.h"
 #include "request/updates.h"
@@ -22,6 +23,8 @@
  * calls must not be processed.
  */
 #define ENTRY_SILENCE_MS 800
+/* Crashes of the worker are remembered for this time. */
+#define CRASH_KEEP_MS 60000
 
 /* Results and the worker's description that an entry has yet to be sent. */
 struct outbox {
@@ -35,6 +38,7 @@
 	struct hold *hold;
 	struct ses *ses;
 	struct enl *enlist;
+	struct crl *crashes;	 /* of the worker */
 	GHashTable *outboxes;	 /* session to struct outbox */
 	struct slw slowness;	 /* of the worker */
 	uint64_t slowness_of;	 /* incarnation that it was measured with */
@@ -257,6 +261,7 @@
 		    .session = session,
 		    .seq = s->seq,
 		    .task = s->task,
+		    .queue = s->queue,
 		    .spec = s->spec < args->specs.specs_len
 				? args->specs.specs_val[s->spec]
 				: "",
@@ -410,7 +415,8 @@
 		return;
 	}
 	evt_write(names[result->outcome], evt_text("task", result->task),
-	    evt_int("run", result->run), evt_int("run_ms", result->run_ms),
+	    evt_text("queue", result->queue), evt_int("run", result->run),
+	    evt_int("run_ms", result->run_ms),
 	    evt_text("reason", result->reason),
 	    evt_int("out_revision", ja->out_revision));
 }
@@ -473,11 +479,73 @@
 }
 
 static void
-on_runs_lost(const char *reason, void *ctx)
+log_crash(const struct crl_crash *crash)
 {
+	static const char *const states[] = {[CRL_PRESUMED] = "presumed",
+	    [CRL_CONFIRMED] = "confirmed",
+	    [CRL_WITHDRAWN] = "withdrawn"};
+
+	evt_write("crash", evt_text("state", states[crash->state]),
+	    evt_uint("incarnation", crash->incarnation),
+	    evt_int("silent_ms", clk_now_ms() - crash->crashed_ms),
+	    evt_uint("runs", crash->n_suspects),
+	    evt_text("closest", crash->suspects[0].task),
+	    evt_text("queue", crash->suspects[0].queue));
+}
+
+static void
+append_run(const struct led_active_run *active, void *ctx)
+{
+	struct crl_run run = {
+	    .task = active->task,
+	    .queue = active->queue,
+	    .sent_ms = active->sent_ms,
+	};
+
+	g_array_append_val(ctx, run);
+}
+
+/* Records the worker's crash with the runs that it may have been caused by. */
+static void
+record_crash(struct ja *ja, const struct hold_lost *lost)
+{
+	g_autoptr(GArray) runs =
+	    g_array_new(FALSE, FALSE, sizeof(struct crl_run));
+	const struct crl_crash *crash;
+
+	led_each_active(ja->led, append_run, runs);
+	crl_expire(ja->crashes, clk_now_ms() - CRASH_KEEP_MS);
+	crash = crl_add(ja->crashes, lost->incarnation, lost->heard_ms,
+	    (const struct crl_run *)runs->data, runs->len);
+	if (crash != NULL)
+		log_crash(crash);
+}
+
+static void
+on_runs_lost(const struct hold_lost *lost, void *ctx)
+{
+	static const char *const reasons[] = {
+	    [HOLD_SILENT] = "worker is silent and its lease has ended",
+	    [HOLD_REPLACED] = "worker was replaced",
+	    [HOLD_LEFT] = "worker left"};
 	struct ja *ja = ctx;
 
-	led_worker_lost(ja->led, reason, clk_now_ms());
+	if (lost->why != HOLD_LEFT)
+		record_crash(ja, lost);
+	led_worker_lost(ja->led, reasons[lost->why], clk_now_ms());
+}
+
+/*
+ * Settles presumed crashes: an incarnation that answers again was only cut off.
+ */
+static void
+settle_crashes(struct ja *ja)
+{
+	const struct crl_crash *crash;
+
+	while ((crash = crl_settle(ja->crashes, hold_incarnation(ja->hold),
+		    hold_is_ready(ja->hold))) != NULL)
+		log_crash(crash);
 }
 
 static void
@@ -485,6 +553,7 @@
 {
 	struct ja *ja = ctx;
 
+	settle_crashes(ja);
 	resend_worker(ja);
 	led_start_queued(ja->led, clk_now_ms());
 }
@@ -565,6 +634,7 @@
 	    .ctx = ja,
 	};
 
+	ja->crashes = crl_new();
 	ja->led = led_new(&led);
 	led_set_run_floor(ja->led, clk_wall_ms());
 	ja->hold = hold_new(&hold);
@@ -685,6 +755,7 @@
 	enl_free(ja->enlist);
 	hold_free(ja->hold);
 	led_free(ja->led);
+	crl_free(ja->crashes);
 	g_hash_table_unref(ja->outboxes);
 	upd_free(ja->updates);
 	g_hash_table_unref(ja->out_domains);
--- a/src/process/jobentry.c
+++ b/src/process/jobentry.c
@@ -113,12 +113,13 @@
 start_task(void *data, const struct sch_start *start, void *ctx)
 {
 	struct agp_agent *agent = data;
-	g_autofree char *task = g_strdup_printf(
-	    "%s.0.%u.%u", start->job, start->step, start->index);
+	g_autofree char *task =
+	    wk_task_name(start->job, start->step, start->index);
 	run_start message = {
 	    .seq = start->seq,
 	    .task = task,
 	    .service = (char *)start->service,
+	    .queue = (char *)start->queue,
 	    .size = {start->size.cpu_milli, start->size.memory_mb,
 		start->size.gpus},
 	    .priority = start->priority,
@@ -243,8 +244,7 @@
 	    [SCH_LOST] = "lost",
 	    [SCH_STALLED] = "stalled"};
 	struct agp_agent *agent = data;
-	g_autofree char *task =
-	    g_strdup_printf("%s.0.%u.%u", s->job, s->step, s->index);
+	g_autofree char *task = wk_task_name(s->job, s->step, s->index);
 
 	(void)ctx;
 	evt_write("task", evt_text("task", task),
--- /dev/null
+++ b/src/request/crashlog.c
@@ -0,0 +1,179 @@
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "request/crashlog.h"
+#include "request/work.h"
+
+/* More crashes of one worker are not kept; the oldest are forgotten first. */
+#define MAX_CRASHES 32
+
+struct crl {
+	GPtrArray *crashes; /* struct crl_crash, in order of their records */
+};
+
+static void
+crash_free(gpointer data)
+{
+	struct crl_crash *crash = data;
+	size_t i;
+
+	for (i = 0; i < crash->n_suspects; i++) {
+		g_free(crash->suspects[i].task);
+		g_free(crash->suspects[i].queue);
+	}
+	g_free(crash->suspects);
+	g_free(crash);
+}
+
+struct crl *
+crl_new(void)
+{
+	struct crl *crl = g_new0(struct crl, 1);
+
+	crl->crashes = g_ptr_array_new_with_free_func(crash_free);
+	return crl;
+}
+
+/* NULL is allowed. */
+void
+crl_free(struct crl *crl)
+{
+	if (crl == NULL)
+		return;
+	g_ptr_array_unref(crl->crashes);
+	g_free(crl);
+}
+
+/* A run and how far its job's closest start is from the crash. */
+struct ranked {
+	const struct crl_run *run;
+	int64_t distance_ms;
+};
+
+static int
+compare_ranked(const void *left, const void *right)
+{
+	const struct ranked *a = left, *b = right;
+
+	if (a->distance_ms != b->distance_ms)
+		return a->distance_ms < b->distance_ms ? -1 : 1;
+	return strcmp(a->run->task, b->run->task);
+}
+
+static int64_t
+distance_ms(const struct crl_run *run, int64_t heard_ms)
+{
+	return llabs((long long)(run->sent_ms - heard_ms));
+}
+
+/*
+ * The distance of the closest run of the same job: tasks of a job are alike,
+ * and often only one of them is listed close to the crash.
+ */
+static int64_t
+job_distance_ms(const struct crl_run *runs, size_t n_runs,
+    const struct crl_run *run, int64_t heard_ms)
+{
+	int64_t closest_ms = distance_ms(run, heard_ms);
+	size_t i;
+
+	for (i = 0; i < n_runs; i++) {
+		if (wk_same_job(runs[i].task, run->task))
+			closest_ms =
+			    MIN(closest_ms, distance_ms(&runs[i], heard_ms));
+	}
+	return closest_ms;
+}
+
+static struct ranked *
+rank_runs(const struct crl_run *runs, size_t n_runs, int64_t heard_ms)
+{
+	struct ranked *ranked = g_new0(struct ranked, n_runs);
+	size_t i;
+
+	for (i = 0; i < n_runs; i++) {
+		ranked[i].run = &runs[i];
+		ranked[i].distance_ms =
+		    job_distance_ms(runs, n_runs, &runs[i], heard_ms);
+	}
+	qsort(ranked, n_runs, sizeof(*ranked), compare_ranked);
+	return ranked;
+}
+
+static void
+add_suspects(struct crl_crash *crash, const struct ranked *ranked, size_t n)
+{
+	uint32_t rank = 0;
+	size_t i;
+
+	crash->suspects = g_new0(struct crl_suspect, n);
+	crash->n_suspects = n;
+	for (i = 0; i < n; i++) {
+		struct crl_suspect *suspect = &crash->suspects[i];
+
+		if (i == 0 ||
+		    !wk_same_job(ranked[i].run->task, ranked[i - 1].run->task))
+			rank++;
+		suspect->task = g_strdup(ranked[i].run->task);
+		suspect->queue = g_strdup(ranked[i].run->queue);
+		suspect->weight_permille = 1000 / rank;
+	}
+}
+
+const struct crl_crash *
+crl_add(struct crl *crl, uint64_t incarnation, int64_t heard_ms,
+    const struct crl_run *runs, size_t n_runs)
+{
+	g_autofree struct ranked *ranked = NULL;
+	struct crl_crash *crash;
+
+	if (n_runs == 0)
+		return NULL;
+	crash = g_new0(struct crl_crash, 1);
+	crash->incarnation = incarnation;
+	crash->crashed_ms = heard_ms;
+	ranked = rank_runs(runs, n_runs, heard_ms);
+	add_suspects(crash, ranked, n_runs);
+	if (crl->crashes->len == MAX_CRASHES)
+		g_ptr_array_remove_index(crl->crashes, 0);
+	g_ptr_array_add(crl->crashes, crash);
+	return crash;
+}
+
+const struct crl_crash *
+crl_settle(struct crl *crl, uint64_t current_incarnation, bool is_ready)
+{
+	guint i;
+
+	for (i = 0; i < crl->crashes->len; i++) {
+		struct crl_crash *crash = crl->crashes->pdata[i];
+		bool same = crash->incarnation == current_incarnation;
+
+		if (crash->state != CRL_PRESUMED || current_incarnation == 0 ||
+		    (same && !is_ready))
+			continue;
+		crash->state = same ? CRL_WITHDRAWN : CRL_CONFIRMED;
+		return crash;
+	}
+	return NULL;
+}
+
+void
+crl_expire(struct crl *crl, int64_t before_ms)
+{
+	while (crl->crashes->len > 0 && crl_get(crl, 0)->crashed_ms < before_ms)
+		g_ptr_array_remove_index(crl->crashes, 0);
+}
+
+size_t
+crl_count(const struct crl *crl)
+{
+	return crl->crashes->len;
+}
+
+const struct crl_crash *
+crl_get(const struct crl *crl, size_t i)
+{
+	return crl->crashes->pdata[i];
+}
--- a/src/request/ledger.c
+++ b/src/request/ledger.c
@@ -39,6 +39,7 @@
 	uint64_t session;
 	uint64_t seq;
 	char *task;
+	char *queue;
 	char *spec;
 	struct wk_size size;
 	uint32_t priority;
@@ -89,6 +90,7 @@
 run_free(struct run *run)
 {
 	g_free(run->task);
+	g_free(run->queue);
 	g_free(run->spec);
 	g_free(run);
 }
@@ -151,6 +153,7 @@
 	    .nominal_ms = run->nominal_ms,
 	    .reason = reason,
 	    .task = run->task,
+	    .queue = run->queue,
 	    .run = run->number,
 	};
 
@@ -199,6 +202,7 @@
 	run->session = start->session;
 	run->seq = start->seq;
 	run->task = g_strdup(start->task);
+	run->queue = g_strdup(start->queue);
 	run->spec = g_strdup(start->spec);
 	run->size = start->size;
 	run->priority = start->priority;
@@ -630,3 +634,23 @@
 {
 	return g_hash_table_size(led->active);
 }
+
+void
+led_each_active(const struct led *led,
+    void (*fn)(const struct led_active_run *run, void *ctx), void *ctx)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, led->active);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct run *run = value;
+		struct led_active_run active = {
+		    .task = run->task,
+		    .queue = run->queue,
+		    .sent_ms = run->sent_ms,
+		};
+
+		fn(&active, ctx);
+	}
+}
--- a/src/request/ledger.h
+++ b/src/request/ledger.h
@@ -22,6 +22,7 @@
 	uint64_t session; /* connection of the entry */
 	uint64_t seq;
 	const char *task;
+	const char *queue;
 	const char *spec;
 	struct wk_size size;
 	uint32_t priority;
@@ -46,9 +47,17 @@
 	int64_t nominal_ms;
 	const char *reason;
 	const char *task;
+	const char *queue;
 	int64_t run;
 };
 
+/* A run that holds capacity; strings are valid during the call. */
+struct led_active_run {
+	const char *task;
+	const char *queue;
+	int64_t sent_ms;
+};
+
 struct led_options {
 	uint32_t max_queue;
 	/* Whether a start may be sent now; sets reason when it may not. */
@@ -104,5 +113,8 @@
 uint32_t led_queued(const struct led *led);
 /* Number of runs that hold capacity. */
 uint32_t led_active(const struct led *led);
+/* Calls fn for each of them, in no order. */
+void led_each_active(const struct led *led,
+    void (*fn)(const struct led_active_run *run, void *ctx), void *ctx);
 
 #endif
--- a/src/request/sched.c
+++ b/src/request/sched.c
@@ -222,6 +222,7 @@
 	    .index = task->index,
 	    .spec = job->spec->spec,
 	    .service = job->service,
+	    .queue = job->queue,
 	    .size = step->size,
 	    .priority = job->priority,
 	    .expected_ms = chc_expected_ms(task, w),
--- a/src/request/sched.h
+++ b/src/request/sched.h
@@ -50,6 +50,7 @@
 	uint32_t index;
 	const char *spec;
 	const char *service;
+	const char *queue;
 	struct wk_size size;
 	uint32_t priority;
 	int64_t expected_ms; /* run time on this worker */
--- a/src/request/work.c
+++ b/src/request/work.c
@@ -1,4 +1,5 @@
 #include <glib.h>
+#include <string.h>
 
 #include "request/work.h"
 
@@ -26,6 +27,34 @@
 	from->gpus -= size->gpus;
 }
 
+/* The 0 is the number of the occurrence, of which a job has only one. */
+char *
+wk_task_name(const char *job, uint32_t step, uint32_t index)
+{
+	return g_strdup_printf("%s.0.%u.%u", job, step, index);
+}
+
+/* Length of the job's id at the start of a task's name. */
+static size_t
+job_id_length(const char *task)
+{
+	size_t length = strlen(task);
+	int n_dots = 0;
+
+	while (length > 0 && n_dots < 3)
+		n_dots += task[--length] == '.';
+	return length;
+}
+
+bool
+wk_same_job(const char *task, const char *other)
+{
+	size_t length = job_id_length(task);
+
+	return length == job_id_length(other) &&
+	       strncmp(task, other, length) == 0;
+}
+
 uint32_t
 wk_job_n_tasks(const struct wk_job *job)
 {
--- a/src/request/work.h
+++ b/src/request/work.h
@@ -36,6 +36,11 @@
 void wk_add(struct wk_size *to, const struct wk_size *size);
 void wk_subtract(struct wk_size *from, const struct wk_size *size);
 
+/* Name of a task, unique among all jobs; free with g_free(). */
+char *wk_task_name(const char *job, uint32_t step, uint32_t index);
+/* Whether two tasks, given by their names, belong to the same job. */
+bool wk_same_job(const char *task, const char *other);
+
 uint32_t wk_job_n_tasks(const struct wk_job *job);
 /* Sum of the estimates along the longest chain of dependent steps. */
 int64_t wk_job_critical_path_ms(const struct wk_job *job);
--- /dev/null
+++ b/tests/test_crashlog.c
@@ -0,0 +1,109 @@
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "request/crashlog.h"
+#include "runner.h"
+
+#define MAX_RUNS 8
+
+struct trace {
+	struct crl *crl;
+	struct crl_run runs[MAX_RUNS];
+	size_t n_runs;
+};
+
+static void *
+start(void)
+{
+	struct trace *t = g_new0(struct trace, 1);
+
+	t->crl = crl_new();
+	return t;
+}
+
+static void
+forget_runs(struct trace *t)
+{
+	while (t->n_runs > 0) {
+		g_free((char *)t->runs[--t->n_runs].task);
+		g_free((char *)t->runs[t->n_runs].queue);
+	}
+}
+
+static void
+end(void *ctx)
+{
+	struct trace *t = ctx;
+
+	forget_runs(t);
+	crl_free(t->crl);
+	g_free(t);
+}
+
+static void
+run(struct trace *t, char **w)
+{
+	ck_assert_uint_lt(t->n_runs, MAX_RUNS);
+	t->runs[t->n_runs++] = (struct crl_run){
+	    .task = g_strdup(w[1]),
+	    .queue = g_strndup(w[1], 1),
+	    .sent_ms = atoi(w[2]),
+	};
+}
+
+static void
+crash(struct trace *t, char **w, GString *actual)
+{
+	const struct crl_crash *crash = crl_add(
+	    t->crl, (uint64_t)atoi(w[1]), atoi(w[2]), t->runs, t->n_runs);
+	size_t i;
+
+	forget_runs(t);
+	if (crash == NULL) {
+		g_string_append(actual, "none");
+		return;
+	}
+	for (i = 0; i < crash->n_suspects; i++)
+		g_string_append_printf(actual, "%s%s/%s=%u", i > 0 ? " " : "",
+		    crash->suspects[i].task, crash->suspects[i].queue,
+		    crash->suspects[i].weight_permille);
+}
+
+static void
+settle(struct trace *t, char **w, GString *actual)
+{
+	static const char *const states[] = {
+	    "presumed", "confirmed", "withdrawn"};
+	const struct crl_crash *crash = crl_settle(
+	    t->crl, (uint64_t)atoi(w[1]), strcmp(w[2], "ready") == 0);
+
+	if (crash != NULL)
+		g_string_append_printf(actual, "%d:%s", (int)crash->incarnation,
+		    states[crash->state]);
+}
+
+static void
+step(void *ctx, char **w, GString *actual)
+{
+	struct trace *t = ctx;
+
+	if (strcmp(w[0], "run") == 0)
+		run(t, w);
+	else if (strcmp(w[0], "crash") == 0)
+		crash(t, w, actual);
+	else if (strcmp(w[0], "settle") == 0)
+		settle(t, w, actual);
+	else if (strcmp(w[0], "expire") == 0)
+		crl_expire(t->crl, atoi(w[1]));
+	else if (strcmp(w[0], "count") == 0)
+		g_string_append_printf(actual, "%zu", crl_count(t->crl));
+	else
+		ck_abort_msg("unknown command %s", w[0]);
+}
+
+/*
+ * Guards against blaming a crash on runs that cannot have caused it, and
+ * against taking a worker that was cut off for one that crashed.
+ */
+REPLAY_MAIN("crashlog", 0, start, end, step)
--- a/tests/test_holder.c
+++ b/tests/test_holder.c
@@ -137,9 +137,9 @@
 }
 
 static void
-on_runs_lost(const char *reason, void *ctx)
+on_runs_lost(const struct hold_lost *lost, void *ctx)
 {
-	(void)reason;
+	(void)lost;
 	append(ctx, "lost");
 }
 
