--- a/tests/standin_platform.c
+++ b/tests/standin_platform.c
@@ -3,8 +3,9 @@
  * It counts violations of guarantees: "limit" counts starts beyond a worker's
  * capacity, "twice" starts of a task that is already running.
  *
- * The spec of a task is its run time in milliseconds, or "fail" for a task that
- * fails at once.
+ * The spec of a task is its run time in milliseconds, "fail" for a task that
+ * fails at once, or "crash" for one that crashes its worker: the worker is
+ * silent for CRASH_MS and then starts again.
  *
  * PUT    /control/key?key=K      writes the body to the store, as an operator
  * DELETE /control/key?key=K      removes the key from the store
@@ -40,6 +41,8 @@
 #define WORKER_HEARTBEAT_MS 200
 #define RUN_TICK_MS	    5
 #define RUN_STOP_MS	    20 /* from a run-stop call to the run's end */
+#define CRASH_MS	    1000
+#define CRASH_AFTER_MS	    10 /* from the start of the task */
 #define DEFERRED_MIN_MS	    300
 #define DEFERRED_MAX_MS	    1500
 #define INSTANCES	    "/sequoiaplank/instances/"
@@ -52,6 +55,7 @@
 	int64_t total_ms;
 	int64_t stop_at_ms; /* 0: not being stopped */
 	bool fails;
+	bool crashes;
 };
 
 struct worker {
@@ -68,7 +72,7 @@
 	struct json_object *ended; /* ended runs to report */
 	GHashTable *closed_runs;   /* task -> highest run ended or stopped */
 	GPtrArray *holds;	   /* struct pending_reply of hold calls */
-	bool crashed;
+	int64_t back_at_ms;	   /* end of a crash; 0: the worker is up */
 };
 
 /*
@@ -95,7 +99,7 @@
 static guint store_port;
 static SoupSession *session;
 static struct {
-	int starts, done, failed, limit, twice, lapsed, malformed;
+	int starts, done, failed, limit, twice, lapsed, malformed, crashes;
 } counts;
 static struct {
 	bool store_down;
@@ -462,6 +466,9 @@
 	run->number = get_int(body, "run");
 	run->total_ms = run->remaining_ms = atoll(get_string(body, "spec"));
 	run->fails = strcmp(get_string(body, "spec"), "fail") == 0;
+	run->crashes = strcmp(get_string(body, "spec"), "crash") == 0;
+	if (run->crashes)
+		run->remaining_ms = run->total_ms = CRASH_AFTER_MS;
 	if (runs_anywhere(run->task))
 		counts.twice++;
 	count_start(run->task);
@@ -599,7 +606,7 @@
 
 	(void)server;
 	(void)query;
-	if (mode.mute == w->index) {
+	if (mode.mute == w->index || w->back_at_ms != 0) {
 		g_clear_pointer(&body, json_object_put);
 		soup_server_message_pause(msg); /* until the caller closes */
 		return;
@@ -635,6 +642,17 @@
 	json_object_put(w->ended);
 	w->ended = json_object_new_array();
 	g_hash_table_remove_all(w->closed_runs);
+	w->back_at_ms = 0;
+}
+
+/* Calls in progress get no answer. */
+static void
+crash_worker(struct worker *w)
+{
+	reset_worker(w);
+	g_ptr_array_set_size(w->holds, 0);
+	w->back_at_ms = clk_now_ms() + CRASH_MS;
+	counts.crashes++;
 }
 
 static void
@@ -649,6 +667,8 @@
 	} else if (run->fails || mode.fail == w->index) {
 		counts.failed++;
 		end_run(w, index, "failed");
+	} else if (run->remaining_ms <= 0 && run->crashes) {
+		crash_worker(w);
 	} else if (run->remaining_ms <= 0) {
 		counts.done++;
 		end_run(w, index, "done");
@@ -670,7 +690,11 @@
 		struct worker *w = &workers[i];
 		bool lapsed = worker_clock(w) > w->deadline_ms;
 
+		if (w->back_at_ms != 0 && now_ms >= w->back_at_ms)
+			reset_worker(w);
 		for (j = w->runs->len; j > 0; j--) {
+			if (j > w->runs->len)
+				continue; /* the worker has crashed */
 			if (lapsed) {
 				counts.lapsed++;
 				end_run(w, j - 1, "lapsed");
@@ -715,7 +739,8 @@
 
 	(void)data;
 	for (i = 0; i < n_workers; i++) {
-		if (mode.mute != i && mode.beats != 0)
+		if (mode.mute != i && mode.beats != 0 &&
+		    workers[i].back_at_ms == 0)
 			send_heartbeat(&workers[i]);
 	}
 	return G_SOURCE_CONTINUE;
@@ -776,6 +801,7 @@
 	add_int(body, "twice", counts.twice);
 	add_int(body, "lapsed", counts.lapsed);
 	add_int(body, "malformed", counts.malformed);
+	add_int(body, "crashes", counts.crashes);
 	add_int(body, "running", running);
 	return body;
 }
