Keep queues whose tasks crash workers to few workers

Cause: nothing connected a crash with what may have caused it. A lost run counted as no failure, at the entry that had sent it only, and no other job was placed differently for it.

Change: agents send each crash, with the runs that were active, to all entries and to each that connects later, so that the memory outlives workers, entries and callers' choice of entry. An agent weighs its runs by how close to the crash they were started, compared with what is usual for their queue. blame shares the crashes among queues and tasks by expectation maximisation. A confined queue whose workers are all away is refused at arrival.

--- a/src/connection/run.x
+++ b/src/connection/run.x
@@ -93,6 +93,30 @@
 	uint32_t slowness_permille;	/* run times against nominal, 0: unknown */
 };
 
+enum run_crash_state {
+	RUN_CRASH_PRESUMED = 0,	/* the worker is silent, which may be a cut */
+	RUN_CRASH_CONFIRMED = 1,
+	RUN_CRASH_WITHDRAWN = 2
+};
+
+/* A run that was active when the worker crashed. */
+struct run_suspect {
+	run_name task;
+	run_name queue;	uint32_t weight_permille;	/* how likely it is the cause */
+	bool started;	/* the worker has confirmed the start */
+};
+
+/*
+ * A crash of the agent's worker.  Sent when it is noticed, when its state
+ * changes, and after the opening call for each that the agent remembers.
+ */
+struct run_crash_args {
+	uint64_t id;		/* unique for the agent */
+	int64_t age_ms;
+	run_crash_state state;
+	run_suspect suspects<RUN_BATCH_MAX>;	/* by falling weight */
+};
+
 program RUN_PROG {
 	version RUN_V1 {
 		void RUN_OPEN(run_open_args) = 1;
@@ -101,5 +125,6 @@
 		void RUN_HEARTBEAT(run_heartbeat_args) = 4;
 		void RUN_WORKER(run_worker_args) = 5;
 		void RUN_UPDATE(run_update_args) = 6;
+		void RUN_CRASH(run_crash_args) = 7;
 	} = 1;
 } = 0x20005354;
--- a/src/connection/run_xdr.c
+++ b/src/connection/run_xdr.c
@@ -188,3 +188,47 @@
 		return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_run_crash_state(XDR *xdrs, run_crash_state *objp)
+{
+	register int32_t *buf;
+
+	if (!xdr_enum(xdrs, (enum_t *)objp))
+		return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_run_suspect(XDR *xdrs, run_suspect *objp)
+{
+	register int32_t *buf;
+
+	if (!xdr_run_name(xdrs, &objp->task))
+		return FALSE;
+	if (!xdr_run_name(xdrs, &objp->queue))
+		return FALSE;
+	if (!xdr_uint32_t(xdrs, &objp->weight_permille))
+		return FALSE;
+	if (!xdr_bool(xdrs, &objp->started))
+		return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_run_crash_args(XDR *xdrs, run_crash_args *objp)
+{
+	register int32_t *buf;
+
+	if (!xdr_uint64_t(xdrs, &objp->id))
+		return FALSE;
+	if (!xdr_int64_t(xdrs, &objp->age_ms))
+		return FALSE;
+	if (!xdr_run_crash_state(xdrs, &objp->state))
+		return FALSE;
+	if (!xdr_array(xdrs, (char **)&objp->suspects.suspects_val,
+		(u_int *)&objp->suspects.suspects_len, RUN_BATCH_MAX,
+		sizeof(run_suspect), (xdrproc_t)xdr_run_suspect))
+		return FALSE;
+	return TRUE;
+}
--- a/src/connection/run_xdr.h
+++ b/src/connection/run_xdr.h
@@ -122,6 +122,32 @@
 };
 typedef struct run_update_args run_update_args;
 
+enum run_crash_state {
+	RUN_CRASH_PRESUMED = 0,
+	RUN_CRASH_CONFIRMED = 1,
+	RUN_CRASH_WITHDRAWN = 2,
+};
+typedef enum run_crash_state run_crash_state;
+
+struct run_suspect {
+	run_name task;
+	run_name queue;
+	uint32_t weight_permille;
+	bool_t started;
+};
+typedef struct run_suspect run_suspect;
+
+struct run_crash_args {
+	uint64_t id;
+	int64_t age_ms;
+	run_crash_state state;
+	struct {
+		u_int suspects_len;
+		run_suspect *suspects_val;
+	} suspects;
+};
+typedef struct run_crash_args run_crash_args;
+
 #define RUN_PROG 0x20005354
 #define RUN_V1	 1
 
@@ -145,6 +171,9 @@
 #define RUN_UPDATE 6
 extern enum clnt_stat run_update_1(run_update_args *, void *, CLIENT *);
 extern bool_t run_update_1_svc(run_update_args *, void *, struct svc_req *);
+#define RUN_CRASH 7
+extern enum clnt_stat run_crash_1(run_crash_args *, void *, CLIENT *);
+extern bool_t run_crash_1_svc(run_crash_args *, void *, struct svc_req *);
 extern int run_prog_1_freeresult(SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -166,6 +195,9 @@
 #define RUN_UPDATE    6
 extern enum clnt_stat run_update_1();
 extern bool_t run_update_1_svc();
+#define RUN_CRASH     7
+extern enum clnt_stat run_crash_1();
+extern bool_t run_crash_1_svc();
 extern int run_prog_1_freeresult();
 #endif /* K&R C */
 
@@ -184,6 +216,9 @@
 extern bool_t xdr_run_outcome(XDR *, run_outcome *);
 extern bool_t xdr_run_result(XDR *, run_result *);
 extern bool_t xdr_run_update_args(XDR *, run_update_args *);
+extern bool_t xdr_run_crash_state(XDR *, run_crash_state *);
+extern bool_t xdr_run_suspect(XDR *, run_suspect *);
+extern bool_t xdr_run_crash_args(XDR *, run_crash_args *);
 
 #else /* K&R C */
 extern bool_t xdr_run_name();
@@ -198,6 +233,9 @@
 extern bool_t xdr_run_outcome();
 extern bool_t xdr_run_result();
 extern bool_t xdr_run_update_args();
+extern bool_t xdr_run_crash_state();
+extern bool_t xdr_run_suspect();
+extern bool_t xdr_run_crash_args();
 
 #endif /* K&R C */
 
--- a/src/connection/worklink.c
+++ b/src/connection/worklink.c
@@ -114,6 +114,7 @@
 	struct wlk *link = ctx;
 	run_worker_args worker = {0};
 	run_update_args update = {0};
+	run_crash_args crash = {0};
 
 	link->backoff_ms = 0;
 	if (call->proc == RUN_WORKER &&
@@ -122,10 +123,14 @@
 	else if (call->proc == RUN_UPDATE &&
 		 xdr_run_update_args(call->args, &update))
 		link->opts.update(link, &update, link->opts.ctx);
+	else if (call->proc == RUN_CRASH &&
+		 xdr_run_crash_args(call->args, &crash))
+		link->opts.crash(link, &crash, link->opts.ctx);
 	else
 		rpc_close(conn, ST_INVALID, "malformed call of an agent");
 	xdr_free((xdrproc_t)xdr_run_worker_args, &worker);
 	xdr_free((xdrproc_t)xdr_run_update_args, &update);
+	xdr_free((xdrproc_t)xdr_run_crash_args, &crash);
 }
 
 void
--- a/src/connection/worklink.h
+++ b/src/connection/worklink.h
@@ -25,6 +25,8 @@
 	    struct wlk *link, const struct run_worker_args *args, void *ctx);
 	void (*update)(
 	    struct wlk *link, const struct run_update_args *args, void *ctx);
+	void (*crash)(
+	    struct wlk *link, const struct run_crash_args *args, void *ctx);
 	void (*closed)(struct wlk *link, const struct status *why, void *ctx);
 	void *ctx;
 };
--- a/src/process/agentpool.c
+++ b/src/process/agentpool.c
@@ -108,6 +108,33 @@
 	pool->opts.update(args, pool->opts.ctx);
 }
 
+static void
+on_crash(struct wlk *link, const struct run_crash_args *args, void *ctx)
+{
+	struct agp *pool = ctx;
+	uint32_t i, n = args->suspects.suspects_len;
+	g_autofree struct crl_suspect *suspects =
+	    g_new0(struct crl_suspect, n + 1);
+	struct crl_crash crash = {
+	    .id = args->id,
+	    .crashed_ms = clk_now_ms() - args->age_ms,
+	    .state = (enum crl_state)args->state,
+	    .suspects = suspects,
+	    .n_suspects = n,
+	};
+
+	for (i = 0; i < n; i++) {
+		const run_suspect *s = &args->suspects.suspects_val[i];
+
+		suspects[i].task = s->task;
+		suspects[i].queue = s->queue;
+		suspects[i].weight_permille = s->weight_permille;
+		suspects[i].started = s->started;
+	}
+	sch_report_crash(
+	    pool->opts.sch, wlk_address(link), &crash, clk_now_ms());
+}
+
 static void
 on_link_closed(struct wlk *link, const struct status *why, void *ctx)
 {
@@ -151,6 +178,7 @@
 	    .fill_heartbeat = fill_heartbeat,
 	    .worker = on_worker,
 	    .update = on_update,
+	    .crash = on_crash,
 	    .closed = on_link_closed,
 	    .ctx = pool,
 	};
--- a/src/process/jobagent.c
+++ b/src/process/jobagent.c
@@ -25,7 +25,8 @@
 #define ENTRY_SILENCE_MS 800
 /* Crashes of the worker are remembered for this time. */
 #define CRASH_KEEP_MS 60000
-
+/* Interval of the samples that crashes are compared with. */
+#define SAMPLE_INTERVAL_MS 200
 /* Results and the worker's description that an entry has yet to be sent. */
 struct outbox {
 	GArray *results; /* run_result, strings owned */
@@ -38,7 +39,8 @@
 	struct hold *hold;
 	struct ses *ses;
 	struct enl *enlist;
-	struct crl *crashes;	 /* of the worker */
+	struct crl *crashes; /* of the worker */
+	int64_t sample_due_ms;
 	GHashTable *outboxes;	 /* session to struct outbox */
 	struct slw slowness;	 /* of the worker */
 	uint64_t slowness_of;	 /* incarnation that it was measured with */
@@ -217,11 +219,63 @@
 	plan_updates(ja);
 }
 
+/* Sends a crash to one session; entries must know it before its results. */
+static void
+send_crash(struct ja *ja, uint64_t session, const struct crl_crash *crash)
+{
+	g_autofree run_suspect *suspects =
+	    g_new0(run_suspect, crash->n_suspects);
+	run_crash_args args = {
+	    .id = crash->id,
+	    .age_ms = clk_now_ms() - crash->crashed_ms,
+	    .state = (run_crash_state)crash->state,
+	    .suspects = {(uint32_t)crash->n_suspects, suspects},
+	};
+	size_t i;
+
+	for (i = 0; i < crash->n_suspects; i++) {
+		suspects[i].task = crash->suspects[i].task;
+		suspects[i].queue = crash->suspects[i].queue;
+		suspects[i].weight_permille =
+		    crash->suspects[i].weight_permille;
+		suspects[i].started = crash->suspects[i].started;
+	}
+	ses_send(
+	    ja->ses, session, RUN_CRASH, (xdrproc_t)xdr_run_crash_args, &args);
+}
+
+static void
+log_crash(const struct crl_crash *crash)
+{
+	static const char *const states[] = {[CRL_PRESUMED] = "presumed",
+	    [CRL_CONFIRMED] = "confirmed",
+	    [CRL_WITHDRAWN] = "withdrawn"};
+
+	evt_write("crash", evt_text("state", states[crash->state]),
+	    evt_uint("incarnation", crash->incarnation),
+	    evt_int("silent_ms", clk_now_ms() - crash->crashed_ms),
+	    evt_uint("runs", crash->n_suspects),
+	    evt_text("closest", crash->suspects[0].task),
+	    evt_text("queue", crash->suspects[0].queue));
+}
+
+static void
+announce_crash(struct ja *ja, const struct crl_crash *crash)
+{
+	uint32_t i, n;
+	g_autofree uint64_t *ids = ses_ids(ja->ses, &n);
+
+	log_crash(crash);
+	for (i = 0; i < n; i++)
+		send_crash(ja, ids[i], crash);
+}
+
 static void
 on_opened(uint64_t session, const char *entry, void *ctx)
 {
 	struct ja *ja = ctx;
 	struct outbox *box = g_new0(struct outbox, 1);
+	size_t i;
 
 	evt_write("entry", evt_text("entry", entry),
 	    evt_uint("session", session), evt_text("state", "connected"));
@@ -230,6 +284,8 @@
 	box->worker_due = true;
 	g_hash_table_insert(
 	    ja->outboxes, g_memdup2(&session, sizeof(session)), box);
+	for (i = 0; i < crl_count(ja->crashes); i++)
+		send_crash(ja, session, crl_get(ja->crashes, i));
 	upd_open(ja->updates, session, clk_now_ms());
 	schedule_updates(ja);
 }
@@ -478,21 +534,6 @@
 	led_report(ja->led, report, sent_ms, clk_now_ms());
 }
 
-static void
-log_crash(const struct crl_crash *crash)
-{
-	static const char *const states[] = {[CRL_PRESUMED] = "presumed",
-	    [CRL_CONFIRMED] = "confirmed",
-	    [CRL_WITHDRAWN] = "withdrawn"};
-
-	evt_write("crash", evt_text("state", states[crash->state]),
-	    evt_uint("incarnation", crash->incarnation),
-	    evt_int("silent_ms", clk_now_ms() - crash->crashed_ms),
-	    evt_uint("runs", crash->n_suspects),
-	    evt_text("closest", crash->suspects[0].task),
-	    evt_text("queue", crash->suspects[0].queue));
-}
-
 static void
 append_run(const struct led_active_run *active, void *ctx)
 {
@@ -500,11 +541,27 @@
 	    .task = active->task,
 	    .queue = active->queue,
 	    .sent_ms = active->sent_ms,
+	    .started = active->started,
 	};
 
 	g_array_append_val(ctx, run);
 }
 
+/* Compares the runs of a crash with those that are active at other times. */
+static void
+sample_runs(struct ja *ja)
+{
+	g_autoptr(GArray) runs =
+	    g_array_new(FALSE, FALSE, sizeof(struct crl_run));
+
+	if (clk_now_ms() < ja->sample_due_ms || !hold_is_ready(ja->hold))
+		return;
+	ja->sample_due_ms = clk_now_ms() + SAMPLE_INTERVAL_MS;
+	led_each_active(ja->led, append_run, runs);
+	crl_sample(ja->crashes, clk_now_ms(),
+	    (const struct crl_run *)runs->data, runs->len);
+}
+
 /* Records the worker's crash with the runs that it may have been caused by. */
 static void
 record_crash(struct ja *ja, const struct hold_lost *lost)
@@ -518,7 +575,7 @@
 	crash = crl_add(ja->crashes, lost->incarnation, lost->heard_ms,
 	    (const struct crl_run *)runs->data, runs->len);
 	if (crash != NULL)
-		log_crash(crash);
+		announce_crash(ja, crash);
 }
 
 static void
@@ -528,9 +585,9 @@
 	    [HOLD_SILENT] = "worker is silent and its lease has ended",
 	    [HOLD_REPLACED] = "worker was replaced",
 	    [HOLD_LEFT] = "worker left"};
-	struct ja *ja = ctx;
-
-	if (lost->why != HOLD_LEFT)
+	struct ja *ja =
+	    ctx; /* A worker that has announced its end has not crashed. */
+	if (lost->why != HOLD_LEFT && !ja->draining_worker)
 		record_crash(ja, lost);
 	led_worker_lost(ja->led, reasons[lost->why], clk_now_ms());
 }
@@ -545,7 +602,7 @@
 
 	while ((crash = crl_settle(ja->crashes, hold_incarnation(ja->hold),
 		    hold_is_ready(ja->hold))) != NULL)
-		log_crash(crash);
+		announce_crash(ja, crash);
 }
 
 static void
@@ -587,6 +644,7 @@
 
 	hold_tick(ja->hold);
 	led_tick(ja->led, clk_now_ms());
+	sample_runs(ja);
 	finish_drain(ja);
 	return G_SOURCE_CONTINUE;
 }
@@ -634,7 +692,7 @@
 	    .ctx = ja,
 	};
 
-	ja->crashes = crl_new();
+	ja->crashes = crl_new((uint64_t)clk_wall_ms());
 	ja->led = led_new(&led);
 	led_set_run_floor(ja->led, clk_wall_ms());
 	ja->hold = hold_new(&hold);
--- a/src/process/jobentry.c
+++ b/src/process/jobentry.c
@@ -71,7 +71,7 @@
 	int64_t *ended_counters[SCH_BROKEN + 1];
 	int64_t *refused, *accepted, *gone;
 	int64_t *tasks_done, *tasks_failed, *tasks_lost;
-	int64_t *open_jobs;
+	int64_t *open_jobs, *confined_queues;
 	struct hst *job_times;
 };
 
@@ -255,6 +255,17 @@
 	    evt_int("sent_ms_ago", clk_now_ms() - s->sent_ms));
 }
 
+static void
+on_confined(const char *queue, bool confined, double caused, void *ctx)
+{
+	struct je *je = ctx;
+
+	*je->confined_queues += confined ? 1 : -1;
+	evt_write("queue", evt_text("queue", queue),
+	    evt_bool("confined", confined),
+	    evt_int("crashes_permille", (int64_t)(caused * 1000)));
+}
+
 static void
 on_update(const struct run_update_args *args, void *ctx)
 {
@@ -458,6 +469,8 @@
 	    ctr_counter(reg, "sp_jobs_refused_total", "Jobs refused.");
 	je->gone = ctr_counter(reg, "sp_requests_gone_total",
 	    "Requests dropped since their connection had ended.");
+	je->confined_queues = ctr_gauge(reg, "sp_queues_confined",
+	    "Queues kept to few workers since their tasks crash workers.");
 	je->open_jobs = ctr_gauge(reg, "sp_jobs_open", "Jobs in progress.");
 	je->job_times = hst_new(
 	    reg, "sp_job_ms", "Time from a job's arrival to its completion.");
@@ -523,6 +536,7 @@
 	    .cancel = cancel_task,
 	    .start_failed = on_start_failed,
 	    .ended = on_job_ended,
+	    .confined = on_confined,
 	    .ctx = je,
 	};
 
@@ -618,8 +632,10 @@
 	    [SCH_TOO_LARGE] = "a task is larger than any worker",
 	    [SCH_OVERLOADED] = "too many open jobs",
 	    [SCH_BACKLOG] = "the queue's backlog is too long",
+	    [SCH_CONFINED] = "tasks of the queue have crashed its workers",
 	    [SCH_UNSUPPORTED] = "queues with advice are not served"};
-	bool overloaded = verdict == SCH_OVERLOADED || verdict == SCH_BACKLOG;
+	bool overloaded = verdict == SCH_OVERLOADED || verdict == SCH_BACKLOG ||
+			  verdict == SCH_CONFINED;
 
 	++*je->refused;
 	evt_write("refusal", evt_text("job", request->job->id),
@@ -644,6 +660,20 @@
 	answer_now(fn, ctx, JE_REFUSED, reason, RETRY_AFTER_MIN_MS);
 }
 
+/* Workers have crashed under the job, maybe at the hands of another entry. */
+static void
+answer_crashing(
+    struct je *je, const struct wk_job *job, je_answer_fn fn, void *ctx)
+{
+	static const char reason[] = "its task crashes workers";
+
+	++*je->ended_counters[SCH_JOB_FAILED];
+	evt_write("job_unserved", evt_text("job", job->id),
+	    evt_text("end", job_end_name(SCH_JOB_FAILED)),
+	    evt_text("reason", reason));
+	answer_now(fn, ctx, JE_JOB_FAILED, reason, 0);
+}
+
 static struct waiter *
 add_waiter(struct je *je, const char *job, je_answer_fn fn, void *ctx)
 {
@@ -716,7 +746,10 @@
 		return waiter->ticket;
 	}
 	g_hash_table_remove(je->waiters, &waiter->ticket);
-	refuse(je, &request, verdict, fn, ctx);
+	if (verdict == SCH_CRASHING)
+		answer_crashing(je, job, fn, ctx);
+	else
+		refuse(je, &request, verdict, fn, ctx);
 	wk_job_free(job);
 	return 0;
 }
--- a/src/request/choice.c
+++ b/src/request/choice.c
@@ -70,6 +70,50 @@
 	return w->local ? cost : cost * REMOTE_COST_FACTOR;
 }
 
+/*
+ * Whether the worker is on the task's side of a confinement: tasks that may
+ * crash their worker are kept apart from the others.
+ */
+static bool
+is_on_side(const struct wks_worker *w, const struct jt_task *task)
+{
+	return task->confined ? w->use != WKS_ALL : w->use != WKS_RESERVED;
+}
+
+static bool
+is_idle(const struct wks_worker *w)
+{
+	return w->open == 0 && wk_fits(&w->capacity, &w->room);
+}
+
+/*
+ * Whether no worker on the task's side could run it, for want of a label or of
+ * capacity.  It may then use an idle one of the others.
+ */
+static bool
+has_no_side(const struct chc *chc, const struct jt_task *task)
+{
+	size_t i;
+
+	for (i = 0; i < wks_count(chc->workers); i++) {
+		const struct wks_worker *w = wks_get(chc->workers, i);
+
+		if (is_on_side(w, task) &&
+		    wks_is_in_service(chc->workers, w, task->job->service) &&
+		    wks_could_run(w, jt_step_of(task)))
+			return false;
+	}
+	return true;
+}
+
+static bool
+may_place(const struct wks_worker *w, const struct jt_task *task, bool no_side)
+{
+	if (!is_on_side(w, task))
+		return no_side && is_idle(w);
+	return !task->alone || is_idle(w);
+}
+
 /* Whether a start of the task can be sent to the worker now. */
 static bool
 can_take(const struct chc *chc, const struct wks_worker *w,
@@ -104,13 +148,15 @@
 	struct wks_worker *best = NULL;
 	double best_cost = INFINITY, best_share = -1;
 	size_t i, n = wks_count(chc->workers);
+	bool no_side = has_no_side(chc, task);
 
 	g_array_set_size(chc->candidates, 0);
 	for (i = 0; i < n; i++) {
 		struct candidate c = {.w = wks_get(chc->workers,
 					  (chc->opts.scan_offset + i) % n)};
 
-		if (!can_take(chc, c.w, task, now_ms))
+		if (!can_take(chc, c.w, task, now_ms) ||
+		    !may_place(c.w, task, no_side))
 			continue;
 		c.cost = cost_of(chc, c.w, task, now_ms);
 		best_cost = MIN(best_cost, c.cost);
--- a/src/request/crashlog.c
+++ b/src/request/crashlog.c
@@ -7,9 +7,16 @@
 
 /* More crashes of one worker are not kept; the oldest are forgotten first. */
 #define MAX_CRASHES 32
-
+/* Weight of a new sample in the mean of a queue's weights. */
+#define SAMPLE_WEIGHT 0.02
+/* Added to each mean, so that a few samples say little. */
+#define MEAN_PRIOR 0.2
+/* Lower bound of a mean, for queues that were hardly ever active. */
+#define MIN_MEAN 0.1
 struct crl {
 	GPtrArray *crashes; /* struct crl_crash, in order of their records */
+	uint64_t last_id;
+	GHashTable *means; /* queue to double: mean of its jobs' weights */
 };
 
 static void
@@ -27,10 +34,13 @@
 }
 
 struct crl *
-crl_new(void)
+crl_new(uint64_t first_id)
 {
 	struct crl *crl = g_new0(struct crl, 1);
 
+	crl->last_id = first_id;
+	crl->means =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	crl->crashes = g_ptr_array_new_with_free_func(crash_free);
 	return crl;
 }
@@ -42,13 +52,16 @@
 	if (crl == NULL)
 		return;
 	g_ptr_array_unref(crl->crashes);
+	g_hash_table_unref(crl->means);
 	g_free(crl);
 }
 
-/* A run and how far its job's closest start is from the crash. */
+/* A run, how far its job's closest start is from the crash, and its weight. */
 struct ranked {
 	const struct crl_run *run;
 	int64_t distance_ms;
+	bool first_of_job;
+	double weight; /* of its job; those of all jobs add up to 1 */
 };
 
 static int
@@ -86,6 +99,27 @@
 	return closest_ms;
 }
 
+static void
+weigh(struct ranked *ranked, size_t n)
+{
+	double weight = 1, sum = 0;
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		ranked[i].first_of_job =
+		    i == 0 ||
+		    !wk_same_job(ranked[i].run->task, ranked[i - 1].run->task);
+		if (ranked[i].first_of_job) {
+			weight /= 2;
+			sum += weight;
+		}
+		ranked[i].weight = weight;
+	}
+	for (i = 0; i < n; i++)
+		ranked[i].weight /= sum;
+}
+
+/* Orders the runs by how likely they caused a crash at the given time. */
 static struct ranked *
 rank_runs(const struct crl_run *runs, size_t n_runs, int64_t heard_ms)
 {
@@ -98,26 +132,85 @@
 		    job_distance_ms(runs, n_runs, &runs[i], heard_ms);
 	}
 	qsort(ranked, n_runs, sizeof(*ranked), compare_ranked);
+	weigh(ranked, n_runs);
 	return ranked;
 }
 
+static double *
+mean_of(struct crl *crl, const char *queue)
+{
+	double *mean = g_hash_table_lookup(crl->means, queue);
+
+	if (mean == NULL) {
+		mean = g_new0(double, 1);
+		g_hash_table_insert(crl->means, g_strdup(queue), mean);
+	}
+	return mean;
+}
+
+void
+crl_sample(
+    struct crl *crl, int64_t now_ms, const struct crl_run *runs, size_t n_runs)
+{
+	g_autofree struct ranked *ranked = NULL;
+	GHashTableIter iter;
+	gpointer value;
+	size_t i;
+
+	if (n_runs == 0)
+		return;
+	g_hash_table_iter_init(&iter, crl->means);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		*(double *)value *= 1 - SAMPLE_WEIGHT;
+	ranked = rank_runs(runs, n_runs, now_ms);
+	for (i = 0; i < n_runs; i++) {
+		if (ranked[i].first_of_job)
+			*mean_of(crl, ranked[i].run->queue) +=
+			    SAMPLE_WEIGHT * ranked[i].weight;
+	}
+}
+
+static double
+sum_of_means(const struct crl *crl)
+{
+	GHashTableIter iter;
+	gpointer value;
+	double sum = 0;
+
+	g_hash_table_iter_init(&iter, crl->means);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		sum += *(double *)value + MEAN_PRIOR;
+	return sum;
+}
+
+/* The share of the weight that jobs of the queue usually have. */
+static double
+usual_weight(struct crl *crl, const char *queue)
+{
+	double mean = *mean_of(crl, queue) + MEAN_PRIOR;
+
+	return MAX(mean / sum_of_means(crl), MIN_MEAN);
+}
+
 static void
-add_suspects(struct crl_crash *crash, const struct ranked *ranked, size_t n)
+add_suspects(struct crl *crl, struct crl_crash *crash,
+    const struct ranked *ranked, size_t n)
 {
-	uint32_t rank = 0;
 	size_t i;
 
+	for (i = 0; i < n; i++)
+		mean_of(crl, ranked[i].run->queue); /* adds unknown queues */
 	crash->suspects = g_new0(struct crl_suspect, n);
 	crash->n_suspects = n;
 	for (i = 0; i < n; i++) {
 		struct crl_suspect *suspect = &crash->suspects[i];
 
-		if (i == 0 ||
-		    !wk_same_job(ranked[i].run->task, ranked[i - 1].run->task))
-			rank++;
 		suspect->task = g_strdup(ranked[i].run->task);
 		suspect->queue = g_strdup(ranked[i].run->queue);
-		suspect->weight_permille = 1000 / rank;
+		suspect->started = ranked[i].run->started;
+		suspect->weight_permille = (uint32_t)MAX(
+		    1, 1000 * ranked[i].weight /
+			   usual_weight(crl, ranked[i].run->queue));
 	}
 }
 
@@ -131,10 +224,11 @@
 	if (n_runs == 0)
 		return NULL;
 	crash = g_new0(struct crl_crash, 1);
+	crash->id = ++crl->last_id;
 	crash->incarnation = incarnation;
 	crash->crashed_ms = heard_ms;
 	ranked = rank_runs(runs, n_runs, heard_ms);
-	add_suspects(crash, ranked, n_runs);
+	add_suspects(crl, crash, ranked, n_runs);
 	if (crl->crashes->len == MAX_CRASHES)
 		g_ptr_array_remove_index(crl->crashes, 0);
 	g_ptr_array_add(crl->crashes, crash);
--- a/src/request/crashlog.h
+++ b/src/request/crashlog.h
@@ -17,16 +17,21 @@
 	const char *task;
 	const char *queue;
 	int64_t sent_ms;
+	bool started; /* the worker has confirmed the start */
 };
 
 struct crl_suspect {
 	char *task;
 	char *queue;
 	/*
-	 * 1000 for the job that was started closest to the crash, less for the
-	 * others.  A run that did no harm for longer is less likely the cause.
+	 * How likely its job is the cause, compared with what is usual for its
+	 * queue: half for each job that was started closer to the crash, since
+	 * a run that did no harm for longer is less likely the cause; divided
+	 * by the mean of that at moments without a crash.
 	 */
 	uint32_t weight_permille;
+	/* False: the worker may have crashed before the start reached it. */
+	bool started;
 };
 
 enum crl_state {
@@ -36,6 +41,7 @@
 };
 
 struct crl_crash {
+	uint64_t id; /* unique for the agent, also after a restart */
 	uint64_t incarnation;
 	int64_t crashed_ms; /* about when the worker fell silent */
 	enum crl_state state;
@@ -43,9 +49,16 @@
 	size_t n_suspects;
 };
 
-struct crl *crl_new(void);
+/* Ids of crashes are above first_id. */
+struct crl *crl_new(uint64_t first_id);
 void crl_free(struct crl *crl);
 
+/*
+ * Takes note of the runs that are active at a moment without a crash.  To be
+ * called regularly.
+ */
+void crl_sample(
+    struct crl *crl, int64_t now_ms, const struct crl_run *runs, size_t n_runs);
 /*
  * Records a crash of the incarnation, last heard at heard_ms.  Returns NULL
  * when there is no run, since then no run caused it.
--- a/src/request/jobtask.h
+++ b/src/request/jobtask.h
@@ -37,6 +37,9 @@
 	int64_t sent_ms;
 	int64_t resolved_ms;  /* when an unresolved run has certainly ended */
 	int64_t projected_ms; /* longest projection of a stalled run; 0: none */
+	bool was_lost;	      /* a worker may have crashed under it */
+	bool confined;	      /* only for workers marked for confined tasks */
+	bool alone;	      /* only for idle ones of these */
 };
 
 struct jt_step {
@@ -59,8 +62,10 @@
 	struct jt_task *tasks;
 	uint32_t n_tasks;
 	uint32_t n_left;
-	bool sent; /* a task was sent and may have run */
+	bool sent;	/* a task was sent and may have run */
+	bool suspected; /* of crashing workers */
 	struct spd_queue *speed;
+	struct cfn_queue *confinement;
 	GList link; /* in the list of its priority */
 };
 
--- a/src/request/ledger.c
+++ b/src/request/ledger.c
@@ -51,6 +51,7 @@
 	int64_t stop_sent_ms;	   /* when a stop was last sent, 0: never */
 	int64_t stop_confirmed_ms; /* when the stop was confirmed, 0: not yet */
 	uint32_t renumbers;
+	bool started;		 /* the worker has confirmed the start */
 	const char *stop_reason; /* why the run is being stopped */
 	int64_t expected_ms;
 	int64_t nominal_ms;
@@ -399,6 +400,7 @@
 		return;
 	switch (answer->verdict) {
 	case WP_DONE:
+		run->started = true;
 		if (run->state == STARTING)
 			run->state = RUNNING;
 		return;
@@ -581,7 +583,8 @@
 		if (run->state != STARTING || run->no_answer_ms == 0 ||
 		    run->no_answer_ms > sent_ms)
 			continue;
-		if (report_lists(report, run))
+		run->started = report_lists(report, run);
+		if (run->started)
 			run->state = RUNNING;
 		else
 			begin_stop(led, run, "start without an answer", now_ms);
@@ -649,6 +652,7 @@
 		    .task = run->task,
 		    .queue = run->queue,
 		    .sent_ms = run->sent_ms,
+		    .started = run->started,
 		};
 
 		fn(&active, ctx);
--- a/src/request/ledger.h
+++ b/src/request/ledger.h
@@ -56,6 +56,7 @@
 	const char *task;
 	const char *queue;
 	int64_t sent_ms;
+	bool started; /* the worker has confirmed the start */
 };
 
 struct led_options {
--- a/src/request/sched.c
+++ b/src/request/sched.c
@@ -1,7 +1,9 @@
 #include <glib.h>
 #include <string.h>
 
+#include "request/blame.h"
 #include "request/choice.h"
+#include "request/confine.h"
 #include "request/jobtask.h"
 #include "request/sched.h"
 
@@ -32,6 +34,8 @@
 	GHashTable *queue_speeds; /* queue name to struct spd_queue */
 	GTree *jobs_by_priority;  /* priority to GQueue of struct jt_job */
 	struct chc *choice;
+	struct blm *blame;
+	struct cfn *confinement;
 	uint64_t next_seq;
 	int64_t first_ms; /* of the first call; taken as the process start */
 	bool waiting;	  /* a task may be ready to be sent */
@@ -58,6 +62,29 @@
 	g_free(data);
 }
 
+static void
+on_confinement_changed(
+    const char *queue, bool confined, double caused, void *ctx)
+{
+	struct sch *sch = ctx;
+
+	if (sch->opts.confined != NULL)
+		sch->opts.confined(queue, confined, caused, sch->opts.ctx);
+}
+
+static struct cfn *
+make_confinement(struct sch *sch)
+{
+	struct cfn_options opts = {
+	    .workers = sch->workers,
+	    .blame = sch->blame,
+	    .changed = on_confinement_changed,
+	    .ctx = sch,
+	};
+
+	return cfn_new(&opts);
+}
+
 struct sch *
 sch_new(const struct sch_options *opts)
 {
@@ -65,6 +92,8 @@
 
 	sch->opts = *opts;
 	sch->workers = wks_new();
+	sch->blame = blm_new();
+	sch->confinement = make_confinement(sch);
 	sch->jobs =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
 	sch->sent = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -88,6 +117,8 @@
 	g_hash_table_unref(sch->jobs);
 	g_tree_unref(sch->jobs_by_priority);
 	chc_free(sch->choice);
+	cfn_free(sch->confinement);
+	blm_free(sch->blame);
 	wks_free(sch->workers);
 	g_hash_table_unref(sch->queue_speeds);
 	g_free(sch);
@@ -245,47 +276,93 @@
 	return true;
 }
 
-/* State of one pass over the ready tasks. */
-struct pass {
-	struct sch *sch;
-	int64_t now_ms;
+/* The unplaced tasks of one pass that are confined, or that are not. */
+struct lane {
 	uint32_t n_unplaced;
 	/* Smallest unplaced task without required label or per-worker limit. */
 	const struct jt_task *smallest;
 };
 
+/*
+ * State of one pass over the ready tasks.  Confined tasks have a lane of their
+ * own, so that they do not keep the others from being placed.
+ */
+struct pass {
+	struct sch *sch;
+	int64_t now_ms;
+	struct lane lanes[2]; /* the second: confined tasks */
+};
+
+static struct lane *
+lane_of(struct pass *pass, const struct jt_task *task)
+{
+	return &pass->lanes[task->confined];
+}
+
+static bool
+is_full(const struct lane *lane)
+{
+	return lane->n_unplaced >= MAX_UNPLACED_TASKS;
+}
+
+/* Without a known crash no task is confined. */
+static bool
+is_over(const struct pass *pass)
+{
+	return is_full(&pass->lanes[false]) &&
+	       (is_full(&pass->lanes[true]) ||
+		   !blm_is_needed(pass->sch->blame));
+}
+
+static enum blm_verdict
+verdict_of(struct sch *sch, const struct jt_task *task, int64_t now_ms)
+{
+	g_autofree char *name = NULL;
+
+	if (!task->was_lost || !blm_is_needed(sch->blame))
+		return BLM_CLEAR;
+	name = wk_task_name(task->job->spec->id, task->step, task->index);
+	return blm_verdict_of(sch->blame, name, now_ms);
+}
+
 /*
  * Whether a task of the same service that needs no more than this one has
  * already found no worker in this pass.
  */
 static bool
-has_no_worker(const struct pass *pass, const struct jt_task *task)
+has_no_worker(const struct lane *lane, const struct jt_task *task)
 {
-	return pass->smallest != NULL &&
-	       strcmp(pass->smallest->job->service, task->job->service) == 0 &&
+	return lane->smallest != NULL &&
+	       strcmp(lane->smallest->job->service, task->job->service) == 0 &&
 	       wk_fits(
-		   &jt_step_of(pass->smallest)->size, &jt_step_of(task)->size);
+		   &jt_step_of(lane->smallest)->size, &jt_step_of(task)->size);
 }
 
 static void
-record_unplaced(struct pass *pass, const struct jt_task *task)
+record_unplaced(struct lane *lane, const struct jt_task *task)
 {
 	const struct wk_step *step = jt_step_of(task);
 
-	pass->n_unplaced++;
+	lane->n_unplaced++;
 	if (step->required_label == NULL && step->max_per_worker == 0 &&
-	    (pass->smallest == NULL ||
-		wk_fits(&step->size, &jt_step_of(pass->smallest)->size)))
-		pass->smallest = task;
+	    (lane->smallest == NULL ||
+		wk_fits(&step->size, &jt_step_of(lane->smallest)->size)))
+		lane->smallest = task;
 }
 
 static void
 place_task(struct pass *pass, struct jt_task *task)
 {
+	enum blm_verdict verdict = verdict_of(pass->sch, task, pass->now_ms);
 	struct wks_worker *w = NULL;
-
-	if (has_no_worker(pass, task)) {
-		pass->n_unplaced++;
+	struct lane *lane;
+	task->alone = verdict != BLM_CLEAR;
+	task->confined = task->alone || cfn_is_confined(task->job->confinement);
+	if (verdict == BLM_HELD || verdict == BLM_GUILTY)
+		return;
+	lane = lane_of(pass, task);
+	if (is_full(lane) || has_no_worker(lane, task)) {
+		lane->n_unplaced++;
 		return;
 	}
 	/*
@@ -297,7 +374,7 @@
 	    !send(pass->sch, task, w, pass->now_ms))
 		w->accepting = false;
 	if (w == NULL)
-		record_unplaced(pass, task);
+		record_unplaced(lane, task);
 }
 
 static void
@@ -305,33 +382,35 @@
 {
 	uint32_t i;
 
-	for (i = 0; i < job->n_tasks && pass->n_unplaced < MAX_UNPLACED_TASKS;
-	     i++) {
+	for (i = 0; i < job->n_tasks && !is_over(pass); i++) {
 		if (job->tasks[i].state == JT_READY)
 			place_task(pass, &job->tasks[i]);
 	}
 }
 
-/*
- * Whether the job is placed before late ones: a task of it was already sent, or
- * it can still meet its objective.
- */
-static bool
-is_preferred(const struct jt_job *job, int64_t now_ms)
+/* Order in which the jobs of one priority are placed. */
+enum turn {
+	PREFERRED, /* a task was already sent, or it can meet its objective */
+	LATE,
+	SUSPECTED /* it may crash the worker, and so comes last */
+};
+
+static enum turn
+turn_of(const struct jt_job *job, int64_t now_ms)
 {
-	return job->sent || now_ms <= job->start_by_ms;
+	if (job->suspected)
+		return SUSPECTED;
+	return job->sent || now_ms <= job->start_by_ms ? PREFERRED : LATE;
 }
 
 static void
-place_jobs(struct pass *pass, const GQueue *list, bool preferred)
+place_jobs(struct pass *pass, const GQueue *list, enum turn turn)
 {
 	GList *l;
 
-	for (l = list->head; l != NULL && pass->n_unplaced < MAX_UNPLACED_TASKS;
-	     l = l->next) {
+	for (l = list->head; l != NULL && !is_over(pass); l = l->next) {
 		struct jt_job *job = l->data;
-
-		if (is_preferred(job, pass->now_ms) == preferred)
+		if (turn_of(job, pass->now_ms) == turn)
 			place_job(pass, job);
 	}
 }
@@ -346,9 +425,10 @@
 	struct pass *pass = data;
 
 	(void)key;
-	place_jobs(pass, value, true);
-	place_jobs(pass, value, false);
-	return pass->n_unplaced >= MAX_UNPLACED_TASKS;
+	place_jobs(pass, value, PREFERRED);
+	place_jobs(pass, value, LATE);
+	place_jobs(pass, value, SUSPECTED);
+	return is_over(pass);
 }
 
 bool
@@ -364,7 +444,8 @@
 	size_t i;
 
 	g_tree_foreach(sch->jobs_by_priority, place_list, &pass);
-	sch->waiting = pass.n_unplaced > 0;
+	sch->waiting =
+	    pass.lanes[false].n_unplaced > 0 || pass.lanes[true].n_unplaced > 0;
 	for (i = 0; i < wks_count(sch->workers); i++) {
 		struct wks_worker *w = wks_get(sch->workers, i);
 
@@ -375,13 +456,27 @@
 	}
 }
 
+static void
+acquit(struct sch *sch, const struct jt_task *task)
+{
+	g_autofree char *name = NULL;
+
+	if (!task->was_lost)
+		return;
+	name = wk_task_name(task->job->spec->id, task->step, task->index);
+	blm_acquit(sch->blame, name);
+}
+
 static void
 task_done(struct sch *sch, struct jt_task *task)
 {
 	if (task->job->spec->n_steps > 1)
 		sch->waiting = true; /* the next step may be ready */
-	if (jt_mark_done(task))
+	acquit(sch, task);
+	if (jt_mark_done(task)) {
+		cfn_count_completion(task->job->confinement);
 		end_job(sch, task->job, SCH_COMPLETED, "");
+	}
 }
 
 /*
@@ -466,6 +561,7 @@
 		record_failure(task, w, now_ms);
 		break;
 	case SCH_LOST:
+		task->was_lost = true;
 		jt_remember_failed_on(task, w);
 		break;
 	case SCH_NOT_STARTED:
@@ -613,6 +709,50 @@
 		sch->first_ms = now_ms;
 }
 
+void
+sch_report_crash(struct sch *sch, const char *agent,
+    const struct crl_crash *crash, int64_t now_ms)
+{
+	blm_report(sch->blame, agent, crash, now_ms);
+	cfn_update(sch->confinement, now_ms);
+	sch->waiting = true;
+}
+
+static double
+work_of(const struct wk_job *job)
+{
+	double work = 0;
+	uint32_t i;
+
+	for (i = 0; i < job->n_steps; i++)
+		work += (double)job->steps[i].count *
+			(double)MAX(job->steps[i].size.cpu_milli, 1) *
+			(double)MAX(job->steps[i].estimate_ms, 1) / 1000;
+	return work;
+}
+
+/*
+ * Marks the tasks of a new job under which workers have crashed: its caller may
+ * have sent it to another entry before.  Returns the gravest verdict on them.
+ */
+static enum blm_verdict
+recall_crashes(struct sch *sch, struct jt_job *job, int64_t now_ms)
+{
+	enum blm_verdict gravest = BLM_CLEAR;
+	uint32_t i;
+
+	for (i = 0; i < job->n_tasks && blm_is_needed(sch->blame); i++) {
+		struct jt_task *task = &job->tasks[i];
+		enum blm_verdict verdict;
+
+		task->was_lost = true;
+		verdict = verdict_of(sch, task, now_ms);
+		task->was_lost = verdict != BLM_CLEAR;
+		gravest = MAX(gravest, verdict);
+	}
+	return gravest;
+}
+
 enum sch_submit_result
 sch_submit(struct sch *sch, struct sch_request *request, int64_t now_ms)
 {
@@ -620,14 +760,20 @@
 	struct limits limits;
 	struct waits waits;
 	enum sch_submit_result verdict;
+	struct cfn_queue *confinement;
 	struct jt_job *job;
 
 	if (request->queue->external_placement)
 		return SCH_UNSUPPORTED;
 	record_first_time(sch, now_ms);
+	confinement = cfn_find(
+	    sch->confinement, request->queue->service, request->queue->name);
+	cfn_count_work(confinement, work_of(request->job), now_ms);
 	verdict = check_workers(sch, request, now_ms);
 	if (verdict != SCH_ACCEPTED)
 		return verdict;
+	if (cfn_is_cut_off(sch->confinement, confinement))
+		return SCH_CONFINED;
 	if (g_hash_table_size(sch->jobs) >= sch->opts.max_jobs)
 		return SCH_OVERLOADED;
 	speed = queue_speed(sch, request->queue->name);
@@ -637,6 +783,12 @@
 	if (is_too_late(&waits, &limits))
 		return SCH_BACKLOG;
 	job = jt_new(request->job, request->queue);
+	if (recall_crashes(sch, job, now_ms) == BLM_GUILTY) {
+		job->spec = NULL; /* stays with the caller */
+		jt_free(job);
+		return SCH_CRASHING;
+	}
+	job->confinement = confinement;
 	job->speed = speed;
 	job->waiter = request->waiter;
 	job->arrived_ms = now_ms;
@@ -734,10 +886,46 @@
 	}
 }
 
+/* The gravest verdict on the tasks of the job that wait for a worker. */
+static enum blm_verdict
+verdict_of_job(struct sch *sch, const struct jt_job *job, int64_t now_ms)
+{
+	enum blm_verdict gravest = BLM_CLEAR;
+	uint32_t i;
+
+	for (i = 0; i < job->n_tasks; i++) {
+		if (job->tasks[i].state == JT_READY)
+			gravest = MAX(
+			    gravest, verdict_of(sch, &job->tasks[i], now_ms));
+	}
+	return gravest;
+}
+
+static void
+judge_jobs(struct sch *sch, int64_t now_ms)
+{
+	g_autoptr(GList) jobs = g_hash_table_get_values(sch->jobs);
+	GList *l;
+
+	for (l = jobs; l != NULL; l = l->next) {
+		struct jt_job *job = l->data;
+		enum blm_verdict verdict = verdict_of_job(sch, job, now_ms);
+
+		job->suspected = verdict != BLM_CLEAR;
+		if (verdict == BLM_GUILTY)
+			end_job(sch, job, SCH_JOB_FAILED,
+			    "its task crashes workers");
+	}
+}
+
 void
 sch_tick(struct sch *sch, int64_t now_ms)
 {
 	record_first_time(sch, now_ms);
+	if (blm_is_needed(sch->blame)) {
+		cfn_update(sch->confinement, now_ms);
+		judge_jobs(sch, now_ms);
+	}
 	resolve_lost(sch, now_ms);
 	expire_jobs(sch, now_ms);
 	sch_place_tasks(sch, now_ms);
--- a/src/request/sched.h
+++ b/src/request/sched.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "request/choice.h"
+#include "request/crashlog.h"
 #include "request/work.h"
 #include "request/workerset.h"
 #include "version/routes.h"
@@ -39,6 +40,8 @@
 	SCH_TOO_LARGE,	/* a step needs more than any known worker has */
 	SCH_OVERLOADED, /* too many jobs are open */
 	SCH_BACKLOG,	/* its answer would come too late to be of use */
+	SCH_CONFINED,	/* its queue crashes workers, and those left are away */
+	SCH_CRASHING,	/* one of its tasks crashes workers */
 	SCH_UNSUPPORTED /* queues with placement advice are not supported */
 };
 
@@ -86,6 +89,9 @@
 	/* The job has ended; waiter is the one of struct sch_request. */
 	void (*ended)(void *waiter, const char *job, enum sch_job_end end,
 	    const char *reason, void *ctx);
+	/* A queue was confined to few workers, or released. */
+	void (*confined)(
+	    const char *queue, bool confined, double caused, void *ctx);
 	void *ctx;
 };
 
@@ -129,6 +135,10 @@
  */
 void sch_disconnect(struct sch *sch, struct wks_worker *worker, int64_t now_ms);
 
+/* A report of an agent whose worker crashed. */
+void sch_report_crash(struct sch *sch, const char *agent,
+    const struct crl_crash *crash, int64_t now_ms);
+
 enum sch_submit_result sch_submit(
     struct sch *sch, struct sch_request *request, int64_t now_ms);
 /* Replaces the waiter of a known job; returns the former one. */
--- a/src/request/workerset.c
+++ b/src/request/workerset.c
@@ -144,12 +144,20 @@
 	       set->is_out(w->failure_domain, set->is_out_ctx);
 }
 
+bool
+wks_is_in_service(
+    const struct wks *set, const struct wks_worker *w, const char *service)
+{
+	return w->service != NULL && strcmp(w->service, service) == 0 &&
+	       !w->draining && !is_out(set, w);
+}
+
 bool
 wks_is_usable(
     const struct wks *set, const struct wks_worker *w, const char *service)
 {
-	return w->described && w->accepting && !w->draining &&
-	       strcmp(w->service, service) == 0 && !is_out(set, w);
+	return w->described && w->accepting &&
+	       wks_is_in_service(set, w, service);
 }
 
 bool
--- a/src/request/workerset.h
+++ b/src/request/workerset.h
@@ -29,6 +29,13 @@
 	bool local;
 };
 
+/* Which tasks a worker is for, while crashes are known. */
+enum wks_use {
+	WKS_ALL,
+	WKS_SUSPECTS, /* also for tasks suspected of crashing workers */
+	WKS_RESERVED  /* only for these and for confined queues */
+};
+
 struct wks_worker {
 	void *link; /* opaque, of the caller */
 	char *name;
@@ -42,6 +49,7 @@
 	bool accepting; /* takes starts, as last reported */
 	bool draining;
 	bool local;
+	enum wks_use use;
 	bool unflushed;		/* starts were sent since the last flush */
 	int64_t last_usable_ms; /* last report of taking starts, 0: never */
 	struct spd_worker speed;
@@ -76,6 +84,9 @@
 /* Whether tasks may be sent to the worker now. */
 bool wks_is_usable(const struct wks *set, const struct wks_worker *worker,
     const char *service);
+/* Whether the worker is of the service, and neither draining nor out. */
+bool wks_is_in_service(const struct wks *set, const struct wks_worker *worker,
+    const char *service);
 /*
  * Whether the worker could run a task of the step with all its capacity free.
  */
--- a/tests/test_crashlog.c
+++ b/tests/test_crashlog.c
@@ -18,7 +18,7 @@
 {
 	struct trace *t = g_new0(struct trace, 1);
 
-	t->crl = crl_new();
+	t->crl = crl_new(0);
 	return t;
 }
 
@@ -92,7 +92,10 @@
 		run(t, w);
 	else if (strcmp(w[0], "crash") == 0)
 		crash(t, w, actual);
-	else if (strcmp(w[0], "settle") == 0)
+	else if (strcmp(w[0], "sample") == 0) {
+		crl_sample(t->crl, atoi(w[1]), t->runs, t->n_runs);
+		forget_runs(t);
+	} else if (strcmp(w[0], "settle") == 0)
 		settle(t, w, actual);
 	else if (strcmp(w[0], "expire") == 0)
 		crl_expire(t->crl, atoi(w[1]));
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -28,8 +28,8 @@
     "completed", "failed", "expired", "hopeless", "broken"};
 static const char *const outcomes[] = {
     "done", "failed", "not_started", "lost", "stalled"};
-static const char *const verdicts[] = {
-    "accepted", "no_workers", "too_large", "overloaded", "backlog", "unserved"};
+static const char *const verdicts[] = {"accepted", "no_workers", "too_large",
+    "overloaded", "backlog", "confined", "crashing", "unserved"};
 
 static void
 emit(struct trace *t, const char *fmt, ...)
@@ -148,6 +148,13 @@
 	return word == NULL ? 0 : strtoll(word, NULL, 10);
 }
 
+/* Jobs whose id begins with o are of another queue. */
+static char *
+queue_of(const char *id)
+{
+	return (char *)(*id == 'o' ? "other" : "q");
+}
+
 static struct link *
 find(struct trace *t, const char *name)
 {
@@ -206,11 +213,40 @@
 	step->n_after = 1;
 }
 
+/*
+ * crash WORKER ID TASK...: the worker crashed under the tasks, the likeliest
+ * cause first.
+ */
+static void
+crash(struct trace *t, char **w)
+{
+	struct crl_suspect suspects[8];
+	struct crl_crash report = {
+	    .id = (uint64_t)number(w[2]),
+	    .crashed_ms = t->now_ms,
+	    .state = CRL_CONFIRMED,
+	    .suspects = suspects,
+	};
+
+	for (; w[3 + report.n_suspects] != NULL; report.n_suspects++) {
+		char *task = w[3 + report.n_suspects];
+
+		ck_assert_uint_lt(report.n_suspects, G_N_ELEMENTS(suspects));
+		suspects[report.n_suspects] = (struct crl_suspect){
+		    .task = task,
+		    .queue = queue_of(task),
+		    .weight_permille = 1500 >> report.n_suspects,
+		    .started = true,
+		};
+	}
+	sch_report_crash(t->sch, w[1], &report, t->now_ms);
+}
+
 /* job ID PRIORITY DEADLINE ATTEMPTS STEP... */
 static void
 job(struct trace *t, char **w)
 {
-	struct rts_queue queue = {.name = (char *)"q",
+	struct rts_queue queue = {.name = queue_of(w[1]),
 	    .service = (char *)"desk",
 	    .stretch = 2,
 	    .target_ms = 80};
@@ -280,6 +316,8 @@
 		    (uint32_t)number(w[2]);
 	else if (strcmp(w[0], "job") == 0)
 		job(t, w);
+	else if (strcmp(w[0], "crash") == 0)
+		crash(t, w);
 	else if (strcmp(w[0], "run") == 0)
 		sch_place_tasks(t->sch, t->now_ms);
 	else if (strcmp(w[0], "result") == 0)
