Let a suspected task wait for an idle worker for half a second only

Cause: its tasks had been lost with a worker that stayed silent, so that they were suspected, and were placed only on the idle ones of the workers kept for such tasks; the silent worker itself was one of these. Change: a suspected task waits for an idle worker for 500 ms, then it is placed like others of its queue; a worker that has taken no starts for 6 s is not kept for such tasks. The case of sched.txt fails without it (no start at 510).

--- a/src/request/confine.c
+++ b/src/request/confine.c
@@ -31,6 +31,8 @@
  * better served by all workers.
  */
 #define MIN_OTHER_SHARE 0.1
+/* A worker that took no starts for longer is not expected to return soon. */
+#define RETURN_MS 6000
 /* Share of the workers that single suspected tasks may use. */
 #define SUSPECT_SHARE 0.25
 
@@ -267,8 +269,8 @@
  * has crashed keeps its place: otherwise the next one would take it, and crash.
  */
 static void
-mark_workers(
-    struct cfn *cfn, const char *service, double share, enum wks_use use)
+mark_workers(struct cfn *cfn, const char *service, double share,
+    enum wks_use use, int64_t now_ms)
 {
 	g_autoptr(GArray) candidates =
 	    g_array_new(FALSE, FALSE, sizeof(struct candidate));
@@ -276,8 +278,8 @@
 
 	for (i = 0; i < wks_count(cfn->opts.workers); i++) {
 		struct candidate c = {.w = wks_get(cfn->opts.workers, i)};
-
-		if (!wks_is_in_service(cfn->opts.workers, c.w, service))
+		if (!wks_is_in_service(cfn->opts.workers, c.w, service) ||
+		    now_ms - c.w->last_usable_ms > RETURN_MS)
 			continue;
 		c.score = rdv_score(service, c.w->name);
 		g_array_append_val(candidates, c);
@@ -296,9 +298,9 @@
 	double share = blamed_share(cfn, service, now_ms);
 
 	if (share > 0)
-		mark_workers(cfn, service, share, WKS_RESERVED);
+		mark_workers(cfn, service, share, WKS_RESERVED, now_ms);
 	else
-		mark_workers(cfn, service, SUSPECT_SHARE, WKS_SUSPECTS);
+		mark_workers(cfn, service, SUSPECT_SHARE, WKS_SUSPECTS, now_ms);
 }
 
 static bool
--- a/src/request/jobtask.h
+++ b/src/request/jobtask.h
@@ -38,6 +38,7 @@
 	int64_t resolved_ms;  /* when an unresolved run has certainly ended */
 	int64_t projected_ms; /* longest projection of a stalled run; 0: none */
 	bool was_lost;	      /* a worker may have crashed under it */
+	int64_t lost_ms;      /* when it was last lost */
 	bool confined;	      /* only for workers marked for confined tasks */
 	bool alone;	      /* only for idle ones of these */
 };
--- a/src/request/sched.c
+++ b/src/request/sched.c
@@ -24,7 +24,11 @@
  * no use to its caller.
  */
 #define MAX_USEFUL_OBJECTIVES 3
-
+/*
+ * A task that is suspected of crashing workers waits this long for an idle one.
+ * Under load there may be none, and most suspected tasks are harmless.
+ */
+#define MAX_WAIT_FOR_IDLE_MS 500
 struct sch {
 	struct sch_options opts;
 	struct wks *workers;
@@ -356,7 +360,8 @@
 	enum blm_verdict verdict = verdict_of(pass->sch, task, pass->now_ms);
 	struct wks_worker *w = NULL;
 	struct lane *lane;
-	task->alone = verdict != BLM_CLEAR;
+	task->alone = verdict != BLM_CLEAR &&
+		      pass->now_ms - task->lost_ms < MAX_WAIT_FOR_IDLE_MS;
 	task->confined = task->alone || cfn_is_confined(task->job->confinement);
 	if (verdict == BLM_HELD || verdict == BLM_GUILTY)
 		return;
@@ -562,6 +567,7 @@
 		break;
 	case SCH_LOST:
 		task->was_lost = true;
+		task->lost_ms = now_ms;
 		jt_remember_failed_on(task, w);
 		break;
 	case SCH_NOT_STARTED:
