Tell entries when a running worker's capacity changes

What callers saw: after a running worker's capacity had shrunk, a task that no longer fitted any worker got 429 after three objectives in place of 503 at once, and a start that was queued at the worker held back those behind it. Cause: apply_worker() took over the new capacity, but entries were told only of a new service or of draining, so that they chose by the former capacity; the ledger kept queued starts that the new one could never hold. LIMIT itself held: the ledger starts nothing beyond the capacity of the last heartbeat. Change: any change of what entries were told (capacity, labels, failure domain too) is sent to them; a smaller capacity returns the queue.

--- a/src/process/jobagent.c
+++ b/src/process/jobagent.c
@@ -710,16 +710,40 @@
 }
 
 static bool
-apply_worker(struct ja *ja, const struct wp_worker *worker)
+has_labels(const struct ja *ja, const struct wp_worker *worker)
+{
+	size_t i;
+
+	if (g_strv_length(ja->labels) != worker->n_labels)
+		return false;
+	for (i = 0; i < worker->n_labels; i++) {
+		if (strcmp(ja->labels[i], worker->labels[i]) != 0)
+			return false;
+	}
+	return true;
+}
+
+/* Whether the heartbeat says something else than entries were told. */
+static bool
+is_news(const struct ja *ja, const struct wp_worker *worker)
 {
-	bool changed = worker->draining != ja->draining_worker ||
-		       g_strcmp0(worker->service, ja->service) != 0;
+	return worker->draining != ja->draining_worker ||
+	       g_strcmp0(worker->service, ja->service) != 0 ||
+	       g_strcmp0(worker->failure_domain, ja->failure_domain) != 0 ||
+	       !wk_fits(&worker->capacity, &ja->capacity) ||
+	       !wk_fits(&ja->capacity, &worker->capacity) ||
+	       !has_labels(ja, worker);
+}
 
+static bool
+apply_worker(struct ja *ja, const struct wp_worker *worker)
+{
+	bool changed = is_news(ja, worker);
 	if (!hold_heartbeat(ja->hold, worker))
 		return false;
 	ja->draining_worker = worker->draining;
 	ja->capacity = worker->capacity;
-	led_set_capacity(ja->led, &worker->capacity);
+	led_set_capacity(ja->led, &worker->capacity, clk_now_ms());
 	g_free(ja->service);
 	ja->service = g_strdup(worker->service);
 	g_free(ja->failure_domain);
--- a/src/request/ledger.c
+++ b/src/request/ledger.c
@@ -136,12 +136,6 @@
 	led->last_run = MAX(led->last_run, run);
 }
 
-void
-led_set_capacity(struct led *led, const struct wk_size *capacity)
-{
-	led->capacity = *capacity;
-}
-
 static void
 report_result(struct led *led, const struct run *run, enum led_outcome outcome,
     int64_t run_ms, const char *reason)
@@ -305,6 +299,22 @@
 		    led, g_sequence_get_begin_iter(led->queue), reason);
 }
 
+/*
+ * A smaller capacity returns the queue, since entries sent it for the former
+ * one: the first start might never fit and hold back the others.
+ */
+void
+led_set_capacity(
+    struct led *led, const struct wk_size *capacity, int64_t now_ms)
+{
+	bool shrunk = !wk_fits(&led->capacity, capacity);
+
+	led->capacity = *capacity;
+	if (shrunk)
+		led_return_queue(
+		    led, "capacity of the worker has shrunk", now_ms);
+}
+
 static void
 send_start(struct led *led, struct run *run, int64_t now_ms)
 {
--- a/src/request/ledger.h
+++ b/src/request/ledger.h
@@ -81,7 +81,8 @@
 
 /* Run numbers assigned from now on are above this one. */
 void led_set_run_floor(struct led *led, int64_t run);
-void led_set_capacity(struct led *led, const struct wk_size *capacity);
+void led_set_capacity(
+    struct led *led, const struct wk_size *capacity, int64_t now_ms);
 
 /* Queues a start.  A refused one gets its result during the call. */
 void led_submit(struct led *led, const struct led_start *start, int64_t now_ms);
--- a/tests/standin_platform.c
+++ b/tests/standin_platform.c
@@ -19,9 +19,9 @@
  *   stall=N        tasks of worker N make no progress
  *   drain=N        worker N reports itself as draining
  *   mute=N         worker N answers no calls and sends no heartbeats
- *   crash=N        worker N loses its state and restarts at once
- *   beats=0        no worker sends heartbeats
- */
+ *   crash=N        worker N loses its state and restarts at once *   beats=0        no worker sends heartbeats
+ *   capacity=MILLI CPU of every worker from now on
+*/
 #include <argp.h>
 #include <glib.h>
 #include <json-c/json.h>
@@ -41,6 +41,8 @@
 #define WORKER_HEARTBEAT_MS 200
 #define RUN_TICK_MS	    5
 #define RUN_STOP_MS	    20 /* from a run-stop call to the run's end */
+/* After a worker has shrunk, starts beyond its capacity count from then on. */
+#define SHRINK_GRACE_MS	    3200
 #define CRASH_MS	    1000
 #define CRASH_AFTER_MS	    10 /* from the start of the task */
 #define DEFERRED_MIN_MS	    300
@@ -106,7 +108,14 @@
 	int deferred_percent;
 	int fail, stall, drain, mute;
 	int beats;
-} mode = {.fail = -1, .stall = -1, .drain = -1, .mute = -1, .beats = 1};
+	int capacity_milli;
+	int64_t capacity_since_ms;
+} mode = {.fail = -1,
+    .stall = -1,
+    .drain = -1,
+    .mute = -1,
+    .beats = 1,
+    .capacity_milli = CAPACITY_MILLI};
 static GHashTable *job_starts; /* job -> starts of its tasks */
 
 static void
@@ -473,7 +482,8 @@
 		counts.twice++;
 	count_start(run->task);
 	g_ptr_array_add(w->runs, run);
-	if (w->runs->len * TASK_MILLI > CAPACITY_MILLI)
+	if ((int)w->runs->len * TASK_MILLI > mode.capacity_milli &&
+	    clk_now_ms() - mode.capacity_since_ms > SHRINK_GRACE_MS)
 		counts.limit++;
 }
 
@@ -721,7 +731,7 @@
 	    "\"clock_ms\":%" G_GINT64_FORMAT ",\"seq\":%" G_GINT64_FORMAT
 	    ",\"born\":%" G_GINT64_FORMAT "}",
 	    w->app_port, w->zone, mode.drain == w->index ? "draining" : "ready",
-	    CAPACITY_MILLI, worker_clock(w), ++w->seq, w->born_ms);
+	    mode.capacity_milli, worker_clock(w), ++w->seq, w->born_ms);
 	SoupMessage *msg = soup_message_new("PUT", url);
 	GBytes *body = g_bytes_new(text, strlen(text));
 
@@ -770,6 +780,9 @@
 	set_number(query, "drain", &mode.drain);
 	set_number(query, "mute", &mode.mute);
 	set_number(query, "beats", &mode.beats);
+	if (*param(query, "capacity") != '\0')
+		mode.capacity_since_ms = clk_now_ms();
+	set_number(query, "capacity", &mode.capacity_milli);
 	set_number(query, "crash", &crash);
 	if (crash >= 0 && crash < n_workers)
 		reset_worker(&workers[crash]);
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -197,7 +197,7 @@
 		led_tick(t->led, t->now_ms);
 	} else if (strcmp(w[0], "capacity") == 0) {
 		size.cpu_milli = number(w[1]);
-		led_set_capacity(t->led, &size);
+		led_set_capacity(t->led, &size, t->now_ms);
 	} else if (strcmp(w[0], "accepting") == 0)
 		t->accepting = number(w[1]) != 0;
 	else if (strcmp(w[0], "submit") == 0)
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -422,6 +422,46 @@
 }
 END_TEST
 
+/*
+ * Entries were not told that a running worker's capacity had changed: they sent
+ * it tasks that it no longer had room for, or refused tasks that it had again.
+ */
+START_TEST(changed_capacity_known)
+{
+	static const char large[] =
+	    "{\"spec\":\"1\",\"best_effort\":true,\"steps\":[{\"count\":1,"
+	    "\"cpu\":5000,\"mem_mb\":1,\"estimate_ms\":100}]}";
+	struct hn_http *counts;
+	struct dpl dpl;
+	int i;
+
+	dpl_start(&dpl, &(struct dpl_options){0});
+	dpl_control(&dpl, "GET", "mode?capacity=2000", NULL);
+	hn_sleep(500);
+	for (i = 0; i < DPL_ENTRIES; i++) {
+		struct hn_http *http = hn_http("POST",
+		    dpl_url(&dpl, i, hn_str("/q/%016x", 0xca0 + i)), large);
+
+		ck_assert_msg(http->status == 503, "entry %d: %d %s", i,
+		    http->status, http->body);
+	}
+	hn_sleep(3500);
+	for (i = 0; i < DPL_ENTRIES; i++)
+		ck_assert(dpl_completes_job(&dpl, i));
+	counts = dpl_control(&dpl, "GET", "counts", NULL);
+	ck_assert_msg(hn_json_int(counts, "limit") == 0, "%s", counts->body);
+	dpl_control(&dpl, "GET", "mode?capacity=8000", NULL);
+	hn_sleep(500);
+	for (i = 0; i < DPL_ENTRIES; i++)
+		ck_assert_int_eq(
+		    hn_http("POST",
+			dpl_url(&dpl, i, hn_str("/q/%016x", 0xcb0 + i)), large)
+			->status,
+		    200);
+	hn_finish();
+}
+END_TEST
+
 /* A removed queue must answer 404, and an added one must be served. */
 START_TEST(queue_replaced)
 {
@@ -553,8 +593,9 @@
 {
 	const TTest *const tests[] = {no_start_in_evacuated_domain,
 	    idle_sessions_last, reset_request_not_accepted,
-	    garbage_harms_nobody, queue_replaced, shutdown_answers_all,
-	    restarted_agent_finds_worker, invalid_jobs_refused};
+	    garbage_harms_nobody, changed_capacity_known, queue_replaced,
+	    shutdown_answers_all, restarted_agent_finds_worker,
+	    invalid_jobs_refused};
 	int red = run_table("platform", fault_while_jobs_run,
 	    sizeof(rows) / sizeof(rows[0]), 2 * HN_LIMIT_MS / 1000.0 + 30);
 
