--- a/src/process/jobagent.c
+++ b/src/process/jobagent.c
@@ -4,11 +4,11 @@
 #include "connection/holder.h"
 #include "connection/sessions.h"
 #include "process/clock.h"
+#include "process/crashwatch.h"
 #include "process/enlist.h"
 #include "process/events.h"
 #include "process/histogram.h"
 #include "process/jobagent.h"
-#include "request/crashlog.h"
 #include "request/ledger.h"
 #include "request/slowness.h"
 #include "request/updates.h"
@@ -23,10 +23,6 @@
  * calls must not be processed.
  */
 #define ENTRY_SILENCE_MS 800
-/* Crashes of the worker are remembered for this time. */
-#define CRASH_KEEP_MS 60000
-/* Interval of the samples that crashes are compared with. */
-#define SAMPLE_INTERVAL_MS 200
 /* Results and the worker's description that an entry has yet to be sent. */
 struct outbox {
 	GArray *results; /* run_result, strings owned */
@@ -39,8 +35,7 @@
 	struct hold *hold;
 	struct ses *ses;
 	struct enl *enlist;
-	struct crl *crashes; /* of the worker */
-	int64_t sample_due_ms;
+	struct crw *crashwatch;
 	GHashTable *outboxes;	 /* session to struct outbox */
 	struct slw slowness;	 /* of the worker */
 	uint64_t slowness_of;	 /* incarnation that it was measured with */
@@ -219,63 +214,11 @@
 	plan_updates(ja);
 }
 
-/* Sends a crash to one session; entries must know it before its results. */
-static void
-send_crash(struct ja *ja, uint64_t session, const struct crl_crash *crash)
-{
-	g_autofree run_suspect *suspects =
-	    g_new0(run_suspect, crash->n_suspects);
-	run_crash_args args = {
-	    .id = crash->id,
-	    .age_ms = clk_now_ms() - crash->crashed_ms,
-	    .state = (run_crash_state)crash->state,
-	    .suspects = {(uint32_t)crash->n_suspects, suspects},
-	};
-	size_t i;
-
-	for (i = 0; i < crash->n_suspects; i++) {
-		suspects[i].task = crash->suspects[i].task;
-		suspects[i].queue = crash->suspects[i].queue;
-		suspects[i].weight_permille =
-		    crash->suspects[i].weight_permille;
-		suspects[i].started = crash->suspects[i].started;
-	}
-	ses_send(
-	    ja->ses, session, RUN_CRASH, (xdrproc_t)xdr_run_crash_args, &args);
-}
-
-static void
-log_crash(const struct crl_crash *crash)
-{
-	static const char *const states[] = {[CRL_PRESUMED] = "presumed",
-	    [CRL_CONFIRMED] = "confirmed",
-	    [CRL_WITHDRAWN] = "withdrawn"};
-
-	evt_write("crash", evt_text("state", states[crash->state]),
-	    evt_uint("incarnation", crash->incarnation),
-	    evt_int("silent_ms", clk_now_ms() - crash->crashed_ms),
-	    evt_uint("runs", crash->n_suspects),
-	    evt_text("closest", crash->suspects[0].task),
-	    evt_text("queue", crash->suspects[0].queue));
-}
-
-static void
-announce_crash(struct ja *ja, const struct crl_crash *crash)
-{
-	uint32_t i, n;
-	g_autofree uint64_t *ids = ses_ids(ja->ses, &n);
-
-	log_crash(crash);
-	for (i = 0; i < n; i++)
-		send_crash(ja, ids[i], crash);
-}
-
 static void
 on_opened(uint64_t session, const char *entry, void *ctx)
 {
 	struct ja *ja = ctx;
 	struct outbox *box = g_new0(struct outbox, 1);
-	size_t i;
 
 	evt_write("entry", evt_text("entry", entry),
 	    evt_uint("session", session), evt_text("state", "connected"));
@@ -284,8 +227,7 @@
 	box->worker_due = true;
 	g_hash_table_insert(
 	    ja->outboxes, g_memdup2(&session, sizeof(session)), box);
-	for (i = 0; i < crl_count(ja->crashes); i++)
-		send_crash(ja, session, crl_get(ja->crashes, i));
+	crw_send_all(ja->crashwatch, session);
 	upd_open(ja->updates, session, clk_now_ms());
 	schedule_updates(ja);
 }
@@ -534,50 +476,6 @@
 	led_report(ja->led, report, sent_ms, clk_now_ms());
 }
 
-static void
-append_run(const struct led_active_run *active, void *ctx)
-{
-	struct crl_run run = {
-	    .task = active->task,
-	    .queue = active->queue,
-	    .sent_ms = active->sent_ms,
-	    .started = active->started,
-	};
-
-	g_array_append_val(ctx, run);
-}
-
-/* Compares the runs of a crash with those that are active at other times. */
-static void
-sample_runs(struct ja *ja)
-{
-	g_autoptr(GArray) runs =
-	    g_array_new(FALSE, FALSE, sizeof(struct crl_run));
-
-	if (clk_now_ms() < ja->sample_due_ms || !hold_is_ready(ja->hold))
-		return;
-	ja->sample_due_ms = clk_now_ms() + SAMPLE_INTERVAL_MS;
-	led_each_active(ja->led, append_run, runs);
-	crl_sample(ja->crashes, clk_now_ms(),
-	    (const struct crl_run *)runs->data, runs->len);
-}
-
-/* Records the worker's crash with the runs that it may have been caused by. */
-static void
-record_crash(struct ja *ja, const struct hold_lost *lost)
-{
-	g_autoptr(GArray) runs =
-	    g_array_new(FALSE, FALSE, sizeof(struct crl_run));
-	const struct crl_crash *crash;
-
-	led_each_active(ja->led, append_run, runs);
-	crl_expire(ja->crashes, clk_now_ms() - CRASH_KEEP_MS);
-	crash = crl_add(ja->crashes, lost->incarnation, lost->heard_ms,
-	    (const struct crl_run *)runs->data, runs->len);
-	if (crash != NULL)
-		announce_crash(ja, crash);
-}
-
 static void
 on_runs_lost(const struct hold_lost *lost, void *ctx)
 {
@@ -585,32 +483,20 @@
 	    [HOLD_SILENT] = "worker is silent and its lease has ended",
 	    [HOLD_REPLACED] = "worker was replaced",
 	    [HOLD_LEFT] = "worker left"};
-	struct ja *ja =
-	    ctx; /* A worker that has announced its end has not crashed. */
+	struct ja *ja = ctx;
+
+	/* A worker that has announced its end has not crashed. */
 	if (lost->why != HOLD_LEFT && !ja->draining_worker)
-		record_crash(ja, lost);
+		crw_record(ja->crashwatch, lost);
 	led_worker_lost(ja->led, reasons[lost->why], clk_now_ms());
 }
 
-/*
- * Settles presumed crashes: an incarnation that answers again was only cut off.
- */
-static void
-settle_crashes(struct ja *ja)
-{
-	const struct crl_crash *crash;
-
-	while ((crash = crl_settle(ja->crashes, hold_incarnation(ja->hold),
-		    hold_is_ready(ja->hold))) != NULL)
-		announce_crash(ja, crash);
-}
-
 static void
 on_worker_changed(void *ctx)
 {
 	struct ja *ja = ctx;
 
-	settle_crashes(ja);
+	crw_settle(ja->crashwatch);
 	resend_worker(ja);
 	led_start_queued(ja->led, clk_now_ms());
 }
@@ -644,7 +530,7 @@
 
 	hold_tick(ja->hold);
 	led_tick(ja->led, clk_now_ms());
-	sample_runs(ja);
+	crw_tick(ja->crashwatch);
 	finish_drain(ja);
 	return G_SOURCE_CONTINUE;
 }
@@ -692,10 +578,10 @@
 	    .ctx = ja,
 	};
 
-	ja->crashes = crl_new((uint64_t)clk_wall_ms());
 	ja->led = led_new(&led);
 	led_set_run_floor(ja->led, clk_wall_ms());
 	ja->hold = hold_new(&hold);
+	ja->crashwatch = crw_new(&(struct crw_options){ja->led, ja->hold});
 }
 
 static char **
@@ -814,6 +700,7 @@
 		ja_free(ja);
 		return NULL;
 	}
+	crw_set_sessions(ja->crashwatch, ja->ses);
 	ja->tick_id = g_timeout_add(JA_TICK_MS, on_tick, ja);
 	register_agent(ja);
 	return ja;
@@ -837,7 +724,7 @@
 	enl_free(ja->enlist);
 	hold_free(ja->hold);
 	led_free(ja->led);
-	crl_free(ja->crashes);
+	crw_free(ja->crashwatch);
 	g_hash_table_unref(ja->outboxes);
 	upd_free(ja->updates);
 	g_hash_table_unref(ja->out_domains);
