--- a/src/request/jobtask.c
+++ b/src/request/jobtask.c
@@ -183,3 +183,14 @@
 	for (i = 0; i < job->n_tasks; i++)
 		forget_worker(&job->tasks[i], w);
 }
+
+enum blm_verdict
+jt_verdict(const struct jt_task *task, struct blm *blame, int64_t now_ms)
+{
+	g_autofree char *name = NULL;
+
+	if (!task->was_lost || !blm_is_needed(blame))
+		return BLM_CLEAR;
+	name = wk_task_name(task->job->spec->id, task->step, task->index);
+	return blm_verdict_of(blame, name, now_ms);
+}
--- a/src/request/jobtask.h
+++ b/src/request/jobtask.h
@@ -5,6 +5,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "request/blame.h"
+#include "request/confine.h"
 #include "request/speed.h"
 #include "request/work.h"
 #include "request/workerset.h"
@@ -92,4 +94,8 @@
 /* Drops all references to a worker that is about to be freed. */
 void jt_forget_worker(struct jt_job *job, const struct wks_worker *worker);
 
+/* What may be done with the task, by the crashes under it. */
+enum blm_verdict jt_verdict(
+    const struct jt_task *task, struct blm *blame, int64_t now_ms);
+
 #endif
--- a/src/request/sched.c
+++ b/src/request/sched.c
@@ -1,10 +1,12 @@
 #include <glib.h>
 #include <string.h>
 
+#include "request/backlog.h"
 #include "request/blame.h"
 #include "request/choice.h"
 #include "request/confine.h"
 #include "request/jobtask.h"
+#include "request/placing.h"
 #include "request/sched.h"
 
 /*
@@ -12,23 +14,11 @@
  * that a task that is lost or refused every time is not sent for ever.
  */
 #define MAX_STARTS_PER_TASK 12
-/* A pass stops after this many tasks that found no worker. */
-#define MAX_UNPLACED_TASKS 64
 /*
  * For this long after the start of the process, a job is accepted although no
  * worker of its service has been described yet.
  */
 #define STARTUP_GRACE_MS 3000
-/*
- * An answer later than this multiple of the job's response-time objective is of
- * no use to its caller.
- */
-#define MAX_USEFUL_OBJECTIVES 3
-/*
- * A task that is suspected of crashing workers waits this long for an idle one.
- * Under load there may be none, and most suspected tasks are harmless.
- */
-#define MAX_WAIT_FOR_IDLE_MS 500
 struct sch {
 	struct sch_options opts;
 	struct wks *workers;
@@ -245,9 +235,9 @@
 }
 
 static bool
-send(
-    struct sch *sch, struct jt_task *task, struct wks_worker *w, int64_t now_ms)
+send(struct jt_task *task, struct wks_worker *w, int64_t now_ms, void *ctx)
 {
+	struct sch *sch = ctx;
 	struct jt_job *job = task->job;
 	const struct wk_step *step = jt_step_of(task);
 	struct sch_start start = {
@@ -280,168 +270,6 @@
 	return true;
 }
 
-/* The unplaced tasks of one pass that are confined, or that are not. */
-struct lane {
-	uint32_t n_unplaced;
-	/*
-	 * Smallest unplaced task that may use any worker of its side: without
-	 * required label or per-worker limit, and not alone.
-	 */
-	const struct jt_task *smallest;
-};
-
-/*
- * State of one pass over the ready tasks.  Confined tasks have a lane of their
- * own, so that they do not keep the others from being placed.
- */
-struct pass {
-	struct sch *sch;
-	int64_t now_ms;
-	struct lane lanes[2]; /* the second: confined tasks */
-};
-
-static struct lane *
-lane_of(struct pass *pass, const struct jt_task *task)
-{
-	return &pass->lanes[task->confined];
-}
-
-static bool
-is_full(const struct lane *lane)
-{
-	return lane->n_unplaced >= MAX_UNPLACED_TASKS;
-}
-
-/* Without a known crash no task is confined. */
-static bool
-is_over(const struct pass *pass)
-{
-	return is_full(&pass->lanes[false]) &&
-	       (is_full(&pass->lanes[true]) ||
-		   !blm_is_needed(pass->sch->blame));
-}
-
-static enum blm_verdict
-verdict_of(struct sch *sch, const struct jt_task *task, int64_t now_ms)
-{
-	g_autofree char *name = NULL;
-
-	if (!task->was_lost || !blm_is_needed(sch->blame))
-		return BLM_CLEAR;
-	name = wk_task_name(task->job->spec->id, task->step, task->index);
-	return blm_verdict_of(sch->blame, name, now_ms);
-}
-
-/*
- * Whether a task of the same service that needs no more than this one has
- * already found no worker in this pass.
- */
-static bool
-has_no_worker(const struct lane *lane, const struct jt_task *task)
-{
-	return lane->smallest != NULL &&
-	       strcmp(lane->smallest->job->service, task->job->service) == 0 &&
-	       wk_fits(
-		   &jt_step_of(lane->smallest)->size, &jt_step_of(task)->size);
-}
-
-static void
-record_unplaced(struct lane *lane, const struct jt_task *task)
-{
-	const struct wk_step *step = jt_step_of(task);
-
-	lane->n_unplaced++;
-	if (step->required_label == NULL && step->max_per_worker == 0 &&
-	    !task->alone &&
-	    (lane->smallest == NULL ||
-		wk_fits(&step->size, &jt_step_of(lane->smallest)->size)))
-		lane->smallest = task;
-}
-
-static void
-place_task(struct pass *pass, struct jt_task *task)
-{
-	enum blm_verdict verdict = verdict_of(pass->sch, task, pass->now_ms);
-	struct wks_worker *w = NULL;
-	struct lane *lane;
-
-	task->alone = verdict != BLM_CLEAR &&
-		      pass->now_ms - task->lost_ms < MAX_WAIT_FOR_IDLE_MS;
-	task->confined = task->alone || cfn_is_confined(task->job->confinement);
-	if (verdict == BLM_HELD || verdict == BLM_GUILTY)
-		return;
-	lane = lane_of(pass, task);
-	if (is_full(lane) || has_no_worker(lane, task)) {
-		lane->n_unplaced++;
-		return;
-	}
-	/*
-	 * A worker to which a start can't be sent is skipped until its next
-	 * report.
-	 */
-	while (
-	    (w = chc_choose(pass->sch->choice, task, pass->now_ms)) != NULL &&
-	    !send(pass->sch, task, w, pass->now_ms))
-		w->accepting = false;
-	if (w == NULL)
-		record_unplaced(lane, task);
-}
-
-static void
-place_job(struct pass *pass, struct jt_job *job)
-{
-	uint32_t i;
-
-	for (i = 0; i < job->n_tasks && !is_over(pass); i++) {
-		if (job->tasks[i].state == JT_READY)
-			place_task(pass, &job->tasks[i]);
-	}
-}
-
-/* Order in which the jobs of one priority are placed. */
-enum turn {
-	PREFERRED, /* a task was already sent, or it can meet its objective */
-	LATE,
-	SUSPECTED /* it may crash the worker, and so comes last */
-};
-
-static enum turn
-turn_of(const struct jt_job *job, int64_t now_ms)
-{
-	if (job->suspected)
-		return SUSPECTED;
-	return job->sent || now_ms <= job->start_by_ms ? PREFERRED : LATE;
-}
-
-static void
-place_jobs(struct pass *pass, const GQueue *list, enum turn turn)
-{
-	GList *l;
-
-	for (l = list->head; l != NULL && !is_over(pass); l = l->next) {
-		struct jt_job *job = l->data;
-
-		if (turn_of(job, pass->now_ms) == turn)
-			place_job(pass, job);
-	}
-}
-
-/*
- * Under sustained overload, strict order of arrival would make every job late.
- * Late jobs go last, so that the others still meet their objective.
- */
-static gboolean
-place_list(gpointer key, gpointer value, gpointer data)
-{
-	struct pass *pass = data;
-
-	(void)key;
-	place_jobs(pass, value, PREFERRED);
-	place_jobs(pass, value, LATE);
-	place_jobs(pass, value, SUSPECTED);
-	return is_over(pass);
-}
-
 bool
 sch_has_waiting_tasks(const struct sch *sch)
 {
@@ -451,12 +279,15 @@
 void
 sch_place_tasks(struct sch *sch, int64_t now_ms)
 {
-	struct pass pass = {.sch = sch, .now_ms = now_ms};
+	struct plg_options opts = {
+	    .choice = sch->choice,
+	    .blame = sch->blame,
+	    .send = send,
+	    .ctx = sch,
+	};
 	size_t i;
 
-	g_tree_foreach(sch->jobs_by_priority, place_list, &pass);
-	sch->waiting =
-	    pass.lanes[false].n_unplaced > 0 || pass.lanes[true].n_unplaced > 0;
+	sch->waiting = plg_run(&opts, sch->jobs_by_priority, now_ms);
 	for (i = 0; i < wks_count(sch->workers); i++) {
 		struct wks_worker *w = wks_get(sch->workers, i);
 
@@ -633,87 +464,6 @@
 	return SCH_ACCEPTED;
 }
 
-/* Time limits of a request, counted from its arrival. */
-struct limits {
-	int64_t critical_path_ms; /* expected run time, 0: unknown */
-	int64_t start_ms;	  /* meets its objective if sent by then */
-	int64_t useful_ms;	  /* an answer is of no use later */
-};
-
-static struct limits
-limits_of(const struct sch_request *request, const struct spd_queue *speed)
-{
-	int64_t critical_path_ms =
-	    (int64_t)((double)wk_job_critical_path_ms(request->job) *
-		      spd_queue_ratio(speed));
-	int64_t objective_ms =
-	    (int64_t)(request->queue->stretch * (double)critical_path_ms) +
-	    request->queue->target_ms;
-
-	return (struct limits){
-	    .critical_path_ms = critical_path_ms,
-	    .start_ms = objective_ms - critical_path_ms,
-	    .useful_ms = MAX_USEFUL_OBJECTIVES * objective_ms,
-	};
-}
-
-/* Whether the first step of b needs at least as large a worker as that of a. */
-static bool
-needs_as_much(const struct wk_job *a, const struct wk_job *b)
-{
-	return a->steps[0].required_label == NULL &&
-	       a->steps[0].max_per_worker == 0 &&
-	       wk_fits(&a->steps[0].size, &b->steps[0].size);
-}
-
-/* How long jobs of a queue without any sent task have waited; 0: no job. */
-struct waits {
-	int64_t oldest_ms;  /* the oldest job */
-	int64_t in_time_ms; /* the oldest that can still meet its objective */
-};
-
-/*
- * Jobs of a queue start in their order, so a new one is expected to wait as
- * long as the oldest has.  Jobs that need a larger worker than the new one are
- * left out, since their wait says nothing about it.
- */
-static struct waits
-waits_of(struct sch *sch, const struct sch_request *request, int64_t now_ms)
-{
-	GList *l = list_of(sch, request->queue->priority)->head;
-	struct waits waits = {0};
-
-	for (; l != NULL; l = l->next) {
-		const struct jt_job *job = l->data;
-
-		if (job->sent ||
-		    strcmp(job->queue, request->queue->name) != 0 ||
-		    !needs_as_much(job->spec, request->job))
-			continue;
-		if (waits.oldest_ms == 0)
-			waits.oldest_ms = now_ms - job->arrived_ms;
-		if (now_ms <= job->start_by_ms) {
-			waits.in_time_ms = now_ms - job->arrived_ms;
-			break;
-		}
-	}
-	return waits;
-}
-
-/*
- * Whether a new job would be answered too late to be of use if it waits as long
- * as the oldest one.  It is still accepted if the oldest job that can meet its
- * objective has waited at most half the time in which the new one must start.
- */
-static bool
-is_too_late(const struct waits *waits, const struct limits *limits)
-{
-	return limits->critical_path_ms > 0 &&
-	       waits->oldest_ms + limits->critical_path_ms >
-		   limits->useful_ms &&
-	       waits->in_time_ms > limits->start_ms / 2;
-}
-
 static void
 record_first_time(struct sch *sch, int64_t now_ms)
 {
@@ -758,7 +508,7 @@
 		enum blm_verdict verdict;
 
 		task->was_lost = true;
-		verdict = verdict_of(sch, task, now_ms);
+		verdict = jt_verdict(task, sch->blame, now_ms);
 		task->was_lost = verdict != BLM_CLEAR;
 		gravest = MAX(gravest, verdict);
 	}
@@ -769,8 +519,7 @@
 sch_submit(struct sch *sch, struct sch_request *request, int64_t now_ms)
 {
 	struct spd_queue *speed;
-	struct limits limits;
-	struct waits waits;
+	struct bkl_limits limits;
 	enum sch_submit_result verdict;
 	struct cfn_queue *confinement;
 	struct jt_job *job;
@@ -789,10 +538,11 @@
 	if (g_hash_table_size(sch->jobs) >= sch->opts.max_jobs)
 		return SCH_OVERLOADED;
 	speed = queue_speed(sch, request->queue->name);
-	limits = limits_of(request, speed);
-	waits = waits_of(sch, request, now_ms);
-	request->wait_ms = waits.oldest_ms;
-	if (is_too_late(&waits, &limits))
+	limits =
+	    bkl_limits_of(request->job, request->queue, spd_queue_ratio(speed));
+	if (bkl_is_too_late(list_of(sch, request->queue->priority),
+		request->job, request->queue->name, &limits, now_ms,
+		&request->wait_ms))
 		return SCH_BACKLOG;
 	job = jt_new(request->job, request->queue);
 	if (recall_crashes(sch, job, now_ms) == BLM_GUILTY) {
@@ -907,8 +657,8 @@
 
 	for (i = 0; i < job->n_tasks; i++) {
 		if (job->tasks[i].state == JT_READY)
-			gravest = MAX(
-			    gravest, verdict_of(sch, &job->tasks[i], now_ms));
+			gravest = MAX(gravest,
+			    jt_verdict(&job->tasks[i], sch->blame, now_ms));
 	}
 	return gravest;
 }
