--- a/tests/test_soak.c
+++ b/tests/test_soak.c
@@ -43,7 +43,9 @@
  * From this seed on, some jobs crash their workers and capacities change.
  * Earlier seeds stay as they are, since some are regression tests.
  */
-#define WIDE_SEED	1000
+#define WIDE_SEED 1000
+/* And from this one on, crashed workers return under the id that they had. */
+#define KEEP_ID_SEED	2000
 #define CRASH_ONE_IN	25
 #define N_NARROW_FAULTS 15
 
@@ -560,6 +562,7 @@
 	fflush(stdout);
 	soak.rand = g_rand_new_with_seed(seed);
 	dpl_start(&soak.dpl, &(struct dpl_options){.proxied = true});
+	set_mode(&soak, "keep_id", seed >= KEEP_ID_SEED);
 	run_workload(&soak);
 	end_faults(&soak, true);
 	ck_assert_msg(hn_wait_until(poll_jobs(&soak), SETTLE_MS),
