Tell callers of a confined queue to return when a worker may be back

A job that was refused because all workers of its confined queue are away got Retry-After 1 s, while a crashed worker returned after some 3 s: callers came back for a second refusal. The refusal now says 2 s, so that one of several workers is likely to be back.

--- a/src/request/sched.c
+++ b/src/request/sched.c
@@ -19,6 +19,8 @@
  * worker of its service has been described yet.
  */
 #define STARTUP_GRACE_MS 3000
+/* Expected time until a worker returns that a confined queue may use. */
+#define CONFINED_WAIT_MS 2000
 struct sch {
 	struct sch_options opts;
 	struct wks *workers;
@@ -533,8 +535,10 @@
 	verdict = check_workers(sch, request, now_ms);
 	if (verdict != SCH_ACCEPTED)
 		return verdict;
-	if (cfn_is_cut_off(sch->confinement, confinement))
+	if (cfn_is_cut_off(sch->confinement, confinement)) {
+		request->wait_ms = CONFINED_WAIT_MS;
 		return SCH_CONFINED;
+	}
 	if (g_hash_table_size(sch->jobs) >= sch->opts.max_jobs)
 		return SCH_OVERLOADED;
 	speed = queue_speed(sch, request->queue->name);
