Keep a suspected task to the workers for such tasks while one is usable

After 500 ms without an idle worker a suspected task was placed on any worker of its service. It now keeps to those marked for suspected tasks as long as one of them is usable; it may still share it with others by then.

--- a/src/request/choice.c
+++ b/src/request/choice.c
@@ -77,7 +77,8 @@
 static bool
 is_on_side(const struct wks_worker *w, const struct jt_task *task)
 {
-	return task->confined ? w->use != WKS_ALL : w->use != WKS_RESERVED;
+	return task->confinement == JT_FREE ? w->use != WKS_RESERVED
+					    : w->use != WKS_ALL;
 }
 
 static bool
@@ -87,19 +88,23 @@
 }
 
 /*
- * Whether no worker on the task's side could run it, for want of a label or of
- * capacity.  It may then use an idle one of the others.
+ * Whether no worker on the task's side could run it, for want of a label, of
+ * capacity or, for a task that is only suspected, of a usable worker.
  */
 static bool
 has_no_side(const struct chc *chc, const struct jt_task *task)
 {
+	const char *service = task->job->service;
 	size_t i;
 
 	for (i = 0; i < wks_count(chc->workers); i++) {
 		const struct wks_worker *w = wks_get(chc->workers, i);
+		bool expected =
+		    task->confinement == JT_SUSPECTED
+			? wks_is_usable(chc->workers, w, service)
+			: wks_is_in_service(chc->workers, w, service);
 
-		if (is_on_side(w, task) &&
-		    wks_is_in_service(chc->workers, w, task->job->service) &&
+		if (expected && is_on_side(w, task) &&
 		    wks_could_run(w, jt_step_of(task)))
 			return false;
 	}
@@ -109,9 +114,11 @@
 static bool
 may_place(const struct wks_worker *w, const struct jt_task *task, bool no_side)
 {
-	if (!is_on_side(w, task))
-		return no_side && is_idle(w);
-	return !task->alone || is_idle(w);
+	if (is_on_side(w, task))
+		return !task->alone || is_idle(w);
+	if (!no_side)
+		return false;
+	return is_idle(w) || (!task->alone && task->confinement != JT_CONFINED);
 }
 
 /* Whether a start of the task can be sent to the worker now. */
--- a/src/request/jobtask.h
+++ b/src/request/jobtask.h
@@ -26,6 +26,13 @@
 	JT_N_STATES
 };
 
+/* Which workers a task may use while crashes are known. */
+enum jt_confinement {
+	JT_FREE,      /* those that are not kept for confined queues */
+	JT_SUSPECTED, /* those marked for suspected tasks, if one is usable */
+	JT_CONFINED   /* those marked for its queue */
+};
+
 struct jt_task {
 	struct jt_job *job;
 	uint32_t step;
@@ -41,8 +48,8 @@
 	int64_t projected_ms; /* longest projection of a stalled run; 0: none */
 	bool was_lost;	      /* a worker may have crashed under it */
 	int64_t lost_ms;      /* when it was last lost */
-	bool confined;	      /* only for workers marked for confined tasks */
-	bool alone;	      /* only for idle ones of these */
+	enum jt_confinement confinement; /* as of the last pass */
+	bool alone;			 /* only for an idle worker */
 };
 
 struct jt_step {
--- a/src/request/placing.c
+++ b/src/request/placing.c
@@ -33,7 +33,7 @@
 static struct lane *
 lane_of(struct pass *pass, const struct jt_task *task)
 {
-	return &pass->lanes[task->confined];
+	return &pass->lanes[task->confinement != JT_FREE];
 }
 
 static bool
@@ -77,6 +77,18 @@
 		lane->smallest = task;
 }
 
+static void
+confine(struct jt_task *task, enum blm_verdict verdict, int64_t now_ms)
+{
+	if (cfn_is_confined(task->job->confinement))
+		task->confinement = JT_CONFINED;
+	else
+		task->confinement =
+		    verdict == BLM_CLEAR ? JT_FREE : JT_SUSPECTED;
+	task->alone = verdict != BLM_CLEAR &&
+		      now_ms - task->lost_ms < MAX_WAIT_FOR_IDLE_MS;
+}
+
 static void
 place_task(struct pass *pass, struct jt_task *task)
 {
@@ -85,9 +97,7 @@
 	struct wks_worker *w = NULL;
 	struct lane *lane;
 
-	task->alone = verdict != BLM_CLEAR &&
-		      pass->now_ms - task->lost_ms < MAX_WAIT_FOR_IDLE_MS;
-	task->confined = task->alone || cfn_is_confined(task->job->confinement);
+	confine(task, verdict, pass->now_ms);
 	if (verdict == BLM_HELD || verdict == BLM_GUILTY)
 		return;
 	lane = lane_of(pass, task);
