--- a/src/request/confine.c
+++ b/src/request/confine.c
@@ -17,11 +17,14 @@
 #define CONFINE_CRASHES_AGAIN 0.5
 #define REPEAT_MS	      10000
 /*
- * It is released after this many completed jobs without another crash, or when
- * it is blamed for fewer recent crashes than this.
+ * It is released after this many completed jobs and this time without another
+ * crash, or when it is blamed for fewer recent crashes than RELEASE_CRASHES.
+ * The jobs alone say little where few of many crash, the time alone where all
+ * workers of the queue are away.
  */
-#define RELEASE_JOBS	24
-#define RELEASE_CRASHES 0.5
+#define RELEASE_JOBS	 24
+#define RELEASE_AFTER_MS 3000
+#define RELEASE_CRASHES	 0.5
 /* A rise of a queue's blame by this much counts as another crash. */
 #define ANOTHER_CRASH 0.3
 /* Time constant of the work that a queue is taken to have. */
@@ -45,6 +48,7 @@
 	bool confined;	     /* as last reported */
 	double caused;	     /* as last estimated */
 	uint32_t n_done;     /* jobs completed since the last crash */
+	int64_t crashed_ms;  /* when that was noticed */
 	int64_t released_ms; /* earlier crashes count no more */
 };
 
@@ -178,6 +182,13 @@
 		   : CONFINE_CRASHES;
 }
 
+static bool
+has_proved_safe(const struct cfn_queue *queue, int64_t now_ms)
+{
+	return queue->n_done >= RELEASE_JOBS &&
+	       now_ms - queue->crashed_ms >= RELEASE_AFTER_MS;
+}
+
 /* Brings the queue's blame up to date; returns whether it is to be confined. */
 static bool
 is_blamed(struct cfn *cfn, struct cfn_queue *queue, int64_t now_ms)
@@ -185,13 +196,15 @@
 	struct blm_share share = blm_share_of(
 	    cfn->opts.blame, queue->name, queue->released_ms, now_ms);
 
-	if (share.caused >= queue->caused + ANOTHER_CRASH)
+	if (share.caused >= queue->caused + ANOTHER_CRASH) {
 		queue->n_done = 0;
+		queue->crashed_ms = now_ms;
+	}
 	queue->caused = share.caused;
 	if (!queue->confined)
 		return share.caused >= confine_crashes(queue, now_ms) &&
 		       share.caused >= share.all * CONFINE_SHARE;
-	return queue->n_done < RELEASE_JOBS &&
+	return !has_proved_safe(queue, now_ms) &&
 	       share.caused >= RELEASE_CRASHES &&
 	       share.caused >= share.all * RELEASE_SHARE;
 }
