--- a/src/process/agentpool.c
+++ b/src/process/agentpool.c
@@ -117,7 +117,7 @@
 	    g_new0(struct crl_suspect, n + 1);
 	struct crl_crash crash = {
 	    .id = args->id,
-	    .crashed_ms = clk_now_ms() - args->age_ms,
+	    .crashed_ms = clk_now_ms() - MAX(args->age_ms, 0),
 	    .state = (enum crl_state)args->state,
 	    .suspects = suspects,
 	    .n_suspects = n,
--- a/src/request/blame.c
+++ b/src/request/blame.c
@@ -225,15 +225,14 @@
 	}
 }
 
-bool
+void
 blm_report(struct blm *blm, const char *agent, const struct crl_crash *report,
     int64_t now_ms)
 {
 	struct crash *crash = find_crash(blm, agent, report->id);
-	bool is_new = crash == NULL;
 
 	blm->is_current = false;
-	if (is_new) {
+	if (crash == NULL) {
 		crash = g_new0(struct crash, 1);
 		crash->agent = g_strdup(agent);
 		crash->id = report->id;
@@ -245,7 +244,6 @@
 	if (crash->state == CRL_WITHDRAWN)
 		withdraw(blm, crash);
 	expire(blm, now_ms);
-	return is_new && crash->state != CRL_WITHDRAWN;
 }
 
 void
--- a/src/request/blame.h
+++ b/src/request/blame.h
@@ -25,11 +25,8 @@
 /* NULL is allowed. */
 void blm_free(struct blm *blm);
 
-/*
- * Takes a report of an agent; one of a known crash replaces the former.
- * Returns whether the crash was not known before.
- */
-bool blm_report(struct blm *blm, const char *agent,
+/* Takes a report of an agent; one of a known crash changes its state. */
+void blm_report(struct blm *blm, const char *agent,
     const struct crl_crash *crash, int64_t now_ms);
 /* The task was done, so that it is no cause of a crash. */
 void blm_acquit(struct blm *blm, const char *task);
--- a/src/request/choice.c
+++ b/src/request/choice.c
@@ -111,6 +111,10 @@
 	return true;
 }
 
+/*
+ * A task without a side of its own may use the workers of the other; if it may
+ * crash them, only idle ones.
+ */
 static bool
 may_place(const struct wks_worker *w, const struct jt_task *task, bool no_side)
 {
--- a/src/request/jobtask.h
+++ b/src/request/jobtask.h
@@ -75,8 +75,8 @@
 	bool sent;	/* a task was sent and may have run */
 	bool suspected; /* of crashing workers */
 	struct spd_queue *speed;
-	struct cfn_queue *confinement;
-	GList link; /* in the list of its priority */
+	struct cfn_queue *confinement; /* of the job's queue */
+	GList link;		       /* in the list of its priority */
 };
 
 /* Takes ownership of spec; tasks of steps without predecessors are ready. */
--- a/src/request/placing.c
+++ b/src/request/placing.c
@@ -77,6 +77,7 @@
 		lane->smallest = task;
 }
 
+/* Decides which workers the task may use in this pass. */
 static void
 confine(struct jt_task *task, enum blm_verdict verdict, int64_t now_ms)
 {
