Confine a queue only when half of the blame is its own

A queue now needs half of the blame, and is released below 0.35. A second poisoned queue reaches that once the first one is confined.

--- a/src/request/confine.c
+++ b/src/request/confine.c
@@ -11,8 +11,8 @@
  * And for this share of all: jobs that are only active beside the cause get
  * some of the blame for each crash, so that it adds up.
  */
-#define CONFINE_SHARE 0.35
-#define RELEASE_SHARE 0.2
+#define CONFINE_SHARE 0.5
+#define RELEASE_SHARE 0.35
 /* The same for a queue that was released less than REPEAT_MS ago. */
 #define CONFINE_CRASHES_AGAIN 0.5
 #define REPEAT_MS	      10000
