Take a queue's share of the active jobs as usual while there are few samples

What was seen: test_crashing failed once on beside load, 81 of 92 jobs of the other queue served (83 asked). Cause: an agent with few samples took all queues as equally usual, so that the queue with most of the active jobs got half of the weight of a crash although a job of another was closest; the entries confined it first, for 2.1 s. Change: until there are samples, a queue's share of the active jobs is what is usual for it.

--- a/src/request/crashlog.c
+++ b/src/request/crashlog.c
@@ -9,8 +9,8 @@
 #define MAX_CRASHES 32
 /* Weight of a new sample in the mean of a queue's weights. */
 #define SAMPLE_WEIGHT 0.02
-/* Added to each mean, so that a few samples say little. */
-#define MEAN_PRIOR 0.2
+/* Weight, beside the samples, of what the crash itself shows as usual. */
+#define PRIOR_WEIGHT 0.2
 /* Lower bound of a mean, for queues that were hardly ever active. */
 #define MIN_MEAN 0.1
 struct crl {
@@ -179,17 +179,38 @@
 
 	g_hash_table_iter_init(&iter, crl->means);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		sum += *(double *)value + MEAN_PRIOR;
+		sum += *(double *)value;
 	return sum;
 }
 
-/* The share of the weight that jobs of the queue usually have. */
+/* Share of the active jobs that are of the queue. */
 static double
-usual_weight(struct crl *crl, const char *queue)
+share_of_jobs(const struct ranked *ranked, size_t n, const char *queue)
 {
-	double mean = *mean_of(crl, queue) + MEAN_PRIOR;
+	uint32_t n_jobs = 0, n_queue = 0;
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		if (!ranked[i].first_of_job)
+			continue;
+		n_jobs++;
+		n_queue += strcmp(ranked[i].run->queue, queue) == 0;
+	}
+	return (double)n_queue / (double)MAX(n_jobs, 1);
+}
 
-	return MAX(mean / sum_of_means(crl), MIN_MEAN);
+/*
+ * The share of the weight that jobs of the queue usually have.  With few
+ * samples it is taken to be their share of the active jobs.
+ */
+static double
+usual_weight(
+    struct crl *crl, const struct ranked *ranked, size_t n, const char *queue)
+{
+	double mean = *mean_of(crl, queue) +
+		      PRIOR_WEIGHT * share_of_jobs(ranked, n, queue);
+
+	return MAX(mean / (sum_of_means(crl) + PRIOR_WEIGHT), MIN_MEAN);
 }
 
 static void
@@ -198,8 +219,6 @@
 {
 	size_t i;
 
-	for (i = 0; i < n; i++)
-		mean_of(crl, ranked[i].run->queue); /* adds unknown queues */
 	crash->suspects = g_new0(struct crl_suspect, n);
 	crash->n_suspects = n;
 	for (i = 0; i < n; i++) {
@@ -210,7 +229,7 @@
 		suspect->started = ranked[i].run->started;
 		suspect->weight_permille = (uint32_t)MAX(
 		    1, 1000 * ranked[i].weight /
-			   usual_weight(crl, ranked[i].run->queue));
+			   usual_weight(crl, ranked, n, ranked[i].run->queue));
 	}
 }
 
