Name the states of a suspected task as the field does

The module that shares out the blame used words of a court (verdict, guilty, acquit). A task is now clear, suspect, pending or poison, and its end is recorded. Two constants of confine that belong together stand together.

--- a/src/request/blame.c
+++ b/src/request/blame.c
@@ -45,7 +45,7 @@
 	const struct crash *crash;
 	char *task;
 	struct queue *queue;
-	double weight; /* 0: acquitted */
+	double weight; /* 0: done since */
 	double blame;  /* share of the crash that its job is to blame for */
 	bool first_of_job;
 	bool started; /* the worker has confirmed the start */
@@ -247,7 +247,7 @@
 }
 
 void
-blm_acquit(struct blm *blm, const char *task)
+blm_record_done(struct blm *blm, const char *task)
 {
 	GPtrArray *list = g_hash_table_lookup(blm->tasks, task);
 	guint i;
@@ -394,8 +394,8 @@
 	return h;
 }
 
-enum blm_verdict
-blm_verdict_of(struct blm *blm, const char *task, int64_t now_ms)
+enum blm_status
+blm_status_of(struct blm *blm, const char *task, int64_t now_ms)
 {
 	const GPtrArray *suspects = g_hash_table_lookup(blm->tasks, task);
 	struct history h;
@@ -406,10 +406,10 @@
 	h = history_of(suspects, now_ms);
 	if (h.n_under >= MAX_CRASHES_UNDER ||
 	    (h.n_under >= MAX_LIKELY_CRASHES && h.blame >= LIKELY_BLAME))
-		return h.n_settled >= MAX_LIKELY_CRASHES ? BLM_GUILTY
-							 : BLM_HELD;
+		return h.n_settled >= MAX_LIKELY_CRASHES ? BLM_POISON
+							 : BLM_PENDING;
 	if (h.n_crashes >= MAX_CRASHES_KNOWN)
-		return BLM_HELD;
+		return BLM_PENDING;
 	return h.blame >= SUSPECT_BLAME ? BLM_SUSPECT : BLM_CLEAR;
 }
 
--- a/src/request/blame.h
+++ b/src/request/blame.h
@@ -14,11 +14,11 @@
 struct blm;
 
 /* What may be done with a task. */
-enum blm_verdict {
+enum blm_status {
 	BLM_CLEAR,   /* not suspected */
 	BLM_SUSPECT, /* to be started on few workers only */
-	BLM_HELD,    /* not to be started until its crashes are settled */
-	BLM_GUILTY   /* it crashes its workers: not to be started again */
+	BLM_PENDING, /* not to be started until its crashes are settled */
+	BLM_POISON   /* it crashes its workers: not to be started again */
 };
 
 struct blm *blm_new(void);
@@ -29,11 +29,11 @@
 void blm_report(struct blm *blm, const char *agent,
     const struct crl_crash *crash, int64_t now_ms);
 /* The task was done, so that it is no cause of a crash. */
-void blm_acquit(struct blm *blm, const char *task);
+void blm_record_done(struct blm *blm, const char *task);
 
 /* Whether any crash is known. */
 bool blm_is_needed(const struct blm *blm);
-enum blm_verdict blm_verdict_of(
+enum blm_status blm_status_of(
     struct blm *blm, const char *task, int64_t now_ms);
 /*
  * Recent crashes, those of several workers at one moment counted as one, and
--- a/src/request/confine.c
+++ b/src/request/confine.c
@@ -5,17 +5,19 @@
 #include "request/confine.h"
 #include "request/rendezvous.h"
 
-/* A queue is confined when it is blamed for this many recent crashes. */
-#define CONFINE_CRASHES 1.2
+/*
+ * A queue is confined when it is blamed for this many recent crashes; for fewer
+ * when it was released less than REPEAT_MS ago.
+ */
+#define CONFINE_CRASHES	      1.2
+#define CONFINE_CRASHES_AGAIN 0.5
+#define REPEAT_MS	      10000
 /*
  * And for this share of all: jobs that are only active beside the cause get
  * some of the blame for each crash, so that it adds up.
  */
 #define CONFINE_SHARE 0.5
 #define RELEASE_SHARE 0.35
-/* The same for a queue that was released less than REPEAT_MS ago. */
-#define CONFINE_CRASHES_AGAIN 0.5
-#define REPEAT_MS	      10000
 /*
  * It is released after this many completed jobs and this time without another
  * crash, or when it is blamed for fewer recent crashes than RELEASE_CRASHES.
--- a/src/request/jobtask.c
+++ b/src/request/jobtask.c
@@ -184,13 +184,13 @@
 		forget_worker(&job->tasks[i], w);
 }
 
-enum blm_verdict
-jt_verdict(const struct jt_task *task, struct blm *blame, int64_t now_ms)
+enum blm_status
+jt_blame_status(const struct jt_task *task, struct blm *blame, int64_t now_ms)
 {
 	g_autofree char *name = NULL;
 
 	if (!task->was_lost || !blm_is_needed(blame))
 		return BLM_CLEAR;
 	name = wk_task_name(task->job->spec->id, task->step, task->index);
-	return blm_verdict_of(blame, name, now_ms);
+	return blm_status_of(blame, name, now_ms);
 }
--- a/src/request/jobtask.h
+++ b/src/request/jobtask.h
@@ -102,7 +102,7 @@
 void jt_forget_worker(struct jt_job *job, const struct wks_worker *worker);
 
 /* What may be done with the task, by the crashes under it. */
-enum blm_verdict jt_verdict(
+enum blm_status jt_blame_status(
     const struct jt_task *task, struct blm *blame, int64_t now_ms);
 
 #endif
--- a/src/request/placing.c
+++ b/src/request/placing.c
@@ -79,27 +79,27 @@
 
 /* Decides which workers the task may use in this pass. */
 static void
-confine(struct jt_task *task, enum blm_verdict verdict, int64_t now_ms)
+confine(struct jt_task *task, enum blm_status status, int64_t now_ms)
 {
 	if (cfn_is_confined(task->job->confinement))
 		task->confinement = JT_CONFINED;
 	else
 		task->confinement =
-		    verdict == BLM_CLEAR ? JT_FREE : JT_SUSPECTED;
-	task->alone = verdict != BLM_CLEAR &&
+		    status == BLM_CLEAR ? JT_FREE : JT_SUSPECTED;
+	task->alone = status != BLM_CLEAR &&
 		      now_ms - task->lost_ms < MAX_WAIT_FOR_IDLE_MS;
 }
 
 static void
 place_task(struct pass *pass, struct jt_task *task)
 {
-	enum blm_verdict verdict =
-	    jt_verdict(task, pass->opts->blame, pass->now_ms);
+	enum blm_status status =
+	    jt_blame_status(task, pass->opts->blame, pass->now_ms);
 	struct wks_worker *w = NULL;
 	struct lane *lane;
 
-	confine(task, verdict, pass->now_ms);
-	if (verdict == BLM_HELD || verdict == BLM_GUILTY)
+	confine(task, status, pass->now_ms);
+	if (status == BLM_PENDING || status == BLM_POISON)
 		return;
 	lane = lane_of(pass, task);
 	if (is_full(lane) || has_no_worker(lane, task)) {
--- a/src/request/sched.c
+++ b/src/request/sched.c
@@ -301,14 +301,14 @@
 }
 
 static void
-acquit(struct sch *sch, const struct jt_task *task)
+record_done(struct sch *sch, const struct jt_task *task)
 {
 	g_autofree char *name = NULL;
 
 	if (!task->was_lost)
 		return;
 	name = wk_task_name(task->job->spec->id, task->step, task->index);
-	blm_acquit(sch->blame, name);
+	blm_record_done(sch->blame, name);
 }
 
 static void
@@ -316,7 +316,7 @@
 {
 	if (task->job->spec->n_steps > 1)
 		sch->waiting = true; /* the next step may be ready */
-	acquit(sch, task);
+	record_done(sch, task);
 	if (jt_mark_done(task)) {
 		cfn_count_completion(task->job->confinement);
 		end_job(sch, task->job, SCH_COMPLETED, "");
@@ -497,24 +497,24 @@
 
 /*
  * Marks the tasks of a new job under which workers have crashed: its caller may
- * have sent it to another entry before.  Returns the gravest verdict on them.
+ * have sent it to another entry before.  Returns the worst status of them.
  */
-static enum blm_verdict
+static enum blm_status
 recall_crashes(struct sch *sch, struct jt_job *job, int64_t now_ms)
 {
-	enum blm_verdict gravest = BLM_CLEAR;
+	enum blm_status worst = BLM_CLEAR;
 	uint32_t i;
 
 	for (i = 0; i < job->n_tasks && blm_is_needed(sch->blame); i++) {
 		struct jt_task *task = &job->tasks[i];
-		enum blm_verdict verdict;
+		enum blm_status status;
 
 		task->was_lost = true;
-		verdict = jt_verdict(task, sch->blame, now_ms);
-		task->was_lost = verdict != BLM_CLEAR;
-		gravest = MAX(gravest, verdict);
+		status = jt_blame_status(task, sch->blame, now_ms);
+		task->was_lost = status != BLM_CLEAR;
+		worst = MAX(worst, status);
 	}
-	return gravest;
+	return worst;
 }
 
 enum sch_submit_result
@@ -549,7 +549,7 @@
 		&request->wait_ms))
 		return SCH_BACKLOG;
 	job = jt_new(request->job, request->queue);
-	if (recall_crashes(sch, job, now_ms) == BLM_GUILTY) {
+	if (recall_crashes(sch, job, now_ms) == BLM_POISON) {
 		job->spec = NULL; /* stays with the caller */
 		jt_free(job);
 		return SCH_CRASHING;
@@ -652,33 +652,33 @@
 	}
 }
 
-/* The gravest verdict on the tasks of the job that wait for a worker. */
-static enum blm_verdict
-verdict_of_job(struct sch *sch, const struct jt_job *job, int64_t now_ms)
+/* The worst status of the tasks of the job that wait for a worker. */
+static enum blm_status
+worst_status(struct sch *sch, const struct jt_job *job, int64_t now_ms)
 {
-	enum blm_verdict gravest = BLM_CLEAR;
+	enum blm_status worst = BLM_CLEAR;
 	uint32_t i;
 
 	for (i = 0; i < job->n_tasks; i++) {
 		if (job->tasks[i].state == JT_READY)
-			gravest = MAX(gravest,
-			    jt_verdict(&job->tasks[i], sch->blame, now_ms));
+			worst = MAX(worst, jt_blame_status(&job->tasks[i],
+					       sch->blame, now_ms));
 	}
-	return gravest;
+	return worst;
 }
 
 static void
-judge_jobs(struct sch *sch, int64_t now_ms)
+end_poison_jobs(struct sch *sch, int64_t now_ms)
 {
 	g_autoptr(GList) jobs = g_hash_table_get_values(sch->jobs);
 	GList *l;
 
 	for (l = jobs; l != NULL; l = l->next) {
 		struct jt_job *job = l->data;
-		enum blm_verdict verdict = verdict_of_job(sch, job, now_ms);
+		enum blm_status status = worst_status(sch, job, now_ms);
 
-		job->suspected = verdict != BLM_CLEAR;
-		if (verdict == BLM_GUILTY)
+		job->suspected = status != BLM_CLEAR;
+		if (status == BLM_POISON)
 			end_job(sch, job, SCH_JOB_FAILED,
 			    "its task crashes workers");
 	}
@@ -690,7 +690,7 @@
 	record_first_time(sch, now_ms);
 	if (blm_is_needed(sch->blame)) {
 		cfn_update(sch->confinement, now_ms);
-		judge_jobs(sch, now_ms);
+		end_poison_jobs(sch, now_ms);
 	}
 	resolve_lost(sch, now_ms);
 	expire_jobs(sch, now_ms);
--- a/tests/test_blame.c
+++ b/tests/test_blame.c
@@ -73,8 +73,8 @@
 static void
 step(void *ctx, char **w, GString *actual)
 {
-	static const char *const verdicts[] = {
-	    "clear", "suspect", "held", "guilty"};
+	static const char *const statuses[] = {
+	    "clear", "suspect", "pending", "poison"};
 	struct trace *t = ctx;
 
 	if (strcmp(w[0], "at") == 0)
@@ -85,11 +85,11 @@
 		settle(t, w, CRL_CONFIRMED);
 	else if (strcmp(w[0], "withdraw") == 0)
 		settle(t, w, CRL_WITHDRAWN);
-	else if (strcmp(w[0], "acquit") == 0)
-		blm_acquit(t->blm, w[1]);
-	else if (strcmp(w[0], "verdict") == 0)
+	else if (strcmp(w[0], "done") == 0)
+		blm_record_done(t->blm, w[1]);
+	else if (strcmp(w[0], "status") == 0)
 		g_string_append(
-		    actual, verdicts[blm_verdict_of(t->blm, w[1], t->now_ms)]);
+		    actual, statuses[blm_status_of(t->blm, w[1], t->now_ms)]);
 	else if (strcmp(w[0], "share") == 0) {
 		struct blm_share share =
 		    blm_share_of(t->blm, w[1], 0, t->now_ms);
