Review: a late deregistration ends the bookkeeping of live runs

Cause: a deregistration is matched by the worker's id alone, and its runs are taken as ended without a stop and without waiting for the end of the lease. Change: case 2, a worker that leaves during a cut and starts again under its id; the held call arrives when the new life is at work.

--- a/review/rig/cases.h
+++ b/review/rig/cases.h
@@ -13,5 +13,6 @@
 void record_answer(const char *what, const struct call *call);
 
 void case_chunked_body(void);
+void case_late_deregistration(void);
 
 #endif
--- a/review/rig/main.c
+++ b/review/rig/main.c
@@ -21,6 +21,7 @@
 	void (*run)(void);
 } cases[] = {
     {"chunked-body", case_chunked_body},
+    {"late-deregistration", case_late_deregistration},
 };
 
 /* rig CASE FOLDER, in the root of the repository */
