Review: a job cancelled at another entry runs on

Cause: an entry knows the jobs of its own process only, and answers 410 to the cancelling of any other. Change: case 3, a client whose DELETE is reset and tried again at another entry.

--- a/review/rig/main.c
+++ b/review/rig/main.c
@@ -22,6 +22,7 @@
 } cases[] = {
     {"chunked-body", case_chunked_body},
     {"late-deregistration", case_late_deregistration},
+    {"cancelled-elsewhere", case_cancelled_elsewhere},
 };
 
 /* rig CASE FOLDER, in the root of the repository */
