Review: a refused stop keeps its run alive beside the next one

Cause: holds renew the lease of runs whose stop the worker refuses. Change: case 4, an unhealthy worker that answers orders with 503 and holds as usual, while the job reaches its deadline and comes again.

--- a/review/rig/cases.h
+++ b/review/rig/cases.h
@@ -15,5 +15,6 @@
 void case_chunked_body(void);
 void case_late_deregistration(void);
 void case_cancelled_elsewhere(void);
+void case_refused_stop(void);
 
 #endif
--- a/review/rig/main.c
+++ b/review/rig/main.c
@@ -23,6 +23,7 @@
     {"chunked-body", case_chunked_body},
     {"late-deregistration", case_late_deregistration},
     {"cancelled-elsewhere", case_cancelled_elsewhere},
+    {"refused-stop", case_refused_stop},
 };
 
 /* rig CASE FOLDER, in the root of the repository */
