Review: a spec is cut at a zero character

Cause: the spec is kept as a C string from decoding on. Change: case 5, a job whose spec contains \u0000.

--- a/review/rig/cases.h
+++ b/review/rig/cases.h
@@ -16,5 +16,6 @@
 void case_late_deregistration(void);
 void case_cancelled_elsewhere(void);
 void case_refused_stop(void);
+void case_cut_spec(void);
 
 #endif
