--- a/review/rig/cases.h
+++ b/review/rig/cases.h
@@ -17,5 +17,6 @@
 void case_cancelled_elsewhere(void);
 void case_refused_stop(void);
 void case_cut_spec(void);
+void case_foreign_heartbeat(void);
 
 #endif
--- a/review/rig/main.c
+++ b/review/rig/main.c
@@ -24,6 +24,7 @@
     {"late-deregistration", case_late_deregistration},
     {"cancelled-elsewhere", case_cancelled_elsewhere},
     {"refused-stop", case_refused_stop},
+    {"foreign-heartbeat", case_foreign_heartbeat},
     {"cut-spec", case_cut_spec},
 };
 
