--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,4 @@
 # could not run.  TROUBLE=0 leaves out the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x review/build/rig ] && [ -x target/spjobd ] || exit 2
-exec review/build/rig refused-stop review/4
+exec review/build/rig late-stop review/4
--- a/review/rig/cases.h
+++ b/review/rig/cases.h
@@ -15,8 +15,10 @@
 void case_chunked_body(void);
 void case_late_deregistration(void);
 void case_cancelled_elsewhere(void);
-void case_refused_stop(void);
+void case_late_stop(void);
 void case_cut_spec(void);
 void case_foreign_heartbeat(void);
+void case_slow_link(void);
+int64_t slow_link_delay_ms(void);
 
 #endif
--- a/review/rig/main.c
+++ b/review/rig/main.c
@@ -19,13 +19,15 @@
 static const struct {
 	const char *name;
 	void (*run)(void);
+	int64_t (*delay_ms)(void); /* of the first entry's link, or NULL */
 } cases[] = {
-    {"chunked-body", case_chunked_body},
-    {"late-deregistration", case_late_deregistration},
-    {"cancelled-elsewhere", case_cancelled_elsewhere},
-    {"refused-stop", case_refused_stop},
-    {"foreign-heartbeat", case_foreign_heartbeat},
-    {"cut-spec", case_cut_spec},
+    {"chunked-body", case_chunked_body, NULL},
+    {"late-deregistration", case_late_deregistration, NULL},
+    {"cancelled-elsewhere", case_cancelled_elsewhere, NULL},
+    {"late-stop", case_late_stop, NULL},
+    {"foreign-heartbeat", case_foreign_heartbeat, NULL},
+    {"cut-spec", case_cut_spec, NULL},
+    {"slow-link", case_slow_link, slow_link_delay_ms},
 };
 
 /* rig CASE FOLDER, in the root of the repository */
@@ -51,6 +53,7 @@
 	rec_open(argv[2]);
 	rec_line("case %s, %s the disruption", cases[i].name,
 	    trouble ? "with" : "without");
+	nodes_delay_ms = cases[i].delay_ms;
 	nodes_start();
 	cases[i].run();
 	code = rec_n_broken() > 0 ? RIG_BROKEN : RIG_HELD;
--- a/review/rig/nodes.c
+++ b/review/rig/nodes.c
@@ -9,9 +9,11 @@
 
 #include "rig.h"
 
-#define READY_MS 40000
+#define READY_MS    40000
+#define FIRST_ENTRY "entry-0"
 
 struct node entries[RIG_ENTRIES], agents[RIG_WORKERS];
+int64_t (*nodes_delay_ms)(void);
 static char *folder;
 static uint16_t store_port;
 static bool started;
@@ -42,6 +44,29 @@
 	return text;
 }
 
+/* Adds the setting of the address under which entries reach the agent. */
+static char *
+advertise_proxy(struct node *node, char *text)
+{
+	struct json_object *settings = json_tokener_parse(text);
+	g_autofree char *address = NULL;
+	struct json_object *listen;
+	const char *colon;
+
+	g_free(text);
+	if (!json_object_object_get_ex(settings, "listen", &listen))
+		rig_fail("no address in the settings of %s", node->name);
+	colon = strchr(json_object_get_string(listen), ':');
+	node->link = proxy_new((uint16_t)atoi(colon + 1));
+	proxy_slow_down(node->link, FIRST_ENTRY, nodes_delay_ms);
+	address = g_strdup_printf("127.0.0.1:%u", proxy_port(node->link));
+	json_object_object_add(
+	    settings, "advertise", json_object_new_string(address));
+	text = g_strdup(json_object_to_json_string(settings));
+	json_object_put(settings);
+	return text;
+}
+
 static void
 write_settings(struct node *node, const char *zone)
 {
@@ -69,6 +94,8 @@
 	g_autofree char *text = fill(template, fields);
 	int i;
 
+	if (nodes_delay_ms != NULL && strcmp(node->role, "agent") == 0)
+		text = advertise_proxy(node, g_steal_pointer(&text));
 	node->settings = g_strdup_printf("%s/%s.json", folder, node->name);
 	node->log = g_strdup_printf("%s/%s.log", folder, node->name);
 	if (!g_file_set_contents(node->settings, text, -1, NULL))
--- a/review/rig/proxy.c
+++ b/review/rig/proxy.c
@@ -6,10 +6,18 @@
 
 #define CHUNK_BYTES 16384
 
+/* Bytes on a slow connection, and when they come out. */
+struct chunk {
+	GBytes *bytes; /* empty: end of stream */
+	int64_t due_ms;
+};
+
 struct proxy {
 	GSocketService *service;
 	uint16_t port, target;
 	bool cut, reset_new;
+	const char *slow_mark;
+	int64_t (*delay_ms)(void);
 	GPtrArray *pipes;   /* struct pipe, those with held bytes */
 	GPtrArray *waiting; /* GSocketConnection, not connected yet */
 };
@@ -20,6 +28,9 @@
 	GSocketConnection *from, *to;
 	char chunk[CHUNK_BYTES];
 	gssize len; /* 0: end of stream */
+	bool up, marked;
+	int64_t last_due_ms;
+	GQueue chunks; /* struct chunk, of a slow connection */
 };
 
 static void read_more(struct pipe *pipe);
@@ -50,6 +61,58 @@
 	return G_SOURCE_REMOVE;
 }
 
+/* Delivers the oldest chunk of a slow connection. */
+static gboolean
+deliver_chunk(gpointer data)
+{
+	struct pipe *pipe = data;
+	struct chunk *chunk = g_queue_pop_head(&pipe->chunks);
+	gsize len = g_bytes_get_size(chunk->bytes);
+	GOutputStream *out =
+	    g_io_stream_get_output_stream(G_IO_STREAM(pipe->to));
+
+	if (len > 0)
+		g_output_stream_write_all(out,
+		    g_bytes_get_data(chunk->bytes, NULL), len, NULL, NULL,
+		    NULL);
+	else
+		g_socket_shutdown(g_socket_connection_get_socket(pipe->to),
+		    FALSE, TRUE, NULL);
+	g_bytes_unref(chunk->bytes);
+	g_free(chunk);
+	if (len == 0)
+		pipe_free(pipe);
+	return G_SOURCE_REMOVE;
+}
+
+/* What the connection's first bytes contain tells whether it is slow. */
+static bool
+is_slow(struct pipe *pipe)
+{
+	const char *mark = pipe->proxy->slow_mark;
+
+	if (mark != NULL && pipe->up && pipe->len > 0 && !pipe->marked)
+		pipe->marked = memmem(pipe->chunk, (size_t)pipe->len, mark,
+				   strlen(mark)) != NULL;
+	return pipe->marked;
+}
+
+static void
+delay_chunk(struct pipe *pipe)
+{
+	struct chunk *chunk = g_new0(struct chunk, 1);
+	int64_t now_ms = rec_now_ms();
+
+	chunk->bytes = g_bytes_new(pipe->chunk, (gsize)pipe->len);
+	chunk->due_ms =
+	    MAX(pipe->last_due_ms, now_ms + pipe->proxy->delay_ms());
+	pipe->last_due_ms = chunk->due_ms;
+	g_queue_push_tail(&pipe->chunks, chunk);
+	g_timeout_add((guint)(chunk->due_ms - now_ms), deliver_chunk, pipe);
+	if (pipe->len > 0)
+		read_more(pipe);
+}
+
 static void
 on_read(GObject *source, GAsyncResult *result, gpointer data)
 {
@@ -58,7 +121,9 @@
 	pipe->len =
 	    g_input_stream_read_finish(G_INPUT_STREAM(source), result, NULL);
 	pipe->len = MAX(pipe->len, 0);
-	if (pipe->proxy->cut)
+	if (is_slow(pipe))
+		delay_chunk(pipe);
+	else if (pipe->proxy->cut)
 		g_ptr_array_add(pipe->proxy->pipes, pipe);
 	else
 		deliver(pipe);
@@ -73,11 +138,14 @@
 }
 
 static void
-pump(struct proxy *proxy, GSocketConnection *from, GSocketConnection *to)
+pump(struct proxy *proxy, GSocketConnection *from, GSocketConnection *to,
+    bool up)
 {
 	struct pipe *pipe = g_new0(struct pipe, 1);
 
 	pipe->proxy = proxy;
+	pipe->up = up;
+	g_queue_init(&pipe->chunks);
 	pipe->from = g_object_ref(from);
 	pipe->to = g_object_ref(to);
 	read_more(pipe);
@@ -95,8 +163,8 @@
 	g_object_unref(dialer);
 	if (server == NULL)
 		return;
-	pump(proxy, client, server);
-	pump(proxy, server, client);
+	pump(proxy, client, server, true);
+	pump(proxy, server, client, false);
 	g_object_unref(server);
 }
 
@@ -177,3 +245,11 @@
 {
 	proxy->reset_new = reset;
 }
+
+void
+proxy_slow_down(
+    struct proxy *proxy, const char *mark, int64_t (*delay_ms)(void))
+{
+	proxy->slow_mark = mark;
+	proxy->delay_ms = delay_ms;
+}
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -28,6 +28,8 @@
 #define BOUND_CANCEL_MS	      3000
 #define BOUND_RESEND_MS	      1300
 
+#define WORKER_LATE_MS 2000
+
 enum rig_exit { RIG_HELD = 0, RIG_BROKEN = 1, RIG_NOT_RUN = 2 };
 
 /* record.c */
@@ -55,6 +57,12 @@
  * as TCP repeats them with a growing pause.
  */
 void proxy_heal(struct proxy *proxy, int64_t lag_ms);
+/*
+ * What clients send is delayed on connections, the first bytes of which contain
+ * the mark.  The order of bytes is kept.
+ */
+void proxy_slow_down(
+    struct proxy *proxy, const char *mark, int64_t (*delay_ms)(void));
 /* New connections are reset, or no longer. */
 void proxy_reset_new(struct proxy *proxy, bool reset);
 
@@ -84,8 +92,8 @@
 	struct proxy *link;    /* its path to the agent, or NULL */
 	bool up;
 	bool cut; /* calls to it are not answered */
-	/* Refuses orders, its tasks stand still; it answers hold. */
-	bool unhealthy;
+	/* Stops get no answer and are carried out WORKER_LATE_MS later. */
+	bool stops_are_late;
 	bool draining;
 	int64_t drain_acked_ms; /* 0: not yet */
 	bool delete_acked;
@@ -96,8 +104,9 @@
 	int64_t deadline_ms; /* of the lease, on its clock; 0: none */
 	int64_t n_ends;
 	int64_t n_starts;
-	GPtrArray *runs;  /* struct run */
-	GPtrArray *holds; /* struct hold */
+	int64_t n_orders, n_late; /* starts and stops; those that came late */
+	GPtrArray *runs;	  /* struct run */
+	GPtrArray *holds;	  /* struct hold */
 	struct json_object *ended;
 	GHashTable *sealed; /* task to highest run number ended or stopped */
 	SoupSession *session;
@@ -128,9 +137,15 @@
 	GPid pid;
 	bool alive;
 	uint16_t front_port, ready_port, control_port;
+	struct proxy *link; /* of an agent: the path to it, or NULL */
 };
 
 extern struct node entries[RIG_ENTRIES], agents[RIG_WORKERS];
+/*
+ * If set before nodes_start(), entries reach the agents through proxies, and
+ * what the first entry sends to them is delayed by what this returns.
+ */
+extern int64_t (*nodes_delay_ms)(void);
 
 /* Starts the store, all processes and workers, and waits until jobs run. */
 void nodes_start(void);
--- a/review/rig/worker.c
+++ b/review/rig/worker.c
@@ -278,17 +278,16 @@
 	reply(msg, w, 200, json_object_new_object());
 }
 
-static void
-take_stop(struct worker *w, SoupServerMessage *msg, struct json_object *body)
+/* Returns false if a higher fencing token was seen before. */
+static bool
+stop(struct worker *w, struct json_object *body)
 {
 	const char *task = get_string(body, "task");
 	int64_t number = get_int(body, "run");
 	guint i;
 
-	if (get_int(body, "fencing_token") < w->fence) {
-		refuse(msg, w, 409, "fence");
-		return;
-	}
+	if (get_int(body, "fencing_token") < w->fence)
+		return false;
 	w->fence = get_int(body, "fencing_token");
 	seal(w, task, number);
 	for (i = 0; i < w->runs->len; i++) {
@@ -299,7 +298,54 @@
 			run->stop_at_ms =
 			    rec_now_ms() + BOUND_STOP_TIMEOUT_MS / 2;
 	}
-	reply(msg, w, 200, json_object_new_object());
+	return true;
+}
+
+static void
+take_stop(struct worker *w, SoupServerMessage *msg, struct json_object *body)
+{
+	if (stop(w, body))
+		reply(msg, w, 200, json_object_new_object());
+	else
+		refuse(msg, w, 409, "fence");
+}
+
+/* An order that is carried out late. */
+struct late_order {
+	struct worker *w;
+	int64_t born_ms; /* of the life that it was sent to */
+	struct json_object *body;
+};
+
+static gboolean
+on_late_order(gpointer data)
+{
+	struct late_order *order = data;
+
+	if (order->w->up && order->w->born_ms == order->born_ms) {
+		rec_line("worker %d: carries out a late stop of %s",
+		    order->w->index, get_string(order->body, "task"));
+		stop(order->w, order->body);
+	}
+	json_object_put(order->body);
+	g_free(order);
+	return G_SOURCE_REMOVE;
+}
+
+/* Takes ownership of body.  The call gets no answer. */
+static void
+defer_stop(struct worker *w, SoupServerMessage *msg, struct json_object *body)
+{
+	struct late_order *order = g_new0(struct late_order, 1);
+
+	order->w = w;
+	order->born_ms = w->born_ms;
+	order->body = body;
+	w->n_late++;
+	rec_line("worker %d: leaves a stop of %s unanswered", w->index,
+	    get_string(body, "task"));
+	soup_server_message_pause(msg);
+	g_timeout_add(WORKER_LATE_MS, on_late_order, order);
 }
 
 static void
@@ -324,18 +370,16 @@
 		refuse(msg, w, 421, "instance");
 		return;
 	}
-	if (w->unhealthy && !is_hold) {
-		rec_line("worker %d: refuses %s", w->index, path);
-		refuse(msg, w, 503, "unhealthy");
-		return;
-	}
 	body = raw->length > 0 ? json_tokener_parse(raw->data) : NULL;
+	w->n_orders += !is_hold;
 	if (body == NULL)
 		refuse(msg, w, 400, "malformed");
 	else if (is_hold)
 		take_hold(w, msg, body);
 	else if (g_str_has_suffix(path, "/run-start"))
 		take_start(w, msg, body);
+	else if (g_str_has_suffix(path, "/run-stop") && w->stops_are_late)
+		defer_stop(w, msg, json_object_get(body));
 	else if (g_str_has_suffix(path, "/run-stop"))
 		take_stop(w, msg, body);
 	else
@@ -353,8 +397,7 @@
 	for (i = w->runs->len; i > 0; i--) {
 		struct run *run = w->runs->pdata[i - 1];
 
-		if (!w->unhealthy)
-			run->worked_ms += elapsed_ms;
+		run->worked_ms += elapsed_ms;
 		if (lapsed)
 			end_run(w, i - 1, "lapsed");
 		else if (run->stop_at_ms != 0 && now_ms >= run->stop_at_ms)
