Settle a deregistration by asking the worker

A worker's DELETE that a cut had held up arrived in its next life under the same id; what ran there was started elsewhere within milliseconds, while it went on until its lease ended, some 450 ms later.

Cause: a deregistration names its worker by the id alone, and hold_worker_left() took it as proof that the worker had ended: it forgot the lease and reported the runs as lost at once. Ruled out: the lease and the 1.3 s of a job that is sent again, since the second starts came at once.

Change: a deregistration stops starts and lease renewals. A report requested 100 ms later tells whether the worker lives on; then starts go on. Otherwise its runs are lost when the lease has expired, and only then is it taken out of the store.

--- a/src/connection/holder.c
+++ b/src/connection/holder.c
@@ -32,6 +32,14 @@
  */
 #define LEASE_SLACK_PERCENT 3
 #define LEASE_SLACK_MS	    60
+/*
+ * A deregistration names its worker by the id alone.  One that was held up on
+ * its way may be of a former incarnation, while another one works under the
+ * same id.  A worker that answers a call sent LEAVE_CHECK_MS after it has not
+ * ended; one that answers none for LEAVE_LIMIT_MS has.
+ */
+#define LEAVE_CHECK_MS 100
+#define LEAVE_LIMIT_MS 400
 /* Added to the fencing token when the worker refused it as too low. */
 #define FENCED_TOKEN_STEP 1000000
 
@@ -63,6 +71,7 @@
 	 * to a call without a wait, but not by other answers to a long poll.
 	 */
 	int64_t unanswered_since_ms;
+	int64_t leaving_since_ms; /* of its deregistration, 0: none */
 	/* Counts worker changes; answers to earlier calls are ignored. */
 	uint64_t generation;
 	int64_t short_poll_until_ms;
@@ -131,7 +140,7 @@
 {
 	int64_t now_ms = clk_now_ms();
 
-	return hold->phase == READY &&
+	return hold->phase == READY && hold->leaving_since_ms == 0 &&
 	       now_ms - hold->answered_ms <= MAX_ANSWER_AGE_MS &&
 	       (hold->unanswered_since_ms == 0 ||
 		   now_ms - hold->unanswered_since_ms <= MAX_UNANSWERED_MS);
@@ -212,6 +221,8 @@
 static int64_t
 start_deadline_ms(struct hold *hold)
 {
+	if (hold->leaving_since_ms != 0)
+		return hold->deadline_ms;
 	if (hold->unanswered_since_ms != 0 &&
 	    hold->lease_ends_ms - clk_now_ms() > hold->opts.lease_ms / 2)
 		return hold->deadline_ms;
@@ -318,6 +329,18 @@
 	       (report->born_ms == 0 || report->born_ms == hold->born_ms);
 }
 
+/* A worker that answers after it was deregistered has not ended. */
+static void
+settle_leave(struct hold *hold, int64_t sent_ms)
+{
+	if (hold->leaving_since_ms == 0 ||
+	    sent_ms - hold->leaving_since_ms < LEAVE_CHECK_MS)
+		return;
+	hold->leaving_since_ms = 0;
+	evt_write("worker", evt_text("instance", hold->instance),
+	    evt_uint("born_ms", hold->born_ms), evt_text("state", "stays"));
+}
+
 static void
 on_report(const struct wp_report *report, void *ctx)
 {
@@ -339,8 +362,10 @@
 		    call->sent_ms + call->wait_ms);
 	if (report->answer.verdict == WP_FENCED)
 		hold->token += FENCED_TOKEN_STEP;
-	if (is_report_of(hold, report))
+	if (is_report_of(hold, report)) {
+		settle_leave(hold, call->sent_ms);
 		process_report(hold, report, call->sent_ms);
+	}
 	if (call->is_extra &&
 	    (hold->extra_pending || report->answer.verdict == WP_NO_ANSWER)) {
 		hold->extra_pending = false;
@@ -382,6 +407,7 @@
 				   ? SHORT_POLL_WAIT_MS
 				   : POLL_WAIT_MS;
 		if (hold->unanswered_since_ms == 0 &&
+		    hold->leaving_since_ms == 0 &&
 		    hold->opts.lease_needed(hold->opts.ctx))
 			args.deadline_ms = extend_lease(hold);
 	}
@@ -414,6 +440,7 @@
 	hold->last_end = 0;
 	hold->sent_ms = 0;
 	hold->unanswered_since_ms = 0;
+	hold->leaving_since_ms = 0;
 	hold->extra_in_progress = hold->extra_pending = false;
 	hold->answered_ms = clk_now_ms();
 	hold->was_ready = false;
@@ -454,24 +481,66 @@
 	return true;
 }
 
-void
+bool
 hold_worker_left(struct hold *hold, const char *instance)
+{
+	if (hold->phase == ABSENT || g_strcmp0(instance, hold->instance) != 0)
+		return false;
+	if (hold->leaving_since_ms != 0)
+		return true;
+	hold->leaving_since_ms = clk_now_ms();
+	evt_write("worker", evt_text("instance", hold->instance),
+	    evt_uint("born_ms", hold->born_ms),
+	    evt_text("state", "deregistered"));
+	update_ready(hold);
+	return true;
+}
+
+/* The worker has ended and its lease has expired. */
+static void
+forget_worker(struct hold *hold)
 {
 	struct hold_lost lost = current_runs_lost(hold, HOLD_LEFT);
 
-	if (hold->phase == ABSENT || g_strcmp0(instance, hold->instance) != 0)
-		return;
 	hold->generation++;
 	hold->phase = ABSENT;
 	hold->sent_ms = 0;
+	hold->leaving_since_ms = 0;
+	hold->extra_in_progress = hold->extra_pending = false;
 	hold->was_ready = false;
 	g_clear_handle_id(&hold->poll_id, g_source_remove);
 	report_runs_lost(hold, &lost);
 	evt_write("worker", evt_text("instance", hold->instance),
 	    evt_text("state", "left"));
+	hold->opts.left(hold->instance, hold->opts.ctx);
 	hold->opts.changed(hold->opts.ctx);
 }
 
+static void
+check_leave(struct hold *hold)
+{
+	int64_t now_ms = clk_now_ms();
+	int64_t leaving_ms = now_ms - hold->leaving_since_ms;
+
+	if (leaving_ms > LEAVE_LIMIT_MS && now_ms > hold->lease_ends_ms)
+		forget_worker(hold);
+	else if (leaving_ms >= LEAVE_CHECK_MS && !hold->extra_in_progress)
+		hold_request_report(hold);
+}
+
+static void
+check_lease(struct hold *hold)
+{
+	struct hold_lost lost = current_runs_lost(hold, HOLD_SILENT);
+
+	if (hold->lease_ends_ms == 0 || clk_now_ms() <= hold->lease_ends_ms ||
+	    hold_is_ready(hold))
+		return;
+	hold->phase = CLEARING;
+	raise_token(hold);
+	report_runs_lost(hold, &lost);
+}
+
 /*
  * Updates the readiness of the worker, and reports its runs as lost when it
  * stopped answering and its lease has certainly expired.
@@ -479,18 +548,13 @@
 void
 hold_tick(struct hold *hold)
 {
-	struct hold_lost lost = current_runs_lost(hold, HOLD_SILENT);
-	int64_t now_ms = clk_now_ms();
-
 	if (hold->phase == ABSENT)
 		return;
 	update_ready(hold);
-	if (hold->lease_ends_ms != 0 && now_ms > hold->lease_ends_ms &&
-	    !hold_is_ready(hold)) {
-		hold->phase = CLEARING;
-		raise_token(hold);
-		report_runs_lost(hold, &lost);
-	}
+	if (hold->leaving_since_ms != 0)
+		check_leave(hold);
+	else
+		check_lease(hold);
 	schedule_poll(hold, POLL_DELAY_MS);
 }
 
--- a/src/connection/holder.h
+++ b/src/connection/holder.h
@@ -26,7 +26,7 @@
 enum hold_loss {
 	HOLD_SILENT,   /* it does not answer and its lease has ended */
 	HOLD_REPLACED, /* another incarnation has taken its place */
-	HOLD_LEFT      /* it was deregistered */
+	HOLD_LEFT      /* it was deregistered and has ended */
 };
 
 struct hold_lost {
@@ -49,6 +49,8 @@
 	    const struct wp_report *report, int64_t sent_ms, void *ctx);
 	/* None of the runs started so far is active; outcomes are unknown. */
 	void (*runs_lost)(const struct hold_lost *lost, void *ctx);
+	/* The worker was deregistered and has ended. */
+	void (*left)(const char *instance, void *ctx);
 	/* The worker, or the value of hold_is_ready(), has changed. */
 	void (*changed)(void *ctx);
 	void *ctx;
@@ -64,8 +66,13 @@
  * older than the last one or from a former incarnation.
  */
 bool hold_heartbeat(struct hold *hold, const struct wp_worker *worker);
-/* The worker was deregistered and will not return. */
-void hold_worker_left(struct hold *hold, const char *instance);
+/*
+ * Processes a deregistration.  The worker gets no starts until it is settled
+ * whether it has ended, which is reported by left(), or whether the
+ * deregistration was that of a former incarnation.  Returns false, without
+ * effect, if this is not the current worker.
+ */
+bool hold_worker_left(struct hold *hold, const char *instance);
 /* To be called periodically; detects timeouts and an expired lease. */
 void hold_tick(struct hold *hold);
 /* Requests a report at once, besides the long poll that is in progress. */
--- a/src/process/jobagent.c
+++ b/src/process/jobagent.c
@@ -491,6 +491,14 @@
 	led_worker_lost(ja->led, reasons[lost->why], clk_now_ms());
 }
 
+static void
+on_worker_left(const char *instance, void *ctx)
+{
+	struct ja *ja = ctx;
+
+	enl_worker_left(ja->enlist, instance);
+}
+
 static void
 on_worker_changed(void *ctx)
 {
@@ -574,6 +582,7 @@
 	    .lease_needed = is_lease_needed,
 	    .report = on_report,
 	    .runs_lost = on_runs_lost,
+	    .left = on_worker_left,
 	    .changed = on_worker_changed,
 	    .ctx = ja,
 	};
@@ -745,8 +754,8 @@
 void
 ja_worker_left(struct ja *ja, const char *instance)
 {
-	hold_worker_left(ja->hold, instance);
-	enl_worker_left(ja->enlist, instance);
+	if (!hold_worker_left(ja->hold, instance))
+		enl_worker_left(ja->enlist, instance);
 }
 
 void
--- a/src/process/jobagent.h
+++ b/src/process/jobagent.h
@@ -38,7 +38,10 @@
 void ja_free(struct ja *ja);
 /* Handles a heartbeat of the worker. */
 void ja_heartbeat(struct ja *ja, const struct wp_worker *worker);
-/* The worker has deregistered: its runs are lost. */
+/*
+ * Handles a deregistration, which may be a late one of the worker's former
+ * incarnation under the same id.
+ */
 void ja_worker_left(struct ja *ja, const char *instance);
 /*
  * Refuses starts from now on; drained() runs when no task is running, at the
--- a/tests/test_holder.c
+++ b/tests/test_holder.c
@@ -143,6 +143,12 @@
 	append(ctx, "lost");
 }
 
+static void
+on_left(const char *instance, void *ctx)
+{
+	append(ctx, "left(%s)", instance);
+}
+
 static void
 on_changed(void *ctx)
 {
@@ -166,6 +172,7 @@
 	    .lease_needed = on_lease_needed,
 	    .report = on_report,
 	    .runs_lost = on_runs_lost,
+	    .left = on_left,
 	    .changed = on_changed,
 	    .ctx = w,
 	};
@@ -303,7 +310,8 @@
 
 /*
  * The cases guard against tasks that stay with a dead worker, against treating
- * a lease as expired too early, and against starts on a worker where runs of
+ * a lease as expired too early, against runs of a living worker that are taken as
+ * over when a deregistration of its former life arrives, and against starts on a worker where runs of
  * an earlier agent may be left.
  */
 REPLAY_MAIN("holder", 0, start, end, step)
