Raise the fencing token also after a worker has left

A start or hold that a worker's former life received no more may be carried out seconds later, by the next life at the same address and under the same id. Such calls are fenced off by a higher token, but the token was raised only when a new life took the place of another, not when that had been deregistered before.

--- a/src/connection/holder.c
+++ b/src/connection/holder.c
@@ -431,6 +431,7 @@
 adopt_worker(struct hold *hold, const struct wp_worker *worker)
 {
 	bool had_worker = hold->phase != ABSENT;
+	bool had_calls = hold->born_ms != 0;
 
 	if (had_worker && hold->replaced.incarnation == 0)
 		hold->replaced = current_runs_lost(hold, HOLD_REPLACED);
@@ -449,11 +450,12 @@
 	hold->instance = g_strdup(worker->instance);
 	g_free(hold->address);
 	hold->address = g_strdup(worker->address);
-	if (had_worker) {
+	if (had_calls) {
 		/*
-		 * The new incarnation may have executed a start sent to the
-		 * former one.  The runs are reported lost, so that their tasks
-		 * restart elsewhere, only after it was cleared.
+		 * The new incarnation may have executed a start sent to a
+		 * former one, which may have left before.  The runs are
+		 * reported lost, so that their tasks restart elsewhere, only
+		 * after it was cleared.
 		 */
 		raise_token(hold);
 	}
