Let the lease expire under runs that do not end when stopped

A job had reached its deadline; one worker carried out the stops of its runs 2 s late. The job was sent again 1.3 s later and started elsewhere beside them.

Cause: a run counts as ended 1.3 s after it was given up, since its stop is carried out or the lease ends by then. But polls renewed the lease as long as any run was active, also one that was being stopped, and starts of other tasks extended it too. Ruled out: unanswered calls, after which the lease is not renewed (each answered poll resets that), and the worker refusing the stop, since the same was seen there.

Change: led_lease() decides. A run that is being stopped needs no lease; one that has not ended 400 ms after its entry gave it up takes the lease from the whole worker, and until it ends no start is sent, since starts extend the lease. Other runs there end with it and are placed elsewhere. A run that is stopped as stalled counts only from the moment that its entry gives it up. An event ("lease", withheld) and sp_leases_withheld_total tell of it.

Left: where an entry falls silent (800 ms until its session ends) and the stops of its runs are late as well, the lease can end 1.4 to 1.9 s after the silence began, later than the 1.1 s after which that entry starts the tasks elsewhere.

--- a/src/connection/holder.c
+++ b/src/connection/holder.c
@@ -221,7 +221,8 @@
 static int64_t
 start_deadline_ms(struct hold *hold)
 {
-	if (hold->leaving_since_ms != 0)
+	if (hold->leaving_since_ms != 0 ||
+	    hold->opts.lease(hold->opts.ctx) == WP_LEASE_WITHHOLD)
 		return hold->deadline_ms;
 	if (hold->unanswered_since_ms != 0 &&
 	    hold->lease_ends_ms - clk_now_ms() > hold->opts.lease_ms / 2)
@@ -408,7 +409,7 @@
 				   : POLL_WAIT_MS;
 		if (hold->unanswered_since_ms == 0 &&
 		    hold->leaving_since_ms == 0 &&
-		    hold->opts.lease_needed(hold->opts.ctx))
+		    hold->opts.lease(hold->opts.ctx) == WP_LEASE_RENEW)
 			args.deadline_ms = extend_lease(hold);
 	}
 	send_hold(hold, &args, false);
--- a/src/connection/holder.h
+++ b/src/connection/holder.h
@@ -39,8 +39,11 @@
 	const struct wp *wp; /* borrowed */
 	int64_t lease_ms;    /* longest lease that the worker grants */
 	int64_t token; /* fencing token, above that of any earlier agent */
-	/* Whether a run needs the lease; polls renew it only then. */
-	bool (*lease_needed)(void *ctx);
+	/*
+	 * What is to be done with the lease.  Polls renew it as long as a run
+	 * needs it; starts do so too unless it is withheld.
+	 */
+	enum wp_lease (*lease)(void *ctx);
 	/*
 	 * A report of the worker, for the request sent at sent_ms.  Reports may
 	 * arrive in another order than they were requested.
--- a/src/connection/workerport.h
+++ b/src/connection/workerport.h
@@ -74,6 +74,13 @@
 	size_t n_ended;
 };
 
+/* What is to be done with the lease, which applies to all runs. */
+enum wp_lease {
+	WP_LEASE_UNNEEDED, /* no run needs it */
+	WP_LEASE_RENEW,
+	WP_LEASE_WITHHOLD /* it must expire, also under runs that need it */
+};
+
 struct wp_hold {
 	int64_t deadline_ms; /* new lease, worker's clock; 0: unchanged */
 	int64_t last_end;    /* ends up to this number are not reported again */
--- a/src/process/jobagent.c
+++ b/src/process/jobagent.c
@@ -55,8 +55,9 @@
 	guint update_id;
 	int64_t update_due_ms; /* when update_id runs */
 	bool accepting;	       /* as last marked for updates */
+	bool withheld;	       /* the lease, as last logged */
 	int64_t *starts, *done, *failed, *runs_lost, *refused, *stalled;
-	int64_t *sessions_lost;
+	int64_t *sessions_lost, *leases_withheld;
 	struct hst *run_times;
 };
 
@@ -107,6 +108,8 @@
 		*reason = "worker is draining";
 	else if (!hold_is_ready(ja->hold))
 		*reason = "worker is not ready";
+	else if (led_lease(ja->led, clk_now_ms()) == WP_LEASE_WITHHOLD)
+		*reason = "worker does not carry out stops";
 	else if (g_hash_table_contains(ja->out_domains, ja->failure_domain))
 		*reason = "failure domain is out";
 	else
@@ -460,12 +463,12 @@
 	plan_updates(ja);
 }
 
-static bool
-is_lease_needed(void *ctx)
+static enum wp_lease
+decide_lease(void *ctx)
 {
 	struct ja *ja = ctx;
 
-	return led_active(ja->led) > 0;
+	return led_lease(ja->led, clk_now_ms());
 }
 
 static void
@@ -531,6 +534,22 @@
 	ja->opts.drained(ja->opts.ctx);
 }
 
+/* The lease is withheld, or no longer, as time passes. */
+static void
+check_lease(struct ja *ja)
+{
+	bool withheld = decide_lease(ja) == WP_LEASE_WITHHOLD;
+
+	if (withheld == ja->withheld)
+		return;
+	ja->withheld = withheld;
+	if (withheld)
+		++*ja->leases_withheld;
+	evt_write("lease", evt_bool("withheld", withheld),
+	    evt_uint("runs", led_active(ja->led)));
+	plan_updates(ja);
+}
+
 static gboolean
 on_tick(gpointer data)
 {
@@ -538,6 +557,7 @@
 
 	hold_tick(ja->hold);
 	led_tick(ja->led, clk_now_ms());
+	check_lease(ja);
 	crw_tick(ja->crashwatch);
 	finish_drain(ja);
 	return G_SOURCE_CONTINUE;
@@ -555,6 +575,9 @@
 	    reg, "sp_runs_lost_total", "Runs lost, with an unknown outcome.");
 	ja->sessions_lost = ctr_counter(
 	    reg, "sp_sessions_lost_total", "Entry connections lost.");
+	ja->leases_withheld = ctr_counter(reg, "sp_leases_withheld_total",
+	    "Times that the worker's lease was left to expire, since a run did "
+	    "not end.");
 	ja->run_times =
 	    hst_new(reg, "sp_run_ms", "Time from start to end of done runs.");
 	ja->stalled = ctr_counter(reg, "sp_runs_stalled_total",
@@ -579,7 +602,7 @@
 	    .wp = ja->opts.wp,
 	    .lease_ms = ja->opts.lease_ms,
 	    .token = clk_wall_ms(),
-	    .lease_needed = is_lease_needed,
+	    .lease = decide_lease,
 	    .report = on_report,
 	    .runs_lost = on_runs_lost,
 	    .left = on_worker_left,
--- a/src/request/ledger.c
+++ b/src/request/ledger.c
@@ -5,6 +5,12 @@
 
 /* A stop that the worker has not confirmed is sent again after this time. */
 #define STOP_REPEAT_MS 400
+/*
+ * A run that its entry has given up takes the lease from the worker if it has
+ * not ended within this time.  With the lease of HOLD_MAX_LEASE_MS after it,
+ * the run is over before its job is sent again, 1.3 s after it was given up.
+ */
+#define STOP_PATIENCE_MS 400
 /* Run numbers skipped when the worker has already seen higher ones. */
 #define RUN_NUMBER_SKIP 10000
 #define MAX_RENUMBERS	3
@@ -50,6 +56,8 @@
 	int64_t no_answer_ms;	   /* when the start timed out, 0: it did not */
 	int64_t stop_sent_ms;	   /* when a stop was last sent, 0: never */
 	int64_t stop_confirmed_ms; /* when the stop was confirmed, 0: not yet */
+	bool given_up;		   /* by its entry, at given_up_ms */
+	int64_t given_up_ms;
 	uint32_t renumbers;
 	bool started;		 /* the worker has confirmed the start */
 	const char *stop_reason; /* why the run is being stopped */
@@ -271,8 +279,12 @@
 	for (l = runs; l != NULL; l = l->next) {
 		struct run *run = l->data;
 
-		if (run->session == session && (seq == 0 || run->seq == seq))
-			begin_stop(led, run, reason, now_ms);
+		if (run->session != session || (seq != 0 && run->seq != seq))
+			continue;
+		if (!run->given_up)
+			run->given_up_ms = now_ms;
+		run->given_up = true;
+		begin_stop(led, run, reason, now_ms);
 	}
 }
 
@@ -628,6 +640,26 @@
 	led_return_queue(led, reason, now_ms);
 }
 
+enum wp_lease
+led_lease(const struct led *led, int64_t now_ms)
+{
+	enum wp_lease lease = WP_LEASE_UNNEEDED;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, led->active);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct run *run = value;
+
+		if (run->given_up &&
+		    now_ms - run->given_up_ms >= STOP_PATIENCE_MS)
+			return WP_LEASE_WITHHOLD;
+		if (run->state != STOPPING)
+			lease = WP_LEASE_RENEW;
+	}
+	return lease;
+}
+
 void
 led_room(const struct led *led, struct wk_size *room)
 {
--- a/src/request/ledger.h
+++ b/src/request/ledger.h
@@ -110,6 +110,13 @@
  */
 void led_worker_lost(struct led *led, const char *reason, int64_t now_ms);
 
+/*
+ * Whether the worker's lease is to be renewed.  It is withheld while a run does
+ * not end that its entry has given up: the job may be sent again soon, and the
+ * end of the lease is the only way left to end the run.
+ */
+enum wp_lease led_lease(const struct led *led, int64_t now_ms);
+
 /* Capacity less that of active runs and queued starts; may be negative. */
 void led_room(const struct led *led, struct wk_size *room);
 uint32_t led_queued(const struct led *led);
--- a/tests/deployment.c
+++ b/tests/deployment.c
@@ -51,7 +51,7 @@
 }
 
 static void
-start_agent(struct dpl *dpl, int i, uint16_t control_port)
+start_agent(struct dpl *dpl, int i)
 {
 	uint16_t metrics_port = hn_port();
 	const char *path = hn_write(hn_str("agent%d.json", i),
@@ -61,7 +61,8 @@
 		   "\"127.0.0.1:%u\",\"store\":\"127.0.0.1:%u\",\"metrics_"
 		   "listen\":\"127.0.0.1:%u\"}",
 		i, i, dpl->agent_port[i], dpl->path[DPL_ENTRIES_AGENT][i],
-		control_port, dpl->path[DPL_AGENT_STORE][i], metrics_port));
+		dpl->control_port[i], dpl->path[DPL_AGENT_STORE][i],
+		metrics_port));
 
 	if (i == 0)
 		dpl->agent_metrics_port = metrics_port;
@@ -138,7 +139,6 @@
 void
 dpl_start(struct dpl *dpl, const struct dpl_options *opts)
 {
-	uint16_t control_port[DPL_AGENTS];
 	const char *argv[4 + 2 * DPL_AGENTS] = {"standin_platform"};
 	int i, n = 1;
 
@@ -149,9 +149,10 @@
 	argv[n++] = "--store";
 	argv[n++] = hn_str("%u", dpl->store_port);
 	for (i = 0; i < DPL_AGENTS; i++) {
-		control_port[i] = hn_port();
+		dpl->control_port[i] = hn_port();
 		argv[n++] = "--worker";
-		argv[n++] = hn_str("%u:%u:z%d", hn_port(), control_port[i], i);
+		argv[n++] =
+		    hn_str("%u:%u:z%d", hn_port(), dpl->control_port[i], i);
 	}
 	dpl->platform = hn_start("standin_platform", argv);
 	ck_assert(hn_wait_until(
@@ -159,7 +160,7 @@
 	    HN_LIMIT_MS));
 	dpl_configure(dpl, 1, "/q/");
 	for (i = 0; i < DPL_AGENTS; i++)
-		start_agent(dpl, i, control_port[i]);
+		start_agent(dpl, i);
 	for (i = 0; i < DPL_ENTRIES; i++)
 		start_entry(dpl, i);
 	for (i = 0; i < DPL_ENTRIES; i++)
--- a/tests/deployment.h
+++ b/tests/deployment.h
@@ -34,8 +34,9 @@
 	uint16_t proxy_port;
 	uint16_t entry_port[DPL_ENTRIES];
 	uint16_t agent_port[DPL_AGENTS];
-	uint16_t entry_metrics_port; /* of entry 0 */
-	uint16_t agent_metrics_port; /* of agent 0 */
+	uint16_t control_port[DPL_AGENTS]; /* of the agents, for heartbeats */
+	uint16_t entry_metrics_port;	   /* of entry 0 */
+	uint16_t agent_metrics_port;	   /* of agent 0 */
 	/* Ports that the clients of each path connect to. */
 	uint16_t path[DPL_N_PATHS][DPL_AGENTS];
 };
--- a/tests/standin_platform.c
+++ b/tests/standin_platform.c
@@ -15,6 +15,8 @@
  *   store=down|up  while down, the store answers 503 and leaves watches open
  *   late=PERCENT   of the run-start and run-stop calls get no answer and are
  *                  executed 300 to 1500 ms later
+ *   late_stops=MS  every run-stop call gets no answer and is executed MS later;
+ *                  0: at once
  *   fail=N         all tasks of worker N fail
  *   stall=N        tasks of worker N make no progress
  *   drain=N        worker N reports itself as draining
@@ -108,6 +110,7 @@
 static struct {
 	bool store_down;
 	int deferred_percent;
+	int late_stops_ms;
 	int fail, stall, drain, mute;
 	int beats;
 	int keep_id;
@@ -581,18 +584,29 @@
 	return G_SOURCE_REMOVE;
 }
 
+/* Delay after which a call is executed without an answer; 0: with one. */
+static guint
+deferral_ms(const char *path)
+{
+	if (g_str_has_suffix(path, "hold"))
+		return 0;
+	if (mode.late_stops_ms > 0 && g_str_has_suffix(path, "run-stop"))
+		return (guint)mode.late_stops_ms;
+	if (g_random_int_range(0, 100) >= mode.deferred_percent)
+		return 0;
+	return (guint)g_random_int_range(DEFERRED_MIN_MS, DEFERRED_MAX_MS);
+}
+
 static void
 defer_call(struct worker *w, SoupServerMessage *msg, const char *path,
-    struct json_object *body)
+    struct json_object *body, guint delay_ms)
 {
 	struct deferred_call *deferred_call = g_new0(struct deferred_call, 1);
 	deferred_call->worker = w;
 	deferred_call->id = g_strdup(w->id);
 	deferred_call->path = g_strdup(path);
 	deferred_call->body = json_object_get(body);
-	g_timeout_add(
-	    (guint)g_random_int_range(DEFERRED_MIN_MS, DEFERRED_MAX_MS),
-	    on_deferred_call, deferred_call);
+	g_timeout_add(delay_ms, on_deferred_call, deferred_call);
 	soup_server_message_pause(msg); /* until the caller closes */
 }
 
@@ -645,6 +659,7 @@
 	struct json_object *body = body_of(msg);
 	struct json_object *answer;
 	const char *reason;
+	guint delay_ms;
 
 	(void)server;
 	(void)query;
@@ -663,9 +678,9 @@
 		reply(msg, 400, json_object_new_object());
 		return;
 	}
-	if (g_random_int_range(0, 100) < mode.deferred_percent &&
-	    !g_str_has_suffix(path, "hold")) {
-		defer_call(w, msg, path, body);
+	delay_ms = deferral_ms(path);
+	if (delay_ms > 0) {
+		defer_call(w, msg, path, body, delay_ms);
 	} else if (g_str_has_suffix(path, "hold")) {
 		take_hold(w, msg, body);
 	} else {
@@ -823,6 +838,7 @@
 	if (*param(query, "store") != '\0')
 		mode.store_down = strcmp(param(query, "store"), "down") == 0;
 	set_number(query, "late", &mode.deferred_percent);
+	set_number(query, "late_stops", &mode.late_stops_ms);
 	set_number(query, "fail", &mode.fail);
 	set_number(query, "stall", &mode.stall);
 	set_number(query, "drain", &mode.drain);
--- a/tests/test_holder.c
+++ b/tests/test_holder.c
@@ -22,7 +22,8 @@
 struct fixture {
 	struct wp wp;
 	struct hold *hold;
-	int64_t token;	/* of the last request for a report */
+	int64_t token; /* of the last request for a report */
+	enum wp_lease lease;
 	GQueue reports; /* struct call */
 	GQueue starts;
 	GString *actual;
@@ -121,11 +122,12 @@
 	push_call(&w->reports, fn, NULL, ctx);
 }
 
-static bool
-on_lease_needed(void *ctx)
+static enum wp_lease
+on_lease(void *ctx)
 {
-	(void)ctx;
-	return true;
+	const struct fixture *w = ctx;
+
+	return w->lease;
 }
 
 static void
@@ -169,7 +171,7 @@
 	    .wp = &w->wp,
 	    .lease_ms = LEASE_MS,
 	    .token = 10,
-	    .lease_needed = on_lease_needed,
+	    .lease = on_lease,
 	    .report = on_report,
 	    .runs_lost = on_runs_lost,
 	    .left = on_left,
@@ -178,6 +180,7 @@
 	};
 
 	now_ms = 0;
+	w->lease = WP_LEASE_RENEW;
 	w->wp = (struct wp){w, on_start, on_stop, on_hold};
 	g_queue_init(&w->reports);
 	g_queue_init(&w->starts);
@@ -299,6 +302,8 @@
 		hold_worker_left(w->hold, "i");
 	else if (strcmp(words[0], "next") == 0)
 		wait_for_call(w);
+	else if (strcmp(words[0], "withhold") == 0)
+		w->lease = WP_LEASE_WITHHOLD;
 	else if (strcmp(words[0], "ready") == 0)
 		append(w, hold_is_ready(w->hold) ? "yes" : "no");
 	else if (strcmp(words[0], "start") == 0)
--- /dev/null
+++ b/tests/test_late_calls.c
@@ -0,0 +1,113 @@
+/*
+ * Calls that arrive or are carried out seconds late, with real processes: no
+ * task may run twice at once.
+ */
+#include <glib.h>
+
+#include "deployment.h"
+#include "runner.h"
+
+#define JOB_DEADLINE_MS 1500
+#define RESEND_MS	1300
+#define LATE_MS		2500
+#define TASK_MS		3000
+
+static struct hn_http *
+post_job(struct dpl *dpl, int entry, unsigned id, int n_tasks, int deadline_ms)
+{
+	const char *const headers[] = {"Content-Type: application/json",
+	    hn_str("X-Deadline-Ms: %d", deadline_ms), NULL};
+
+	return hn_http_start("POST",
+	    dpl_url(dpl, entry, hn_str("/q/%016x", id)), headers,
+	    hn_str("{\"spec\":\"%d\",\"best_effort\":true,\"steps\":["
+		   "{\"count\":%d,\"cpu\":1000,\"mem_mb\":1,\"estimate_ms\":"
+		   "250}]}",
+		TASK_MS, n_tasks));
+}
+
+static int64_t
+count(struct dpl *dpl, const char *name)
+{
+	return hn_json_int(dpl_control(dpl, "GET", "counts", NULL), name);
+}
+
+/*
+ * A job reaches its deadline, and the stops of its runs are carried out late.
+ * The agents went on renewing the lease of these runs, so that they were still
+ * at work when the job was sent again, also where other runs need the lease.
+ */
+static void
+resend_after_late_stops(int n_other_tasks)
+{
+	struct hn_http *job, *other = NULL;
+	struct dpl dpl;
+
+	dpl_start(&dpl, &(struct dpl_options){0});
+	if (n_other_tasks > 0)
+		other = post_job(&dpl, 1, 0xd1, n_other_tasks, 20000);
+	job = post_job(&dpl, 0, 0xd0, 6, JOB_DEADLINE_MS);
+	ck_assert(hn_wait_until(
+	    count(&dpl, "running") == 6 + n_other_tasks, JOB_DEADLINE_MS));
+	dpl_control(&dpl, "GET", hn_str("mode?late_stops=%d", LATE_MS), NULL);
+	ck_assert_int_eq(hn_http_wait(job, HN_LIMIT_MS)->status, 504);
+	hn_sleep(RESEND_MS);
+	job = post_job(&dpl, 1, 0xd0, 6, JOB_DEADLINE_MS);
+	hn_sleep(JOB_DEADLINE_MS / 2);
+	ck_assert_int_ge(count(&dpl, "running"), 6);
+	ck_assert_int_eq(count(&dpl, "twice"), 0);
+	dpl_control(&dpl, "GET", "mode?late_stops=0", NULL);
+	hn_http_wait(job, HN_LIMIT_MS);
+	if (other != NULL)
+		ck_assert_int_eq(hn_http_wait(other, HN_LIMIT_MS)->status, 200);
+	ck_assert_int_eq(count(&dpl, "twice"), 0);
+	hn_finish();
+}
+
+START_TEST(late_stops_end_with_the_lease)
+{
+	resend_after_late_stops(0);
+}
+END_TEST
+
+START_TEST(late_stops_end_beside_other_runs)
+{
+	resend_after_late_stops(9);
+}
+END_TEST
+
+/*
+ * A deregistration that was held up arrives in the worker's next life under the
+ * same id.  What runs there was started elsewhere at once.
+ */
+START_TEST(late_deregistration_ends_no_run)
+{
+	struct hn_http *job;
+	struct dpl dpl;
+	int i;
+
+	dpl_start(&dpl, &(struct dpl_options){0});
+	job = post_job(&dpl, 0, 0xd2, 9, 20000);
+	ck_assert(hn_wait_until(count(&dpl, "running") == 9, HN_LIMIT_MS));
+	for (i = 0; i < DPL_AGENTS; i++)
+		hn_http("DELETE",
+		    hn_str("http://127.0.0.1:%u/sequoiaplank/instances/w%d",
+			dpl.control_port[i], i),
+		    NULL);
+	ck_assert_int_eq(hn_http_wait(job, HN_LIMIT_MS)->status, 200);
+	ck_assert_int_eq(count(&dpl, "twice"), 0);
+	ck_assert_int_eq(count(&dpl, "lapsed"), 0);
+	ck_assert(dpl_completes_job(&dpl, 1));
+	hn_finish();
+}
+END_TEST
+
+int
+main(void)
+{
+	const TTest *const tests[] = {late_stops_end_with_the_lease,
+	    late_stops_end_beside_other_runs, late_deregistration_ends_no_run};
+
+	return run_tests("late_calls", tests, sizeof(tests) / sizeof(tests[0]),
+	    2 * HN_LIMIT_MS / 1000.0);
+}
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -16,6 +16,8 @@
 	bool accepting;
 };
 
+static const char *const leases[] = {"unneeded", "renew", "withhold"};
+
 static const char *const verdicts[] = {
     "done", "stale", "late", "fenced", "refused", "replaced", "no_answer"};
 static const char *const ends[] = {"done", "failed", "stopped", "lapsed"};
@@ -54,7 +56,8 @@
 
 	(void)session;
 	*reason = "not accepting";
-	return t->accepting;
+	return t->accepting &&
+	       led_lease(t->led, t->now_ms) != WP_LEASE_WITHHOLD;
 }
 
 static void
@@ -211,6 +214,8 @@
 		    (uint64_t)number(w[2]), t->now_ms);
 	else if (strcmp(w[0], "end") == 0)
 		led_end_session(t->led, (uint64_t)number(w[1]), t->now_ms);
+	else if (strcmp(w[0], "lease") == 0)
+		emit(t, "%s", leases[led_lease(t->led, t->now_ms)]);
 	else if (strcmp(w[0], "lost") == 0)
 		led_worker_lost(t->led, "lost", t->now_ms);
 	else if (strcmp(w[0], "room") == 0) {
