Read an empty registration as one that names no worker

What operators saw: one empty value under sequoiaplank/agents/ ended every entry with SIGSEGV, again after each restart; in an agent's own key it ends the agent.

Cause: the data of an empty GBytes is NULL; enl_parse() copied it with g_strndup(), which returns NULL for NULL, and gave that to json_tokener_parse(). Looked for elsewhere: the configuration's parser is given a length and reads nothing at 0, and a watch's empty value is not NULL, so it is no deletion.

--- a/src/process/enlist.c
+++ b/src/process/enlist.c
@@ -106,7 +106,8 @@
 enl_parse(const char *data, size_t len,
     void (*fn)(const struct wp_worker *worker, void *ctx), void *ctx)
 {
-	g_autofree char *text = g_strndup(data, len);
+	/* The data of an empty value may be NULL. */
+	g_autofree char *text = len == 0 ? g_strdup("") : g_strndup(data, len);
 	struct json_object *from = json_tokener_parse(text);
 	GPtrArray *labels = labels_of(from);
 	struct wp_worker worker = {
--- a/tests/deployment.c
+++ b/tests/deployment.c
@@ -83,6 +83,27 @@
 	return http->status == 200;
 }
 
+bool
+dpl_fills_workers(const struct dpl *dpl, int entry, int n)
+{
+	static unsigned id = 0xe0000000U;
+	struct hn_http *job = hn_http_start("POST",
+	    dpl_url(dpl, entry, hn_str("/q/%016x", id++)), NULL,
+	    hn_str("{\"spec\":\"300\",\"best_effort\":true,\"steps\":[{"
+		   "\"count\":%d,\"cpu\":1000,\"mem_mb\":1,"
+		   "\"estimate_ms\":300}]}",
+		n));
+	int64_t most = 0, running;
+
+	while (!job->done) {
+		running = hn_json_int(
+		    dpl_control(dpl, "GET", "counts", NULL), "running");
+		most = MAX(most, running);
+		hn_sleep(10);
+	}
+	return job->status == 200 && most == n;
+}
+
 /* Returns the server's port that a path leads to; 0 if there is none. */
 static uint16_t
 path_target_port(const struct dpl *dpl, enum dpl_path path, int index)
--- a/tests/deployment.h
+++ b/tests/deployment.h
@@ -57,6 +57,11 @@
  * worker.
  */
 bool dpl_completes_job(const struct dpl *dpl, int entry);
+/*
+ * Returns true if the entry completes a job of n tasks of 300 ms, and all of
+ * them run at the same time.
+ */
+bool dpl_fills_workers(const struct dpl *dpl, int entry, int n);
 /* Sets a fault proxy rule for a path; direction "" means both directions. */
 void dpl_set_fault(const struct dpl *dpl, enum dpl_path path, int index,
     const char *direction, const char *action, int ms);
--- a/tests/test_enlist.c
+++ b/tests/test_enlist.c
@@ -112,7 +112,10 @@
 	struct ks_item item = {.key = ENL_PREFIX ADDRESS, .data = t->stored};
 	struct ks_page page = {.items = &item, .n_items = t->stored != NULL};
 
-	if (t->stored != NULL)
+	/* The data of an empty value may be NULL, as that of a GBytes. */
+	if (t->stored != NULL && *t->stored == '\0')
+		item.data = NULL;
+	else if (t->stored != NULL)
 		item.len = strlen(t->stored);
 	t->list_fn(&st, &page, t->call_ctx);
 }
@@ -143,7 +146,7 @@
 
 	t->actual = actual;
 	if (strcmp(w[0], "stored") == 0)
-		t->stored = g_strdup(w[1]);
+		t->stored = g_strdup(w[1] == NULL ? "" : w[1]);
 	else if (strcmp(w[0], "list") == 0)
 		answer_list(t);
 	else if (strcmp(w[0], "written") == 0)
--- /dev/null
+++ b/tests/test_odd_entries.c
@@ -0,0 +1,104 @@
+/*
+ * Entries of another writer among the registrations in the store, with real
+ * processes: no process may end or stop using a worker, also after restarts.
+ */
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "deployment.h"
+#include "runner.h"
+
+#define AGENTS_PREFIX "sequoiaplank/agents/"
+/* Time for entries to read a change in the store. */
+#define READ_MS 1200
+/* Tasks that fill all workers. */
+#define N_TASKS 24
+
+struct row {
+	const char *name;
+	const char *address; /* that the key ends with; NULL: that of agent 0 */
+	const char *value;
+};
+
+static const struct row rows[] = {
+    {"empty value", "10.0.0.1:7", ""},
+    {"empty value of an agent", NULL, ""},
+};
+
+static void
+write_entry(struct dpl *dpl, const struct row *row)
+{
+	const char *address = row->address;
+
+	if (address == NULL)
+		address = hn_str("127.0.0.1:%u", dpl->agent_port[0]);
+	dpl_control(dpl, "PUT", hn_str("key?key=" AGENTS_PREFIX "%s", address),
+	    row->value);
+}
+
+static void
+restart_all(struct dpl *dpl)
+{
+	int i;
+
+	for (i = 0; i < DPL_ENTRIES; i++)
+		hn_kill(dpl->entry[i]);
+	for (i = 0; i < DPL_AGENTS; i++)
+		hn_kill(dpl->agent[i]);
+	for (i = 0; i < DPL_AGENTS; i++)
+		hn_restart(dpl->agent[i]);
+	for (i = 0; i < DPL_ENTRIES; i++)
+		hn_restart(dpl->entry[i]);
+}
+
+static void
+check_processes(struct dpl *dpl, const char *name)
+{
+	int i;
+
+	for (i = 0; i < DPL_ENTRIES; i++)
+		ck_assert_msg(hn_wait_exit(dpl->entry[i], 0) == -1,
+		    "%s: entry %d has ended", name, i);
+	for (i = 0; i < DPL_AGENTS; i++)
+		ck_assert_msg(hn_wait_exit(dpl->agent[i], 0) == -1,
+		    "%s: agent %d has ended", name, i);
+}
+
+/* Each entry must place a job on all workers at once. */
+static void
+check_all_workers(struct dpl *dpl, const char *name)
+{
+	int i;
+
+	for (i = 0; i < DPL_ENTRIES; i++)
+		ck_assert_msg(hn_wait_until(dpl_fills_workers(dpl, i, N_TASKS),
+				  HN_LIMIT_MS),
+		    "%s: entry %d does not use all workers", name, i);
+}
+
+START_TEST(odd_entry_harms_nobody)
+{
+	const struct row *row = &rows[_i];
+	struct dpl dpl;
+
+	dpl_start(&dpl, &(struct dpl_options){0});
+	write_entry(&dpl, row);
+	hn_sleep(READ_MS);
+	check_processes(&dpl, row->name);
+	check_all_workers(&dpl, row->name);
+	write_entry(&dpl, row);
+	restart_all(&dpl);
+	hn_sleep(READ_MS);
+	check_processes(&dpl, row->name);
+	check_all_workers(&dpl, row->name);
+	hn_finish();
+}
+END_TEST
+
+int
+main(void)
+{
+	return run_table("odd_entries", odd_entry_harms_nobody,
+	    G_N_ELEMENTS(rows), 2 * HN_LIMIT_MS / 1000.0);
+}
