Decode registrations by a table of fields with ranges

What was seen: an agent whose own key in the store holds a born_ms beyond 64 bits never followed its worker again after a restart: json-c clamps the number to 2^63 - 1, and each heartbeat of the worker seemed to be of an older life.

Cause: a registration was read member by member, with a default for what is missing, and with no range for what is there.

Change: process/fields decodes an object by a table (type, required, range, length, U+0000, valid UTF-8, depth) or refuses it whole with the field's name; registrations are its first user. Addresses must be numeric, with a port from 1 to 65535, in their usual form, since they go into URLs. An agent that finds its key malformed writes it anew; before, it stayed so until the worker changed.

--- a/src/connection/address.c
+++ b/src/connection/address.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "connection/address.h"
 
 GSocketAddress *
@@ -19,3 +21,20 @@
 		    text);
 	return address;
 }
+
+bool
+addr_is_valid(const char *text)
+{
+	GSocketAddress *address = addr_parse(text, NULL);
+	g_autofree char *usual = NULL;
+	GInetSocketAddress *inet;
+	uint16_t port;
+
+	if (address == NULL)
+		return false;
+	inet = G_INET_SOCKET_ADDRESS(address);
+	port = g_inet_socket_address_get_port(inet);
+	usual = g_socket_connectable_to_string(G_SOCKET_CONNECTABLE(inet));
+	g_object_unref(address);
+	return port != 0 && strcmp(text, usual) == 0;
+}
--- a/src/connection/address.h
+++ b/src/connection/address.h
@@ -2,6 +2,8 @@
 #define SP_ADDRESS_H
 
 #include <gio/gio.h>
+#include <stdbool.h>
+#include <stdint.h>
 
 #include "process/status.h"
 
@@ -10,5 +12,10 @@
  * reason in st, for any other text.  The caller unrefs the address.
  */
 GSocketAddress *addr_parse(const char *text, struct status *st);
+/*
+ * Whether text is "ip:port" or "[ip]:port" in its usual form with a port that
+ * can be connected to, so that it can be put into a URL.
+ */
+bool addr_is_valid(const char *text);
 
 #endif
--- a/src/connection/workerport.h
+++ b/src/connection/workerport.h
@@ -100,6 +100,17 @@
 	    const struct wp_hold *hold, wp_report_fn fn, void *ctx);
 };
 
+/*
+ * Limits of what a worker says of itself.  Sums of sizes and of times below
+ * them do not overflow.
+ */
+#define WP_ID_MAX_BYTES	  128
+#define WP_NAME_MAX_BYTES 256
+#define WP_LABELS_MAX	  64
+#define WP_SIZE_MAX	  INT64_C(1000000000)
+#define WP_BORN_MAX_MS	  INT64_C(4102444800000) /* the year 2100 */
+#define WP_COUNT_MAX	  (INT64_C(1) << 53)
+
 /* The worker's description of itself in its heartbeats. */
 struct wp_worker {
 	const char *instance;
@@ -114,4 +125,10 @@
 	size_t n_labels;
 };
 
+/*
+ * Whether text may be the id of a worker.  Its characters are restricted, since
+ * ids are copied into headers and logs.
+ */
+bool wp_id_is_valid(const char *text);
+
 #endif
--- a/src/process/agentpool.c
+++ b/src/process/agentpool.c
@@ -316,16 +316,28 @@
 	struct sub_agent unknown = {
 	    .address = address, .service = "", .failure_domain = ""};
 	int64_t *revision = g_hash_table_lookup(pool->revisions, address);
-	gsize len;
+	struct status st;
 	const char *data;
+	gsize len;
 
 	if (revision != NULL && *revision == item->revision)
 		return;
 	g_hash_table_replace(pool->revisions, g_strdup(address),
 	    g_memdup2(&item->revision, sizeof(item->revision)));
 	data = g_bytes_get_data(item->data, &len);
-	if (!enl_parse(data, len, put_worker, &r))
-		sub_put(pool->sub, &unknown);
+	switch (enl_parse(data, len, put_worker, &r, &st)) {
+	case ENL_WORKER:
+		return;
+	case ENL_MALFORMED:
+		evt_write("agent", evt_text("agent", address),
+		    evt_text("state", "malformed"),
+		    evt_text("reason", st.message));
+		break;
+	case ENL_NO_WORKER:
+		break;
+	}
+	/* The agent itself may be there, and tells of its worker. */
+	sub_put(pool->sub, &unknown);
 }
 
 static void
--- a/src/process/enlist.c
+++ b/src/process/enlist.c
@@ -2,8 +2,10 @@
 #include <json-c/json.h>
 #include <string.h>
 
+#include "connection/address.h"
 #include "process/enlist.h"
 #include "process/events.h"
+#include "process/fields.h"
 
 /* Delay before a failed store call is retried, plus up to half of it. */
 #define ENL_RETRY_MS 300
@@ -62,78 +64,75 @@
 	sync_registration(enl);
 }
 
-static const char *
-string_member(struct json_object *from, const char *key)
-{
-	struct json_object *value;
+/* A registration as it is in the store. */
+struct registration {
+	const char *instance;
+	const char *service;
+	const char *address;
+	const char *failure_domain;
+	int64_t born_ms;
+	struct wk_size capacity;
+	struct fld_texts labels;
+};
 
-	if (!json_object_object_get_ex(from, key, &value) ||
-	    !json_object_is_type(value, json_type_string))
-		return NULL;
-	return json_object_get_string(value);
-}
+#define AT(member) offsetof(struct registration, member)
+static const struct fld fields[] = {
+    {"instance", FLD_TEXT, true, 1, WP_ID_MAX_BYTES, wp_id_is_valid,
+	AT(instance), NULL},
+    {"born_ms", FLD_INT, true, 1, WP_BORN_MAX_MS, NULL, AT(born_ms), NULL},
+    {"service", FLD_TEXT, true, 1, WP_NAME_MAX_BYTES, NULL, AT(service), NULL},
+    {"address", FLD_TEXT, true, 1, WP_NAME_MAX_BYTES, addr_is_valid,
+	AT(address), NULL},
+    {"failure_domain", FLD_TEXT, true, 1, WP_NAME_MAX_BYTES, NULL,
+	AT(failure_domain), NULL},
+    {"cpu_milli", FLD_INT, true, 0, WP_SIZE_MAX, NULL, AT(capacity.cpu_milli),
+	NULL},
+    {"memory_mb", FLD_INT, true, 0, WP_SIZE_MAX, NULL, AT(capacity.memory_mb),
+	NULL},
+    {"gpus", FLD_INT, true, 0, WP_SIZE_MAX, NULL, AT(capacity.gpus), NULL},
+    {"labels", FLD_TEXTS, true, 0, WP_LABELS_MAX, NULL, AT(labels), NULL},
+    {0},
+};
+#undef AT
 
-static int64_t
-int_member(struct json_object *from, const char *key)
+/* Whether the registration names no worker, as agents write it. */
+static bool
+is_empty(struct json_object *from)
 {
-	struct json_object *value;
-
-	return json_object_object_get_ex(from, key, &value)
-		   ? json_object_get_int64(value)
-		   : 0;
+	return json_object_is_type(from, json_type_object) &&
+	       json_object_object_length(from) == 0;
 }
 
-static GPtrArray *
-labels_of(struct json_object *from)
-{
-	GPtrArray *labels = g_ptr_array_new();
-	struct json_object *array;
-	size_t i;
-
-	if (!json_object_object_get_ex(from, "labels", &array) ||
-	    !json_object_is_type(array, json_type_array))
-		return labels;
-	for (i = 0; i < json_object_array_length(array); i++)
-		if (json_object_is_type(
-			json_object_array_get_idx(array, i), json_type_string))
-			g_ptr_array_add(
-			    labels, (gpointer)json_object_get_string(
-					json_object_array_get_idx(array, i)));
-	return labels;
-}
-
-bool
+enum enl_verdict
 enl_parse(const char *data, size_t len,
-    void (*fn)(const struct wp_worker *worker, void *ctx), void *ctx)
+    void (*fn)(const struct wp_worker *worker, void *ctx), void *ctx,
+    struct status *st)
 {
-	/* The data of an empty value may be NULL. */
-	g_autofree char *text = len == 0 ? g_strdup("") : g_strndup(data, len);
-	struct json_object *from = json_tokener_parse(text);
-	GPtrArray *labels = labels_of(from);
-	struct wp_worker worker = {
-	    .instance = string_member(from, "instance"),
-	    .born_ms = (uint64_t)int_member(from, "born_ms"),
-	    .service = string_member(from, "service"),
-	    .address = string_member(from, "address"),
-	    .failure_domain = string_member(from, "failure_domain"),
-	    .capacity =
-		{
-		    .cpu_milli = int_member(from, "cpu_milli"),
-		    .memory_mb = int_member(from, "memory_mb"),
-		    .gpus = int_member(from, "gpus"),
-		},
-	    .labels = (const char *const *)labels->pdata,
-	    .n_labels = labels->len,
-	};
-	bool named = worker.instance != NULL && worker.service != NULL &&
-		     worker.address != NULL && worker.failure_domain != NULL &&
-		     worker.born_ms != 0;
-
-	if (named)
+	struct json_object *from = fld_parse(data, len, st);
+	enum enl_verdict verdict = ENL_MALFORMED;
+	struct registration r = {0};
+
+	if (from == NULL)
+		return ENL_MALFORMED;
+	if (is_empty(from)) {
+		verdict = ENL_NO_WORKER;
+	} else if (fld_decode(from, fields, &r, st)) {
+		struct wp_worker worker = {
+		    .instance = r.instance,
+		    .born_ms = (uint64_t)r.born_ms,
+		    .service = r.service,
+		    .address = r.address,
+		    .failure_domain = r.failure_domain,
+		    .capacity = r.capacity,
+		    .labels = r.labels.texts,
+		    .n_labels = r.labels.n,
+		};
+
+		verdict = ENL_WORKER;
 		fn(&worker, ctx);
-	g_ptr_array_unref(labels);
+	}
 	json_object_put(from);
-	return named;
+	return verdict;
 }
 
 static void
@@ -163,8 +162,21 @@
 static void
 recall_item(struct enl *enl, const struct ks_item *item)
 {
-	if (enl->dirty || !enl_parse(item->data, item->len, recall, enl) ||
-	    enl->dirty)
+	struct status st;
+
+	if (enl->dirty)
+		return;
+	switch (enl_parse(item->data, item->len, recall, enl, &st)) {
+	case ENL_WORKER:
+	case ENL_NO_WORKER:
+		break;
+	case ENL_MALFORMED:
+		evt_write("enlist", evt_text("state", "malformed"),
+		    evt_text("reason", st.message));
+		enl->dirty = true;
+		break;
+	}
+	if (enl->dirty)
 		return;
 	g_free(enl->text);
 	enl->text = g_strndup(item->data, item->len);
--- a/src/process/enlist.h
+++ b/src/process/enlist.h
@@ -34,12 +34,19 @@
  * of this agent must not serve it.
  */
 void enl_worker_left(struct enl *enl, const char *instance);
+enum enl_verdict {
+	ENL_WORKER,
+	ENL_NO_WORKER, /* as an agent writes it when its worker has left */
+	ENL_MALFORMED  /* not written by an agent */
+};
+
 /*
- * Parses a registration and passes its worker to fn, with strings that are
- * valid during the call.  Returns false, without a call, if it names no worker.
+ * Parses a registration and passes its worker, if it names one, to fn, with
+ * strings that are valid during the call.  st is set for a malformed one.
  */
-bool enl_parse(const char *data, size_t len,
-    void (*fn)(const struct wp_worker *worker, void *ctx), void *ctx);
+enum enl_verdict enl_parse(const char *data, size_t len,
+    void (*fn)(const struct wp_worker *worker, void *ctx), void *ctx,
+    struct status *st);
 
 /* Key prefix of all registrations; the agent's address follows. */
 #define ENL_PREFIX "sequoiaplank/agents/"
--- /dev/null
+++ b/src/process/fields.c
@@ -0,0 +1,159 @@
+#include <string.h>
+
+#include "process/fields.h"
+
+/* The number of bytes that json-c takes is an int. */
+#define MAX_DOCUMENT_BYTES INT32_MAX
+
+static bool
+refuse(struct status *st, const char *name, const char *why)
+{
+	st_set(st, ST_INVALID, "field \"%s\": %s", name, why);
+	return false;
+}
+
+struct json_object *
+fld_parse(const char *data, size_t len, struct status *st)
+{
+	struct json_tokener *tokener;
+	struct json_object *root;
+	enum json_tokener_error error;
+
+	/* json-c takes a zero byte for the end of the document. */
+	if (len == 0 || len > MAX_DOCUMENT_BYTES ||
+	    memchr(data, '\0', len) != NULL) {
+		st_set(st, ST_INVALID, "%zu bytes are no JSON", len);
+		return NULL;
+	}
+	tokener = json_tokener_new();
+	json_tokener_set_flags(
+	    tokener, JSON_TOKENER_STRICT | JSON_TOKENER_VALIDATE_UTF8);
+	root = json_tokener_parse_ex(tokener, data, (int)len);
+	/* At the end of input, json-c waits for further digits of a number. */
+	if (json_tokener_get_error(tokener) == json_tokener_continue)
+		root = json_tokener_parse_ex(tokener, "\n", 1);
+	error = json_tokener_get_error(tokener);
+	json_tokener_free(tokener);
+	if (error == json_tokener_success && root != NULL)
+		return root;
+	json_object_put(root);
+	st_set(st, ST_INVALID, "%s",
+	    error == json_tokener_success ? "null in place of a document"
+					  : json_tokener_error_desc(error));
+	return NULL;
+}
+
+static bool
+decode_int(struct json_object *value, const struct fld *field, void *to,
+    struct status *st)
+{
+	/* json-c clamps numbers outside the range of int64_t. */
+	int64_t number = json_object_get_int64(value);
+
+	if (number < field->min || number > field->max)
+		return refuse(st, field->name, "number out of range");
+	memcpy(to, &number, sizeof(number));
+	return true;
+}
+
+static bool
+check_text(struct json_object *value, const struct fld *field, int64_t min,
+    int64_t max, struct status *st)
+{
+	const char *text = json_object_get_string(value);
+	int64_t len = json_object_get_string_len(value);
+
+	if (len < min || len > max)
+		return refuse(st, field->name, "length out of range");
+	if (strlen(text) != (size_t)len)
+		return refuse(st, field->name, "text with U+0000");
+	if (field->is_valid != NULL && !field->is_valid(text))
+		return refuse(st, field->name, "malformed text");
+	return true;
+}
+
+static bool
+decode_text(struct json_object *value, const struct fld *field, void *to,
+    struct status *st)
+{
+	const char *text = json_object_get_string(value);
+
+	if (!check_text(value, field, field->min, field->max, st))
+		return false;
+	memcpy(to, &text, sizeof(text));
+	return true;
+}
+
+static bool
+decode_texts(struct json_object *value, const struct fld *field, void *to,
+    struct status *st)
+{
+	size_t i, n = json_object_array_length(value);
+	struct fld_texts *texts = to;
+
+	if ((int64_t)n < field->min || (int64_t)n > field->max ||
+	    n > FLD_MAX_TEXTS)
+		return refuse(st, field->name, "number of texts out of range");
+	for (i = 0; i < n; i++) {
+		struct json_object *item = json_object_array_get_idx(value, i);
+
+		if (!json_object_is_type(item, json_type_string))
+			return refuse(st, field->name, "not a list of texts");
+		if (!check_text(item, field, 0, FLD_MAX_TEXT_BYTES, st))
+			return false;
+		texts->texts[i] = json_object_get_string(item);
+	}
+	texts->n = n;
+	return true;
+}
+
+static bool
+decode_value(struct json_object *value, const struct fld *field, void *to,
+    struct status *st)
+{
+	static const enum json_type types[] = {[FLD_INT] = json_type_int,
+	    [FLD_TEXT] = json_type_string,
+	    [FLD_BOOL] = json_type_boolean,
+	    [FLD_TEXTS] = json_type_array,
+	    [FLD_OBJECT] = json_type_object};
+	char *at = (char *)to + field->offset;
+
+	if (!json_object_is_type(value, types[field->type]))
+		return refuse(st, field->name, "another type");
+	switch (field->type) {
+	case FLD_INT:
+		return decode_int(value, field, at, st);
+	case FLD_TEXT:
+		return decode_text(value, field, at, st);
+	case FLD_BOOL:
+		*(bool *)at = json_object_get_boolean(value);
+		return true;
+	case FLD_TEXTS:
+		return decode_texts(value, field, at, st);
+	case FLD_OBJECT:
+		return fld_decode(value, field->members, to, st);
+	}
+	return false;
+}
+
+bool
+fld_decode(struct json_object *from, const struct fld *fields, void *to,
+    struct status *st)
+{
+	const struct fld *field;
+	struct json_object *value;
+
+	if (!json_object_is_type(from, json_type_object)) {
+		st_set(st, ST_INVALID, "not an object");
+		return false;
+	}
+	for (field = fields; field->name != NULL; field++) {
+		if (json_object_object_get_ex(from, field->name, &value)) {
+			if (!decode_value(value, field, to, st))
+				return false;
+		} else if (field->required) {
+			return refuse(st, field->name, "missing");
+		}
+	}
+	return true;
+}
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -21,9 +21,35 @@
 	const char *value;
 };
 
+/* A registration with the given numbers, and the rest as an agent writes it. */
+#define REGISTRATION(instance, born, address, cpu)                             \
+	"{\"instance\":" instance ",\"born_ms\":" born                         \
+	",\"service\":\"desk\",\"address\":" address                           \
+	",\"failure_domain\":\"z0\",\"cpu_milli\":" cpu                        \
+	",\"memory_mb\":4096,\"gpus\":0,\"labels\":[\"a\",\"r1\"]}"
+#define NESTED_100 NESTED_10 NESTED_10 NESTED_10 NESTED_10 NESTED_10 NESTED_10
+#define NESTED_10  "[[[[[[[[[["
+
 static const struct row rows[] = {
     {"empty value", "10.0.0.1:7", ""},
     {"empty value of an agent", NULL, ""},
+    {"start beyond 64 bits", NULL,
+	REGISTRATION(
+	    "\"w0\"", "99999999999999999999", "\"127.0.0.1:1\"", "8000")},
+    {"port out of range", NULL,
+	REGISTRATION("\"x\"", "1764900000000", "\"127.0.0.1:99999\"", "8000")},
+    {"capacity beyond 64 bits", NULL,
+	REGISTRATION("\"w0\"", "1764900000000", "\"127.0.0.1:1\"",
+	    "99999999999999999999")},
+    {"id with U+0000", NULL,
+	REGISTRATION(
+	    "\"w0\\u0000\"", "1764900000000", "\"127.0.0.1:1\"", "8000")},
+    {"address that is a path", NULL,
+	REGISTRATION("\"w0\"", "1764900000000", "\"127.0.0.1:80/x\"", "8000")},
+    {"deep nesting", NULL, NESTED_100},
+    {"key without a port", "nowhere", REGISTRATION("\"x\"", "1", "\"\"", "1")},
+    {"key with a port out of range", "127.0.0.1:99999",
+	REGISTRATION("\"x\"", "1", "\"127.0.0.1:1\"", "1")},
 };
 
 static void
