Believe a heartbeat once the worker's answers bear it out

Cause: who the worker is, and which of its heartbeats is the newest, was decided by the born and seq of whoever spoke last.

Change: a heartbeat of another incarnation, or ahead of the worker's clock, is a claim: its sender is asked for a report at the address that it names, and it takes effect if the answer has the same born and its clock has reached that of the heartbeat. Until then the present worker keeps its lease and gets starts. Heartbeats are ordered by the worker's clock, then by seq. A report without a born no longer counts.

--- a/src/connection/holder.c
+++ b/src/connection/holder.c
@@ -1,5 +1,6 @@
 #include <glib.h>
 
+#include "connection/claim.h"
 #include "connection/holder.h"
 #include "process/clock.h"
 #include "process/events.h"
@@ -40,25 +41,29 @@
  */
 #define LEAVE_CHECK_MS 100
 #define LEAVE_LIMIT_MS 400
+/* How far a heartbeat may be ahead of the worker's clock as known: rounding. */
+#define CLOCK_SLACK_MS 50
 /* Added to the fencing token when the worker refused it as too low. */
 #define FENCED_TOKEN_STEP 1000000
 
 enum phase {
-	ABSENT,	  /* no heartbeat yet, or the worker was deregistered */
+	ABSENT,	  /* no worker known, or it was deregistered */
 	CLEARING, /* stops runs started earlier; no new starts yet */
 	READY,
 };
 
 struct hold {
 	struct hold_options opts;
+	struct clm *claims; /* of workers other than the current one */
 	enum phase phase;
 	char *instance;
 	char *address;
 	uint64_t born_ms;
-	int64_t seq;
-	int64_t token;	  /* fencing token */
-	int64_t last_end; /* highest number of a reported end */
-	int64_t clock_ms; /* the worker's clock at clock_at_ms */
+	int64_t seq;	   /* of its last heartbeat */
+	int64_t stated_ms; /* the worker's clock in that */
+	int64_t token;	   /* fencing token */
+	int64_t last_end;  /* highest number of a reported end */
+	int64_t clock_ms;  /* the worker's clock at clock_at_ms */
 	int64_t clock_at_ms;
 	int64_t sent_ms;       /* of the poll in progress, 0: none */
 	int64_t answered_ms;   /* last report of this incarnation */
@@ -104,23 +109,13 @@
 
 static void poll_worker(struct hold *hold);
 
-struct hold *
-hold_new(const struct hold_options *opts)
-{
-	struct hold *hold = g_new0(struct hold, 1);
-
-	hold->opts = *opts;
-	hold->opts.lease_ms = MIN(opts->lease_ms, HOLD_MAX_LEASE_MS);
-	hold->token = opts->token;
-	return hold;
-}
-
 /* The worker port must not deliver any answer after this. */
 void
 hold_free(struct hold *hold)
 {
 	if (hold == NULL)
 		return;
+	clm_free(hold->claims);
 	g_clear_handle_id(&hold->poll_id, g_source_remove);
 	g_free(hold->instance);
 	g_free(hold->address);
@@ -132,6 +127,7 @@
 {
 	hold->generation++;
 	hold->phase = ABSENT;
+	clm_close(hold->claims);
 	g_clear_handle_id(&hold->poll_id, g_source_remove);
 }
 
@@ -327,7 +323,7 @@
 is_report_of(const struct hold *hold, const struct wp_report *report)
 {
 	return report->answer.verdict == WP_DONE &&
-	       (report->born_ms == 0 || report->born_ms == hold->born_ms);
+	       report->born_ms == hold->born_ms;
 }
 
 /* A worker that answers after it was deregistered has not ended. */
@@ -372,7 +368,7 @@
 		hold->extra_pending = false;
 		hold_request_report(hold);
 	}
-	/* A new incarnation is adopted when its heartbeat arrives. */
+	/* A new incarnation is known when its heartbeat arrives. */
 	schedule_poll(
 	    hold, is_report_of(hold, report) ? POLL_DELAY_MS : POLL_RETRY_MS);
 }
@@ -428,6 +424,13 @@
 		send_hold(hold, &args, true);
 }
 
+static void
+record_statement(struct hold *hold, const struct wp_worker *worker)
+{
+	hold->seq = worker->seq;
+	hold->stated_ms = worker->clock_ms;
+}
+
 static void
 adopt_worker(struct hold *hold, const struct wp_worker *worker)
 {
@@ -444,7 +447,8 @@
 	hold->unanswered_since_ms = 0;
 	hold->leaving_since_ms = 0;
 	hold->extra_in_progress = hold->extra_pending = false;
-	hold->answered_ms = clk_now_ms();
+	hold->clock_ms = worker->clock_ms;
+	hold->clock_at_ms = hold->answered_ms = clk_now_ms();
 	hold->was_ready = false;
 	g_clear_handle_id(&hold->poll_id, g_source_remove);
 	g_free(hold->instance);
@@ -464,24 +468,114 @@
 	    evt_uint("born_ms", hold->born_ms),
 	    evt_text("address", hold->address),
 	    evt_text("state", "registered"));
+}
+
+/* Whether worker is the current incarnation, also after it has left. */
+static bool
+is_current(const struct hold *hold, const struct wp_worker *worker)
+{
+	return worker->born_ms == hold->born_ms &&
+	       g_strcmp0(worker->instance, hold->instance) == 0 &&
+	       g_strcmp0(worker->address, hold->address) == 0;
+}
+
+/*
+ * Heartbeats are ordered by the worker's clock, which its answers bear out,
+ * rather than by their numbers: one of another writer with a high number would
+ * hide all later ones of the worker.
+ */
+static bool
+is_newer(const struct hold *hold, const struct wp_worker *worker)
+{
+	if (worker->clock_ms != hold->stated_ms)
+		return worker->clock_ms > hold->stated_ms;
+	return worker->seq > hold->seq;
+}
+
+/* Whether the heartbeat is of a time that the worker's clock has not reached. */
+static bool
+is_ahead(const struct hold *hold, const struct wp_worker *worker)
+{
+	int64_t elapsed_ms = clk_now_ms() - hold->clock_at_ms;
+
+	return worker->clock_ms > hold->clock_ms + elapsed_ms + CLOCK_SLACK_MS;
+}
+
+static void
+apply_statement(struct hold *hold, const struct wp_worker *worker)
+{
+	bool adopted = hold->phase == ABSENT || !is_current(hold, worker);
+
+	if (adopted)
+		adopt_worker(hold, worker);
+	record_statement(hold, worker);
+	hold->opts.described(worker, hold->opts.ctx);
+	if (!adopted)
+		return;
 	hold->opts.changed(hold->opts.ctx);
 	poll_worker(hold);
 }
 
-bool
+/* A former incarnation that answers late does not take its place again. */
+static void
+on_claim_confirmed(const struct wp_worker *worker, void *ctx)
+{
+	struct hold *hold = ctx;
+
+	if (is_current(hold, worker) ? is_newer(hold, worker)
+				     : worker->born_ms > hold->born_ms)
+		apply_statement(hold, worker);
+}
+
+static void
+fill_claim_target(struct wp_target *target, void *ctx)
+{
+	const struct hold *hold = ctx;
+
+	target->token = hold->token;
+	target->timeout_ms = ans_timeout_ms(&hold->answers);
+}
+
+static void
+on_claim_fenced(void *ctx)
+{
+	struct hold *hold = ctx;
+
+	hold->token += FENCED_TOKEN_STEP;
+}
+
+void
 hold_heartbeat(struct hold *hold, const struct wp_worker *worker)
 {
-	bool same = worker->born_ms == hold->born_ms &&
-		    g_strcmp0(worker->instance, hold->instance) == 0;
+	bool current = is_current(hold, worker);
 
-	if (same && worker->seq <= hold->seq)
-		return false;
-	if (!same && worker->born_ms != 0 && worker->born_ms <= hold->born_ms)
-		return false;
-	hold->seq = worker->seq;
-	if (!same || hold->phase == ABSENT)
-		adopt_worker(hold, worker);
-	return true;
+	if (current && !is_newer(hold, worker))
+		return;
+	if (!current && worker->born_ms <= hold->born_ms)
+		return;
+	if (current && hold->phase != ABSENT && !is_ahead(hold, worker))
+		apply_statement(hold, worker);
+	else
+		clm_check(hold->claims, worker);
+}
+
+struct hold *
+hold_new(const struct hold_options *opts)
+{
+	struct hold *hold = g_new0(struct hold, 1);
+	struct clm_options claims = {
+	    .wp = opts->wp,
+	    .fill_target = fill_claim_target,
+	    .fenced = on_claim_fenced,
+	    .confirmed = on_claim_confirmed,
+	    .ctx = hold,
+	};
+
+	hold->opts = *opts;
+	hold->opts.lease_ms = MIN(opts->lease_ms, HOLD_MAX_LEASE_MS);
+	hold->token = opts->token;
+	hold->claims = clm_new(&claims);
+	return hold;
 }
 
 bool
--- a/src/connection/holder.h
+++ b/src/connection/holder.h
@@ -52,6 +52,11 @@
 	    const struct wp_report *report, int64_t sent_ms, void *ctx);
 	/* None of the runs started so far is active; outcomes are unknown. */
 	void (*runs_lost)(const struct hold_lost *lost, void *ctx);
+	/*
+	 * The worker has described itself; it may have taken the place of
+	 * another one.  worker is valid during the call.
+	 */
+	void (*described)(const struct wp_worker *worker, void *ctx);
 	/* The worker was deregistered and has ended. */
 	void (*left)(const char *instance, void *ctx);
 	/* The worker, or the value of hold_is_ready(), has changed. */
@@ -65,10 +70,11 @@
 /* Sends no call and ignores pending answers from then on. */
 void hold_close(struct hold *hold);
 /*
- * Processes a heartbeat of the worker.  Returns false, without effect, for one
- * older than the last one or from a former incarnation.
+ * Processes a heartbeat.  It takes effect, which described() reports, once the
+ * worker's answers bear it out; one older than the last one, or of a former
+ * incarnation, does not.
  */
-bool hold_heartbeat(struct hold *hold, const struct wp_worker *worker);
+void hold_heartbeat(struct hold *hold, const struct wp_worker *worker);
 /*
  * Processes a deregistration.  The worker gets no starts until it is settled
  * whether it has ended, which is reported by left(), or whether the
--- a/src/connection/workerport.c
+++ b/src/connection/workerport.c
@@ -10,3 +10,33 @@
 	       strspn(text, G_CSET_a_2_z G_CSET_A_2_Z G_CSET_DIGITS "-._") ==
 		   strlen(text);
 }
+
+struct wp_worker *
+wp_worker_copy(const struct wp_worker *worker)
+{
+	struct wp_worker *copy = g_memdup2(worker, sizeof(*worker));
+	char **labels = g_new0(char *, worker->n_labels + 1);
+	size_t i;
+
+	for (i = 0; i < worker->n_labels; i++)
+		labels[i] = g_strdup(worker->labels[i]);
+	copy->labels = (const char *const *)labels;
+	copy->instance = g_strdup(worker->instance);
+	copy->service = g_strdup(worker->service);
+	copy->address = g_strdup(worker->address);
+	copy->failure_domain = g_strdup(worker->failure_domain);
+	return copy;
+}
+
+void
+wp_worker_free(struct wp_worker *worker)
+{
+	if (worker == NULL)
+		return;
+	g_strfreev((char **)worker->labels);
+	g_free((char *)worker->instance);
+	g_free((char *)worker->service);
+	g_free((char *)worker->address);
+	g_free((char *)worker->failure_domain);
+	g_free(worker);
+}
--- a/src/connection/workerport.h
+++ b/src/connection/workerport.h
@@ -115,6 +115,7 @@
 struct wp_worker {
 	const char *instance;
 	uint64_t born_ms; /* start of the incarnation */
+	int64_t clock_ms; /* the worker's clock at this heartbeat, 0: unknown */
 	int64_t seq;	  /* of the heartbeat */
 	const char *service;
 	const char *address;
@@ -130,5 +131,9 @@
  * ids are copied into headers and logs.
  */
 bool wp_id_is_valid(const char *text);
+/* A copy that owns its strings. */
+struct wp_worker *wp_worker_copy(const struct wp_worker *worker);
+/* NULL is allowed. */
+void wp_worker_free(struct wp_worker *worker);
 
 #endif
--- a/src/process/jobagent.c
+++ b/src/process/jobagent.c
@@ -494,6 +494,64 @@
 	led_worker_lost(ja->led, reasons[lost->why], clk_now_ms());
 }
 
+static char **
+copy_labels(const struct wp_worker *worker)
+{
+	char **labels = g_new0(char *, worker->n_labels + 1);
+	size_t i;
+
+	for (i = 0; i < worker->n_labels; i++)
+		labels[i] = g_strdup(worker->labels[i]);
+	return labels;
+}
+
+static bool
+has_labels(const struct ja *ja, const struct wp_worker *worker)
+{
+	size_t i;
+
+	if (g_strv_length(ja->labels) != worker->n_labels)
+		return false;
+	for (i = 0; i < worker->n_labels; i++) {
+		if (strcmp(ja->labels[i], worker->labels[i]) != 0)
+			return false;
+	}
+	return true;
+}
+
+/* Whether the heartbeat says something else than entries were told. */
+static bool
+is_news(const struct ja *ja, const struct wp_worker *worker)
+{
+	return worker->draining != ja->draining_worker ||
+	       g_strcmp0(worker->service, ja->service) != 0 ||
+	       g_strcmp0(worker->failure_domain, ja->failure_domain) != 0 ||
+	       !wk_fits(&worker->capacity, &ja->capacity) ||
+	       !wk_fits(&ja->capacity, &worker->capacity) ||
+	       !has_labels(ja, worker);
+}
+
+static void
+on_described(const struct wp_worker *worker, void *ctx)
+{
+	struct ja *ja = ctx;
+	bool changed = is_news(ja, worker);
+
+	ja->draining_worker = worker->draining;
+	ja->capacity = worker->capacity;
+	led_set_capacity(ja->led, &worker->capacity, clk_now_ms());
+	g_free(ja->service);
+	ja->service = g_strdup(worker->service);
+	g_free(ja->failure_domain);
+	ja->failure_domain = g_strdup(worker->failure_domain);
+	g_strfreev(ja->labels);
+	ja->labels = copy_labels(worker);
+	enl_update(ja->enlist, worker);
+	if (changed)
+		resend_worker(ja);
+	led_start_queued(ja->led, clk_now_ms());
+}
+
 static void
 on_worker_left(const char *instance, void *ctx)
 {
@@ -605,6 +663,7 @@
 	    .lease = decide_lease,
 	    .report = on_report,
 	    .runs_lost = on_runs_lost,
+	    .described = on_described,
 	    .left = on_worker_left,
 	    .changed = on_worker_changed,
 	    .ctx = ja,
@@ -616,68 +675,7 @@
 	ja->crashwatch = crw_new(&(struct crw_options){ja->led, ja->hold});
 }
 
-static char **
-copy_labels(const struct wp_worker *worker)
-{
-	char **labels = g_new0(char *, worker->n_labels + 1);
-	size_t i;
-
-	for (i = 0; i < worker->n_labels; i++)
-		labels[i] = g_strdup(worker->labels[i]);
-	return labels;
-}
-
-static bool
-has_labels(const struct ja *ja, const struct wp_worker *worker)
-{
-	size_t i;
-
-	if (g_strv_length(ja->labels) != worker->n_labels)
-		return false;
-	for (i = 0; i < worker->n_labels; i++) {
-		if (strcmp(ja->labels[i], worker->labels[i]) != 0)
-			return false;
-	}
-	return true;
-}
-
-/* Whether the heartbeat says something else than entries were told. */
-static bool
-is_news(const struct ja *ja, const struct wp_worker *worker)
-{
-	return worker->draining != ja->draining_worker ||
-	       g_strcmp0(worker->service, ja->service) != 0 ||
-	       g_strcmp0(worker->failure_domain, ja->failure_domain) != 0 ||
-	       !wk_fits(&worker->capacity, &ja->capacity) ||
-	       !wk_fits(&ja->capacity, &worker->capacity) ||
-	       !has_labels(ja, worker);
-}
-
-static bool
-apply_worker(struct ja *ja, const struct wp_worker *worker)
-{
-	bool changed = is_news(ja, worker);
-	if (!hold_heartbeat(ja->hold, worker))
-		return false;
-	ja->draining_worker = worker->draining;
-	ja->capacity = worker->capacity;
-	led_set_capacity(ja->led, &worker->capacity, clk_now_ms());
-	g_free(ja->service);
-	ja->service = g_strdup(worker->service);
-	g_free(ja->failure_domain);
-	ja->failure_domain = g_strdup(worker->failure_domain);
-	g_strfreev(ja->labels);
-	ja->labels = copy_labels(worker);
-	if (changed)
-		resend_worker(ja);
-	led_start_queued(ja->led, clk_now_ms());
-	return true;
-}
-
-/*
- * Serves the worker that this agent's registration in the store names.  If it
- * has exited since, the calls to it will detect that.
- */
+/* Serves the worker that this agent's registration in the store names. */
 static void
 on_recalled(const struct wp_worker *worker, void *ctx)
 {
@@ -685,7 +683,7 @@
 
 	evt_write("worker", evt_text("instance", worker->instance),
 	    evt_text("state", "recalled"));
-	apply_worker(ja, worker);
+	hold_heartbeat(ja->hold, worker);
 }
 
 static void
@@ -770,8 +768,7 @@
 void
 ja_heartbeat(struct ja *ja, const struct wp_worker *worker)
 {
-	if (apply_worker(ja, worker))
-		enl_update(ja->enlist, worker);
+	hold_heartbeat(ja->hold, worker);
 }
 
 void
--- a/tests/deployment.c
+++ b/tests/deployment.c
@@ -83,8 +83,8 @@
 	return http->status == 200;
 }
 
-bool
-dpl_fills_workers(const struct dpl *dpl, int entry, int n)
+int
+dpl_count_running(const struct dpl *dpl, int entry, int n)
 {
 	static unsigned id = 0xe0000000U;
 	struct hn_http *job = hn_http_start("POST",
@@ -101,7 +101,7 @@
 		most = MAX(most, running);
 		hn_sleep(10);
 	}
-	return job->status == 200 && most == n;
+	return job->status == 200 ? (int)most : -1;
 }
 
 /* Returns the server's port that a path leads to; 0 if there is none. */
--- a/tests/deployment.h
+++ b/tests/deployment.h
@@ -58,10 +58,10 @@
  */
 bool dpl_completes_job(const struct dpl *dpl, int entry);
 /*
- * Returns true if the entry completes a job of n tasks of 300 ms, and all of
- * them run at the same time.
+ * Lets the entry run a job of n tasks of 300 ms.  Returns how many of them ran
+ * at the same time, or -1 if the job was not completed.
  */
-bool dpl_fills_workers(const struct dpl *dpl, int entry, int n);
+int dpl_count_running(const struct dpl *dpl, int entry, int n);
 /* Sets a fault proxy rule for a path; direction "" means both directions. */
 void dpl_set_fault(const struct dpl *dpl, enum dpl_path path, int index,
     const char *direction, const char *action, int ms);
--- a/tests/standin_platform.c
+++ b/tests/standin_platform.c
@@ -11,6 +11,7 @@
  * DELETE /control/key?key=K      removes the key from the store
  * GET    /control/counts         counters since the process started
  * GET    /control/starts?job=ID  starts of the job's tasks
+ * GET    /control/worker         what the first worker says of itself
  * GET    /control/mode?...       injects faults; worker -1 means none:
  *   store=down|up  while down, the store answers 503 and leaves watches open
  *   late=PERCENT   of the run-start and run-stop calls get no answer and are
@@ -884,6 +885,29 @@
 	return body;
 }
 
+static struct json_object *
+worker_json(const struct worker *w)
+{
+	struct json_object *body = json_object_new_object();
+
+	json_object_object_add(body, "id", json_object_new_string(w->id));
+	add_int(body, "app_port", w->app_port);
+	add_int(body, "born", w->born_ms);
+	add_int(body, "seq", w->seq);
+	add_int(body, "clock_ms", worker_clock(w));
+	return body;
+}
+
+static struct json_object *
+control_json(const char *path, const char *job)
+{
+	if (g_str_has_suffix(path, "starts"))
+		return starts_json(job);
+	if (g_str_has_suffix(path, "worker"))
+		return worker_json(&workers[0]);
+	return counts_json();
+}
+
 static void
 on_control(SoupServer *server, SoupServerMessage *msg, const char *path,
     GHashTable *query, gpointer data)
@@ -900,9 +924,7 @@
 			: g_bytes_new(body->data, (gsize)body->length));
 	else if (g_str_has_suffix(path, "mode"))
 		set_mode(query);
-	reply(msg, 200,
-	    g_str_has_suffix(path, "starts") ? starts_json(param(query, "job"))
-					     : counts_json());
+	reply(msg, 200, control_json(path, param(query, "job")));
 }
 
 static void
--- a/tests/test_holder.c
+++ b/tests/test_holder.c
@@ -16,6 +16,7 @@
 	wp_report_fn report;
 	wp_answer_fn answer;
 	void *ctx;
+	uint64_t born_ms; /* of the worker that was called */
 };
 
 /* A simulated worker, which answers when a command says so. */
@@ -24,7 +25,8 @@
 	struct hold *hold;
 	int64_t token; /* of the last request for a report */
 	enum wp_lease lease;
-	GQueue reports; /* struct call */
+	uint64_t born_ms; /* of the worker that answers */
+	GQueue reports;	  /* struct call */
 	GQueue starts;
 	GString *actual;
 };
@@ -76,10 +78,12 @@
 }
 
 static void
-push_call(GQueue *calls, wp_report_fn report, wp_answer_fn answer, void *ctx)
+push_call(struct fixture *w, GQueue *calls, wp_report_fn report,
+    wp_answer_fn answer, void *ctx)
 {
 	struct call *call = g_new0(struct call, 1);
 
+	call->born_ms = w->born_ms;
 	call->report = report;
 	call->answer = answer;
 	call->ctx = ctx;
@@ -95,7 +99,7 @@
 	(void)target;
 	append(w, "start(%s,%d,lease=%s)", start->task, (int)start->run,
 	    lease_text(start->deadline_ms));
-	push_call(&w->starts, NULL, fn, ctx);
+	push_call(w, &w->starts, NULL, fn, ctx);
 }
 
 static void
@@ -119,7 +123,7 @@
 	w->token = target->token;
 	append(w, "hold(wait=%d,lease=%s)", (int)hold->wait_ms,
 	    lease_text(hold->deadline_ms));
-	push_call(&w->reports, fn, NULL, ctx);
+	push_call(w, &w->reports, fn, NULL, ctx);
 }
 
 static enum wp_lease
@@ -145,6 +149,12 @@
 	append(ctx, "lost");
 }
 
+static void
+on_described(const struct wp_worker *worker, void *ctx)
+{
+	append(ctx, "described(%d,%d)", (int)worker->seq, (int)worker->born_ms);
+}
+
 static void
 on_left(const char *instance, void *ctx)
 {
@@ -174,6 +184,7 @@
 	    .lease = on_lease,
 	    .report = on_report,
 	    .runs_lost = on_runs_lost,
+	    .described = on_described,
 	    .left = on_left,
 	    .changed = on_changed,
 	    .ctx = w,
@@ -188,17 +199,24 @@
 	return w;
 }
 
-/* Completes the oldest call in the queue. */
+/* Completes a call; reports are of the incarnation that was called. */
 static void
-end_call(GQueue *calls, const struct wp_report *report)
+complete(struct call *call, struct wp_report *report)
 {
-	g_autofree struct call *call = g_queue_pop_head(calls);
-
 	ck_assert_ptr_nonnull(call);
+	report->born_ms = call->born_ms;
 	if (call->report != NULL)
 		call->report(report, call->ctx);
 	else
 		call->answer(&report->answer, call->ctx);
+	g_free(call);
+}
+
+/* Completes the oldest call in the queue. */
+static void
+end_call(GQueue *calls, struct wp_report *report)
+{
+	complete(g_queue_pop_head(calls), report);
 }
 
 static void
@@ -225,11 +243,24 @@
 	    .address = "127.0.0.1:1",
 	    .seq = atoi(words[1]),
 	    .born_ms = (uint64_t)atoi(words[2]),
+	    .clock_ms = words[3] == NULL ? now_ms : atoi(words[3]),
 	};
 
 	hold_heartbeat(w->hold, &worker);
 }
 
+/* A heartbeat of a new worker, which answers the check of it. */
+static void
+register_worker(struct fixture *w, char **words)
+{
+	struct wp_report report = {
+	    .answer = {.verdict = WP_DONE, .clock_ms = now_ms}};
+
+	w->born_ms = (uint64_t)atoi(words[2]);
+	heartbeat(w, words);
+	complete(g_queue_pop_tail(&w->reports), &report);
+}
+
 /* answer [running TASK RUN]... [ended N TASK RUN]... */
 static void
 answer(struct fixture *w, char **words)
@@ -296,6 +327,10 @@
 		hold_tick(w->hold);
 	} else if (strcmp(words[0], "heartbeat") == 0)
 		heartbeat(w, words);
+	else if (strcmp(words[0], "register") == 0)
+		register_worker(w, words);
+	else if (strcmp(words[0], "worker") == 0)
+		w->born_ms = (uint64_t)atoi(words[1]);
 	else if (strcmp(words[0], "token") == 0)
 		append(w, "%d", (int)w->token);
 	else if (strcmp(words[0], "left") == 0)
@@ -315,8 +350,9 @@
 
 /*
  * The cases guard against tasks that stay with a dead worker, against treating
- * a lease as expired too early, against runs of a living worker that are taken as
- * over when a deregistration of its former life arrives, and against starts on a worker where runs of
- * an earlier agent may be left.
+ * a lease as expired too early, against runs of a living worker that are taken
+ * as over when a call of its former life arrives, against heartbeats of another
+ * writer, and against starts on a worker where runs of an earlier agent may be
+ * left.
  */
 REPLAY_MAIN("holder", 0, start, end, step)
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -38,6 +38,8 @@
 	    "\"w0\"", "99999999999999999999", "\"127.0.0.1:1\"", "8000")},
     {"port out of range", NULL,
 	REGISTRATION("\"x\"", "1764900000000", "\"127.0.0.1:99999\"", "8000")},
+    {"address that no port listens on", NULL,
+	REGISTRATION("\"x\"", "1999999999999", "\"127.0.0.1:1\"", "8000")},
     {"capacity beyond 64 bits", NULL,
 	REGISTRATION("\"w0\"", "1764900000000", "\"127.0.0.1:1\"",
 	    "99999999999999999999")},
@@ -98,8 +100,9 @@
 	int i;
 
 	for (i = 0; i < DPL_ENTRIES; i++)
-		ck_assert_msg(hn_wait_until(dpl_fills_workers(dpl, i, N_TASKS),
-				  HN_LIMIT_MS),
+		ck_assert_msg(
+		    hn_wait_until(dpl_count_running(dpl, i, N_TASKS) == N_TASKS,
+			HN_LIMIT_MS),
 		    "%s: entry %d does not use all workers", name, i);
 }
 
