--- a/src/version/mirror.c
+++ b/src/version/mirror.c
@@ -150,31 +150,55 @@
 		mir->opts.changed(mir, mir->opts.ctx);
 }
 
+/*
+ * Returns the last key of the pages read so far; keys are listed in byte order.
+ */
+static const char *
+last_key(GHashTable *items)
+{
+	const char *last = "";
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, items);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		if (strcmp(key, last) > 0)
+			last = key;
+	}
+	return last;
+}
+
 /*
  * The pages of a list are read at different revisions.  So the watch starts at
  * the revision of the first page, and repeats changes that later pages
- * contained already.
+ * contained already.  Returns false if more pages are to follow, but this one
+ * has no key after the last.
  */
-static void
+static bool
 add_page(struct mir *mir, const struct ks_page *page)
 {
+	g_autofree char *former = NULL;
 	size_t i;
 
 	if (mir->listing == NULL) {
 		mir->listing = items_new();
 		mir->listing_revision = page->as_of;
 	}
+	former = g_strdup(last_key(mir->listing));
 	for (i = 0; i < page->n_items; i++)
 		put_item(mir->listing, &page->items[i]);
-	if (!page->has_more)
+	if (!page->has_more) {
 		finish_list(mir);
+		return true;
+	}
+	return strcmp(last_key(mir->listing), former) > 0;
 }
 
 static void
 on_list(const struct status *st, const struct ks_page *page, void *ctx)
 {
 	struct mir *mir = ctx;
-	struct status old;
+	struct status bad;
 
 	mir->in_call = false;
 	if (mir->freed) {
@@ -188,12 +212,17 @@
 	}
 	if (page->as_of < mir->revision) {
 		restart_list(mir);
-		st_set(&old, ST_UNAVAILABLE, "list is older than the copy");
-		schedule_retry(mir, &old);
+		st_set(&bad, ST_UNAVAILABLE, "list is older than the copy");
+		schedule_retry(mir, &bad);
+		return;
+	}
+	if (!add_page(mir, page)) {
+		restart_list(mir);
+		st_set(&bad, ST_UNAVAILABLE, "page of a list has no new key");
+		schedule_retry(mir, &bad);
 		return;
 	}
 	mark_confirmed(mir, st);
-	add_page(mir, page);
 	start_next_call(mir);
 }
 
@@ -252,24 +281,6 @@
 		start_next_call(mir);
 }
 
-/*
- * Returns the last key of the pages read so far; keys are listed in byte order.
- */
-static const char *
-last_key(GHashTable *items)
-{
-	const char *last = "";
-	GHashTableIter iter;
-	gpointer key;
-
-	g_hash_table_iter_init(&iter, items);
-	while (g_hash_table_iter_next(&iter, &key, NULL)) {
-		if (strcmp(key, last) > 0)
-			last = key;
-	}
-	return last;
-}
-
 static void
 start_next_call(struct mir *mir)
 {
