Ignore registrations under keys without a valid address

A key of another writer that ends with no address counted as an agent: it took a place in the choice of agents, and each entry tried it again with an event five times a second (found while trying odd entries). It is ignored with one event for each change of the key. test_odd_entries, 300 such keys: 303 agents were registered before, 3 are now.

--- a/src/process/agentpool.c
+++ b/src/process/agentpool.c
@@ -1,6 +1,7 @@
 #include <glib.h>
 #include <string.h>
 
+#include "connection/address.h"
 #include "process/agentpool.h"
 #include "process/clock.h"
 #include "process/enlist.h"
@@ -185,11 +186,8 @@
 	struct wlk *link = wlk_new(&opts);
 	struct agp_agent *agent;
 
-	if (link == NULL) {
-		evt_write("agent", evt_text("state", "ignored"),
-		    evt_text("reason", "key without a valid address"));
+	if (link == NULL)
 		return;
-	}
 	agent = g_new0(struct agp_agent, 1);
 	agent->pool = pool;
 	agent->link = link;
@@ -324,6 +322,12 @@
 		return;
 	g_hash_table_replace(pool->revisions, g_strdup(address),
 	    g_memdup2(&item->revision, sizeof(item->revision)));
+	if (!addr_is_valid(address)) {
+		evt_write("agent", evt_text("agent", address),
+		    evt_text("state", "ignored"),
+		    evt_text("reason", "key without a valid address"));
+		return;
+	}
 	data = g_bytes_get_data(item->data, &len);
 	switch (enl_parse(data, len, put_worker, &r, &st)) {
 	case ENL_WORKER:
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -11,7 +11,8 @@
 
 #define AGENTS_PREFIX "sequoiaplank/agents/"
 /* Time for entries to read a change in the store. */
-#define READ_MS 1200
+#define READ_MS	   1200
+#define N_ODD_KEYS 300
 /* Tasks that fill all workers. */
 #define N_TASKS 24
 
@@ -106,6 +107,34 @@
 		    "%s: entry %d does not use all workers", name, i);
 }
 
+/*
+ * They counted as agents, and each entry tried them all again at each choice,
+ * five times a second.
+ */
+START_TEST(many_keys_without_address)
+{
+	struct hn_http *metrics;
+	struct dpl dpl;
+	int i;
+
+	dpl_start(&dpl, &(struct dpl_options){0});
+	for (i = 0; i < N_ODD_KEYS; i++)
+		dpl_control(&dpl, "PUT",
+		    hn_str("key?key=" AGENTS_PREFIX "nowhere-%d", i), "{}");
+	restart_all(&dpl);
+	hn_sleep(READ_MS);
+	check_processes(&dpl, "many keys");
+	check_all_workers(&dpl, "many keys");
+	metrics = hn_http("GET",
+	    hn_str("http://127.0.0.1:%u/metrics", dpl.entry_metrics_port),
+	    NULL);
+	ck_assert_msg(strstr(metrics->body, hn_str("sp_agents_registered %d\n",
+						DPL_AGENTS)) != NULL,
+	    "%s", metrics->body);
+	hn_finish();
+}
+END_TEST
+
 START_TEST(odd_entry_harms_nobody)
 {
 	const struct row *row = &rows[_i];
@@ -128,6 +157,12 @@
 int
 main(void)
 {
-	return run_table("odd_entries", odd_entry_harms_nobody,
+	const TTest *const tests[] = {many_keys_without_address};
+	int red = run_table("odd_entries", odd_entry_harms_nobody,
 	    G_N_ELEMENTS(rows), 2 * HN_LIMIT_MS / 1000.0);
+
+	if (getenv("SCENARIO") != NULL)
+		return red;
+	return red | run_tests("odd_entries", tests, G_N_ELEMENTS(tests),
+			 2 * HN_LIMIT_MS / 1000.0);
 }
