Take jobs and heartbeats whose bodies come in chunks

Cause: a chunked body counted as one above the limit and was discarded, but the request was handled on: soup_message_body_flatten() returns NULL then, and g_bytes_get_data(NULL) leaves the length as it was on the stack. Looked for elsewhere: the registry's heartbeats took the same path; the ports of the stand-alone programs answer such a request from their early handlers.

Change: hl_limit_body() counts what arrives, also in chunks, and hl_body() returns the body or NULL. A truncated chunked body, which libsoup takes for complete, is no JSON.

--- a/src/connection/httplisten.c
+++ b/src/connection/httplisten.c
@@ -9,6 +9,7 @@
  */
 #define HTTP_BACKLOG 1024
 #define TIMER_KEY    "sequoiaplank-receive-timer"
+#define LIMIT_KEY    "sequoiaplank-body-limit"
 
 struct timer {
 	SoupServerMessage *msg;
@@ -116,6 +117,57 @@
 		   max_bytes;
 }
 
+/* Limit and received part of a body. */
+struct limit {
+	uint64_t max_bytes;
+	uint64_t bytes;
+	bool exceeded;
+};
+
+static void
+exceed(SoupServerMessage *msg, struct limit *limit)
+{
+	limit->exceeded = true;
+	hl_discard_body(msg);
+}
+
+static void
+on_chunk(SoupServerMessage *msg, GBytes *chunk, gpointer data)
+{
+	struct limit *limit = data;
+
+	limit->bytes += g_bytes_get_size(chunk);
+	if (!limit->exceeded && limit->bytes > limit->max_bytes)
+		exceed(msg, limit);
+}
+
+void
+hl_limit_body(SoupServerMessage *msg, uint64_t max_bytes)
+{
+	SoupMessageHeaders *headers =
+	    soup_server_message_get_request_headers(msg);
+	struct limit *limit = g_new0(struct limit, 1);
+
+	limit->max_bytes = max_bytes;
+	g_object_set_data_full(G_OBJECT(msg), LIMIT_KEY, limit, g_free);
+	if ((uint64_t)soup_message_headers_get_content_length(headers) >
+	    max_bytes)
+		exceed(msg, limit);
+	else
+		g_signal_connect(msg, "got-chunk", G_CALLBACK(on_chunk), limit);
+}
+
+GBytes *
+hl_body(SoupServerMessage *msg)
+{
+	const struct limit *limit = g_object_get_data(G_OBJECT(msg), LIMIT_KEY);
+
+	if (limit == NULL || limit->exceeded)
+		return NULL;
+	return soup_message_body_flatten(
+	    soup_server_message_get_request_body(msg));
+}
+
 bool
 hl_client_has_gone(GSocket *socket)
 {
--- a/src/connection/httplisten.h
+++ b/src/connection/httplisten.h
@@ -25,6 +25,17 @@
 void hl_discard_body(SoupServerMessage *msg);
 /* Whether the headers declare a body above max_bytes or of unknown length. */
 bool hl_body_exceeds(SoupServerMessage *msg, uint64_t max_bytes);
+/*
+ * Bounds the body of a request, which may come in chunks.  To be called from
+ * "got-headers".  libsoup takes a chunked body for complete whose end is
+ * missing, so its reader must notice that.
+ */
+void hl_limit_body(SoupServerMessage *msg, uint64_t max_bytes);
+/*
+ * The body of a request with hl_limit_body(), which the caller unrefs, or NULL
+ * if it was larger.
+ */
+GBytes *hl_body(SoupServerMessage *msg);
 /*
  * Whether the client has closed or reset the connection.  False while unread
  * data precedes the end of an orderly close.
