--- /dev/null
+++ b/tests/test_jobbody.c
@@ -0,0 +1,74 @@
+#include <glib.h>
+#include <string.h>
+
+#include "platform/job.h"
+#include "runner.h"
+
+#define CASES "tests/cases/jobbody.txt"
+
+static const char *
+text_or_none(const char *text)
+{
+	return text == NULL ? "-" : text;
+}
+
+/* COUNT:CPU:MEMORY:GPUS:ESTIMATE:LABEL:RACK:MAX_PER_WORKER[<AFTER]... */
+static void
+append_step(GString *out, const struct wk_step *step)
+{
+	uint32_t i;
+
+	g_string_append_printf(out, " %u:%d:%d:%d:%d:%s:%s:%u", step->count,
+	    (int)step->size.cpu_milli, (int)step->size.memory_mb,
+	    (int)step->size.gpus, (int)step->estimate_ms,
+	    text_or_none(step->required_label),
+	    text_or_none(step->preferred_rack), step->max_per_worker);
+	for (i = 0; i < step->n_after; i++)
+		g_string_append_printf(out, "<%u", step->after[i]);
+}
+
+static char *
+decode(const char *text)
+{
+	struct status st = {.code = ST_OK};
+	struct wk_job *job = pjob_decode("id", text, strlen(text), &st);
+	GString *out = g_string_new(NULL);
+	uint32_t i;
+
+	if (job == NULL) {
+		g_string_append_printf(
+		    out, "%s: %s", st_name(st.code), st.message);
+	} else {
+		g_string_append(out, job->spec);
+		for (i = 0; i < job->n_steps; i++)
+			append_step(out, &job->steps[i]);
+	}
+	wk_job_free(job);
+	return g_string_free(out, FALSE);
+}
+
+/*
+ * The cases guard against jobs that are run otherwise than they were sent, and
+ * against numbers that overflow later.
+ */
+START_TEST(one_case)
+{
+	size_t n;
+	const struct text_case *c = &casefile_load(CASES, &n)[_i];
+	g_autofree char *got = decode(c->input);
+
+	ck_assert_msg(strcmp(got, c->expected) == 0,
+	    "%s: got \"%s\", expected \"%s\"", c->name, got, c->expected);
+}
+END_TEST
+
+int
+main(void)
+{
+	TCase *tc = tcase_create("jobbody");
+	size_t n;
+
+	casefile_load(CASES, &n);
+	tcase_add_loop_test(tc, one_case, 0, (int)n);
+	return run_tcase("jobbody", tc, 0);
+}
