Hold signals back until the main loop handles them

SIGTERM or SIGHUP in the first moments of a process found no handler and ended it with the signal. main() now blocks SIGTERM, SIGINT and SIGHUP first, and they are delivered once all three have handlers; the stand-alone daemons ignore SIGHUP, as they read their settings only at the start.

--- a/src/process/agent.c
+++ b/src/process/agent.c
@@ -13,6 +13,7 @@
 #include "process/executor.h"
 #include "process/log.h"
 #include "process/trace.h"
+#include "process/signals.h"
 #include "request/outcome.h"
 #include "version/fresh.h"
 
@@ -513,6 +514,7 @@
 	agent->tick_id = g_timeout_add(AGENT_TICK_MS, on_tick, agent);
 	agent->term_id = g_unix_signal_add(SIGTERM, on_signal, agent);
 	agent->int_id = g_unix_signal_add(SIGINT, on_signal, agent);
+	sig_deliver();
 	return agent;
 }
 
--- a/src/process/daemon.c
+++ b/src/process/daemon.c
@@ -1,9 +1,11 @@
 #include <argp.h>
+#include <signal.h>
 #include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
 
 #include "process/daemon.h"
+#include "process/signals.h"
 
 struct arguments {
 	const char *settings;
@@ -50,6 +52,8 @@
 	enum sp_result result;
 	char version[64];
 
+	sig_hold_back();
+	signal(SIGHUP, SIG_IGN); /* settings are read at the start only */
 	snprintf(version, sizeof(version), "%s %s", opts->name, sp_version());
 	argp_program_version = version;
 	argp_parse(&parser, argc, argv, 0, NULL, &args);
--- a/src/process/entry.c
+++ b/src/process/entry.c
@@ -9,6 +9,7 @@
 #include "process/entry.h"
 #include "process/log.h"
 #include "process/peering.h"
+#include "process/signals.h"
 #include "request/callers.h"
 #include "request/operators.h"
 #include "version/members.h"
@@ -621,6 +622,7 @@
 	    g_timeout_add(HOUSEKEEPING_TICK_MS, run_housekeeping, entry);
 	entry->term_id = g_unix_signal_add(SIGTERM, on_shutdown_signal, entry);
 	entry->int_id = g_unix_signal_add(SIGINT, on_shutdown_signal, entry);
+	sig_deliver();
 	return true;
 }
 
