Cancel a job that another entry has

Cause: an entry cancels only jobs of its own process, and entries do not talk to each other.

Change: an entry that does not have the job tells up to 16 of its agents, each of which passes the cancel on to its other entries once; the one that has the job cancels it. Ways weighed: through the store (a write for each cancel, and no cancel while it is down), or agents that stop the job's runs themselves (the entry would start its next tasks). The answer to the cancel is 200 then; 410 only where no agent is connected. An entry that is cut off from all agents when the cancel is passed on is not told.

--- a/src/connection/run.x
+++ b/src/connection/run.x
@@ -117,6 +117,14 @@
 	run_suspect suspects<RUN_BATCH_MAX>;	/* by falling weight */
 };
 
+/*
+ * A job was cancelled at an entry that does not have it.  The agent passes it on
+ * to its other entries.
+ */
+struct run_cancel_job_args {
+	run_name job;
+};
+
 program RUN_PROG {
 	version RUN_V1 {
 		void RUN_OPEN(run_open_args) = 1;
@@ -126,5 +134,6 @@
 		void RUN_WORKER(run_worker_args) = 5;
 		void RUN_UPDATE(run_update_args) = 6;
 		void RUN_CRASH(run_crash_args) = 7;
+		void RUN_CANCEL_JOB(run_cancel_job_args) = 8;
 	} = 1;
-} = 0x20005354;
+} = 0x20005355;
--- a/src/connection/run_xdr.c
+++ b/src/connection/run_xdr.c
@@ -232,3 +232,13 @@
 		return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_run_cancel_job_args(XDR *xdrs, run_cancel_job_args *objp)
+{
+	register int32_t *buf;
+
+	if (!xdr_run_name(xdrs, &objp->job))
+		return FALSE;
+	return TRUE;
+}
--- a/src/connection/run_xdr.h
+++ b/src/connection/run_xdr.h
@@ -148,7 +148,12 @@
 };
 typedef struct run_crash_args run_crash_args;
 
-#define RUN_PROG 0x20005354
+struct run_cancel_job_args {
+	run_name job;
+};
+typedef struct run_cancel_job_args run_cancel_job_args;
+
+#define RUN_PROG 0x20005355
 #define RUN_V1	 1
 
 #if defined(__STDC__) || defined(__cplusplus)
@@ -174,30 +179,37 @@
 #define RUN_CRASH 7
 extern enum clnt_stat run_crash_1(run_crash_args *, void *, CLIENT *);
 extern bool_t run_crash_1_svc(run_crash_args *, void *, struct svc_req *);
+#define RUN_CANCEL_JOB 8
+extern enum clnt_stat run_cancel_job_1(run_cancel_job_args *, void *, CLIENT *);
+extern bool_t run_cancel_job_1_svc(
+    run_cancel_job_args *, void *, struct svc_req *);
 extern int run_prog_1_freeresult(SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
-#define RUN_OPEN      1
+#define RUN_OPEN       1
 extern enum clnt_stat run_open_1();
 extern bool_t run_open_1_svc();
-#define RUN_START     2
+#define RUN_START      2
 extern enum clnt_stat run_start_1();
 extern bool_t run_start_1_svc();
-#define RUN_CANCEL    3
+#define RUN_CANCEL     3
 extern enum clnt_stat run_cancel_1();
 extern bool_t run_cancel_1_svc();
-#define RUN_HEARTBEAT 4
+#define RUN_HEARTBEAT  4
 extern enum clnt_stat run_heartbeat_1();
 extern bool_t run_heartbeat_1_svc();
-#define RUN_WORKER    5
+#define RUN_WORKER     5
 extern enum clnt_stat run_worker_1();
 extern bool_t run_worker_1_svc();
-#define RUN_UPDATE    6
+#define RUN_UPDATE     6
 extern enum clnt_stat run_update_1();
 extern bool_t run_update_1_svc();
-#define RUN_CRASH     7
+#define RUN_CRASH      7
 extern enum clnt_stat run_crash_1();
 extern bool_t run_crash_1_svc();
+#define RUN_CANCEL_JOB 8
+extern enum clnt_stat run_cancel_job_1();
+extern bool_t run_cancel_job_1_svc();
 extern int run_prog_1_freeresult();
 #endif /* K&R C */
 
@@ -219,6 +231,7 @@
 extern bool_t xdr_run_crash_state(XDR *, run_crash_state *);
 extern bool_t xdr_run_suspect(XDR *, run_suspect *);
 extern bool_t xdr_run_crash_args(XDR *, run_crash_args *);
+extern bool_t xdr_run_cancel_job_args(XDR *, run_cancel_job_args *);
 
 #else /* K&R C */
 extern bool_t xdr_run_name();
@@ -236,6 +249,7 @@
 extern bool_t xdr_run_crash_state();
 extern bool_t xdr_run_suspect();
 extern bool_t xdr_run_crash_args();
+extern bool_t xdr_run_cancel_job_args();
 
 #endif /* K&R C */
 
--- a/src/connection/sessions.c
+++ b/src/connection/sessions.c
@@ -90,6 +90,18 @@
 	xdr_free((xdrproc_t)xdr_run_cancel_args, &args);
 }
 
+static void
+handle_cancel_job(struct session *s, XDR *xdrs)
+{
+	run_cancel_job_args args = {0};
+
+	if (xdr_run_cancel_job_args(xdrs, &args))
+		s->ses->opts.cancel_job(s->id, args.job, s->ses->opts.ctx);
+	else
+		rpc_close(s->conn, ST_INVALID, "malformed cancel of a job");
+	xdr_free((xdrproc_t)xdr_run_cancel_job_args, &args);
+}
+
 static void
 handle_heartbeat(struct session *s, XDR *xdrs)
 {
@@ -143,6 +155,9 @@
 	case RUN_HEARTBEAT:
 		handle_heartbeat(s, call->args);
 		break;
+	case RUN_CANCEL_JOB:
+		handle_cancel_job(s, call->args);
+		break;
 	default:
 		rpc_close(conn, ST_INVALID, "unknown procedure");
 	}
--- a/src/connection/sessions.h
+++ b/src/connection/sessions.h
@@ -22,6 +22,8 @@
 	    uint64_t session, const struct run_start_args *args, void *ctx);
 	void (*cancel)(
 	    uint64_t session, const struct run_cancel_args *args, void *ctx);
+	/* A job was cancelled at the entry, which does not have it. */
+	void (*cancel_job)(uint64_t session, const char *job, void *ctx);
 	void (*on_heartbeat)(
 	    uint64_t session, const struct run_heartbeat_args *args, void *ctx);
 	void *ctx;
--- a/src/connection/worklink.c
+++ b/src/connection/worklink.c
@@ -115,6 +115,7 @@
 	run_worker_args worker = {0};
 	run_update_args update = {0};
 	run_crash_args crash = {0};
+	run_cancel_job_args cancel = {0};
 
 	link->backoff_ms = 0;
 	if (call->proc == RUN_WORKER &&
@@ -126,11 +127,15 @@
 	else if (call->proc == RUN_CRASH &&
 		 xdr_run_crash_args(call->args, &crash))
 		link->opts.crash(link, &crash, link->opts.ctx);
+	else if (call->proc == RUN_CANCEL_JOB &&
+		 xdr_run_cancel_job_args(call->args, &cancel))
+		link->opts.cancelled(cancel.job, link->opts.ctx);
 	else
 		rpc_close(conn, ST_INVALID, "malformed call of an agent");
 	xdr_free((xdrproc_t)xdr_run_worker_args, &worker);
 	xdr_free((xdrproc_t)xdr_run_update_args, &update);
 	xdr_free((xdrproc_t)xdr_run_crash_args, &crash);
+	xdr_free((xdrproc_t)xdr_run_cancel_job_args, &cancel);
 }
 
 void
@@ -354,6 +359,16 @@
 		link->flush_id = g_idle_add(on_flush, link);
 }
 
+void
+wlk_cancel_job(struct wlk *link, const char *job)
+{
+	run_cancel_job_args args = {.job = (char *)job};
+
+	if (link->conn != NULL)
+		rpc_send(link->conn, RUN_CANCEL_JOB,
+		    (xdrproc_t)xdr_run_cancel_job_args, &args);
+}
+
 static void
 send_cancels(struct wlk *link)
 {
--- a/src/connection/worklink.h
+++ b/src/connection/worklink.h
@@ -27,6 +27,8 @@
 	    struct wlk *link, const struct run_update_args *args, void *ctx);
 	void (*crash)(
 	    struct wlk *link, const struct run_crash_args *args, void *ctx);
+	/* A job was cancelled at another entry. */
+	void (*cancelled)(const char *job, void *ctx);
 	void (*closed)(struct wlk *link, const struct status *why, void *ctx);
 	void *ctx;
 };
@@ -45,6 +47,8 @@
  */
 bool wlk_start(struct wlk *link, const run_start *start, const char *spec);
 void wlk_cancel(struct wlk *link, uint64_t seq);
+/* Tells the agent's other entries that a job was cancelled here. */
+void wlk_cancel_job(struct wlk *link, const char *job);
 /* Sends the queued starts and cancels. */
 void wlk_flush(struct wlk *link);
 /* Sends a heartbeat at once, because its content has changed. */
--- a/src/process/agentpool.c
+++ b/src/process/agentpool.c
@@ -28,6 +28,11 @@
  */
 #define LINK_DOWN_MS 300
 #define LINK_NEW_MS  1500
+/*
+ * Agents that pass a cancel on.  In a large fleet each is connected to a share
+ * of the entries, so that one would not reach all.
+ */
+#define CANCEL_RELAYS 16
 /* An idle link to an agent that is no longer chosen is closed after this. */
 #define SURPLUS_MS 10000
 
@@ -136,6 +141,14 @@
 	    pool->opts.sch, wlk_address(link), &crash, clk_now_ms());
 }
 
+static void
+on_cancelled(const char *job, void *ctx)
+{
+	struct agp *pool = ctx;
+
+	pool->opts.cancelled(job, pool->opts.ctx);
+}
+
 static void
 on_link_closed(struct wlk *link, const struct status *why, void *ctx)
 {
@@ -180,6 +193,7 @@
 	    .worker = on_worker,
 	    .update = on_update,
 	    .crash = on_crash,
+	    .cancelled = on_cancelled,
 	    .closed = on_link_closed,
 	    .ctx = pool,
 	};
@@ -501,6 +515,26 @@
 		wlk_reconnect(((struct agp_agent *)agent)->link, why);
 }
 
+bool
+agp_cancel_job(struct agp *pool, const char *job)
+{
+	GHashTableIter iter;
+	gpointer agent;
+	uint32_t n = 0;
+
+	g_hash_table_iter_init(&iter, pool->agents);
+	while (
+	    n < CANCEL_RELAYS && g_hash_table_iter_next(&iter, NULL, &agent)) {
+		struct wlk *link = ((struct agp_agent *)agent)->link;
+
+		if (!wlk_is_open(link))
+			continue;
+		wlk_cancel_job(link, job);
+		n++;
+	}
+	return n > 0;
+}
+
 bool
 agp_want(struct agp *pool, const char *service, const struct wk_job *job)
 {
--- a/src/process/agentpool.h
+++ b/src/process/agentpool.h
@@ -30,6 +30,8 @@
 	void (*fill_heartbeat)(struct run_heartbeat_args *args, void *ctx);
 	/* Runs after the scheduler was given an agent's free capacity. */
 	void (*update)(const struct run_update_args *args, void *ctx);
+	/* A job was cancelled at another entry. */
+	void (*cancelled)(const char *job, void *ctx);
 	void (*store_state)(bool reachable, const struct status *st,
 	    int64_t revision, void *ctx);
 	void *ctx;
@@ -51,6 +53,12 @@
  */
 bool agp_want(struct agp *pool, const char *service, const struct wk_job *job);
 
+/*
+ * Lets agents tell the other entries that a job was cancelled.  Returns false
+ * if no agent is connected.
+ */
+bool agp_cancel_job(struct agp *pool, const char *job);
+
 struct wlk *agp_link(const struct agp_agent *agent);
 
 #endif
--- a/src/process/jobagent.c
+++ b/src/process/jobagent.c
@@ -9,6 +9,7 @@
 #include "process/events.h"
 #include "process/histogram.h"
 #include "process/jobagent.h"
+#include "request/cancelled.h"
 #include "request/ledger.h"
 #include "request/slowness.h"
 #include "request/updates.h"
@@ -36,6 +37,7 @@
 	struct ses *ses;
 	struct enl *enlist;
 	struct crw *crashwatch;
+	struct ccl *cancelled;	 /* jobs, at entries that did not have them */
 	GHashTable *outboxes;	 /* session to struct outbox */
 	struct slw slowness;	 /* of the worker */
 	uint64_t slowness_of;	 /* incarnation that it was measured with */
@@ -292,6 +294,29 @@
 	plan_updates(ja);
 }
 
+/*
+ * Passes a cancel on to the other entries, one of which has the job.  Each
+ * agent does so once, although several entries and agents may pass it on.
+ */
+static void
+on_cancel_job(uint64_t session, const char *job, void *ctx)
+{
+	run_cancel_job_args args = {.job = (char *)job};
+	struct ja *ja = ctx;
+	g_autofree uint64_t *ids = NULL;
+	uint32_t i, n;
+
+	if (!ccl_add(ja->cancelled, job, clk_now_ms()))
+		return;
+	evt_write("cancel", evt_text("job", job), evt_uint("session", session));
+	ids = ses_ids(ja->ses, &n);
+	for (i = 0; i < n; i++) {
+		if (ids[i] != session)
+			ses_send(ja->ses, ids[i], RUN_CANCEL_JOB,
+			    (xdrproc_t)xdr_run_cancel_job_args, &args);
+	}
+}
+
 /* Entries disconnect from an agent that sends nothing for too long. */
 static void
 answer_heartbeat(struct ja *ja, uint64_t session)
@@ -710,6 +735,7 @@
 	    .closed = on_closed,
 	    .start = on_start,
 	    .cancel = on_cancel,
+	    .cancel_job = on_cancel_job,
 	    .on_heartbeat = on_heartbeat,
 	    .ctx = ja,
 	};
@@ -723,6 +749,7 @@
 	ja->out_domains =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	ja->updates = upd_new();
+	ja->cancelled = ccl_new();
 	make_counters(ja);
 	make_run_state(ja);
 	ja->ses = ses_new(&ses, st);
@@ -755,6 +782,7 @@
 	hold_free(ja->hold);
 	led_free(ja->led);
 	crw_free(ja->crashwatch);
+	ccl_free(ja->cancelled);
 	g_hash_table_unref(ja->outboxes);
 	upd_free(ja->updates);
 	g_hash_table_unref(ja->out_domains);
--- a/src/process/jobentry.c
+++ b/src/process/jobentry.c
@@ -8,6 +8,7 @@
 #include "process/events.h"
 #include "process/histogram.h"
 #include "process/jobentry.h"
+#include "request/cancelled.h"
 #include "request/sched.h"
 #include "version/mirror.h"
 
@@ -58,6 +59,7 @@
 	GHashTable *out_domains; /* failure domains out of service */
 	char **out_names;	 /* the same as an array; owns the strings */
 	struct agp *agents;
+	struct ccl *cancelled;
 	GHashTable *waiters; /* ticket to struct waiter */
 	uint64_t next_ticket;
 	int64_t tick_ms;
@@ -496,6 +498,36 @@
 	return mir_new(&opts);
 }
 
+/* Cancels a job that is open here, and answers its call. */
+static bool
+cancel_open_job(struct je *je, const char *job)
+{
+	struct je_answer gone = {
+	    .result = JE_ABORTED, .reason = "the job was cancelled"};
+	struct waiter *waiter;
+
+	if (!sch_has_job(je->sch, job))
+		return false;
+	waiter = sch_replace_waiter(je->sch, job, NULL);
+	sch_cancel(je->sch, job);
+	if (waiter != NULL)
+		answer_waiter(je, waiter, &gone);
+	return true;
+}
+
+/* A call of the job that is still on its way must not start it again. */
+static void
+on_cancelled(const char *job, void *ctx)
+{
+	struct je *je = ctx;
+	bool open;
+
+	ccl_add(je->cancelled, job, clk_now_ms());
+	open = cancel_open_job(je, job);
+	evt_write("cancel", evt_text("job", job), evt_text("from", "agent"),
+	    evt_bool("open", open));
+}
+
 static struct agp *
 make_agents(struct je *je)
 {
@@ -511,6 +543,7 @@
 	    .is_out = is_domain_out,
 	    .fill_heartbeat = fill_heartbeat,
 	    .update = on_update,
+	    .cancelled = on_cancelled,
 	    .store_state = on_agents_store_state,
 	    .ctx = je,
 	};
@@ -545,6 +578,7 @@
 		je->incarnation = (uint64_t)clk_now_ns();
 	je->sch = sch_new(&sch);
 	wks_set_out_check(sch_workers(je->sch), is_domain_out, je);
+	je->cancelled = ccl_new();
 	je->out_domains = g_hash_table_new(g_str_hash, g_str_equal);
 	je->out_names = g_new0(char *, 1);
 	je->waiters = g_hash_table_new_full(
@@ -567,6 +601,7 @@
 	agp_free(je->agents);
 	mir_free(je->config_mirror);
 	sch_free(je->sch);
+	ccl_free(je->cancelled);
 	g_hash_table_unref(je->waiters);
 	g_hash_table_unref(je->out_domains);
 	g_strfreev(je->out_names);
@@ -727,6 +762,11 @@
 		wk_job_free(job);
 		return 0;
 	}
+	if (ccl_has(je->cancelled, job->id, clk_now_ms())) {
+		answer_now(fn, ctx, JE_UNKNOWN_JOB, "the job was cancelled", 0);
+		wk_job_free(job);
+		return 0;
+	}
 	if (sch_has_job(je->sch, job->id)) {
 		ticket = replace_waiter(je, job->id, fn, ctx);
 		wk_job_free(job);
@@ -804,21 +844,20 @@
 je_cancel(struct je *je, const char *host, const char *path, const char *job,
     je_answer_fn fn, void *ctx)
 {
-	struct je_answer gone = {
-	    .result = JE_ABORTED, .reason = "the job was cancelled"};
-	struct waiter *waiter;
+	bool open, passed_on = false;
 
 	if (find_queue(je, host, path, fn, ctx) == NULL)
 		return;
-	if (!sch_has_job(je->sch, job)) {
+	ccl_add(je->cancelled, job, clk_now_ms());
+	open = cancel_open_job(je, job);
+	if (!open)
+		passed_on = agp_cancel_job(je->agents, job);
+	evt_write("cancel", evt_text("job", job), evt_text("from", "client"),
+	    evt_bool("open", open), evt_bool("passed_on", passed_on));
+	if (open || passed_on)
+		answer_now(fn, ctx, JE_RUNNING, "cancelled", 0);
+	else
 		answer_now(fn, ctx, JE_UNKNOWN_JOB, "no such job here", 0);
-		return;
-	}
-	waiter = sch_replace_waiter(je->sch, job, NULL);
-	sch_cancel(je->sch, job);
-	if (waiter != NULL)
-		answer_waiter(je, waiter, &gone);
-	answer_now(fn, ctx, JE_RUNNING, "cancelled", 0);
 }
 
 void
--- a/src/process/jobentry.h
+++ b/src/process/jobentry.h
@@ -93,7 +93,10 @@
 /* Answers JE_RUNNING while the job is open here, else JE_UNKNOWN_JOB. */
 void je_query_state(struct je *je, const char *host, const char *path,
     const char *job, je_answer_fn fn, void *ctx);
-/* Cancels a job: answers JE_RUNNING if it was open, else JE_UNKNOWN_JOB. */
+/*
+ * Cancels a job, also one that another entry has: answers JE_RUNNING, or
+ * JE_UNKNOWN_JOB if it is not open here and no other entry can be told.
+ */
 void je_cancel(struct je *je, const char *host, const char *path,
     const char *job, je_answer_fn fn, void *ctx);
 /* Answers the number of jobs of the queue that have no started task. */
