--- a/src/request/choice.c
+++ b/src/request/choice.c
@@ -135,8 +135,8 @@
 	return wks_is_usable(chc->workers, w, task->job->service) &&
 	       wks_could_run(w, step) && wk_fits(&step->size, &w->room) &&
 	       hlt_may_start(&w->health, w->open, now_ms) &&
-	       (step->max_per_worker == 0 || jt_n_sent_to(task->job, task->step,
-						 w) < step->max_per_worker);
+	       (step->max_per_worker == 0 ||
+		   jt_n_on(task->job, task->step, w) < step->max_per_worker);
 }
 
 /* Share of the worker's processor that is free. */
--- a/src/request/jobtask.c
+++ b/src/request/jobtask.c
@@ -100,14 +100,15 @@
 }
 
 uint32_t
-jt_n_sent_to(
-    const struct jt_job *job, uint32_t step, const struct wks_worker *w)
+jt_n_on(const struct jt_job *job, uint32_t step, const struct wks_worker *w)
 {
 	uint32_t i, n = 0;
 
 	for (i = 0; i < job->n_tasks; i++) {
-		if (job->tasks[i].step == step && job->tasks[i].worker == w &&
-		    job->tasks[i].state == JT_SENT)
+		const struct jt_task *task = &job->tasks[i];
+
+		if (task->step == step && task->worker == w &&
+		    (task->state == JT_SENT || task->state == JT_UNRESOLVED))
 			n++;
 	}
 	return n;
--- a/src/request/jobtask.h
+++ b/src/request/jobtask.h
@@ -86,8 +86,8 @@
 const struct wk_step *jt_step_of(const struct jt_task *task);
 /* Marks a task as done; returns true when it was the last of its job. */
 bool jt_mark_done(struct jt_task *task);
-/* Number of tasks of the step that are sent to the worker. */
-uint32_t jt_n_sent_to(
+/* Number of tasks of the step that run, or may still run, on the worker. */
+uint32_t jt_n_on(
     const struct jt_job *job, uint32_t step, const struct wks_worker *worker);
 /* Counts the tasks in each state; counts has JT_N_STATES elements. */
 void jt_count(const struct jt_job *job, uint32_t *counts);
--- a/src/request/sched.c
+++ b/src/request/sched.c
@@ -195,7 +195,6 @@
 {
 	forget_start(sch, task);
 	task->state = JT_UNRESOLVED;
-	task->worker = NULL;
 	task->resolved_ms = now_ms + sch->opts.lost_run_timeout_ms;
 	g_hash_table_add(sch->unresolved, task);
 }
@@ -632,6 +631,7 @@
 		    task->resolved_ms > now_ms)
 			continue;
 		g_hash_table_remove(sch->unresolved, task);
+		task->worker = NULL;
 		requeue_task(sch, task, "agent was lost");
 	}
 }
