End the session of an entry whose messages are held up on their way

Cause: a session was judged by the gaps between its messages; a delay that grows slowly makes none.

Change: an entry's opening call, starts and heartbeats carry the time of their sending. The agent compares it with its own clock; the fastest messages of the last 10 to 20 s of this life of the entry count as not held up, so that the clocks need not agree. After 10 s a lasting delay counts as usual, so that a clock that jumped locks out no entry. The program number changes with the messages.

--- a/src/connection/run.x
+++ b/src/connection/run.x
@@ -25,6 +25,7 @@
 struct run_open_args {
 	run_name entry;
 	uint64_t incarnation;
+	int64_t sent_ms;	/* on the entry's clock, as in other calls */
 };
 
 struct run_start {
@@ -44,6 +45,7 @@
 
 /* Tasks of one job share their spec. */
 struct run_start_args {
+	int64_t sent_ms;
 	run_spec specs<RUN_BATCH_MAX>;
 	run_start starts<RUN_BATCH_MAX>;
 };
@@ -55,6 +57,7 @@
 
 /* Heartbeat of the entry, with the failure domains taken out of service. */
 struct run_heartbeat_args {
+	int64_t sent_ms;
 	int64_t revision;	/* of the configuration, 0: none yet */
 	run_name out<RUN_DOMAINS_MAX>;
 };
@@ -136,4 +139,4 @@
 		void RUN_CRASH(run_crash_args) = 7;
 		void RUN_CANCEL_JOB(run_cancel_job_args) = 8;
 	} = 1;
-} = 0x20005355;
+} = 0x20005356;
--- a/src/connection/run_xdr.c
+++ b/src/connection/run_xdr.c
@@ -38,6 +38,8 @@
 		return FALSE;
 	if (!xdr_uint64_t(xdrs, &objp->incarnation))
 		return FALSE;
+	if (!xdr_int64_t(xdrs, &objp->sent_ms))
+		return FALSE;
 	return TRUE;
 }
 
@@ -84,6 +86,8 @@
 {
 	register int32_t *buf;
 
+	if (!xdr_int64_t(xdrs, &objp->sent_ms))
+		return FALSE;
 	if (!xdr_array(xdrs, (char **)&objp->specs.specs_val,
 		(u_int *)&objp->specs.specs_len, RUN_BATCH_MAX,
 		sizeof(run_spec), (xdrproc_t)xdr_run_spec))
@@ -112,6 +116,8 @@
 {
 	register int32_t *buf;
 
+	if (!xdr_int64_t(xdrs, &objp->sent_ms))
+		return FALSE;
 	if (!xdr_int64_t(xdrs, &objp->revision))
 		return FALSE;
 	if (!xdr_array(xdrs, (char **)&objp->out.out_val,
--- a/src/connection/run_xdr.h
+++ b/src/connection/run_xdr.h
@@ -32,6 +32,7 @@
 struct run_open_args {
 	run_name entry;
 	uint64_t incarnation;
+	int64_t sent_ms;
 };
 typedef struct run_open_args run_open_args;
 
@@ -52,6 +53,7 @@
 typedef char *run_spec;
 
 struct run_start_args {
+	int64_t sent_ms;
 	struct {
 		u_int specs_len;
 		run_spec *specs_val;
@@ -72,6 +74,7 @@
 typedef struct run_cancel_args run_cancel_args;
 
 struct run_heartbeat_args {
+	int64_t sent_ms;
 	int64_t revision;
 	struct {
 		u_int out_len;
@@ -153,7 +156,7 @@
 };
 typedef struct run_cancel_job_args run_cancel_job_args;
 
-#define RUN_PROG 0x20005355
+#define RUN_PROG 0x20005356
 #define RUN_V1	 1
 
 #if defined(__STDC__) || defined(__cplusplus)
--- a/src/connection/sessions.c
+++ b/src/connection/sessions.c
@@ -1,17 +1,23 @@
 #include <gio/gio.h>
 
 #include "connection/address.h"
+#include "connection/linkdelay.h"
 #include "connection/rpc.h"
 #include "connection/sessions.h"
 #include "process/clock.h"
 
 #define ENTRY_BACKLOG 256
+/* Entries whose delays are remembered; more make it forget all. */
+#define MAX_DELAYS 1024
+/* Largest time of a clock: differences of times do not overflow. */
+#define MAX_CLOCK_MS (INT64_C(1) << 53)
 
 struct session {
 	struct ses *ses;
 	uint64_t id;
 	struct rpc_conn *conn;
 	int64_t last_input_ms;
+	uint64_t entry;	 /* its incarnation, 0 before RUN_OPEN */
 	bool identified; /* RUN_OPEN was received */
 };
 
@@ -19,6 +25,11 @@
 	struct ses_options opts;
 	GSocketService *service;
 	GHashTable *sessions; /* id to struct session */
+	/*
+	 * Incarnation of an entry to struct ldl; outlives its sessions, since
+	 * all messages of a session may be held up.
+	 */
+	GHashTable *delays;
 	uint64_t next_id;
 };
 
@@ -52,16 +63,57 @@
 		ses->opts.closed(id, why, ses->opts.ctx);
 }
 
+static struct ldl *
+find_delay(struct ses *ses, uint64_t entry)
+{
+	struct ldl *delay = g_hash_table_lookup(ses->delays, &entry);
+
+	if (delay != NULL)
+		return delay;
+	if (g_hash_table_size(ses->delays) >= MAX_DELAYS)
+		g_hash_table_remove_all(ses->delays);
+	delay = g_new0(struct ldl, 1);
+	g_hash_table_insert(
+	    ses->delays, g_memdup2(&entry, sizeof(entry)), delay);
+	return delay;
+}
+
+/*
+ * Whether a message was held up on its way for so long that the entry may have
+ * given up the session.  Its starts must not be executed, and the runs end with
+ * the session, since a cancel may be held up too.
+ */
+static bool
+is_held_up(struct session *s, int64_t sent_ms)
+{
+	int64_t silence_ms = s->ses->opts.silence_ms, delay_ms;
+
+	if (sent_ms < 0 || sent_ms > MAX_CLOCK_MS) {
+		rpc_close(s->conn, ST_INVALID, "time out of range");
+		return true;
+	}
+	delay_ms = ldl_measure(
+	    find_delay(s->ses, s->entry), sent_ms, clk_now_ms(), silence_ms);
+	if (delay_ms <= silence_ms)
+		return false;
+	rpc_close(s->conn, ST_TIMEOUT, "message was held up on its way");
+	return true;
+}
+
 static void
 handle_open(struct session *s, XDR *xdrs)
 {
 	run_open_args args = {0};
 
-	if (!s->identified && xdr_run_open_args(xdrs, &args)) {
-		s->identified = true;
-		s->ses->opts.opened(s->id, args.entry, s->ses->opts.ctx);
-	} else {
+	if (s->identified || !xdr_run_open_args(xdrs, &args)) {
 		rpc_close(s->conn, ST_INVALID, "malformed opening call");
+	} else {
+		s->entry = args.incarnation;
+		if (!is_held_up(s, args.sent_ms)) {
+			s->identified = true;
+			s->ses->opts.opened(
+			    s->id, args.entry, s->ses->opts.ctx);
+		}
 	}
 	xdr_free((xdrproc_t)xdr_run_open_args, &args);
 }
@@ -71,10 +123,10 @@
 {
 	run_start_args args = {0};
 
-	if (xdr_run_start_args(xdrs, &args))
-		s->ses->opts.start(s->id, &args, s->ses->opts.ctx);
-	else
+	if (!xdr_run_start_args(xdrs, &args))
 		rpc_close(s->conn, ST_INVALID, "malformed start");
+	else if (!is_held_up(s, args.sent_ms))
+		s->ses->opts.start(s->id, &args, s->ses->opts.ctx);
 	xdr_free((xdrproc_t)xdr_run_start_args, &args);
 }
 
@@ -107,10 +159,10 @@
 {
 	run_heartbeat_args args = {0};
 
-	if (xdr_run_heartbeat_args(xdrs, &args))
-		s->ses->opts.on_heartbeat(s->id, &args, s->ses->opts.ctx);
-	else
+	if (!xdr_run_heartbeat_args(xdrs, &args))
 		rpc_close(s->conn, ST_INVALID, "malformed heartbeat");
+	else if (!is_held_up(s, args.sent_ms))
+		s->ses->opts.on_heartbeat(s->id, &args, s->ses->opts.ctx);
 	xdr_free((xdrproc_t)xdr_run_heartbeat_args, &args);
 }
 
@@ -223,6 +275,8 @@
 	ses->service = g_socket_service_new();
 	ses->sessions = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, session_free);
+	ses->delays =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 	if (!listen_on(ses, st)) {
 		ses_free(ses);
 		return NULL;
@@ -240,6 +294,7 @@
 	g_socket_listener_close(G_SOCKET_LISTENER(ses->service));
 	g_object_unref(ses->service);
 	g_hash_table_unref(ses->sessions);
+	g_hash_table_unref(ses->delays);
 	g_free(ses);
 }
 
--- a/src/connection/worklink.c
+++ b/src/connection/worklink.c
@@ -146,7 +146,7 @@
 	if (link->conn == NULL)
 		return;
 	link->opts.fill_heartbeat(&args, link->opts.ctx);
-	link->heartbeat_sent_ms = clk_now_ms();
+	link->heartbeat_sent_ms = args.sent_ms = clk_now_ms();
 	rpc_send(link->conn, RUN_HEARTBEAT, (xdrproc_t)xdr_run_heartbeat_args,
 	    &args);
 }
@@ -221,6 +221,7 @@
 	g_object_unref(socket);
 	args.entry = (char *)link->opts.name;
 	args.incarnation = link->opts.incarnation;
+	args.sent_ms = clk_now_ms();
 	rpc_send(link->conn, RUN_OPEN, (xdrproc_t)xdr_run_open_args, &args);
 	wlk_send_heartbeat(link);
 }
@@ -388,6 +389,7 @@
 wlk_flush(struct wlk *link)
 {
 	run_start_args args = {
+	    .sent_ms = clk_now_ms(),
 	    .specs = {link->specs->len, (char **)link->specs->pdata},
 	    .starts = {link->starts->len, (run_start *)link->starts->data},
 	};
--- a/tests/test_late_calls.c
+++ b/tests/test_late_calls.c
@@ -11,6 +11,7 @@
 #define RESEND_MS	1300
 #define LATE_MS		2500
 #define TASK_MS		3000
+#define HELD_UP_MS	2000
 
 static struct hn_http *
 post_job(struct dpl *dpl, int entry, unsigned id, int n_tasks, int deadline_ms)
@@ -102,11 +103,43 @@
 }
 END_TEST
 
+/*
+ * What entries send to the agents is held up, more and more, without a gap that
+ * is long enough to close the links.  The starts of a job were carried out 2 s
+ * after they were sent, when the job had long been sent elsewhere.
+ */
+START_TEST(held_up_starts_are_not_executed)
+{
+	struct hn_http *job;
+	int64_t starts;
+	struct dpl dpl;
+	int i, ms;
+
+	dpl_start(&dpl, &(struct dpl_options){.proxied = true});
+	for (ms = 100; ms <= HELD_UP_MS; ms += 100) {
+		for (i = 0; i < DPL_AGENTS; i++)
+			dpl_set_fault(
+			    &dpl, DPL_ENTRIES_AGENT, i, "up", "delay", ms);
+		hn_sleep(200);
+	}
+	starts = count(&dpl, "starts");
+	job = post_job(&dpl, 0, 0xd3, 9, JOB_DEADLINE_MS);
+	ck_assert_int_ne(hn_http_wait(job, HN_LIMIT_MS)->status, 200);
+	hn_sleep(HELD_UP_MS);
+	ck_assert_int_eq(count(&dpl, "starts"), starts);
+	for (i = 0; i < DPL_AGENTS; i++)
+		dpl_set_fault(&dpl, DPL_ENTRIES_AGENT, i, "", "restore", 0);
+	ck_assert(hn_wait_until(dpl_completes_job(&dpl, 0), HN_LIMIT_MS));
+	hn_finish();
+}
+END_TEST
+
 int
 main(void)
 {
-	const TTest *const tests[] = {late_stops_end_with_the_lease,
-	    late_stops_end_beside_other_runs, late_deregistration_ends_no_run};
+	const TTest *const tests[] = {held_up_starts_are_not_executed,
+	    late_stops_end_with_the_lease, late_stops_end_beside_other_runs,
+	    late_deregistration_ends_no_run};
 
 	return run_tests("late_calls", tests, sizeof(tests) / sizeof(tests[0]),
 	    2 * HN_LIMIT_MS / 1000.0);
