Keep the worker's description as one value in the agent

jobagent.c copied each member of a heartbeat and compared them one by one; it keeps a copy of the description now.

--- a/src/connection/workerport.c
+++ b/src/connection/workerport.c
@@ -11,6 +11,32 @@
 		   strlen(text);
 }
 
+static bool
+has_same_labels(const struct wp_worker *worker, const struct wp_worker *other)
+{
+	size_t i;
+
+	if (worker->n_labels != other->n_labels)
+		return false;
+	for (i = 0; i < worker->n_labels; i++) {
+		if (strcmp(worker->labels[i], other->labels[i]) != 0)
+			return false;
+	}
+	return true;
+}
+
+bool
+wp_worker_serves_as(
+    const struct wp_worker *worker, const struct wp_worker *other)
+{
+	return worker->draining == other->draining &&
+	       g_strcmp0(worker->service, other->service) == 0 &&
+	       g_strcmp0(worker->failure_domain, other->failure_domain) == 0 &&
+	       wk_fits(&worker->capacity, &other->capacity) &&
+	       wk_fits(&other->capacity, &worker->capacity) &&
+	       has_same_labels(worker, other);
+}
+
 struct wp_worker *
 wp_worker_copy(const struct wp_worker *worker)
 {
--- a/src/connection/workerport.h
+++ b/src/connection/workerport.h
@@ -131,6 +131,12 @@
  * ids are copied into headers and logs.
  */
 bool wp_id_is_valid(const char *text);
+/*
+ * Whether both descriptions are the same for those who start tasks: service,
+ * failure domain, capacity, labels and draining.
+ */
+bool wp_worker_serves_as(
+    const struct wp_worker *worker, const struct wp_worker *other);
 /* A copy that owns its strings. */
 struct wp_worker *wp_worker_copy(const struct wp_worker *worker);
 /* NULL is allowed. */
--- a/src/process/jobagent.c
+++ b/src/process/jobagent.c
@@ -37,18 +37,14 @@
 	struct ses *ses;
 	struct enl *enlist;
 	struct crw *crashwatch;
-	struct ccl *cancelled;	 /* jobs, at entries that did not have them */
-	GHashTable *outboxes;	 /* session to struct outbox */
-	struct slw slowness;	 /* of the worker */
-	uint64_t slowness_of;	 /* incarnation that it was measured with */
-	struct upd *updates;	 /* when the sessions are sent updates */
-	GHashTable *out_domains; /* failure domains out of service */
-	int64_t out_revision;	 /* store revision of that list */
-	char *service;
-	char *failure_domain;
-	char **labels;
-	struct wk_size capacity;
-	bool draining_worker;
+	struct ccl *cancelled;	  /* jobs, at entries that did not have them */
+	GHashTable *outboxes;	  /* session to struct outbox */
+	struct slw slowness;	  /* of the worker */
+	uint64_t slowness_of;	  /* incarnation that it was measured with */
+	struct upd *updates;	  /* when the sessions are sent updates */
+	GHashTable *out_domains;  /* failure domains out of service */
+	int64_t out_revision;	  /* store revision of that list */
+	struct wp_worker *worker; /* as it last described itself */
 	bool draining;
 	bool drained;
 	bool calls_disabled; /* no calls to the worker */
@@ -106,13 +102,14 @@
 {
 	if (ja->draining)
 		*reason = "agent is shutting down";
-	else if (ja->draining_worker)
+	else if (ja->worker->draining)
 		*reason = "worker is draining";
 	else if (!hold_is_ready(ja->hold))
 		*reason = "worker is not ready";
 	else if (led_lease(ja->led, clk_now_ms()) == WP_LEASE_WITHHOLD)
 		*reason = "worker does not carry out stops";
-	else if (g_hash_table_contains(ja->out_domains, ja->failure_domain))
+	else if (g_hash_table_contains(
+		     ja->out_domains, ja->worker->failure_domain))
 		*reason = "failure domain is out";
 	else
 		return true;
@@ -124,11 +121,12 @@
 {
 	run_worker_args args = {
 	    .incarnation = hold_incarnation(ja->hold),
-	    .draining = ja->draining || ja->draining_worker,
-	    .service = ja->service,
-	    .failure_domain = ja->failure_domain,
-	    .labels = {g_strv_length(ja->labels), ja->labels},
-	    .capacity = size_to_wire(&ja->capacity),
+	    .draining = ja->draining || ja->worker->draining,
+	    .service = (char *)ja->worker->service,
+	    .failure_domain = (char *)ja->worker->failure_domain,
+	    .labels = {(uint32_t)ja->worker->n_labels,
+		(char **)ja->worker->labels},
+	    .capacity = size_to_wire(&ja->worker->capacity),
 	};
 
 	ses_send(ja->ses, session, RUN_WORKER, (xdrproc_t)xdr_run_worker_args,
@@ -275,7 +273,7 @@
 		    .start_by_ms = now_ms + s->start_within_ms,
 		};
 
-		if (g_strcmp0(s->service, ja->service) != 0)
+		if (g_strcmp0(s->service, ja->worker->service) != 0)
 			start.start_by_ms = now_ms - 1;
 		led_submit(ja->led, &start, now_ms);
 	}
@@ -514,63 +512,20 @@
 	struct ja *ja = ctx;
 
 	/* A worker that has announced its end has not crashed. */
-	if (lost->why != HOLD_LEFT && !ja->draining_worker)
+	if (lost->why != HOLD_LEFT && !ja->worker->draining)
 		crw_record(ja->crashwatch, lost);
 	led_worker_lost(ja->led, reasons[lost->why], clk_now_ms());
 }
 
-static char **
-copy_labels(const struct wp_worker *worker)
-{
-	char **labels = g_new0(char *, worker->n_labels + 1);
-	size_t i;
-
-	for (i = 0; i < worker->n_labels; i++)
-		labels[i] = g_strdup(worker->labels[i]);
-	return labels;
-}
-
-static bool
-has_labels(const struct ja *ja, const struct wp_worker *worker)
-{
-	size_t i;
-
-	if (g_strv_length(ja->labels) != worker->n_labels)
-		return false;
-	for (i = 0; i < worker->n_labels; i++) {
-		if (strcmp(ja->labels[i], worker->labels[i]) != 0)
-			return false;
-	}
-	return true;
-}
-
-/* Whether the heartbeat says something else than entries were told. */
-static bool
-is_news(const struct ja *ja, const struct wp_worker *worker)
-{
-	return worker->draining != ja->draining_worker ||
-	       g_strcmp0(worker->service, ja->service) != 0 ||
-	       g_strcmp0(worker->failure_domain, ja->failure_domain) != 0 ||
-	       !wk_fits(&worker->capacity, &ja->capacity) ||
-	       !wk_fits(&ja->capacity, &worker->capacity) ||
-	       !has_labels(ja, worker);
-}
-
 static void
 on_described(const struct wp_worker *worker, void *ctx)
 {
 	struct ja *ja = ctx;
-	bool changed = is_news(ja, worker);
+	bool changed = !wp_worker_serves_as(worker, ja->worker);
 
-	ja->draining_worker = worker->draining;
-	ja->capacity = worker->capacity;
+	wp_worker_free(ja->worker);
+	ja->worker = wp_worker_copy(worker);
 	led_set_capacity(ja->led, &worker->capacity, clk_now_ms());
-	g_free(ja->service);
-	ja->service = g_strdup(worker->service);
-	g_free(ja->failure_domain);
-	ja->failure_domain = g_strdup(worker->failure_domain);
-	g_strfreev(ja->labels);
-	ja->labels = copy_labels(worker);
 	enl_update(ja->enlist, worker);
 	if (changed)
 		resend_worker(ja);
@@ -728,6 +683,10 @@
 ja_new(const struct ja_options *opts, struct status *st)
 {
 	struct ja *ja = g_new0(struct ja, 1);
+	struct wp_worker unknown = {
+	    .service = "",
+	    .failure_domain = opts->failure_domain,
+	};
 	struct ses_options ses = {
 	    .listen = opts->listen,
 	    .silence_ms = ENTRY_SILENCE_MS,
@@ -741,9 +700,7 @@
 	};
 
 	ja->opts = *opts;
-	ja->service = g_strdup("");
-	ja->failure_domain = g_strdup(opts->failure_domain);
-	ja->labels = g_new0(char *, 1);
+	ja->worker = wp_worker_copy(&unknown);
 	ja->outboxes = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, g_free, outbox_free);
 	ja->out_domains =
@@ -786,9 +743,7 @@
 	g_hash_table_unref(ja->outboxes);
 	upd_free(ja->updates);
 	g_hash_table_unref(ja->out_domains);
-	g_free(ja->service);
-	g_free(ja->failure_domain);
-	g_strfreev(ja->labels);
+	wp_worker_free(ja->worker);
 	hst_free(ja->run_times);
 	g_free(ja);
 }
--- a/tests/test_job_bodies.c
+++ b/tests/test_job_bodies.c
@@ -18,7 +18,7 @@
 #define CHUNK_BYTES 7
 #define N_JOBS	    30
 /* Above the default limit of a body. */
-#define LARGE_BYTES (3 * 1024 * 1024)
+#define LARGE_BYTES ((size_t)3 * 1024 * 1024)
 
 static int
 connect_to(uint16_t port)
