Check a claim again when a later heartbeat came during its call

Found by reading: a heartbeat that arrived while an earlier one of the same new life was being checked took its place, and the answer, whose clock was older, refuted it, so that the worker was known one heartbeat (1.5 s) later. A clock behind the heartbeat's repeats the check now.

--- a/src/connection/claim.c
+++ b/src/connection/claim.c
@@ -78,6 +78,13 @@
 	g_ptr_array_remove(claim->clm->claims, claim);
 }
 
+static void
+refute(struct claim *claim)
+{
+	log_end(claim, "refuted");
+	g_ptr_array_remove(claim->clm->claims, claim);
+}
+
 static void
 confirm(struct claim *claim)
 {
@@ -89,18 +96,29 @@
 	wp_worker_free(worker);
 }
 
+/*
+ * A clock behind that of the heartbeat does not refute it yet: a later one may
+ * have come during the call.
+ */
+static void
+settle_answer(struct claim *claim, const struct wp_report *report)
+{
+	if (report->born_ms != claim->worker->born_ms)
+		refute(claim);
+	else if (claim->worker->clock_ms >
+		 report->answer.clock_ms + CLOCK_SLACK_MS)
+		retry(claim);
+	else
+		confirm(claim);
+}
+
 static void
 settle(struct claim *claim, const struct wp_report *report)
 {
 	switch (report->answer.verdict) {
 	case WP_DONE:
-		if (report->born_ms == claim->worker->born_ms &&
-		    claim->worker->clock_ms <=
-			report->answer.clock_ms + CLOCK_SLACK_MS) {
-			confirm(claim);
-			return;
-		}
-		break;
+		settle_answer(claim, report);
+		return;
 	case WP_FENCED:
 		claim->clm->opts.fenced(claim->clm->opts.ctx);
 		retry(claim);
@@ -112,10 +130,9 @@
 		retry(claim);
 		return;
 	case WP_REPLACED:
-		break;
+		refute(claim);
+		return;
 	}
-	log_end(claim, "refuted");
-	g_ptr_array_remove(claim->clm->claims, claim);
 }
 
 static void
--- a/src/connection/holder.c
+++ b/src/connection/holder.c
@@ -54,7 +54,7 @@
 
 struct hold {
 	struct hold_options opts;
-	struct clm *claims; /* of workers other than the current one */
+	struct clm *claims; /* heartbeats that are being checked */
 	enum phase phase;
 	char *instance;
 	char *address;
