--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 # make check      installs packages, builds and runs all tests
 # make bench      measures policies and costs, see docs/POLICY.md
 # make install    installs to $(DESTDIR)$(PREFIX)
+# make fuzz       runs each fuzz target for SECONDS with fresh inputs
 # SANITIZE=1 builds with address and undefined-behaviour sanitizers.
 
 CC = gcc
@@ -57,9 +58,17 @@
 TESTS = $(TEST_SRCS:tests/%.c=$(B)/%)
 BENCHES = $(BENCH_SRCS:bench/%.c=$(B)/%)
 
+# libFuzzer needs clang; its objects are built apart.
+FUZZ_SRCS = $(wildcard fuzz/fuzz_*.c)
+FUZZ_TARGETS = $(FUZZ_SRCS:fuzz/%.c=$(B)/%)
+FUZZ_MAKE = $(MAKE) B=build-fuzz CC=clang WARNINGS="-Wall -Wextra -Wno-unused-variable" \
+    SANFLAGS="-fsanitize=address,undefined,fuzzer-no-link \
+    -fno-sanitize-recover=undefined -fno-omit-frame-pointer"
+SECONDS = 60
+
 C_FILES = $(filter-out %_xdr.c %_xdr.h, \
     $(wildcard src/*/*.c src/*/*.h include/*.h tests/*.c tests/*.h \
-    bench/*.c bench/*.h platform/*.c platform/*.h))
+    bench/*.c bench/*.h platform/*.c platform/*.h fuzz/*.c fuzz/*.h))
 
 all: $(PROGRAMS) $(SHARED_LIB) $(PLATFORM_PROGRAM)
 test-programs: all $(STANDINS) $(TESTS) $(BENCHES)
@@ -107,6 +116,21 @@
 	$(CC) $(SANFLAGS) -o $@ $< $(BENCH_SUPPORT_OBJS) $(SUPPORT_LIB) $(LIB) \
 	    $(LIBS)
 
+$(B)/fuzz_%: $(B)/fuzz/fuzz_%.o $(PLATFORM_LIB) $(LIB)
+	$(CC) $(SANFLAGS) -fsanitize=fuzzer -o $@ $< $(PLATFORM_LIB) $(LIB) \
+	    $(LIBS)
+
+fuzz-targets: $(FUZZ_TARGETS)
+
+fuzz: deps
+	$(FUZZ_MAKE) fuzz-targets
+	tools/fuzz build-fuzz seconds $(SECONDS)
+
+# The committed inputs and a fixed number of runs from a fixed seed.
+fuzz-check: deps
+	$(FUZZ_MAKE) fuzz-targets
+	tools/fuzz build-fuzz check
+
 # Regenerates the committed src/connection/{wire,run}_xdr.[ch].
 wire:
 	cd src/connection && for x in wire run; do \
@@ -154,10 +178,10 @@
 	    > $(DESTDIR)$(PREFIX)/lib/pkgconfig/sequoiaplank.pc
 
 clean:
-	rm -rf build build-sanitize target
+	rm -rf build build-sanitize build-fuzz target
 
-.PHONY: all platform test-programs wire deps demo check bench format format-check \
-    lint install clean
+.PHONY: all platform test-programs fuzz-targets fuzz fuzz-check wire deps demo \
+    check bench format format-check lint install clean
 .SECONDARY:
 
 -include $(shell find $(B) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/fuzz/fuzz_ledger.c
@@ -0,0 +1,251 @@
+/*
+ * The ledger under sequences of events, before a worker that carries out calls
+ * late or not at all.  No task runs twice at once, and no start brings the worker
+ * over its capacity.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "fuzz/check.h"
+#include "request/ledger.h"
+
+#define N_TASKS	 6
+#define MAX_RUNS 256
+#define CAPACITY 10
+#define LEASE_MS 500
+
+enum state { SENT, RUNNING, ENDED };
+
+struct run {
+	int64_t number;
+	int64_t cpu;
+	int task;
+	enum state state;
+	bool stopped; /* the worker has carried out a stop */
+	bool listed;  /* its end was in a report */
+};
+
+struct world {
+	struct led *led;
+	struct run runs[MAX_RUNS];
+	size_t n_runs;
+	int64_t now_ms;
+	int64_t lease_ends_ms;
+	uint64_t seq;
+};
+
+static const char *const tasks[N_TASKS] = {"a", "b", "c", "d", "e", "f"};
+
+static bool
+may_start(uint64_t session, const char **reason, void *ctx)
+{
+	struct world *w = ctx;
+
+	(void)session;
+	*reason = "lease";
+	return led_lease(w->led, w->now_ms) != WP_LEASE_WITHHOLD;
+}
+
+static int
+task_index(const char *task)
+{
+	return task[0] - 'a';
+}
+
+/* A task that may still run or begin at the worker must not be started. */
+static void
+on_start(const char *task, const char *spec, int64_t number, void *ctx)
+{
+	struct world *w = ctx;
+	struct run *run = &w->runs[w->n_runs];
+	size_t i;
+
+	(void)spec;
+	for (i = 0; i < w->n_runs; i++)
+		fz_check(w->runs[i].task != task_index(task) ||
+			 w->runs[i].state == ENDED || w->runs[i].stopped);
+	if (w->n_runs == MAX_RUNS)
+		return;
+	*run = (struct run){.number = number, .task = task_index(task)};
+	run->cpu = 1 + run->task;
+	w->n_runs++;
+	w->lease_ends_ms = MAX(w->lease_ends_ms, w->now_ms + LEASE_MS);
+}
+
+static void
+on_stop(const char *task, int64_t number, void *ctx)
+{
+	(void)task;
+	(void)number;
+	(void)ctx;
+}
+
+static void
+on_report_wanted(void *ctx)
+{
+	(void)ctx;
+}
+
+static void
+on_result(const struct led_result *result, void *ctx)
+{
+	(void)result;
+	(void)ctx;
+}
+
+/* The run that an input byte selects, or NULL. */
+static struct run *
+pick(struct world *w, uint8_t byte)
+{
+	return w->n_runs == 0 ? NULL : &w->runs[byte % w->n_runs];
+}
+
+static void
+check_capacity(const struct world *w)
+{
+	int64_t used = 0;
+	size_t i;
+
+	for (i = 0; i < w->n_runs; i++) {
+		if (w->runs[i].state == RUNNING)
+			used += w->runs[i].cpu;
+	}
+	fz_check(used <= CAPACITY);
+}
+
+/* The worker carries out a start, with or without an answer. */
+static void
+carry_out(struct world *w, struct run *run, bool answered)
+{
+	struct wp_answer done = {.verdict = WP_DONE};
+	struct wp_answer none = {.verdict = WP_NO_ANSWER};
+
+	if (run->state == SENT && !run->stopped) {
+		run->state = RUNNING;
+		check_capacity(w);
+	}
+	led_started(w->led, run->number, answered ? &done : &none, w->now_ms);
+}
+
+/* A stop seals the run's number: it never begins afterwards. */
+static void
+stop(struct world *w, struct run *run, bool answered)
+{
+	run->stopped = true;
+	run->state = ENDED;
+	led_stopped(
+	    w->led, run->number, answered ? WP_DONE : WP_NO_ANSWER, w->now_ms);
+}
+
+static void
+report(struct world *w)
+{
+	struct wp_running running[MAX_RUNS] = {0};
+	struct wp_ended ended[MAX_RUNS] = {0};
+	struct wp_report r = {.running = running, .ended = ended};
+	size_t i;
+
+	for (i = 0; i < w->n_runs; i++) {
+		struct run *run = &w->runs[i];
+
+		if (run->state == RUNNING)
+			running[r.n_running++] =
+			    (struct wp_running){.task = tasks[run->task],
+				.run = run->number,
+				.percent = 50};
+		if (run->state == ENDED && !run->listed)
+			ended[r.n_ended++] =
+			    (struct wp_ended){.number = (int64_t)i + 1,
+				.task = tasks[run->task],
+				.run = run->number,
+				.end_kind = run->stopped ? WP_ENDED_STOPPED
+							 : WP_ENDED_DONE};
+		run->listed = run->state == ENDED;
+	}
+	r.answer.clock_ms = w->now_ms;
+	led_report(w->led, &r, w->now_ms, w->now_ms);
+}
+
+/* All runs are over at the end of the lease; nothing that was sent begins. */
+static void
+lose_worker(struct world *w)
+{
+	size_t i;
+
+	w->now_ms = MAX(w->now_ms, w->lease_ends_ms) + 1;
+	for (i = 0; i < w->n_runs; i++) {
+		w->runs[i].state = ENDED;
+		w->runs[i].listed = true;
+	}
+	led_worker_lost(w->led, "lost", w->now_ms);
+}
+
+static void
+submit(struct world *w, uint8_t byte)
+{
+	struct led_start start = {
+	    .session = 1 + byte % 3,
+	    .seq = ++w->seq,
+	    .task = tasks[byte % N_TASKS],
+	    .queue = "q",
+	    .spec = "s",
+	    .size = {.cpu_milli = 1 + byte % N_TASKS},
+	    .expected_ms = 100,
+	    .start_by_ms = w->now_ms + 1000,
+	};
+
+	if (w->n_runs < MAX_RUNS)
+		led_submit(w->led, &start, w->now_ms);
+}
+
+static void
+step(struct world *w, uint8_t op, uint8_t byte)
+{
+	struct run *run = pick(w, byte);
+
+	if (op % 10 == 0)
+		submit(w, byte);
+	else if (op % 10 == 1)
+		led_cancel(w->led, 1 + byte % 3, 1 + byte % 16, w->now_ms);
+	else if (op % 10 == 2)
+		led_end_session(w->led, 1 + byte % 3, w->now_ms);
+	else if (op % 10 == 3)
+		w->now_ms += byte;
+	else if (op % 10 == 4)
+		report(w);
+	else if (op % 10 == 5)
+		lose_worker(w);
+	else if (run == NULL)
+		return;
+	else if (op % 10 == 6)
+		carry_out(w, run, (op & 16) != 0);
+	else if (op % 10 == 7)
+		stop(w, run, (op & 16) != 0);
+	else if (op % 10 == 8 && run->state == RUNNING)
+		run->state = ENDED;
+	led_tick(w->led, w->now_ms);
+}
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	struct world w = {.now_ms = 1000};
+	struct led_options opts = {
+	    .max_queue = 8,
+	    .may_start = may_start,
+	    .start = on_start,
+	    .stop = on_stop,
+	    .request_report = on_report_wanted,
+	    .result = on_result,
+	    .ctx = &w,
+	};
+	struct wk_size capacity = {.cpu_milli = CAPACITY};
+	size_t i;
+
+	w.led = led_new(&opts);
+	led_set_capacity(w.led, &capacity, w.now_ms);
+	for (i = 0; i + 1 < size; i += 2)
+		step(&w, data[i], data[i + 1]);
+	led_free(w.led);
+	return 0;
+}
