Let a worker that began earlier take its place back

Found while trying odd entries: the key of an agent that named the worker of another one made the agent adopt that worker after a restart, and its own, which had begun earlier, was refused for good by its start. A time of day that jumps back between two lives of a worker had the same effect. Since each heartbeat of another life is checked by asking, the order of the starts decides nothing now; a late heartbeat of a former life is refuted by the answer.

--- a/src/connection/holder.c
+++ b/src/connection/holder.c
@@ -516,14 +516,17 @@
 	poll_worker(hold);
 }
 
-/* A former incarnation that answers late does not take its place again. */
+/*
+ * The worker that has just answered is the one that is there, also if it began
+ * before the present one: the latter may have been named by another writer, or
+ * the time of day may have jumped.
+ */
 static void
 on_claim_confirmed(const struct wp_worker *worker, void *ctx)
 {
 	struct hold *hold = ctx;
 
-	if (is_current(hold, worker) ? is_newer(hold, worker)
-				     : worker->born_ms > hold->born_ms)
+	if (!is_current(hold, worker) || is_newer(hold, worker))
 		apply_statement(hold, worker);
 }
 
@@ -551,8 +554,6 @@
 
 	if (current && !is_newer(hold, worker))
 		return;
-	if (!current && worker->born_ms <= hold->born_ms)
-		return;
 	if (current && hold->phase != ABSENT && !is_ahead(hold, worker))
 		apply_statement(hold, worker);
 	else
--- a/tests/standin_platform.c
+++ b/tests/standin_platform.c
@@ -11,7 +11,7 @@
  * DELETE /control/key?key=K      removes the key from the store
  * GET    /control/counts         counters since the process started
  * GET    /control/starts?job=ID  starts of the job's tasks
- * GET    /control/worker         what the first worker says of itself
+ * GET    /control/worker?index=N what worker N says of itself; 0: the first
  * GET    /control/mode?...       injects faults; worker -1 means none:
  *   store=down|up  while down, the store answers 503 and leaves watches open
  *   late=PERCENT   of the run-start and run-stop calls get no answer and are
@@ -912,12 +912,14 @@
 }
 
 static struct json_object *
-control_json(const char *path, const char *job)
+control_json(const char *path, GHashTable *query)
 {
+	int index = atoi(param(query, "index"));
+
 	if (g_str_has_suffix(path, "starts"))
-		return starts_json(job);
+		return starts_json(param(query, "job"));
 	if (g_str_has_suffix(path, "worker"))
-		return worker_json(&workers[0]);
+		return worker_json(&workers[CLAMP(index, 0, n_workers - 1)]);
 	return counts_json();
 }
 
@@ -937,7 +939,7 @@
 			: g_bytes_new(body->data, (gsize)body->length));
 	else if (g_str_has_suffix(path, "mode"))
 		set_mode(query);
-	reply(msg, 200, control_json(path, param(query, "job")));
+	reply(msg, 200, control_json(path, query));
 }
 
 static void
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -107,6 +107,33 @@
 		    "%s: entry %d does not use all workers", name, i);
 }
 
+/*
+ * The key of an agent names the worker of another one.  The agent called that
+ * worker for ever, since its own had begun earlier.
+ */
+START_TEST(registration_of_another_agent)
+{
+	struct hn_http *worker;
+	struct dpl dpl;
+
+	dpl_start(&dpl, &(struct dpl_options){0});
+	worker = dpl_control(&dpl, "GET", "worker?index=1", NULL);
+	dpl_control(&dpl, "PUT",
+	    hn_str("key?key=" AGENTS_PREFIX "127.0.0.1:%u", dpl.agent_port[0]),
+	    hn_str("{\"instance\":\"%s\",\"born_ms\":%" G_GINT64_FORMAT
+		   ",\"service\":\"desk\",\"address\":\"127.0.0.1:%d\","
+		   "\"failure_domain\":\"z1\",\"cpu_milli\":8000,"
+		   "\"memory_mb\":4096,\"gpus\":0,\"labels\":[]}",
+		hn_json_str(worker, "id"), hn_json_int(worker, "born"),
+		(int)hn_json_int(worker, "app_port")));
+	restart_all(&dpl);
+	hn_sleep(READ_MS);
+	check_processes(&dpl, "registration of another agent");
+	check_all_workers(&dpl, "registration of another agent");
+	hn_finish();
+}
+END_TEST
+
 /*
  * They counted as agents, and each entry tried them all again at each choice,
  * five times a second.
@@ -157,7 +184,8 @@
 int
 main(void)
 {
-	const TTest *const tests[] = {many_keys_without_address};
+	const TTest *const tests[] = {
+	    many_keys_without_address, registration_of_another_agent};
 	int red = run_table("odd_entries", odd_entry_harms_nobody,
 	    G_N_ELEMENTS(rows), 2 * HN_LIMIT_MS / 1000.0);
 
