Raise the fencing token after a refused start

Traced by its logs: an agent that had adopted the worker of another one for 50 ms left a higher token there; the worker's own agent was told "fence" for each start, to the end of the test. Cause: only a report that was refused raised the token, and the stand-in, as a worker may, answers reports whatever their token.

Change: a start or stop that is refused for its token raises it, once for all calls that were sent with it.

Also frees the cases of test_fields and test_jobbody, which the sanitizer's leak check failed.

--- a/src/connection/holder.c
+++ b/src/connection/holder.c
@@ -102,6 +102,7 @@
 struct relayed_call {
 	struct hold *hold;
 	uint64_t generation;
+	int64_t token;
 	int64_t sent_ms;
 	wp_answer_fn fn;
 	void *ctx;
@@ -663,6 +664,7 @@
 
 	relayed_call->hold = hold;
 	relayed_call->generation = hold->generation;
+	relayed_call->token = hold->token;
 	relayed_call->sent_ms = clk_now_ms();
 	relayed_call->fn = fn;
 	relayed_call->ctx = ctx;
@@ -673,10 +675,15 @@
 on_relayed_answer(const struct wp_answer *answer, void *ctx)
 {
 	g_autofree struct relayed_call *relayed_call = ctx;
-
-	if (relayed_call->generation == relayed_call->hold->generation)
-		record_answer(
-		    relayed_call->hold, answer->verdict, relayed_call->sent_ms);
+	struct hold *hold = relayed_call->hold;
+
+	if (relayed_call->generation == hold->generation) {
+		record_answer(hold, answer->verdict, relayed_call->sent_ms);
+		/* One of several calls with the same token raises it. */
+		if (answer->verdict == WP_FENCED &&
+		    relayed_call->token == hold->token)
+			hold->token += FENCED_TOKEN_STEP;
+	}
 	relayed_call->fn(answer, relayed_call->ctx);
 }
 
--- a/tests/test_fields.c
+++ b/tests/test_fields.c
@@ -6,6 +6,8 @@
 #include "runner.h"
 
 #define CASES "tests/cases/fields.txt"
+
+static const struct text_case *cases;
 #define DEPTH 100000
 
 struct sample {
@@ -78,8 +80,7 @@
 /* The cases guard against values that are used although they are out of range. */
 START_TEST(one_case)
 {
-	size_t n;
-	const struct text_case *c = &casefile_load(CASES, &n)[_i];
+	const struct text_case *c = &cases[_i];
 	g_autofree char *got = decode(c->input, strlen(c->input));
 
 	ck_assert_msg(strcmp(got, c->expected) == 0,
@@ -107,7 +108,7 @@
 	TCase *tc = tcase_create("fields");
 	size_t n;
 
-	casefile_load(CASES, &n);
+	cases = casefile_load(CASES, &n);
 	tcase_add_loop_test(tc, one_case, 0, (int)n);
 	tcase_add_test(tc, no_document);
 	return run_tcase("fields", tc, 0);
--- a/tests/test_holder.c
+++ b/tests/test_holder.c
@@ -170,7 +170,11 @@
 static void
 on_started(const struct wp_answer *answer, void *ctx)
 {
-	append(ctx, answer->verdict == WP_DONE ? "started" : "unanswered");
+	if (answer->verdict == WP_FENCED)
+		append(ctx, "fenced");
+	else
+		append(
+		    ctx, answer->verdict == WP_DONE ? "started" : "unanswered");
 }
 
 static void *
@@ -303,6 +307,8 @@
 	struct wp_report none = {.answer = {.verdict = WP_NO_ANSWER}};
 	struct wp_report done = {
 	    .answer = {.verdict = WP_DONE, .clock_ms = now_ms}};
+	struct wp_report fenced = {
+	    .answer = {.verdict = WP_FENCED, .clock_ms = now_ms}};
 
 	if (strcmp(words[0], "answer") == 0)
 		answer(w, words);
@@ -310,6 +316,8 @@
 		end_call(&w->reports, &none);
 	else if (strcmp(words[0], "started") == 0)
 		end_call(&w->starts, &done);
+	else if (strcmp(words[0], "fenced_start") == 0)
+		end_call(&w->starts, &fenced);
 	else if (strcmp(words[0], "drop_start") == 0)
 		end_call(&w->starts, &none);
 	else
--- a/tests/test_jobbody.c
+++ b/tests/test_jobbody.c
@@ -6,6 +6,8 @@
 
 #define CASES "tests/cases/jobbody.txt"
 
+static const struct text_case *cases;
+
 static const char *
 text_or_none(const char *text)
 {
@@ -53,8 +55,7 @@
  */
 START_TEST(one_case)
 {
-	size_t n;
-	const struct text_case *c = &casefile_load(CASES, &n)[_i];
+	const struct text_case *c = &cases[_i];
 	g_autofree char *got = decode(c->input);
 
 	ck_assert_msg(strcmp(got, c->expected) == 0,
@@ -68,7 +69,7 @@
 	TCase *tc = tcase_create("jobbody");
 	size_t n;
 
-	casefile_load(CASES, &n);
+	cases = casefile_load(CASES, &n);
 	tcase_add_loop_test(tc, one_case, 0, (int)n);
 	return run_tcase("jobbody", tc, 0);
 }
