Refuse texts with lone surrogates

Cause: json-c decodes a lone surrogate as U+FFFD without an error, and U+FFFD is a character that a caller may send, so that no check after parsing sees it. Its check of UTF-8 looks at lead and continuation bytes only: encoded surrogates, overlong forms and code points beyond U+10FFFF passed and went to the worker.

Change: jtx_parse() is the parser of documents from outside. It marks each lone surrogate by bytes that are no UTF-8 before json-c decodes them, and the check of a text refuses what is no UTF-8 with the name of its field. Pairs, U+FFFD as itself, and a backslash before the letters keep their bytes.

--- a/src/process/fields.c
+++ b/src/process/fields.c
@@ -1,9 +1,7 @@
 #include <string.h>
 
 #include "process/fields.h"
-
-/* The number of bytes that json-c takes is an int. */
-#define MAX_DOCUMENT_BYTES INT32_MAX
+#include "process/jsontext.h"
 
 static bool
 refuse(struct status *st, const char *name, const char *why)
@@ -15,32 +13,13 @@
 struct json_object *
 fld_parse(const char *data, size_t len, struct status *st)
 {
-	struct json_tokener *tokener;
-	struct json_object *root;
-	enum json_tokener_error error;
-
-	/* json-c takes a zero byte for the end of the document. */
-	if (len == 0 || len > MAX_DOCUMENT_BYTES ||
-	    memchr(data, '\0', len) != NULL) {
-		st_set(st, ST_INVALID, "%zu bytes are no JSON", len);
-		return NULL;
-	}
-	tokener = json_tokener_new();
-	json_tokener_set_flags(
-	    tokener, JSON_TOKENER_STRICT | JSON_TOKENER_VALIDATE_UTF8);
-	root = json_tokener_parse_ex(tokener, data, (int)len);
-	/* At the end of input, json-c waits for further digits of a number. */
-	if (json_tokener_get_error(tokener) == json_tokener_continue)
-		root = json_tokener_parse_ex(tokener, "\n", 1);
-	error = json_tokener_get_error(tokener);
-	json_tokener_free(tokener);
-	if (error == json_tokener_success && root != NULL)
-		return root;
-	json_object_put(root);
-	st_set(st, ST_INVALID, "%s",
-	    error == json_tokener_success ? "null in place of a document"
-					  : json_tokener_error_desc(error));
-	return NULL;
+	struct json_object *root =
+	    jtx_parse(data, len, JSON_TOKENER_DEFAULT_DEPTH, st);
+
+	/* A document that is too deep is as malformed as any other. */
+	if (root == NULL && st != NULL)
+		st->code = ST_INVALID;
+	return root;
 }
 
 static bool
@@ -65,6 +44,8 @@
 
 	if (len < min || len > max)
 		return refuse(st, field->name, "length out of range");
+	if (!jtx_is_unicode(value))
+		return refuse(st, field->name, "malformed Unicode");
 	if (strlen(text) != (size_t)len)
 		return refuse(st, field->name, "text with U+0000");
 	if (field->is_valid != NULL && !field->is_valid(text))
--- /dev/null
+++ b/src/process/jsontext.h
@@ -0,0 +1,37 @@
+#ifndef SP_JSONTEXT_H
+#define SP_JSONTEXT_H
+
+#include <json-c/json.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "process/status.h"
+
+/*
+ * Parses JSON from outside.  json-c decodes a lone surrogate as U+FFFD without
+ * an error.  Here a text with a lone surrogate, or with bytes that are not UTF-8,
+ * is none that jtx_is_unicode() accepts, so that a decoder can name its field.
+ */
+
+/*
+ * Returns the document, which is the caller's to put, or NULL with the reason in
+ * st: ST_LIMIT if it has more than max_depth levels, else ST_INVALID.  data may
+ * be NULL if len is 0.
+ */
+struct json_object *jtx_parse(
+    const char *data, size_t len, uint32_t max_depth, struct status *st);
+/*
+ * Whether all texts of a value, its names included, are Unicode; U+0000 is
+ * allowed.
+ */
+bool jtx_is_unicode(struct json_object *value);
+/* Returns a string that is Unicode without U+0000; otherwise NULL. */
+const char *jtx_text(struct json_object *value);
+/*
+ * Whether the escape at p, of the form \uXXXX, is a surrogate that has no other
+ * half.  end is the end of the text.
+ */
+bool jtx_is_lone_surrogate(const char *p, const char *end);
+
+#endif
--- a/tests/standin_platform.c
+++ b/tests/standin_platform.c
@@ -10,7 +10,8 @@
  * PUT    /control/key?key=K      writes the body to the store, as an operator
  * DELETE /control/key?key=K      removes the key from the store
  * GET    /control/counts         counters since the process started
- * GET    /control/starts?job=ID  starts of the job's tasks
+ * GET    /control/starts?job=ID  starts of the job's tasks, and the last one's
+ *                                spec
  * GET    /control/worker?index=N what worker N says of itself; 0: the first
  * GET    /control/mode?...       injects faults; worker -1 means none:
  *   store=down|up  while down, the store answers 503 and leaves watches open
@@ -126,6 +127,7 @@
     .beats = 1,
     .capacity_milli = CAPACITY_MILLI};
 static GHashTable *job_starts; /* job -> starts of its tasks */
+static GHashTable *job_specs;  /* job -> spec of its last start */
 
 static void
 reply(SoupServerMessage *msg, guint code, struct json_object *body)
@@ -459,12 +461,14 @@
 }
 
 static void
-count_start(const char *task)
+count_start(const char *task, struct json_object *body)
 {
 	char *job = g_strndup(task, strcspn(task, "."));
 	int n = GPOINTER_TO_INT(g_hash_table_lookup(job_starts, job));
 
 	g_hash_table_replace(job_starts, job, GINT_TO_POINTER(n + 1));
+	g_hash_table_replace(job_specs, g_strdup(job),
+	    json_object_get(json_object_object_get(body, "spec")));
 }
 
 /* The worker that has a run of the task, or NULL. */
@@ -513,7 +517,7 @@
 		    other->index, up_text(other));
 		fflush(stdout);
 	}
-	count_start(run->task);
+	count_start(run->task, body);
 	g_ptr_array_add(w->runs, run);
 	if ((int)w->runs->len * TASK_MILLI > mode.capacity_milli &&
 	    clk_now_ms() - mode.capacity_since_ms > SHRINK_GRACE_MS)
@@ -875,6 +879,8 @@
 
 	add_int(body, "starts",
 	    GPOINTER_TO_INT(g_hash_table_lookup(job_starts, job)));
+	json_object_object_add(
+	    body, "spec", json_object_get(g_hash_table_lookup(job_specs, job)));
 	return body;
 }
 
@@ -1016,6 +1022,8 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, item_free);
 	job_starts =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	job_specs = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)json_object_put);
 	watches = g_ptr_array_new();
 	session = soup_session_new_with_options(
 	    "proxy-resolver", NULL, "timeout", HEARTBEAT_TIMEOUT_S, NULL);
--- a/tests/test_job_bodies.c
+++ b/tests/test_job_bodies.c
@@ -20,6 +20,24 @@
 /* Above the default limit of a body. */
 #define LARGE_BYTES ((size_t)3 * 1024 * 1024)
 
+/* A spec as a JSON text, and the bytes that it stands for. */
+struct spec_row {
+	const char *json;
+	const char *bytes;
+	int len; /* -1: the job is refused */
+};
+
+static const struct spec_row spec_rows[] = {
+    {"", "", 0},
+    {"plain", "plain", 5},
+    {"\\ud83d\\ude00\\uDBFF\\uDFFF", "\xf0\x9f\x98\x80\xf4\x8f\xbf\xbf", 8},
+    {"\\ufffd\\\\ud800", "\xef\xbf\xbd\\ud800", 9},
+    {"a\\ud800b", NULL, -1},
+    {"a\\udc00b", NULL, -1},
+    {"\\ud83d\\u0041", NULL, -1},
+    {"\xed\xa0\x80", NULL, -1},
+};
+
 static int
 connect_to(uint16_t port)
 {
@@ -131,6 +149,66 @@
 }
 END_TEST
 
+/* A job whose spec is a JSON text. */
+static char *
+job_with_spec(const char *spec)
+{
+	return g_strdup_printf(
+	    "{\"spec\":\"%s\",\"best_effort\":true,\"steps\":["
+	    "{\"count\":2,\"cpu\":1000,\"mem_mb\":1}]}",
+	    spec);
+}
+
+/* Checks that no task was started, or each with the spec that was sent. */
+static void
+check_starts(
+    const struct dpl *dpl, unsigned id, int status, const struct spec_row *row)
+{
+	struct hn_http *starts =
+	    dpl_control(dpl, "GET", hn_str("starts?job=%016x", id), NULL);
+	struct json_object *spec = json_object_object_get(starts->json, "spec");
+
+	ck_assert_msg(status == (row->len < 0 ? 400 : 200), "\"%s\": %d",
+	    row->json, status);
+	if (row->len < 0) {
+		ck_assert_int_eq(hn_json_int(starts, "starts"), 0);
+		return;
+	}
+	ck_assert_msg(json_object_get_string_len(spec) == row->len &&
+			  memcmp(json_object_get_string(spec), row->bytes,
+			      (size_t)row->len) == 0,
+	    "\"%s\" was started as %s", row->json,
+	    json_object_to_json_string(spec));
+}
+
+/* Tasks were started with another spec than the caller had sent. */
+START_TEST(spec_reaches_worker_whole)
+{
+	struct dpl dpl;
+	unsigned i;
+
+	dpl_start(&dpl, &(struct dpl_options){0});
+	for (i = 0; i < G_N_ELEMENTS(spec_rows); i++) {
+		const struct spec_row *row = &spec_rows[i];
+		g_autofree char *body = job_with_spec(row->json);
+		unsigned plain = 0x400 + i, chunked = 0x500 + i;
+
+		check_starts(&dpl, plain,
+		    hn_http("POST", dpl_url(&dpl, 0, hn_str("/q/%016x", plain)),
+			body)
+			->status,
+		    row);
+		check_starts(&dpl, chunked,
+		    read_status(send_chunked(dpl.entry_port[1], chunked, body,
+			strlen(body), CHUNK_BYTES, true)),
+		    row);
+	}
+	ck_assert_int_eq(hn_wait_exit(dpl.entry[0], 0), -1);
+	ck_assert_int_eq(hn_wait_exit(dpl.entry[1], 0), -1);
+	hn_finish();
+}
+END_TEST
+
 /* A heartbeat that comes in chunks or is too large must not end the agent. */
 START_TEST(large_heartbeat_refused)
 {
@@ -153,8 +231,8 @@
 int
 main(void)
 {
-	const TTest *const tests[] = {
-	    chunked_jobs_served, large_bodies_refused, large_heartbeat_refused};
+	const TTest *const tests[] = {chunked_jobs_served, large_bodies_refused,
+	    spec_reaches_worker_whole, large_heartbeat_refused};
 
 	return run_tests(
 	    "job_bodies", tests, G_N_ELEMENTS(tests), 2 * HN_LIMIT_MS / 1000.0);
