Refuse documents with a name that has U+0000

What callers saw: a job with a member "spec\u0000z" beside its spec was answered 200, and its tasks were started with the value of that member (UNASKED); a member "required_label\u0000" became the label of a step.

Cause: json-c keeps names as C strings and drops what follows a zero character, so that the name is taken for another one. Heartbeats, registrations and the answers of workers and store were read by the same parser.

Change: the scan before json-c notices an escaped U+0000 in a string that a colon follows, and the document is refused. A raw zero byte was refused before.

--- a/src/process/jsontext.c
+++ b/src/process/jsontext.c
@@ -21,7 +21,8 @@
 struct scan {
 	const char *data;
 	const char *end;
-	char *marked; /* copy of data with marks, or NULL */
+	char *marked;	   /* copy of data with marks, or NULL */
+	bool has_cut_name; /* one with U+0000 */
 };
 
 /* Returns the code unit of the escape at p, or NO_UNIT if there is none. */
@@ -86,8 +87,9 @@
  * closing quote, or the end of the document.
  */
 static const char *
-scan_string(struct scan *sc, const char *p)
+scan_string(struct scan *sc, const char *p, bool *has_zero)
 {
+	*has_zero = false;
 	while (p < sc->end && *p != '"') {
 		if (*p != '\\') {
 			p++;
@@ -95,18 +97,31 @@
 		}
 		if (jtx_is_lone_surrogate(p, sc->end))
 			mark_lone(sc, p);
+		*has_zero = *has_zero || escaped_unit(p, sc->end) == 0;
 		p += escape_bytes(p, sc->end);
 	}
 	return p < sc->end ? p + 1 : sc->end;
 }
 
+static bool
+is_followed_by_colon(const char *p, const char *end)
+{
+	while (p < end && strchr(" \t\r\n", *p) != NULL)
+		p++;
+	return p < end && *p == ':';
+}
+
 static void
 scan_strings(struct scan *sc)
 {
 	const char *p = sc->data;
+	bool has_zero;
 
-	while ((p = memchr(p, '"', (size_t)(sc->end - p))) != NULL)
-		p = scan_string(sc, p + 1);
+	while ((p = memchr(p, '"', (size_t)(sc->end - p))) != NULL) {
+		p = scan_string(sc, p + 1, &has_zero);
+		if (has_zero && is_followed_by_colon(p, sc->end))
+			sc->has_cut_name = true;
+	}
 }
 
 static struct json_object *
@@ -153,7 +168,13 @@
 	scan_strings(&sc);
 	root = parse(sc.marked != NULL ? sc.marked : data, len, max_depth, st);
 	g_free(sc.marked);
-	return root;
+	if (root == NULL)
+		return NULL;
+	if (!sc.has_cut_name)
+		return root;
+	json_object_put(root);
+	st_set(st, ST_INVALID, "a name has U+0000");
+	return NULL;
 }
 
 static bool
--- a/src/process/jsontext.h
+++ b/src/process/jsontext.h
@@ -9,9 +9,10 @@
 #include "process/status.h"
 
 /*
- * Parses JSON from outside.  json-c decodes a lone surrogate as U+FFFD without
- * an error.  Here a text with a lone surrogate, or with bytes that are not UTF-8,
- * is none that jtx_is_unicode() accepts, so that a decoder can name its field.
+ * Parses JSON from outside.  json-c changes some documents without an error: a
+ * lone surrogate becomes U+FFFD, and a name ends at U+0000.  Here such a name is
+ * refused, and a text with a lone surrogate, or with bytes that are not UTF-8, is
+ * none that jtx_is_unicode() accepts, so that a decoder can name its field.
  */
 
 /*
