Refuse objects with two members of one name

What callers saw: of two members "spec", also with one spelled by escapes, the last was taken without a word, and of two counts or steps likewise. The caller can't tell which one runs; other readers of JSON take the first.

Cause: json-c replaces a member that it has by a later one of the same name.

Change: the scan counts the names of a document, and a document whose parsed objects have fewer members is refused.

--- a/src/process/jsontext.c
+++ b/src/process/jsontext.c
@@ -21,7 +21,8 @@
 struct scan {
 	const char *data;
 	const char *end;
-	char *marked;	   /* copy of data with marks, or NULL */
+	char *marked; /* copy of data with marks, or NULL */
+	size_t n_names;
 	bool has_cut_name; /* one with U+0000 */
 };
 
@@ -119,9 +120,30 @@
 
 	while ((p = memchr(p, '"', (size_t)(sc->end - p))) != NULL) {
 		p = scan_string(sc, p + 1, &has_zero);
-		if (has_zero && is_followed_by_colon(p, sc->end))
-			sc->has_cut_name = true;
+		if (!is_followed_by_colon(p, sc->end))
+			continue;
+		sc->n_names++;
+		sc->has_cut_name = sc->has_cut_name || has_zero;
+	}
+}
+
+/* Number of members of all objects in a value. */
+static size_t
+count_members(struct json_object *value)
+{
+	size_t i, n = 0;
+
+	if (json_object_is_type(value, json_type_array)) {
+		for (i = 0; i < json_object_array_length(value); i++)
+			n += count_members(json_object_array_get_idx(value, i));
+	} else if (json_object_is_type(value, json_type_object)) {
+		json_object_object_foreach(value, name, member)
+		{
+			(void)name;
+			n += 1 + count_members(member);
+		}
 	}
+	return n;
 }
 
 static struct json_object *
@@ -170,10 +192,12 @@
 	g_free(sc.marked);
 	if (root == NULL)
 		return NULL;
-	if (!sc.has_cut_name)
+	if (!sc.has_cut_name && count_members(root) == sc.n_names)
 		return root;
 	json_object_put(root);
-	st_set(st, ST_INVALID, "a name has U+0000");
+	st_set(st, ST_INVALID, "%s",
+	    sc.has_cut_name ? "a name has U+0000"
+			    : "an object has two members of one name");
 	return NULL;
 }
 
--- a/src/process/jsontext.h
+++ b/src/process/jsontext.h
@@ -10,9 +10,10 @@
 
 /*
  * Parses JSON from outside.  json-c changes some documents without an error: a
- * lone surrogate becomes U+FFFD, and a name ends at U+0000.  Here such a name is
- * refused, and a text with a lone surrogate, or with bytes that are not UTF-8, is
- * none that jtx_is_unicode() accepts, so that a decoder can name its field.
+ * lone surrogate becomes U+FFFD, a name ends at U+0000, and of several members
+ * of one name the last is kept.  Here the last two are refused, and a text with
+ * a lone surrogate, or with bytes that are not UTF-8, is none that
+ * jtx_is_unicode() accepts, so that a decoder can name its field.
  */
 
 /*
--- a/tests/test_job_bodies.c
+++ b/tests/test_job_bodies.c
@@ -37,6 +37,7 @@
     {"\\ud83d\\u0041", NULL, -1},
     {"\xed\xa0\x80", NULL, -1},
     {"x\",\"spec\\u0000z\":\"y", NULL, -1},
+    {"x\",\"spec\":\"y", NULL, -1},
 };
 
 static int
