Carry the spec with its length from the caller to the worker

A JSON string may hold U+0000, and no client expects 400 for a well-formed job: the job was lost to it.

Cause: the spec was a C string in the job, in START, in the agent's ledger and in the call to the worker.

Change: GBytes in all of them, opaque in place of string in run.x. The encoding of both is the same, so that an older agent would cut the text: the RPC program number changes with it, and such agents refuse the connection. Names and labels, which are compared, go on refusing U+0000. "make wire" formats what rpcgen writes, as the committed files are.

--- a/Makefile
+++ b/Makefile
@@ -77,7 +77,7 @@
 	@mkdir -p $(@D)
 	$(CC) $(ALL_CFLAGS) $(PKG_CFLAGS) $(WARNINGS) -c -o $@ $<
 
-# rpcgen output is committed unedited and has unused variables.
+# rpcgen output is committed as it is, formatted, and has unused variables.
 $(B)/src/connection/wire_xdr.o $(B)/src/connection/run_xdr.o: WARNINGS = -Wall -Wno-unused-variable
 
 $(LIB): $(LIB_OBJS)
@@ -137,7 +137,8 @@
 	    rm -f $${x}_xdr.c $${x}_xdr.h && \
 	    rpcgen -M -h -o $${x}_xdr.h $$x.x && \
 	    rpcgen -M -c -o $${x}_xdr.c $$x.x && \
-	    sed -i "s/\"$$x.h\"/\"$${x}_xdr.h\"/" $${x}_xdr.c; done
+	    sed -i "s/\"$$x.h\"/\"$${x}_xdr.h\"/" $${x}_xdr.c && \
+	    clang-format -i $${x}_xdr.c $${x}_xdr.h; done
 
 deps:
 	tools/install-packages
--- a/fuzz/fuzz_job.c
+++ b/fuzz/fuzz_job.c
@@ -31,16 +31,18 @@
 
 /* Compares the spec with that of the document. */
 static void
-check_spec(const char *spec, const char *body, size_t len)
+check_spec(GBytes *spec, const char *body, size_t len)
 {
+	gsize spec_len;
+	const char *data = g_bytes_get_data(spec, &spec_len);
 	struct json_object *root = fld_parse(body, len, NULL);
 	struct json_object *value;
 
 	if (json_object_object_get_ex(root, "spec", &value)) {
 		size_t n = (size_t)json_object_get_string_len(value);
 
-		fz_check(strlen(spec) == n &&
-			 memcmp(spec, json_object_get_string(value), n) == 0);
+		fz_check(spec_len == n &&
+			 memcmp(data, json_object_get_string(value), n) == 0);
 	}
 	json_object_put(root);
 }
--- a/fuzz/fuzz_ledger.c
+++ b/fuzz/fuzz_ledger.c
@@ -54,7 +54,7 @@
 
 /* A task that may still run or begin at the worker must not be started. */
 static void
-on_start(const char *task, const char *spec, int64_t number, void *ctx)
+on_start(const char *task, GBytes *spec, int64_t number, void *ctx)
 {
 	struct world *w = ctx;
 	struct run *run = &w->runs[w->n_runs];
@@ -183,12 +183,13 @@
 static void
 submit(struct world *w, uint8_t byte)
 {
+	g_autoptr(GBytes) spec = g_bytes_new_static("s", 1);
 	struct led_start start = {
 	    .session = 1 + byte % 3,
 	    .seq = ++w->seq,
 	    .task = tasks[byte % N_TASKS],
 	    .queue = "q",
-	    .spec = "s",
+	    .spec = spec,
 	    .size = {.cpu_milli = 1 + byte % N_TASKS},
 	    .expected_ms = 100,
 	    .start_by_ms = w->now_ms + 1000,
--- a/src/connection/holder.c
+++ b/src/connection/holder.c
@@ -688,7 +688,7 @@
 }
 
 void
-hold_start(struct hold *hold, const char *task, const char *spec, int64_t run,
+hold_start(struct hold *hold, const char *task, GBytes *spec, int64_t run,
     wp_answer_fn fn, void *ctx)
 {
 	struct wp_target target = current_target(hold);
--- a/src/connection/holder.h
+++ b/src/connection/holder.h
@@ -94,8 +94,8 @@
 bool hold_is_ready(const struct hold *hold);
 /* The worker's start time, which identifies its incarnation; 0: no worker. */
 uint64_t hold_incarnation(const struct hold *hold);
-void hold_start(struct hold *hold, const char *task, const char *spec,
-    int64_t run, wp_answer_fn fn, void *ctx);
+void hold_start(struct hold *hold, const char *task, GBytes *spec, int64_t run,
+    wp_answer_fn fn, void *ctx);
 void hold_stop(struct hold *hold, const char *task, int64_t run,
     wp_answer_fn fn, void *ctx);
 
--- a/src/connection/run.x
+++ b/src/connection/run.x
@@ -41,7 +41,8 @@
 	int64_t start_within_ms;	/* latest start, after receipt */
 };
 
-typedef string run_spec<RUN_SPEC_MAX>;
+/* A text that may have U+0000. */
+typedef opaque run_spec<RUN_SPEC_MAX>;
 
 /* Tasks of one job share their spec. */
 struct run_start_args {
@@ -139,4 +140,4 @@
 		void RUN_CRASH(run_crash_args) = 7;
 		void RUN_CANCEL_JOB(run_cancel_job_args) = 8;
 	} = 1;
-} = 0x20005356;
+} = 0x20005357;
--- a/src/connection/run_xdr.c
+++ b/src/connection/run_xdr.c
@@ -76,7 +76,8 @@
 {
 	register int32_t *buf;
 
-	if (!xdr_string(xdrs, objp, RUN_SPEC_MAX))
+	if (!xdr_bytes(xdrs, (char **)&objp->run_spec_val,
+		(u_int *)&objp->run_spec_len, RUN_SPEC_MAX))
 		return FALSE;
 	return TRUE;
 }
--- a/src/connection/run_xdr.h
+++ b/src/connection/run_xdr.h
@@ -50,7 +50,10 @@
 };
 typedef struct run_start run_start;
 
-typedef char *run_spec;
+typedef struct {
+	u_int run_spec_len;
+	char *run_spec_val;
+} run_spec;
 
 struct run_start_args {
 	int64_t sent_ms;
@@ -156,7 +159,7 @@
 };
 typedef struct run_cancel_job_args run_cancel_job_args;
 
-#define RUN_PROG 0x20005356
+#define RUN_PROG 0x20005357
 #define RUN_V1	 1
 
 #if defined(__STDC__) || defined(__cplusplus)
--- a/src/connection/workerport.h
+++ b/src/connection/workerport.h
@@ -1,6 +1,7 @@
 #ifndef SP_WORKERPORT_H
 #define SP_WORKERPORT_H
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -38,7 +39,7 @@
 
 struct wp_start {
 	const char *task;
-	const char *spec;
+	GBytes *spec;
 	int64_t run; /* number, increases with every start */
 	/* Worker's clock; latest time of the start, new end of the lease. */
 	int64_t deadline_ms;
--- a/src/connection/worklink.c
+++ b/src/connection/worklink.c
@@ -34,7 +34,7 @@
 	int64_t heartbeat_sent_ms; /* last heartbeat sent */
 	int64_t backoff_ms;
 	GArray *starts;	  /* run_start; strings owned */
-	GPtrArray *specs; /* of the starts */
+	GPtrArray *specs; /* GBytes, of the starts */
 	GArray *cancels;  /* seqs */
 	guint retry_id;
 	guint flush_id;
@@ -254,7 +254,8 @@
 	link->last_open_ms = clk_now_ms();
 	link->starts = g_array_new(FALSE, FALSE, sizeof(run_start));
 	g_array_set_clear_func(link->starts, start_clear);
-	link->specs = g_ptr_array_new_with_free_func(g_free);
+	link->specs =
+	    g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
 	link->cancels = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	connect_link(link);
 	return link;
@@ -313,19 +314,19 @@
 }
 
 static uint32_t
-spec_index(struct wlk *link, const char *spec)
+spec_index(struct wlk *link, GBytes *spec)
 {
 	guint n = link->specs->len;
 
 	/* Tasks of a job are started in sequence and share their spec. */
-	if (n > 0 && strcmp(link->specs->pdata[n - 1], spec) == 0)
+	if (n > 0 && link->specs->pdata[n - 1] == spec)
 		return n - 1;
-	g_ptr_array_add(link->specs, g_strdup(spec));
+	g_ptr_array_add(link->specs, g_bytes_ref(spec));
 	return n;
 }
 
 bool
-wlk_start(struct wlk *link, const run_start *start, const char *spec)
+wlk_start(struct wlk *link, const run_start *start, GBytes *spec)
 {
 	run_start copy = *start;
 
@@ -384,21 +385,34 @@
 	g_array_remove_range(link->cancels, 0, args.seqs.seqs_len);
 }
 
-/* Starts go first, so that a cancel never arrives before its start. */
-void
-wlk_flush(struct wlk *link)
+static void
+send_starts(struct wlk *link)
 {
+	g_autofree run_spec *specs = g_new0(run_spec, link->specs->len);
 	run_start_args args = {
 	    .sent_ms = clk_now_ms(),
-	    .specs = {link->specs->len, (char **)link->specs->pdata},
+	    .specs = {link->specs->len, specs},
 	    .starts = {link->starts->len, (run_start *)link->starts->data},
 	};
+	gsize len;
+	guint i;
 
+	for (i = 0; i < link->specs->len; i++) {
+		specs[i].run_spec_val =
+		    (char *)g_bytes_get_data(link->specs->pdata[i], &len);
+		specs[i].run_spec_len = (u_int)len;
+	}
+	rpc_send(link->conn, RUN_START, (xdrproc_t)xdr_run_start_args, &args);
+}
+
+/* Starts go first, so that a cancel never arrives before its start. */
+void
+wlk_flush(struct wlk *link)
+{
 	if (link->conn == NULL)
 		return;
-	if (args.starts.starts_len > 0)
-		rpc_send(link->conn, RUN_START, (xdrproc_t)xdr_run_start_args,
-		    &args);
+	if (link->starts->len > 0)
+		send_starts(link);
 	g_array_set_size(link->starts, 0);
 	g_ptr_array_set_size(link->specs, 0);
 	while (link->conn != NULL && link->cancels->len > 0)
--- a/src/connection/worklink.h
+++ b/src/connection/worklink.h
@@ -1,6 +1,7 @@
 #ifndef SP_WORKLINK_H
 #define SP_WORKLINK_H
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -45,7 +46,7 @@
  * Queues a start until wlk_flush().  False when the link is not open, this
  * process was suspended for longer than the agent waits, or the batch is full.
  */
-bool wlk_start(struct wlk *link, const run_start *start, const char *spec);
+bool wlk_start(struct wlk *link, const run_start *start, GBytes *spec);
 void wlk_cancel(struct wlk *link, uint64_t seq);
 /* Tells the agent's other entries that a job was cancelled here. */
 void wlk_cancel_job(struct wlk *link, const char *job);
--- a/src/process/fields.c
+++ b/src/process/fields.c
@@ -36,16 +36,27 @@
 }
 
 static bool
-check_text(struct json_object *value, const struct fld *field, int64_t min,
+check_bytes(struct json_object *value, const struct fld *field, int64_t min,
     int64_t max, struct status *st)
 {
-	const char *text = json_object_get_string(value);
 	int64_t len = json_object_get_string_len(value);
 
 	if (len < min || len > max)
 		return refuse(st, field->name, "length out of range");
 	if (!jtx_is_unicode(value))
 		return refuse(st, field->name, "malformed Unicode");
+	return true;
+}
+
+static bool
+check_text(struct json_object *value, const struct fld *field, int64_t min,
+    int64_t max, struct status *st)
+{
+	const char *text = json_object_get_string(value);
+	int64_t len = json_object_get_string_len(value);
+
+	if (!check_bytes(value, field, min, max, st))
+		return false;
 	if (strlen(text) != (size_t)len)
 		return refuse(st, field->name, "text with U+0000");
 	if (field->is_valid != NULL && !field->is_valid(text))
@@ -65,6 +76,19 @@
 	return true;
 }
 
+static bool
+decode_bytes(struct json_object *value, const struct fld *field, void *to,
+    struct status *st)
+{
+	struct fld_bytes *bytes = to;
+
+	if (!check_bytes(value, field, field->min, field->max, st))
+		return false;
+	bytes->data = json_object_get_string(value);
+	bytes->len = (size_t)json_object_get_string_len(value);
+	return true;
+}
+
 static bool
 decode_texts(struct json_object *value, const struct fld *field, void *to,
     struct status *st)
@@ -94,6 +118,7 @@
 {
 	static const enum json_type types[] = {[FLD_INT] = json_type_int,
 	    [FLD_TEXT] = json_type_string,
+	    [FLD_BYTES] = json_type_string,
 	    [FLD_BOOL] = json_type_boolean,
 	    [FLD_TEXTS] = json_type_array,
 	    [FLD_OBJECT] = json_type_object};
@@ -106,6 +131,8 @@
 		return decode_int(value, field, at, st);
 	case FLD_TEXT:
 		return decode_text(value, field, at, st);
+	case FLD_BYTES:
+		return decode_bytes(value, field, at, st);
 	case FLD_BOOL:
 		*(bool *)at = json_object_get_boolean(value);
 		return true;
--- a/src/process/fields.h
+++ b/src/process/fields.h
@@ -16,6 +16,7 @@
 enum fld_type {
 	FLD_INT,   /* int64_t */
 	FLD_TEXT,  /* const char *, borrowed from the document */
+	FLD_BYTES, /* struct fld_bytes */
 	FLD_BOOL,  /* bool */
 	FLD_TEXTS, /* struct fld_texts */
 	FLD_OBJECT /* its members go to the same struct */
@@ -24,6 +25,12 @@
 #define FLD_MAX_TEXTS	   64
 #define FLD_MAX_TEXT_BYTES 256
 
+/* A text that may have U+0000; borrowed from the document. */
+struct fld_bytes {
+	const char *data;
+	size_t len;
+};
+
 struct fld_texts {
 	const char *texts[FLD_MAX_TEXTS]; /* borrowed from the document */
 	size_t n;
@@ -33,7 +40,7 @@
 	const char *name;
 	enum fld_type type;
 	bool required;
-	/* Value of an int, length in bytes of a text, number of texts. */
+	/* Value of an int, bytes of a text without escapes, number of texts. */
 	int64_t min;
 	int64_t max;
 	/* Further check of a text, or NULL. */
--- a/src/process/jobagent.c
+++ b/src/process/jobagent.c
@@ -249,10 +249,29 @@
 	plan_updates(ja);
 }
 
+/* The specs of a message, which its starts share. */
+static GPtrArray *
+specs_from_wire(const run_start_args *args)
+{
+	GPtrArray *specs =
+	    g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
+	uint32_t i;
+
+	for (i = 0; i < args->specs.specs_len; i++) {
+		const run_spec *spec = &args->specs.specs_val[i];
+
+		g_ptr_array_add(
+		    specs, g_bytes_new(spec->run_spec_val, spec->run_spec_len));
+	}
+	return specs;
+}
+
 static void
 on_start(uint64_t session, const struct run_start_args *args, void *ctx)
 {
 	struct ja *ja = ctx;
+	g_autoptr(GPtrArray) specs = specs_from_wire(args);
+	g_autoptr(GBytes) none = g_bytes_new_static("", 0);
 	int64_t now_ms = clk_now_ms();
 	uint32_t i;
 
@@ -263,9 +282,7 @@
 		    .seq = s->seq,
 		    .task = s->task,
 		    .queue = s->queue,
-		    .spec = s->spec < args->specs.specs_len
-				? args->specs.specs_val[s->spec]
-				: "",
+		    .spec = s->spec < specs->len ? specs->pdata[s->spec] : none,
 		    .size = size_from_wire(&s->size),
 		    .priority = s->priority,
 		    .expected_ms = s->expected_ms,
@@ -389,7 +406,7 @@
 }
 
 static void
-start_run(const char *task, const char *spec, int64_t run, void *ctx)
+start_run(const char *task, GBytes *spec, int64_t run, void *ctx)
 {
 	struct ja *ja = ctx;
 
--- a/src/request/ledger.c
+++ b/src/request/ledger.c
@@ -46,7 +46,7 @@
 	uint64_t seq;
 	char *task;
 	char *queue;
-	char *spec;
+	GBytes *spec;
 	struct wk_size size;
 	uint32_t priority;
 	uint64_t order; /* number of the start in order of arrival */
@@ -100,7 +100,7 @@
 {
 	g_free(run->task);
 	g_free(run->queue);
-	g_free(run->spec);
+	g_clear_pointer(&run->spec, g_bytes_unref);
 	g_free(run);
 }
 
@@ -206,7 +206,7 @@
 	run->seq = start->seq;
 	run->task = g_strdup(start->task);
 	run->queue = g_strdup(start->queue);
-	run->spec = g_strdup(start->spec);
+	run->spec = g_bytes_ref(start->spec);
 	run->size = start->size;
 	run->priority = start->priority;
 	run->order = led->next_order++;
--- a/src/request/ledger.h
+++ b/src/request/ledger.h
@@ -17,13 +17,13 @@
  */
 struct led;
 
-/* A start requested by an entry; strings are copied. */
+/* A start requested by an entry; strings are copied, the spec is shared. */
 struct led_start {
 	uint64_t session; /* connection of the entry */
 	uint64_t seq;
 	const char *task;
 	const char *queue;
-	const char *spec;
+	GBytes *spec;
 	struct wk_size size;
 	uint32_t priority;
 	int64_t expected_ms; /* run time on this worker, 0: unknown */
@@ -67,8 +67,7 @@
 	 * Calls to the worker.  Their answers go to led_started() and
 	 * led_stopped().
 	 */
-	void (*start)(
-	    const char *task, const char *spec, int64_t run, void *ctx);
+	void (*start)(const char *task, GBytes *spec, int64_t run, void *ctx);
 	void (*stop)(const char *task, int64_t run, void *ctx);
 	/* Asks the worker for a report made after this call. */
 	void (*request_report)(void *ctx);
--- a/src/request/sched.h
+++ b/src/request/sched.h
@@ -51,7 +51,7 @@
 	const char *job;
 	uint32_t step;
 	uint32_t index;
-	const char *spec;
+	GBytes *spec;
 	const char *service;
 	const char *queue;
 	struct wk_size size;
--- a/src/request/work.c
+++ b/src/request/work.c
@@ -98,6 +98,6 @@
 	}
 	g_free(job->steps);
 	g_free(job->id);
-	g_free(job->spec);
+	g_clear_pointer(&job->spec, g_bytes_unref);
 	g_free(job);
 }
--- a/src/request/work.h
+++ b/src/request/work.h
@@ -1,6 +1,7 @@
 #ifndef SP_WORK_H
 #define SP_WORK_H
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -27,7 +28,7 @@
 
 struct wk_job {
 	char *id;
-	char *spec; /* opaque text, passed to the worker */
+	GBytes *spec; /* text for the worker, which may have U+0000 */
 	struct wk_step *steps;
 	uint32_t n_steps;
 };
--- a/tests/test_holder.c
+++ b/tests/test_holder.c
@@ -351,7 +351,7 @@
 		append(w, hold_is_ready(w->hold) ? "yes" : "no");
 	else if (strcmp(words[0], "start") == 0)
 		hold_start(
-		    w->hold, words[1], "spec", atoi(words[2]), on_started, w);
+		    w->hold, words[1], NULL, atoi(words[2]), on_started, w);
 	else
 		step_calls(w, words);
 }
--- a/tests/test_jobbody.c
+++ b/tests/test_jobbody.c
@@ -29,6 +29,21 @@
 		g_string_append_printf(out, "<%u", step->after[i]);
 }
 
+/* Zero bytes stand as "<0>". */
+static void
+append_spec(GString *out, GBytes *spec)
+{
+	gsize i, len;
+	const char *data = g_bytes_get_data(spec, &len);
+
+	for (i = 0; i < len; i++) {
+		if (data[i] == '\0')
+			g_string_append(out, "<0>");
+		else
+			g_string_append_c(out, data[i]);
+	}
+}
+
 static char *
 decode(const char *text)
 {
@@ -41,7 +56,7 @@
 		g_string_append_printf(
 		    out, "%s: %s", st_name(st.code), st.message);
 	} else {
-		g_string_append(out, job->spec);
+		append_spec(out, job->spec);
 		for (i = 0; i < job->n_steps; i++)
 			append_step(out, &job->steps[i]);
 	}
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -61,7 +61,7 @@
 }
 
 static void
-on_start(const char *task, const char *spec, int64_t run, void *ctx)
+on_start(const char *task, GBytes *spec, int64_t run, void *ctx)
 {
 	(void)spec;
 	emit(ctx, "start:%s.%d", task, (int)run);
@@ -124,11 +124,12 @@
 static void
 submit(struct trace *t, char **w)
 {
+	g_autoptr(GBytes) spec = g_bytes_new_static("spec", 4);
 	struct led_start s = {
 	    .session = (uint64_t)number(w[1]),
 	    .seq = (uint64_t)number(w[2]),
 	    .task = w[3],
-	    .spec = "spec",
+	    .spec = spec,
 	    .size = {.cpu_milli = number(w[4])},
 	    .priority = (uint32_t)number(w[5]),
 	    .expected_ms = EXPECTED_MS,
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -259,7 +259,7 @@
 	guint i;
 
 	spec->id = g_strdup(w[1]);
-	spec->spec = g_strdup("spec");
+	spec->spec = g_bytes_new_static("spec", 4);
 	spec->n_steps = g_strv_length(w) - 5;
 	spec->steps = g_new0(struct wk_step, spec->n_steps);
 	for (i = 0; i < spec->n_steps; i++)
