Refuse a start whose message does not have its spec

Cause: the agent put an empty text in the place of the missing one.

Change: such a start is returned as not started. The reasons for which the ledger refuses a new start stand in one function.

--- a/src/process/jobagent.c
+++ b/src/process/jobagent.c
@@ -271,7 +271,6 @@
 {
 	struct ja *ja = ctx;
 	g_autoptr(GPtrArray) specs = specs_from_wire(args);
-	g_autoptr(GBytes) none = g_bytes_new_static("", 0);
 	int64_t now_ms = clk_now_ms();
 	uint32_t i;
 
@@ -282,7 +281,7 @@
 		    .seq = s->seq,
 		    .task = s->task,
 		    .queue = s->queue,
-		    .spec = s->spec < specs->len ? specs->pdata[s->spec] : none,
+		    .spec = s->spec < specs->len ? specs->pdata[s->spec] : NULL,
 		    .size = size_from_wire(&s->size),
 		    .priority = s->priority,
 		    .expected_ms = s->expected_ms,
--- a/src/request/ledger.c
+++ b/src/request/ledger.c
@@ -197,16 +197,30 @@
 	run_free(run);
 }
 
+/* Returns why a new start can't be queued, or NULL if it can. */
+static const char *
+reason_to_refuse(const struct led *led, const struct run *run)
+{
+	uint32_t queued = (uint32_t)g_sequence_get_length(led->queue);
+
+	if (run->spec == NULL)
+		return "without its spec";
+	if (!wk_fits(&run->size, &led->capacity))
+		return "larger than the worker";
+	return queued >= led->opts.max_queue ? "queue full" : NULL;
+}
+
 void
 led_submit(struct led *led, const struct led_start *start, int64_t now_ms)
 {
 	struct run *run = g_new0(struct run, 1);
+	const char *reason;
 
 	run->session = start->session;
 	run->seq = start->seq;
 	run->task = g_strdup(start->task);
 	run->queue = g_strdup(start->queue);
-	run->spec = g_bytes_ref(start->spec);
+	run->spec = start->spec == NULL ? NULL : g_bytes_ref(start->spec);
 	run->size = start->size;
 	run->priority = start->priority;
 	run->order = led->next_order++;
@@ -214,15 +228,9 @@
 	run->expected_ms = start->expected_ms;
 	run->nominal_ms = start->nominal_ms;
 	run->percent = -1;
-	if (!wk_fits(&run->size, &led->capacity)) {
-		report_result(
-		    led, run, LED_NOT_STARTED, 0, "larger than the worker");
-		run_free(run);
-		return;
-	}
-	if ((uint32_t)g_sequence_get_length(led->queue) >=
-	    led->opts.max_queue) {
-		report_result(led, run, LED_NOT_STARTED, 0, "queue full");
+	reason = reason_to_refuse(led, run);
+	if (reason != NULL) {
+		report_result(led, run, LED_NOT_STARTED, 0, reason);
 		run_free(run);
 		return;
 	}
--- a/src/request/ledger.h
+++ b/src/request/ledger.h
@@ -23,7 +23,7 @@
 	uint64_t seq;
 	const char *task;
 	const char *queue;
-	GBytes *spec;
+	GBytes *spec; /* NULL: none came with the start, which is refused */
 	struct wk_size size;
 	uint32_t priority;
 	int64_t expected_ms; /* run time on this worker, 0: unknown */
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -120,20 +120,22 @@
 	return word == NULL ? 0 : strtoll(word, NULL, 10);
 }
 
-/* submit SESSION SEQ TASK CPU PRIORITY [WITHIN] */
+/* submit SESSION SEQ TASK CPU PRIORITY [WITHIN | nospec] */
 static void
 submit(struct trace *t, char **w)
 {
 	g_autoptr(GBytes) spec = g_bytes_new_static("spec", 4);
+	bool has_spec = g_strcmp0(w[6], "nospec") != 0;
 	struct led_start s = {
 	    .session = (uint64_t)number(w[1]),
 	    .seq = (uint64_t)number(w[2]),
 	    .task = w[3],
-	    .spec = spec,
+	    .spec = has_spec ? spec : NULL,
 	    .size = {.cpu_milli = number(w[4])},
 	    .priority = (uint32_t)number(w[5]),
 	    .expected_ms = EXPECTED_MS,
-	    .start_by_ms = t->now_ms + (w[6] == NULL ? 1000000 : number(w[6])),
+	    .start_by_ms = t->now_ms +
+			   (w[6] == NULL || !has_spec ? 1000000 : number(w[6])),
 	};
 
 	led_submit(t->led, &s, t->now_ms);
