Refuse paths that are not a queue's prefix and a job id

What callers saw: /q/x/ID and /q/0ID were taken for the job ID.

Cause: the id was the last 16 characters of the path; what lay between the prefix and the id was not looked at. GET of any longer path answered pending_jobs.

Change: the rest of the path after the prefix must be the id, or empty for pending_jobs; else the answer is 404 and says why.

Evidence: longer_path_is_another_name in test_job_bodies failed before with "/q/0%016x" answered 200; it passes, as do test_configuration, test_crashing, test_platform, test_cancel_elsewhere, test_late_calls and test_start_once.

--- a/src/process/jobentry.c
+++ b/src/process/jobentry.c
@@ -638,10 +638,13 @@
 	fn(&a, ctx);
 }
 
-/* Returns the queue of a request; if none, answers it and returns NULL. */
+/*
+ * Returns the queue of a request for a job, or for the queue if the id is "".  If
+ * there is none, answers the request and returns NULL.
+ */
 static const struct rts_queue *
-find_queue(struct je *je, const char *host, const char *path, je_answer_fn fn,
-    void *ctx)
+find_queue(struct je *je, const char *host, const char *path, const char *id,
+    je_answer_fn fn, void *ctx)
 {
 	const struct rts_queue *queue;
 
@@ -653,8 +656,16 @@
 		return NULL;
 	}
 	queue = rts_find(je->routes, host, path);
-	if (queue == NULL)
+	if (queue == NULL) {
 		answer_now(fn, ctx, JE_NO_QUEUE, "no such queue", 0);
+		return NULL;
+	}
+	/* A longer path is another name, which must not meet this job. */
+	if (!rts_is_path_of(queue, path, id)) {
+		answer_now(fn, ctx, JE_NO_QUEUE,
+		    "the path is not the prefix of a queue and a job id", 0);
+		return NULL;
+	}
 	return queue;
 }
 
@@ -752,7 +763,7 @@
 	uint64_t ticket = 0;
 
 	handle_pause(je);
-	queue = find_queue(je, host, path, fn, ctx);
+	queue = find_queue(je, host, path, job->id, fn, ctx);
 	if (queue == NULL) {
 		wk_job_free(job);
 		return 0;
@@ -832,7 +843,7 @@
 je_query_state(struct je *je, const char *host, const char *path,
     const char *job, je_answer_fn fn, void *ctx)
 {
-	if (find_queue(je, host, path, fn, ctx) == NULL)
+	if (find_queue(je, host, path, job, fn, ctx) == NULL)
 		return;
 	if (sch_has_job(je->sch, job))
 		answer_now(fn, ctx, JE_RUNNING, "", 0);
@@ -846,7 +857,7 @@
 {
 	bool open, passed_on = false;
 
-	if (find_queue(je, host, path, fn, ctx) == NULL)
+	if (find_queue(je, host, path, job, fn, ctx) == NULL)
 		return;
 	ccl_add(je->cancelled, job, clk_now_ms());
 	open = cancel_open_job(je, job);
@@ -864,7 +875,7 @@
 je_count_pending(struct je *je, const char *host, const char *path,
     je_answer_fn fn, void *ctx)
 {
-	const struct rts_queue *queue = find_queue(je, host, path, fn, ctx);
+	const struct rts_queue *queue = find_queue(je, host, path, "", fn, ctx);
 	struct je_answer a = {.result = JE_PENDING_COUNT, .reason = ""};
 
 	if (queue == NULL)
--- a/src/version/routes.c
+++ b/src/version/routes.c
@@ -111,3 +111,15 @@
 	}
 	return best;
 }
+
+bool
+rts_is_path_of(
+    const struct rts_queue *queue, const char *path, const char *rest)
+{
+	if (!g_str_has_prefix(path, queue->prefix))
+		return false;
+	path += strlen(queue->prefix);
+	if (*path == '/' && !g_str_has_suffix(queue->prefix, "/"))
+		path++;
+	return strcmp(path, rest) == 0;
+}
--- a/src/version/routes.h
+++ b/src/version/routes.h
@@ -49,6 +49,12 @@
  */
 const struct rts_queue *rts_find(
     const struct rts *rts, const char *host, const char *path);
+/*
+ * Whether path is the prefix of the queue and then rest, which is a job id or "";
+ * a slash may stand between them unless the prefix ends with one.
+ */
+bool rts_is_path_of(
+    const struct rts_queue *queue, const char *path, const char *rest);
 void rts_queue_clear(struct rts_queue *queue);
 
 #endif
--- a/tests/test_job_bodies.c
+++ b/tests/test_job_bodies.c
@@ -214,6 +214,42 @@
 }
 END_TEST
 
+/*
+ * A job was known by the last 16 characters of its path alone, so that two names
+ * met in one job, and a task was started under a name that nobody had sent.
+ */
+START_TEST(longer_path_is_another_name)
+{
+	static const char *const paths[] = {"/q/0%016x", "/q/x/%016x",
+	    "/q/0000000000000001/%016x", "/q//%016x"};
+	const unsigned id = 0x600;
+	struct hn_http *starts;
+	struct dpl dpl;
+	unsigned i;
+
+	dpl_start(&dpl, &(struct dpl_options){0});
+	for (i = 0; i < G_N_ELEMENTS(paths); i++) {
+		const char *url = dpl_url(&dpl, 0, hn_str(paths[i], id));
+
+		ck_assert_msg(
+		    hn_http("POST", url, JOB)->status == 404, "%s", paths[i]);
+		ck_assert_int_eq(hn_http("DELETE", url, NULL)->status, 404);
+		ck_assert_int_eq(hn_http("GET", url, NULL)->status, 404);
+	}
+	ck_assert_int_eq(
+	    hn_http("GET", dpl_url(&dpl, 0, "/q/x"), NULL)->status, 404);
+	ck_assert_int_eq(
+	    hn_http("GET", dpl_url(&dpl, 0, "/q/"), NULL)->status, 200);
+	starts = dpl_control(&dpl, "GET", hn_str("starts?job=%016x", id), NULL);
+	ck_assert_int_eq(hn_json_int(starts, "starts"), 0);
+	ck_assert_int_eq(
+	    hn_http("POST", dpl_url(&dpl, 0, hn_str("/q/%016x", id)), JOB)
+		->status,
+	    200);
+	hn_finish();
+}
+END_TEST
+
 /* A heartbeat that comes in chunks or is too large must not end the agent. */
 START_TEST(large_heartbeat_refused)
 {
@@ -237,7 +273,8 @@
 main(void)
 {
 	const TTest *const tests[] = {chunked_jobs_served, large_bodies_refused,
-	    spec_reaches_worker_whole, large_heartbeat_refused};
+	    spec_reaches_worker_whole, longer_path_is_another_name,
+	    large_heartbeat_refused};
 
 	return run_tests(
 	    "job_bodies", tests, G_N_ELEMENTS(tests), 2 * HN_LIMIT_MS / 1000.0);
