--- a/tests/test_jobbody.c
+++ b/tests/test_jobbody.c
@@ -78,6 +78,48 @@
 }
 END_TEST
 
+/* A job whose spec is one text, repeated. */
+static char *
+decode_repeated(const char *text, size_t n)
+{
+	GString *body = g_string_new("{\"spec\":\"");
+	char *got;
+
+	while (n-- > 0)
+		g_string_append(body, text);
+	g_string_append(
+	    body, "\",\"best_effort\":true,\"steps\":[{\"count\":1}]}");
+	got = decode(body->str);
+	g_string_free(body, TRUE);
+	return got;
+}
+
+/* A spec has up to 4,000 bytes, however its characters are written. */
+START_TEST(length_is_that_of_the_text)
+{
+	static const struct {
+		const char *text;
+		size_t most;
+	} rows[] = {{"x", 4000}, {"\\u0041", 4000}, {"\\u0000", 4000},
+	    {"\xf0\x9f\x98\x80", 1000}, {"\\ud83d\\ude00", 1000}};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		g_autofree char *longest =
+		    decode_repeated(rows[i].text, rows[i].most);
+		g_autofree char *too_long =
+		    decode_repeated(rows[i].text, rows[i].most + 1);
+
+		ck_assert_msg(g_str_has_suffix(longest, " 1:0:0:0:0:-:-:0"),
+		    "%s", rows[i].text);
+		ck_assert_msg(
+		    strcmp(too_long,
+			"invalid: field \"spec\": length out of range") == 0,
+		    "%s, %zu times", rows[i].text, rows[i].most + 1);
+	}
+}
+END_TEST
+
 int
 main(void)
 {
@@ -86,5 +128,6 @@
 
 	cases = casefile_load(CASES, &n);
 	tcase_add_loop_test(tc, one_case, 0, (int)n);
+	tcase_add_test(tc, length_is_that_of_the_text);
 	return run_tcase("jobbody", tc, 0);
 }
