Refuse payloads and names that would be changed in stand-alone jobs

What callers saw: a payload with a lone surrogate reached the endpoint with U+FFFD, also inside objects and their names; a name with U+0000 was cut; of two members of one name one was dropped; a service "s\u0000x" was taken for "s".

The stand-alone programs parsed their jobs by themselves, and names were read as C strings.

Change: jobs go through jtx_parse(); a payload must be Unicode, with its field named; names are read by jtx_text(), which refuses U+0000.

--- a/src/request/jobform.c
+++ b/src/request/jobform.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "process/jsonc.h"
+#include "process/jsontext.h"
 #include "request/jobform.h"
 
 #define MAX_CORES     65536
@@ -11,36 +12,14 @@
 parse_json(
     const void *body, size_t len, struct json_object **root, struct status *why)
 {
-	struct json_tokener *tok;
-	enum json_tokener_error error;
+	struct status st = {.message = "another type"};
 
-	*root = NULL;
-	if (len == 0 || len > INT32_MAX) {
-		st_set(why, ST_INVALID, "the body is empty or too long");
-		return REF_BAD_REQUEST;
-	}
-	tok = json_tokener_new_ex(JF_MAX_JSON_DEPTH);
-	json_tokener_set_flags(
-	    tok, JSON_TOKENER_STRICT | JSON_TOKENER_VALIDATE_UTF8);
-	*root = json_tokener_parse_ex(tok, body, (int)len);
-	error = json_tokener_get_error(tok);
-	/*
-	 * Bytes after the value are an error.  So is a body that is only a
-	 * number, since the parser waits for further digits.
-	 */
-	if (error == json_tokener_success &&
-	    json_tokener_get_parse_end(tok) != len)
-		error = json_tokener_error_parse_unexpected;
-	json_tokener_free(tok);
-	if (error == json_tokener_success &&
-	    json_object_is_type(*root, json_type_object))
+	*root = jtx_parse(body, len, JF_MAX_JSON_DEPTH, &st);
+	if (json_object_is_type(*root, json_type_object))
 		return REF_NONE;
 	g_clear_pointer(root, json_object_put);
-	st_set(why, ST_INVALID, "the body is no JSON object: %s",
-	    error == json_tokener_success ? "another type"
-					  : json_tokener_error_desc(error));
-	return error == json_tokener_error_depth ? REF_TOO_DEEP
-						 : REF_BAD_REQUEST;
+	st_set(why, ST_INVALID, "the body is no JSON object: %s", st.message);
+	return st.code == ST_LIMIT ? REF_TOO_DEEP : REF_BAD_REQUEST;
 }
 
 static bool
@@ -84,12 +63,14 @@
     struct json_object *object, const char *key, char **out, struct status *why)
 {
 	struct json_object *value;
+	const char *name;
 
-	if (json_object_object_get_ex(object, key, &value) &&
-	    json_object_is_type(value, json_type_string) &&
-	    jsonc_is_name(json_object_get_string(value))) {
-		*out = g_strdup(json_object_get_string(value));
-		return true;
+	if (json_object_object_get_ex(object, key, &value)) {
+		name = jtx_text(value);
+		if (name != NULL && jsonc_is_name(name)) {
+			*out = g_strdup(name);
+			return true;
+		}
 	}
 	st_set(why, ST_INVALID,
 	    "\"%s\": expected 1 to 64 characters of [A-Za-z0-9._-]", key);
@@ -134,6 +115,10 @@
 		st_set(why, ST_INVALID, "a task has no \"payload\"");
 		return REF_BAD_REQUEST;
 	}
+	if (!jtx_is_unicode(payload)) {
+		st_set(why, ST_INVALID, "\"payload\": malformed Unicode");
+		return REF_BAD_REQUEST;
+	}
 	task->cores = (uint32_t)cores;
 	task->memory_mb = (uint64_t)memory_mb;
 	task->payload = payload_bytes(payload);
