Refuse payloads with whole numbers beyond 64 bits

Cause: json-c holds whole numbers in 64 bits and sets others to the nearest it can hold; a payload that is no string is written anew from what was parsed.

Change: such a payload is refused with the name of the field. The two values that stand for a changed number are refused as well, since json-c does not tell them from it. Fractions keep their digits, as json-c keeps their text.

--- a/src/process/jsontext.c
+++ b/src/process/jsontext.c
@@ -260,3 +260,33 @@
 		   ? text
 		   : NULL;
 }
+
+bool
+jtx_has_clamped_number(struct json_object *value)
+{
+	size_t i;
+
+	switch (json_object_get_type(value)) {
+	case json_type_int:
+		return json_object_get_uint64(value) == UINT64_MAX ||
+		       json_object_get_int64(value) == INT64_MIN;
+	case json_type_array:
+		for (i = 0; i < json_object_array_length(value); i++) {
+			if (jtx_has_clamped_number(
+				json_object_array_get_idx(value, i)))
+				return true;
+		}
+		return false;
+	case json_type_object: {
+		json_object_object_foreach(value, name, member)
+		{
+			(void)name;
+			if (jtx_has_clamped_number(member))
+				return true;
+		}
+		return false;
+	}
+	default:
+		return false;
+	}
+}
--- a/src/process/jsontext.h
+++ b/src/process/jsontext.h
@@ -28,6 +28,11 @@
  * allowed.
  */
 bool jtx_is_unicode(struct json_object *value);
+/*
+ * Whether a whole number in a value may have been changed: json-c sets numbers
+ * that it can't hold to the nearest that it can.
+ */
+bool jtx_has_clamped_number(struct json_object *value);
 /* Returns a string that is Unicode without U+0000; otherwise NULL. */
 const char *jtx_text(struct json_object *value);
 /*
--- a/src/request/jobform.c
+++ b/src/request/jobform.c
@@ -92,13 +92,37 @@
 	return g_bytes_new(text, len);
 }
 
+static enum ref_code
+read_payload(struct json_object *object, const struct jf_limits *limits,
+    struct job_task_spec *task, struct status *why)
+{
+	struct json_object *payload;
+	const char *fault = NULL;
+
+	if (!json_object_object_get_ex(object, "payload", &payload))
+		fault = "a task has no \"payload\"";
+	else if (!jtx_is_unicode(payload))
+		fault = "\"payload\": malformed Unicode";
+	else if (jtx_has_clamped_number(payload))
+		fault = "\"payload\": a number is beyond 64 bits";
+	if (fault != NULL) {
+		st_set(why, ST_INVALID, "%s", fault);
+		return REF_BAD_REQUEST;
+	}
+	task->payload = payload_bytes(payload);
+	if (g_bytes_get_size(task->payload) <= limits->max_payload_bytes)
+		return REF_NONE;
+	st_set(why, ST_LIMIT, "a payload is larger than %u bytes",
+	    limits->max_payload_bytes);
+	return REF_TOO_LARGE;
+}
+
 static enum ref_code
 read_task(struct json_object *object, const struct jf_limits *limits,
     struct job_task_spec *task, struct status *why)
 {
 	static const char *const keys[] = {
 	    "payload", "run_ms", "cores", "memory_mb", NULL};
-	struct json_object *payload;
 	int64_t cores = 0, memory_mb = 0;
 
 	if (!json_object_is_type(object, json_type_object)) {
@@ -111,23 +135,9 @@
 	    !get_int(object, "cores", 0, MAX_CORES, &cores, why) ||
 	    !get_int(object, "memory_mb", 0, MAX_MEMORY_MB, &memory_mb, why))
 		return REF_BAD_REQUEST;
-	if (!json_object_object_get_ex(object, "payload", &payload)) {
-		st_set(why, ST_INVALID, "a task has no \"payload\"");
-		return REF_BAD_REQUEST;
-	}
-	if (!jtx_is_unicode(payload)) {
-		st_set(why, ST_INVALID, "\"payload\": malformed Unicode");
-		return REF_BAD_REQUEST;
-	}
 	task->cores = (uint32_t)cores;
 	task->memory_mb = (uint64_t)memory_mb;
-	task->payload = payload_bytes(payload);
-	if (g_bytes_get_size(task->payload) > limits->max_payload_bytes) {
-		st_set(why, ST_LIMIT, "a payload is larger than %u bytes",
-		    limits->max_payload_bytes);
-		return REF_TOO_LARGE;
-	}
-	return REF_NONE;
+	return read_payload(object, limits, task, why);
 }
 
 static enum ref_code
