Refuse settings and operators' texts with malformed Unicode

Change: the scan reports lone surrogates and strings that are not UTF-8 with line and column; lists of texts refuse U+0000.

Evidence: the case "lone surrogate" of jsonc.txt and malformed_texts_are_refused failed before; both pass, as do test_settings and test_config.

--- a/src/process/jsonc.c
+++ b/src/process/jsonc.c
@@ -4,6 +4,7 @@
 
 #include "jsonc.h"
 #include "jsonc_scan.h"
+#include "jsontext.h"
 
 #define MAX_FILE_BYTES (4UL * 1024 * 1024)
 #define NAME_MAX_LEN   64
@@ -315,7 +316,12 @@
 			    "expected an array of strings, got %s at index %zu",
 			    type_name(item), i);
 		}
-		copy[i] = g_strdup(json_object_get_string(item));
+		if (jtx_text(item) == NULL) {
+			g_strfreev(copy);
+			return jsonc_error(node, key, st,
+			    "string contains \\u0000 at index %zu", i);
+		}
+		copy[i] = g_strdup(jtx_text(item));
 	}
 	g_strfreev(*out);
 	*out = copy;
--- a/src/process/jsonc_scan.c
+++ b/src/process/jsonc_scan.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "jsonc_scan.h"
+#include "jsontext.h"
 
 /*
  * State of a syntax check that is stricter than json-c, which accepts
@@ -92,10 +93,14 @@
 		if (sc->end - sc->p < 2 ||
 		    strchr("\"\\/bfnrtu", sc->p[1]) == NULL || sc->p[1] == 0)
 			return scan_error(sc, sc->p, "unknown escape");
-		sc->p++;
+		if (jtx_is_lone_surrogate(sc->p, sc->end))
+			return scan_error(sc, sc->p, "lone surrogate");
+		sc->p += jtx_escape_bytes(sc->p, sc->end) - 1;
 	}
 	if (sc->p >= sc->end)
 		return scan_error(sc, start, "string is not closed");
+	if (!g_utf8_validate_len(start, (gsize)(sc->p - start), NULL))
+		return scan_error(sc, start, "string is not UTF-8");
 	sc->p++;
 	return true;
 }
--- a/src/process/jsontext.c
+++ b/src/process/jsontext.c
@@ -66,9 +66,8 @@
 	       (is_half(unit, HIGH_SURROGATE) && !is_pair(p, end));
 }
 
-/* Number of bytes of the escape at p, a pair of surrogates as one. */
-static size_t
-escape_bytes(const char *p, const char *end)
+size_t
+jtx_escape_bytes(const char *p, const char *end)
 {
 	if (is_pair(p, end))
 		return (size_t)2 * ESCAPE_BYTES;
@@ -99,7 +98,7 @@
 		if (jtx_is_lone_surrogate(p, sc->end))
 			mark_lone(sc, p);
 		*has_zero = *has_zero || escaped_unit(p, sc->end) == 0;
-		p += escape_bytes(p, sc->end);
+		p += jtx_escape_bytes(p, sc->end);
 	}
 	return p < sc->end ? p + 1 : sc->end;
 }
--- a/src/process/jsontext.h
+++ b/src/process/jsontext.h
@@ -40,5 +40,7 @@
  * half.  end is the end of the text.
  */
 bool jtx_is_lone_surrogate(const char *p, const char *end);
+/* Number of bytes of the escape at p, a pair of surrogates as one. */
+size_t jtx_escape_bytes(const char *p, const char *end);
 
 #endif
--- a/tests/test_jsonc.c
+++ b/tests/test_jsonc.c
@@ -63,4 +63,26 @@
 }
 END_TEST
 
-CASES_MAIN("jsonc", check_text, truncated_text_is_refused, getters_check_types)
+/* Texts were cut at U+0000, or kept with bytes that no reader accepts. */
+START_TEST(malformed_texts_are_refused)
+{
+	const char *zero = "{\"a\": [\"x\", \"y\\u0000z\"]}";
+	const char *bytes = "{\"a\": \"\xed\xa0\x80\"}";
+	struct status st;
+	struct jsonc *doc = jsonc_parse("t", zero, strlen(zero), &st);
+	struct jsonc_node root;
+	char **texts = NULL;
+
+	ck_assert(jsonc_root(doc, &root, &st));
+	ck_assert(!jsonc_strings(&root, "a", JSONC_REQUIRED, &texts, &st));
+	ck_assert_str_eq(
+	    st.message, "t:1:2: a: string contains \\u0000 at index 1");
+	ck_assert_ptr_null(texts);
+	jsonc_free(doc);
+	ck_assert_ptr_null(jsonc_parse("t", bytes, strlen(bytes), &st));
+	ck_assert_str_eq(st.message, "t:1:7: string is not UTF-8");
+}
+END_TEST
+
+CASES_MAIN("jsonc", check_text, truncated_text_is_refused, getters_check_types,
+    malformed_texts_are_refused)
