Parse configuration, announcements and the store's replies in one place

What could be seen: a route to the service "desk\u0000x" sent its queue to "desk" (ROUTE), one with a lone surrogate to a service of another name, and of two members "service" the last was taken.

Change: they call fld_parse(), so that jsontext.c and jsonc.c, which reads comments, are the only callers of json-c's parser. Texts are read by jtx_text(). A route with a malformed text is left out, as one without a field is; the others hold.

--- a/src/connection/announce.c
+++ b/src/connection/announce.c
@@ -4,6 +4,8 @@
 
 #include "connection/announce.h"
 #include "connection/endpoint.h"
+#include "process/fields.h"
+#include "process/jsontext.h"
 
 #define TTL_MIN_MS     100
 #define TTL_MAX_MS     600000
@@ -99,9 +101,9 @@
 			   f->name,
 			   f->type == json_type_string ? "length" : "value",
 			   f->min, f->max) == ST_OK;
-	if (f->type == json_type_string &&
-	    strlen(json_object_get_string(value)) != (size_t)size)
-		return st_set(st, ST_INVALID, "key \"%s\": NUL in string",
+	if (f->type == json_type_string && jtx_text(value) == NULL)
+		return st_set(st, ST_INVALID,
+			   "key \"%s\": malformed Unicode or U+0000",
 			   f->name) == ST_OK;
 	return true;
 }
@@ -176,26 +178,11 @@
 static struct json_object *
 parse_body(const char *json, size_t len, struct status *st)
 {
-	struct json_tokener *tok;
-	struct json_object *root;
-
 	if (len == 0 || len > BODY_MAX_BYTES) {
 		st_set(st, ST_INVALID, "body of %zu bytes", len);
 		return NULL;
 	}
-	tok = json_tokener_new();
-	json_tokener_set_flags(tok, JSON_TOKENER_STRICT);
-	root = json_tokener_parse_ex(tok, json, (int)len);
-	if (json_tokener_get_error(tok) != json_tokener_success ||
-	    json_tokener_get_parse_end(tok) != len) {
-		st_set(st, ST_INVALID, "offset %zu: %s",
-		    json_tokener_get_parse_end(tok),
-		    json_tokener_error_desc(json_tokener_get_error(tok)));
-		json_object_put(root);
-		root = NULL;
-	}
-	json_tokener_free(tok);
-	return root;
+	return fld_parse(json, len, st);
 }
 
 bool
--- a/src/daemons/spctl.c
+++ b/src/daemons/spctl.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "process/fields.h"
 #include "version/config.h"
 
 #define REQUEST_TIMEOUT_S 8 /* an entry retries a change for up to 4 s */
@@ -187,7 +188,7 @@
 static enum exit_code
 print_refusal(unsigned code, const char *text)
 {
-	struct json_object *reply = json_tokener_parse(text);
+	struct json_object *reply = fld_parse(text, strlen(text), NULL);
 
 	if (as_json && reply != NULL)
 		print_json(reply);
@@ -221,7 +222,7 @@
 		*result = report_no_answer(code);
 		return NULL;
 	}
-	reply = code == 200 ? json_tokener_parse(text) : NULL;
+	reply = code == 200 ? fld_parse(text, strlen(text), NULL) : NULL;
 	if (!json_object_is_type(reply, json_type_object)) {
 		json_object_put(reply);
 		reply = NULL;
@@ -319,7 +320,7 @@
 	json_object_put(body);
 	if (text == NULL)
 		return report_no_answer(code);
-	reply = code == 200 ? json_tokener_parse(text) : NULL;
+	reply = code == 200 ? fld_parse(text, strlen(text), NULL) : NULL;
 	if (json_object_is_type(reply, json_type_object)) {
 		result = wait_in_force(reply);
 	} else {
--- a/src/version/config.c
+++ b/src/version/config.c
@@ -6,6 +6,7 @@
 #include "config.h"
 #include "config_text.h"
 #include "process/jsonc.h"
+#include "process/jsontext.h"
 
 struct cfg {
 	int refs;
@@ -130,9 +131,9 @@
 
 	if (!json_object_is_type(object, json_type_object) ||
 	    !json_object_object_get_ex(object, key, &value) ||
-	    !json_object_is_type(value, json_type_string))
+	    jtx_text(value) == NULL)
 		return "";
-	return json_object_get_string(value);
+	return jtx_text(value);
 }
 
 static bool
--- a/src/version/etcd.c
+++ b/src/version/etcd.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "etcd.h"
+#include "process/fields.h"
 
 #define MAX_CONNECTIONS 16
 
@@ -167,7 +168,6 @@
 {
 	struct status st = {.code = ST_OK};
 	struct json_object *reply;
-	struct json_tokener *tok;
 	const char *data;
 	gsize len;
 	guint code = soup_message_get_status(call->msg);
@@ -186,9 +186,7 @@
 		fail_call(call, why, true);
 		return;
 	}
-	tok = json_tokener_new();
-	reply = json_tokener_parse_ex(tok, len > 0 ? data : "", (int)len);
-	json_tokener_free(tok);
+	reply = fld_parse(data, len, &st);
 	if (!json_object_is_type(reply, json_type_object))
 		fail_call(call, "reply is not a JSON object", true);
 	else if (call->kind == READ)
