--- a/src/connection/worklink.c
+++ b/src/connection/worklink.c
@@ -7,6 +7,7 @@
 
 #include "connection/address.h"
 #include "connection/rpc.h"
+#include "connection/startspecs.h"
 #include "connection/worklink.h"
 #include "process/clock.h"
 #include "process/events.h"
@@ -254,8 +255,7 @@
 	link->last_open_ms = clk_now_ms();
 	link->starts = g_array_new(FALSE, FALSE, sizeof(run_start));
 	g_array_set_clear_func(link->starts, start_clear);
-	link->specs =
-	    g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
+	link->specs = ssp_new();
 	link->cancels = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	connect_link(link);
 	return link;
@@ -313,18 +313,6 @@
 	schedule_reconnect(link);
 }
 
-static uint32_t
-spec_index(struct wlk *link, GBytes *spec)
-{
-	guint n = link->specs->len;
-
-	/* Tasks of a job are started in sequence and share their spec. */
-	if (n > 0 && link->specs->pdata[n - 1] == spec)
-		return n - 1;
-	g_ptr_array_add(link->specs, g_bytes_ref(spec));
-	return n;
-}
-
 bool
 wlk_start(struct wlk *link, const run_start *start, GBytes *spec)
 {
@@ -336,7 +324,7 @@
 	copy.task = g_strdup(start->task);
 	copy.service = g_strdup(start->service);
 	copy.queue = g_strdup(start->queue);
-	copy.spec = spec_index(link, spec);
+	copy.spec = ssp_add(link->specs, spec);
 	g_array_append_val(link->starts, copy);
 	return true;
 }
@@ -388,20 +376,13 @@
 static void
 send_starts(struct wlk *link)
 {
-	g_autofree run_spec *specs = g_new0(run_spec, link->specs->len);
+	g_autofree run_spec *specs = ssp_to_wire(link->specs);
 	run_start_args args = {
 	    .sent_ms = clk_now_ms(),
 	    .specs = {link->specs->len, specs},
 	    .starts = {link->starts->len, (run_start *)link->starts->data},
 	};
-	gsize len;
-	guint i;
 
-	for (i = 0; i < link->specs->len; i++) {
-		specs[i].run_spec_val =
-		    (char *)g_bytes_get_data(link->specs->pdata[i], &len);
-		specs[i].run_spec_len = (u_int)len;
-	}
 	rpc_send(link->conn, RUN_START, (xdrproc_t)xdr_run_start_args, &args);
 }
 
--- a/src/process/jobagent.c
+++ b/src/process/jobagent.c
@@ -3,6 +3,7 @@
 
 #include "connection/holder.h"
 #include "connection/sessions.h"
+#include "connection/startspecs.h"
 #include "process/clock.h"
 #include "process/crashwatch.h"
 #include "process/enlist.h"
@@ -249,28 +250,11 @@
 	plan_updates(ja);
 }
 
-/* The specs of a message, which its starts share. */
-static GPtrArray *
-specs_from_wire(const run_start_args *args)
-{
-	GPtrArray *specs =
-	    g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
-	uint32_t i;
-
-	for (i = 0; i < args->specs.specs_len; i++) {
-		const run_spec *spec = &args->specs.specs_val[i];
-
-		g_ptr_array_add(
-		    specs, g_bytes_new(spec->run_spec_val, spec->run_spec_len));
-	}
-	return specs;
-}
-
 static void
 on_start(uint64_t session, const struct run_start_args *args, void *ctx)
 {
 	struct ja *ja = ctx;
-	g_autoptr(GPtrArray) specs = specs_from_wire(args);
+	g_autoptr(GPtrArray) specs = ssp_from_wire(args);
 	int64_t now_ms = clk_now_ms();
 	uint32_t i;
 
