Answer requests whose body is not delimited properly, once and with a reason

What callers saw on the ports of spjobd: a chunk size that is no number ended the body, and what followed was read as the next request (two answers, the second as HTTP/1.0); a job whose chunks broke off or were malformed after its last brace was run; a negative or huge Content-Length had no answer for good; a POST without a length was told "0 bytes are no JSON"; a refused heartbeat had no reason.

Cause: libsoup 3.2 reads chunk sizes by strtoul() and lengths without a range, and takes an end of the input between two chunks for the end of the body. The product saw the decoded body only.

Change: framing.c checks the headers, and reads bodies in chunks by the strict decoder that endpoints' answers already pass (chunked.c). It takes the connection from libsoup and hands the request back with a Content-Length, so that handlers and answers stay as they are; a malformed request is answered there. The ports for clients, heartbeats, readiness and metrics call it. hl_limit_body() no longer counts chunks.

--- a/src/connection/httplisten.c
+++ b/src/connection/httplisten.c
@@ -1,5 +1,6 @@
 #include <errno.h>
 #include "connection/address.h"
+#include "connection/framing.h"
 #include "connection/httplisten.h"
 #include <sys/socket.h>
 
@@ -7,9 +8,10 @@
  * With GLib's default of 10, the kernel dropped connections when 200 callers
  * connected at once, and they retried only after a second or more.
  */
-#define HTTP_BACKLOG 1024
-#define TIMER_KEY    "sequoiaplank-receive-timer"
-#define LIMIT_KEY    "sequoiaplank-body-limit"
+#define HTTP_BACKLOG  1024
+#define TIMER_KEY     "sequoiaplank-receive-timer"
+#define LIMIT_KEY     "sequoiaplank-body-limit"
+#define TOO_LARGE_KEY "sequoiaplank-body-too-large"
 
 struct timer {
 	SoupServerMessage *msg;
@@ -117,52 +119,51 @@
 		   max_bytes;
 }
 
-/* Limit and received part of a body. */
-struct limit {
-	uint64_t max_bytes;
-	uint64_t bytes;
-	bool exceeded;
-};
+void
+hl_limit_body(SoupServer *server, SoupServerMessage *msg, uint64_t max_bytes)
+{
+	SoupMessageHeaders *headers =
+	    soup_server_message_get_request_headers(msg);
+
+	if (frm_take(server, msg, max_bytes))
+		return;
+	if ((uint64_t)soup_message_headers_get_content_length(headers) >
+	    max_bytes) {
+		g_object_set_data(G_OBJECT(msg), TOO_LARGE_KEY, msg);
+		hl_discard_body(msg);
+	}
+}
 
 static void
-exceed(SoupServerMessage *msg, struct limit *limit)
+on_headers(SoupServerMessage *msg, gpointer data)
 {
-	limit->exceeded = true;
-	hl_discard_body(msg);
+	SoupServer *server = data;
+	const uint64_t *max_bytes =
+	    g_object_get_data(G_OBJECT(server), LIMIT_KEY);
+
+	hl_limit_body(server, msg, *max_bytes);
 }
 
 static void
-on_chunk(SoupServerMessage *msg, GBytes *chunk, gpointer data)
+on_started(SoupServer *server, SoupServerMessage *msg, gpointer data)
 {
-	struct limit *limit = data;
-
-	limit->bytes += g_bytes_get_size(chunk);
-	if (!limit->exceeded && limit->bytes > limit->max_bytes)
-		exceed(msg, limit);
+	(void)data;
+	g_signal_connect(msg, "got-headers", G_CALLBACK(on_headers), server);
 }
 
 void
-hl_limit_body(SoupServerMessage *msg, uint64_t max_bytes)
+hl_limit_bodies(SoupServer *server, uint64_t max_bytes)
 {
-	SoupMessageHeaders *headers =
-	    soup_server_message_get_request_headers(msg);
-	struct limit *limit = g_new0(struct limit, 1);
-
-	limit->max_bytes = max_bytes;
-	g_object_set_data_full(G_OBJECT(msg), LIMIT_KEY, limit, g_free);
-	if ((uint64_t)soup_message_headers_get_content_length(headers) >
-	    max_bytes)
-		exceed(msg, limit);
-	else
-		g_signal_connect(msg, "got-chunk", G_CALLBACK(on_chunk), limit);
+	g_object_set_data_full(G_OBJECT(server), LIMIT_KEY,
+	    g_memdup2(&max_bytes, sizeof(max_bytes)), g_free);
+	g_signal_connect(
+	    server, "request-started", G_CALLBACK(on_started), NULL);
 }
 
 GBytes *
 hl_body(SoupServerMessage *msg)
 {
-	const struct limit *limit = g_object_get_data(G_OBJECT(msg), LIMIT_KEY);
-
-	if (limit == NULL || limit->exceeded)
+	if (g_object_get_data(G_OBJECT(msg), TOO_LARGE_KEY) != NULL)
 		return NULL;
 	return soup_message_body_flatten(
 	    soup_server_message_get_request_body(msg));
--- a/src/connection/httplisten.h
+++ b/src/connection/httplisten.h
@@ -7,6 +7,8 @@
 
 #include "process/status.h"
 
+/* Largest body where none is expected. */
+#define HL_SMALL_BODY_BYTES 65536
 /* Default time for a request to arrive, including idle time before it. */
 #define HL_RECEIVE_TIMEOUT_MS 60000
 
@@ -26,11 +28,13 @@
 /* Whether the headers declare a body above max_bytes or of unknown length. */
 bool hl_body_exceeds(SoupServerMessage *msg, uint64_t max_bytes);
 /*
- * Bounds the body of a request, which may come in chunks.  To be called from
- * "got-headers".  libsoup takes a chunked body for complete whose end is
- * missing, so its reader must notice that.
+ * Bounds the body of a request, which may come in chunks, and refuses a request
+ * whose body is not delimited properly.  To be called from "got-headers".
  */
-void hl_limit_body(SoupServerMessage *msg, uint64_t max_bytes);
+void hl_limit_body(
+    SoupServer *server, SoupServerMessage *msg, uint64_t max_bytes);
+/* Calls hl_limit_body() for each request of a server. */
+void hl_limit_bodies(SoupServer *server, uint64_t max_bytes);
 /*
  * The body of a request with hl_limit_body(), which the caller unrefs, or NULL
  * if it was larger.
--- a/src/process/metrics.c
+++ b/src/process/metrics.c
@@ -42,6 +42,7 @@
 	met->dropped = ctr_counter(counters, "sp_log_dropped_total",
 	    "Log lines that could not be written.");
 	met->server = soup_server_new("server-header", NULL, NULL);
+	hl_limit_bodies(met->server, HL_SMALL_BODY_BYTES);
 	soup_server_add_handler(
 	    met->server, "/metrics", serve_metrics, met, NULL);
 	if (!hl_listen(met->server, listen, st)) {
--- a/tests/deployment.h
+++ b/tests/deployment.h
@@ -36,6 +36,7 @@
 	uint16_t agent_port[DPL_AGENTS];
 	uint16_t control_port[DPL_AGENTS]; /* of the agents, for heartbeats */
 	uint16_t entry_metrics_port;	   /* of entry 0 */
+	uint16_t entry_ready_port;	   /* of entry 0 */
 	uint16_t agent_metrics_port;	   /* of agent 0 */
 	/* Ports that the clients of each path connect to. */
 	uint16_t path[DPL_N_PATHS][DPL_AGENTS];
--- /dev/null
+++ b/tests/test_odd_requests.c
@@ -0,0 +1,215 @@
+/*
+ * Requests that are malformed as HTTP, on the ports of real processes: each has
+ * one answer that says what is wrong, and changes nothing.
+ */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "deployment.h"
+#include "runner.h"
+
+#define ANSWER_MAX     8192
+#define ANSWER_WAIT_MS 500
+#define LARGE_BYTES    200000
+#define PATH	       "/q/00000000000007a0"
+#define JOB                                                                    \
+	"{\"spec\":\"1\",\"best_effort\":true,\"steps\":["                     \
+	"{\"count\":1,\"cpu\":1000,\"mem_mb\":1}]}" /* 75 bytes, 0x4b */
+#define POST	  "$ HTTP/1.1\r\nHost: 127.0.0.1\r\n"
+#define CHUNKED	  POST "Transfer-Encoding: chunked\r\n\r\n"
+#define JOB_CHUNK "4b\r\n" JOB "\r\n"
+
+/* Who answers a row, and on which ports. */
+enum by {
+	HANDLER, /* the clients' port only */
+	FRAMING, /* every port, before the request is handled */
+	LIBSOUP	 /* every port; the answer has no body */
+};
+
+struct row {
+	const char *name;
+	/* "$" stands for method and path, "@" for LARGE_BYTES letters. */
+	const char *request;
+	int status; /* 0: the connection is closed without an answer */
+	enum by by;
+	bool half_close; /* no more bytes follow */
+};
+
+static const struct row rows[] = {
+    {"empty body", POST "Content-Length: 0\r\n\r\n", 400, HANDLER, false},
+    {"cut JSON", POST "Content-Length: 10\r\n\r\n{\"spec\":\"1", 400, HANDLER,
+	false},
+    {"other method", "BREW " PATH " HTTP/1.1\r\nHost: 127.0.0.1\r\n\r\n", 405,
+	HANDLER, false},
+    {"no job id",
+	"POST /q/7 HTTP/1.1\r\nHost: 127.0.0.1\r\n"
+	"Content-Length: 75\r\n\r\n" JOB,
+	400, HANDLER, false},
+    {"no length", POST "\r\n", 411, FRAMING, false},
+    {"negative length", POST "Content-Length: -1\r\n\r\n" JOB, 400, FRAMING,
+	false},
+    {"length beyond 64 bits",
+	POST "Content-Length: 99999999999999999999\r\n\r\n" JOB, 400, FRAMING,
+	false},
+    {"two lengths", POST "Content-Length: 75\r\nContent-Length: 5\r\n\r\n" JOB,
+	400, FRAMING, false},
+    {"length and chunks",
+	POST "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n" JOB_CHUNK
+	     "0\r\n\r\n",
+	400, FRAMING, false},
+    {"chunk size of letters", CHUNKED "zz\r\n" JOB "\r\n0\r\n\r\n", 400,
+	FRAMING, false},
+    {"chunk size with a prefix", CHUNKED "0x4b\r\n" JOB "\r\n0\r\n\r\n", 400,
+	FRAMING, false},
+    {"negative chunk size", CHUNKED "-5\r\n" JOB "\r\n0\r\n\r\n", 400, FRAMING,
+	false},
+    {"huge chunk size", CHUNKED "ffffffffffffffffff\r\n" JOB "\r\n0\r\n\r\n",
+	400, FRAMING, false},
+    {"bad chunk after a whole job", CHUNKED JOB_CHUNK "zz\r\n\r\n", 400,
+	FRAMING, false},
+    {"end of the input after a whole job", CHUNKED JOB_CHUNK, 400, FRAMING,
+	true},
+    {"end of the input in a chunk", CHUNKED "4b\r\n{\"spec\"", 400, FRAMING,
+	true},
+    {"end of the input in a body", POST "Content-Length: 75\r\n\r\n{\"spec\"",
+	0, LIBSOUP, true},
+    {"length with letters", POST "Content-Length: 75x\r\n\r\n" JOB, 400,
+	LIBSOUP, false},
+    {"two lengths in one header", POST "Content-Length: 75, 5\r\n\r\n" JOB, 400,
+	LIBSOUP, false},
+    {"other coding", POST "Transfer-Encoding: gzip\r\n\r\n" JOB, 501, LIBSOUP,
+	false},
+    {"no request", "GARBAGE\r\n\r\n", 400, LIBSOUP, false},
+    {"no host", "$ HTTP/1.1\r\nContent-Length: 75\r\n\r\n" JOB, 400, LIBSOUP,
+	false},
+    {"large header", POST "X-Large: @\r\nContent-Length: 75\r\n\r\n" JOB, 0,
+	LIBSOUP, false},
+    {"large path", "GET /q/@ HTTP/1.1\r\nHost: 127.0.0.1\r\n\r\n", 0, LIBSOUP,
+	false},
+};
+
+static char *
+replace(const char *text, const char *sign, const char *by)
+{
+	char **parts = g_strsplit(text, sign, 2);
+	char *replaced = g_strjoinv(by, parts);
+
+	g_strfreev(parts);
+	return replaced;
+}
+
+static char *
+request_of(const struct row *row, const char *target)
+{
+	g_autofree char *large = g_strnfill(LARGE_BYTES, 'x');
+	g_autofree char *text = replace(row->request, "$", target);
+
+	return replace(text, "@", large);
+}
+
+static int
+connect_to(uint16_t port)
+{
+	struct timeval limit = {.tv_usec = ANSWER_WAIT_MS * 1000};
+	struct sockaddr_in to = {.sin_family = AF_INET,
+	    .sin_port = htons(port),
+	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	ck_assert_int_eq(
+	    connect(fd, (const struct sockaddr *)&to, sizeof(to)), 0);
+	ck_assert_int_eq(
+	    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit)), 0);
+	return fd;
+}
+
+/* Sends a request and reads what is answered within ANSWER_WAIT_MS. */
+static char *
+exchange(uint16_t port, const struct row *row, const char *target)
+{
+	g_autofree char *request = request_of(row, target);
+	char *answer = g_malloc0(ANSWER_MAX);
+	size_t len = 0;
+	ssize_t n;
+	int fd = connect_to(port);
+
+	if (send(fd, request, strlen(request), MSG_NOSIGNAL) < 0)
+		perror("send");
+	if (row->half_close)
+		shutdown(fd, SHUT_WR);
+	while (len < ANSWER_MAX - 1 &&
+	       (n = recv(fd, answer + len, ANSWER_MAX - 1 - len, 0)) > 0)
+		len += (size_t)n;
+	close(fd);
+	return answer;
+}
+
+static int
+count_answers(const char *text)
+{
+	int n = 0;
+
+	while ((text = strstr(text, "HTTP/1.")) != NULL) {
+		n++;
+		text++;
+	}
+	return n;
+}
+
+static void
+check_answer(const char *port_name, uint16_t port, const struct row *row,
+    const char *target)
+{
+	g_autofree char *answer = exchange(port, row, target);
+	int status = 0;
+
+	sscanf(answer, "HTTP/1.%*d %d", &status);
+	ck_assert_msg(
+	    status == row->status && count_answers(answer) == (status != 0),
+	    "%s, %s: expected %d, got %d answers: \"%.300s\"", port_name,
+	    row->name, row->status, count_answers(answer), answer);
+	ck_assert_msg(
+	    row->by == LIBSOUP || strstr(answer, "\"reason\":\"") != NULL,
+	    "%s, %s: no reason in \"%.300s\"", port_name, row->name, answer);
+}
+
+/*
+ * Requests had no answer, two, or one that did not say what was wrong; a job was
+ * run although its request was malformed after it.
+ */
+START_TEST(one_answer_on_each_port)
+{
+	const struct row *row = &rows[_i];
+	struct hn_http *starts;
+	struct dpl dpl;
+
+	dpl_start(&dpl, &(struct dpl_options){0});
+	check_answer("clients", dpl.entry_port[0], row, "POST " PATH);
+	if (row->by != HANDLER) {
+		check_answer("heartbeats", dpl.control_port[0], row,
+		    "PUT /sequoiaplank/instances/w0");
+		check_answer("ready", dpl.entry_ready_port, row,
+		    "POST /sequoiaplank/ready");
+		check_answer(
+		    "metrics", dpl.agent_metrics_port, row, "POST /metrics");
+	}
+	starts = dpl_control(&dpl, "GET", "starts?job=00000000000007a0", NULL);
+	ck_assert_int_eq(hn_json_int(starts, "starts"), 0);
+	ck_assert_int_eq(hn_wait_exit(dpl.entry[0], 0), -1);
+	ck_assert_int_eq(hn_wait_exit(dpl.agent[0], 0), -1);
+	ck_assert(dpl_completes_job(&dpl, 0));
+	hn_finish();
+}
+END_TEST
+
+int
+main(void)
+{
+	return run_rows("odd_requests", one_answer_on_each_port, 0,
+	    (int)G_N_ELEMENTS(rows), 1, 2 * HN_LIMIT_MS / 1000.0);
+}
