Measure the speed of a stand-alone worker again that gets no tasks

Cause: a worker's speed is measured by its tasks alone and never aged, so that one bad measurement stood for good; and the smallest difference in expected finish decided between free workers, although a speed has an error of a tenth.

Change: a speed that was not measured for a number of tasks, more the slower the worker was, counts as average for one task. It is forgotten if that task does not confirm it, and kept for twice as long if it does. Of free workers whose expected finish differs by 5% or less, the one with the smallest share of its slots in use gets the task. A failure counts as an end, so that a failing worker does not stay stale.

--- a/src/request/estimate.c
+++ b/src/request/estimate.c
@@ -24,6 +24,15 @@
 /* With this many samples a worker's measured speed gets half the weight. */
 #define SPEED_PRIOR_SAMPLES 4.0
 
+/*
+ * Tasks of the service for each of its workers after which a speed is stale,
+ * times the slowness of the worker: the slower it was, the more the task costs
+ * that measures it again.
+ */
+#define STALE_ROUNDS 12
+/* Limit of the doublings of STALE_ROUNDS. */
+#define MAX_CONFIRMED 5
+
 static void
 add_sample(struct est_mean *mean, double value, double min_weight)
 {
@@ -96,6 +105,40 @@
 	add_sample(&service->run_us, (double)run_us, SAMPLE_WEIGHT);
 }
 
+void
+est_ended(const struct est_service *service, struct est_worker *worker)
+{
+	worker->ended_at = service->log_run.samples;
+}
+
+bool
+est_is_stale(const struct est_service *service, const struct est_worker *worker,
+    uint32_t n_workers)
+{
+	double since =
+	    (double)(service->log_run.samples - worker->ended_at) / n_workers;
+	double slowness = exp(worker->log_run.value - service->log_run.value);
+
+	return worker->log_run.samples > 0 &&
+	       since >= fmax(slowness, 1) *
+			    (double)(STALE_ROUNDS << worker->confirmed);
+}
+
+void
+est_recheck(const struct est_service *service, struct est_worker *worker,
+    int64_t run_us)
+{
+	double from_worker = fabs(log_us(run_us) - worker->log_run.value);
+	double from_service = fabs(log_us(run_us) - service->log_run.value);
+
+	if (from_worker > from_service) {
+		worker->log_run = (struct est_mean){0};
+		worker->confirmed = 0;
+	} else if (worker->confirmed < MAX_CONFIRMED) {
+		worker->confirmed++;
+	}
+}
+
 bool
 est_is_below_mean(const struct est_worker *worker, int64_t run_us)
 {
--- a/src/request/place.c
+++ b/src/request/place.c
@@ -16,6 +16,8 @@
  * ones are preferred.
  */
 #define REMOTE_FINISH_FACTOR 1.1
+/* Finish times within this factor differ by less than the error of a speed. */
+#define SIMILAR_FINISH 1.05
 
 struct service {
 	char *name;
@@ -99,13 +101,25 @@
 	return service;
 }
 
+static bool
+is_stale(const struct worker *w)
+{
+	return est_is_stale(&w->service->estimate, &w->estimate,
+	    MAX(w->service->workers->len, 1));
+}
+
 /*
- * Expected run time of the task, or of a task of mean length when it is NULL.
+ * Expected run time of the task, or of a task of mean length when it is NULL.  A
+ * worker whose measured speed is stale counts as average for one task, which
+ * measures it: without tasks its speed would stay as it is.
  */
 static double
 worker_run_us(const struct worker *w, const struct place_task *task)
 {
-	return est_run_us(&w->service->estimate, &w->estimate,
+	bool is_average = w->own == 0 && is_stale(w);
+
+	return est_run_us(&w->service->estimate,
+	    is_average ? NULL : &w->estimate,
 	    task == NULL ? 0 : task->declared_ms);
 }
 
@@ -197,36 +211,92 @@
 	return expected_finish_us(place, w, task);
 }
 
+/* Expected finish of the task, with a preference for local workers. */
+static double
+finish_cost_us(const struct place *place, const struct worker *w,
+    const struct place_task *task)
+{
+	double us = expected_finish_us(place, w, task);
+
+	return place->prefer_local && !w->local ? us * REMOTE_FINISH_FACTOR
+						: us;
+}
+
+static double
+used_share(const struct place *place, const struct worker *w)
+{
+	return (double)(load_of(place, w) + w->reserved) / MAX(w->slots, 1);
+}
+
+static bool
+has_free_slot(const struct place *place, const struct worker *w)
+{
+	return load_of(place, w) + w->reserved < w->slots;
+}
+
 /*
- * Returns the worker that is expected to finish the task first, busy or not. If
- * it can't take the task now, the task reserves one of its slots and PLACE_NONE
- * is returned.
+ * Of the workers with a free slot that finish the task in a similar time, returns
+ * the one with the smallest share of its slots in use.
  */
-static uint32_t
-earliest_finish(struct place *place, const struct service *service,
+static struct worker *
+least_used(struct place *place, const struct service *service,
+    const struct place_task *task, double least_us)
+{
+	struct worker *found = NULL;
+	double least_share = INFINITY;
+	guint i;
+
+	for (i = 0; i < service->workers->len; i++) {
+		struct worker *w = service->workers->pdata[i];
+
+		if (!is_live(w) || !fits(w, task) || !has_free_slot(place, w) ||
+		    used_share(place, w) >= least_share ||
+		    finish_cost_us(place, w, task) > least_us * SIMILAR_FINISH)
+			continue;
+		found = w;
+		least_share = used_share(place, w);
+	}
+	return found;
+}
+
+/* Returns the worker that is expected to finish the task first, busy or not. */
+static struct worker *
+first_to_finish(struct place *place, const struct service *service,
     const struct place_task *task)
 {
+	GPtrArray *workers = service->workers;
+	guint offset = random_below(place, MAX(workers->len, 1));
 	struct worker *best = NULL;
 	double best_us = INFINITY;
-	guint offset = random_below(place, MAX(service->workers->len, 1));
 	guint i;
 
-	for (i = 0; i < service->workers->len; i++) {
-		struct worker *w =
-		    service->workers
-			->pdata[(i + offset) % service->workers->len];
+	for (i = 0; i < workers->len; i++) {
+		struct worker *w = workers->pdata[(i + offset) % workers->len];
 		double us;
 
 		if (!is_live(w) || !fits(w, task))
 			continue;
-		us = expected_finish_us(place, w, task);
-		if (place->prefer_local && !w->local)
-			us *= REMOTE_FINISH_FACTOR;
+		us = finish_cost_us(place, w, task);
 		if (us < best_us) {
 			best = w;
 			best_us = us;
 		}
 	}
+	if (best == NULL || !has_free_slot(place, best))
+		return best;
+	return least_used(place, service, task, best_us);
+}
+
+/*
+ * Returns the worker that is to take the task.  If it can't take the task now,
+ * the task reserves one of its slots and PLACE_NONE is returned.
+ */
+static uint32_t
+earliest_finish(struct place *place, const struct service *service,
+    const struct place_task *task)
+{
+	struct worker *best = first_to_finish(place, service, task);
+
 	if (best == NULL)
 		return PLACE_NONE;
 	if (load_of(place, best) + best->reserved < limit_of(place, best))
@@ -533,6 +603,8 @@
 {
 	if (outcome == PLACE_FAILED && est_is_below_mean(&w->estimate, run_us))
 		return;
+	if (is_stale(w))
+		est_recheck(&w->service->estimate, &w->estimate, run_us);
 	est_measure(
 	    &w->service->estimate, &w->estimate, run_us, task->declared_ms);
 }
@@ -561,6 +633,8 @@
 	}
 	if (outcome != PLACE_NOT_STARTED)
 		learn_run_time(w, task, outcome, run_us);
+	/* A worker that fails must not stay stale, which attracts tasks. */
+	est_ended(&w->service->estimate, &w->estimate);
 }
 
 /*
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -154,13 +154,10 @@
  * after 1, 2, 4, 8 and 16 s.
  */
 static void
-failing_worker(struct sys *sys)
+check_failing_worker(struct sys *sys, struct sys_load *load)
 {
-	struct sys_load *load =
-	    sys_load_start(sys, 0, 8, 1, "{\"run_ms\":100}");
 	int64_t before, after, other;
 
-	wait_for_jobs(load, 40);
 	before = sys_endpoint_starts(sys, 0);
 	other = sys_endpoint_starts(sys, 1);
 	sys_set_endpoint_mode(sys, 0, "fail=1");
@@ -175,6 +172,33 @@
 	before = sys_endpoint_starts(sys, 0);
 	while (sys_endpoint_starts(sys, 0) < before + 8)
 		wait_for_jobs(load, 20);
+}
+
+static void
+failing_worker(struct sys *sys)
+{
+	struct sys_load *load =
+	    sys_load_start(sys, 0, 8, 1, "{\"run_ms\":100}");
+
+	wait_for_jobs(load, 40);
+	check_failing_worker(sys, load);
+	sys_load_stop(load);
+}
+
+/*
+ * A worker whose first tasks were slow got no task for good, as long as the
+ * others had room for all: its speed is measured by its tasks alone.
+ */
+static void
+recovered_workers(struct sys *sys)
+{
+	struct sys_load *load;
+
+	set_modes(sys, 0, 2, "speed=0.3");
+	load = sys_load_start(sys, 0, 8, 1, "{\"run_ms\":100}");
+	wait_for_jobs(load, 40);
+	set_modes(sys, 0, 2, "speed=1");
+	check_failing_worker(sys, load);
 	sys_load_stop(load);
 }
 
@@ -570,6 +594,8 @@
     {"many failing workers",
 	{.entries = 1, .agents = 4, .domains = 1, .slots = 4},
 	many_failing_workers},
+    {"recovered workers", {.entries = 1, .agents = 4, .domains = 1, .slots = 4},
+	recovered_workers},
     {"can never run",
 	{.entries = 1,
 	    .agents = 1,
