Send odd specs and bodies in chunks in the soak

From seed 4000 on, specs end with U+0000, pairs of surrogates, escapes or lone surrogates, a third of the jobs comes in chunks, and what the workers were told is compared with what was sent: equal, or nothing for a malformed spec. The draws of earlier seeds stay as they are.

--- a/tests/harness.c
+++ b/tests/harness.c
@@ -374,6 +374,8 @@
     const char *body)
 {
 	struct exchange *ex = g_new0(struct exchange, 1);
+	bool chunked = headers != NULL &&
+		       g_strv_contains(headers, "Transfer-Encoding: chunked");
 	GBytes *bytes;
 	char **field;
 
@@ -399,6 +401,11 @@
 		soup_message_set_request_body_from_bytes(
 		    ex->msg, "application/json", bytes);
 		g_bytes_unref(bytes);
+		/* The length that was set just now goes before the header. */
+		if (chunked)
+			soup_message_headers_set_encoding(
+			    soup_message_get_request_headers(ex->msg),
+			    SOUP_ENCODING_CHUNKED);
 	}
 	g_ptr_array_add(exchanges, ex);
 	soup_session_send_and_read_async(
--- a/tests/test_soak.c
+++ b/tests/test_soak.c
@@ -38,15 +38,18 @@
  * to a worker was carried out by the worker's next incarnation.
  */
 static const uint32_t fixed_seeds[] = {
-    1, 2, 3, 122, 126, 143, 145, 147, 1001, 1002};
+    1, 2, 3, 122, 126, 143, 145, 147, 1001, 1002, 4001, 4002};
 /*
  * From this seed on, some jobs crash their workers and capacities change.
  * Earlier seeds stay as they are, since some are regression tests.
  */
 #define WIDE_SEED 1000
 /* And from this one on, crashed workers return under the id that they had. */
-#define KEEP_ID_SEED	2000
-#define CRASH_ONE_IN	25
+#define KEEP_ID_SEED 2000
+#define CRASH_ONE_IN 25
+/* And from this one on, specs hold odd characters, and bodies come in chunks. */
+#define ODD_SPEC_SEED	4000
+#define CHUNKED_ONE_IN	3
 #define N_NARROW_FAULTS 15
 
 struct job {
@@ -54,6 +57,7 @@
 	struct hn_http *http;
 	char id[17];
 	char *body;
+	char *spec; /* JSON of the spec; NULL: workers must not be told it */
 	int tries;
 	int64_t first_ms;
 	int64_t resend_at_ms; /* 0: an answer is outstanding */
@@ -74,8 +78,9 @@
 	struct job *open_jobs; /* jobs without a final answer */
 	int n_open_jobs;
 	uint32_t last_id;
-	int completed, failed, refused, given_up;
+	int completed, failed, refused, given_up, malformed;
 	bool wide;
+	bool odd_specs;
 	int version;
 	int64_t start_ms;
 	struct fault faults[MAX_FAULTS];
@@ -394,19 +399,43 @@
 	}
 }
 
-static char *
-job_body(struct soak *soak)
+/* Ends of specs, as JSON; the last ones are no Unicode. */
+static const char *const odd_ends[] = {"", "\\u0000", " \\u0000\\u0000x",
+    "\\ud83d\\ude00", "\xf0\x9f\x98\x80", "\\ufffd", "\\\\ud800",
+    "\\\"\\/\\b\\f\\n\\r\\t", "\\u007f\x7f", "\\ud800", "\\udc00x"};
+#define N_MALFORMED_ENDS 2
+
+/* Returns the spec as JSON without quotation marks. */
+static const char *
+job_spec(struct soak *soak, int run_ms, bool *is_malformed)
+{
+	int end;
+
+	*is_malformed = false;
+	if (!soak->odd_specs)
+		return hn_str("%d", run_ms);
+	end = g_rand_int_range(soak->rand, 0, G_N_ELEMENTS(odd_ends));
+	*is_malformed = end >= (int)G_N_ELEMENTS(odd_ends) - N_MALFORMED_ENDS;
+	return hn_str("%d%s", run_ms, odd_ends[end]);
+}
+
+static void
+make_body(struct soak *soak, struct job *job)
 {
 	int steps = g_rand_int_range(soak->rand, 0, 4) == 0 ? 2 : 1;
 	int run_ms = g_rand_int_range(soak->rand, 20, 500);
 	bool crashes =
 	    soak->wide && g_rand_int_range(soak->rand, 0, CRASH_ONE_IN) == 0;
 
-	return g_strdup_printf(
+	bool is_malformed = false;
+	const char *spec =
+	    crashes ? "crash" : job_spec(soak, run_ms, &is_malformed);
+
+	job->spec = is_malformed ? NULL : g_strdup_printf("\"%s\"", spec);
+	job->body = g_strdup_printf(
 	    "{\"spec\":\"%s\",\"best_effort\":true,\"steps\":["
 	    "{\"count\":%d,\"cpu\":1000,\"mem_mb\":1,\"estimate_ms\":%d}%s]}",
-	    crashes ? "crash" : hn_str("%d", run_ms),
-	    g_rand_int_range(soak->rand, 1, 7), run_ms,
+	    spec, g_rand_int_range(soak->rand, 1, 7), run_ms,
 	    steps == 1 ? ""
 		       : ",{\"count\":1,\"cpu\":1000,\"mem_mb\":1,"
 			 "\"estimate_ms\":100,\"after\":[0]}");
@@ -415,15 +444,19 @@
 static void
 send_job(struct soak *soak, struct job *job)
 {
-	static const char *const headers[] = {
+	static const char *const headers[] = {"Content-Type: application/json",
+	    "X-Deadline-Ms: 6000", "Transfer-Encoding: chunked", NULL};
+	static const char *const plain_headers[] = {
 	    "Content-Type: application/json", "X-Deadline-Ms: 6000", NULL};
 	int entry = g_rand_int_range(soak->rand, 0, DPL_ENTRIES);
+	bool chunked = soak->odd_specs &&
+		       g_rand_int_range(soak->rand, 0, CHUNKED_ONE_IN) == 0;
 
 	job->tries++;
 	job->resend_at_ms = 0;
 	job->http = hn_http_start("POST",
-	    dpl_url(&soak->dpl, entry, hn_str("/q/%s", job->id)), headers,
-	    job->body);
+	    dpl_url(&soak->dpl, entry, hn_str("/q/%s", job->id)),
+	    chunked ? headers : plain_headers, job->body);
 }
 
 static void
@@ -432,7 +465,7 @@
 	struct job *job = g_new0(struct job, 1);
 
 	snprintf(job->id, sizeof(job->id), "%016x", ++soak->last_id);
-	job->body = job_body(soak);
+	make_body(soak, job);
 	job->first_ms = hn_now_ms();
 	job->next = soak->open_jobs;
 	soak->open_jobs = job;
@@ -453,6 +486,22 @@
 		    job->http->status);
 }
 
+/* Workers were told the spec that was sent, or nothing if it is malformed. */
+static void
+check_spec(struct soak *soak, const struct job *job)
+{
+	struct hn_http *starts = dpl_control(
+	    &soak->dpl, "GET", hn_str("starts?job=%s", job->id), NULL);
+	struct json_object *got = json_object_object_get(starts->json, "spec");
+	struct json_object *sent =
+	    job->spec == NULL ? NULL : json_tokener_parse(job->spec);
+
+	ck_assert_msg(json_object_equal(got, sent),
+	    "job %s: \"%s\" was started as %s", job->id, job->body,
+	    json_object_to_json_string(got));
+	json_object_put(sent);
+}
+
 /*
  * Handles the answer to a job's latest submission; returns true when the job
  * needs no further one.
@@ -462,6 +511,12 @@
 {
 	int status = job->http->status;
 
+	if (soak->odd_specs && (status == 200 || status == 400))
+		check_spec(soak, job);
+	if (status == 400 && job->spec == NULL) {
+		soak->malformed++;
+		return true;
+	}
 	if (status == 200) {
 		if (strcmp(hn_json_str(job->http, "state"), "completed") == 0)
 			soak->completed++;
@@ -510,6 +565,7 @@
 		*link = job->next;
 		soak->n_open_jobs--;
 		g_free(job->body);
+		g_free(job->spec);
 		g_free(job);
 	}
 	return soak->open_jobs == NULL;
@@ -555,7 +611,9 @@
 static void
 run_seed(uint32_t seed)
 {
-	struct soak soak = {.version = 1, .wide = seed >= WIDE_SEED};
+	struct soak soak = {.version = 1,
+	    .wide = seed >= WIDE_SEED,
+	    .odd_specs = seed >= ODD_SPEC_SEED};
 	int i;
 
 	printf("soak seed %u\n", seed);
@@ -574,8 +632,9 @@
 		    seed, i);
 	check_counts(&soak);
 	printf("soak seed %u: %d completed, %d failed, %d refused, %d given "
-	       "up\n",
-	    seed, soak.completed, soak.failed, soak.refused, soak.given_up);
+	       "up, %d malformed\n",
+	    seed, soak.completed, soak.failed, soak.refused, soak.given_up,
+	    soak.malformed);
 	ck_assert_int_gt(soak.completed, 0);
 	g_rand_free(soak.rand);
 	hn_finish();
