--- a/src/process/agentpool.c
+++ b/src/process/agentpool.c
@@ -57,6 +57,7 @@
 	int64_t choose_at_ms;
 	int64_t adapt_at_ms;
 	int64_t *n_registered, *n_linked;
+	int64_t *malformed; /* counts registrations, also under such keys */
 };
 
 static struct agp_agent *
@@ -337,6 +338,7 @@
 	g_hash_table_replace(pool->revisions, g_strdup(address),
 	    g_memdup2(&item->revision, sizeof(item->revision)));
 	if (!addr_is_valid(address)) {
+		++*pool->malformed;
 		evt_write("agent", evt_text("agent", address),
 		    evt_text("state", "ignored"),
 		    evt_text("reason", "key without a valid address"));
@@ -347,6 +349,7 @@
 	case ENL_WORKER:
 		return;
 	case ENL_MALFORMED:
+		++*pool->malformed;
 		evt_write("agent", evt_text("agent", address),
 		    evt_text("state", "malformed"),
 		    evt_text("reason", st.message));
@@ -429,6 +432,9 @@
 	};
 
 	pool->opts = *opts;
+	pool->malformed = ctr_counter(opts->counters,
+	    "sp_messages_refused_total{source=\"registration\"}",
+	    "Messages from outside that are malformed or out of range.");
 	pool->n_registered = ctr_gauge(
 	    opts->counters, "sp_agents_registered", "Agents in the store.");
 	pool->n_linked = ctr_gauge(opts->counters, "sp_agents_chosen",
--- a/tests/test_job_bodies.c
+++ b/tests/test_job_bodies.c
@@ -189,7 +189,9 @@
 /* Tasks were started with another spec than the caller had sent. */
 START_TEST(spec_reaches_worker_whole)
 {
+	struct hn_http *metrics;
 	struct dpl dpl;
+	int n_malformed = 0;
 	unsigned i;
 
 	dpl_start(&dpl, &(struct dpl_options){0});
@@ -198,6 +200,8 @@
 		g_autofree char *body = job_with_spec(row->json);
 		unsigned plain = 0x400 + i, chunked = 0x500 + i;
 
+		n_malformed += row->len < 0;
+
 		check_starts(&dpl, plain,
 		    hn_http("POST", dpl_url(&dpl, 0, hn_str("/q/%016x", plain)),
 			body)
@@ -208,6 +212,12 @@
 			strlen(body), CHUNK_BYTES, true)),
 		    row);
 	}
+	metrics = hn_http("GET",
+	    hn_str("http://127.0.0.1:%u/metrics", dpl.entry_metrics_port),
+	    NULL);
+	ck_assert_ptr_nonnull(strstr(metrics->body,
+	    hn_str("\nsp_messages_refused_total{source=\"job\"} %d\n",
+		n_malformed)));
 	ck_assert_int_eq(hn_wait_exit(dpl.entry[0], 0), -1);
 	ck_assert_int_eq(hn_wait_exit(dpl.entry[1], 0), -1);
 	hn_finish();
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -158,6 +158,12 @@
 	ck_assert_msg(strstr(metrics->body, hn_str("sp_agents_registered %d\n",
 						DPL_AGENTS)) != NULL,
 	    "%s", metrics->body);
+	ck_assert_msg(
+	    strstr(metrics->body,
+		hn_str("sp_messages_refused_total{source=\"registration\"} "
+		       "%d\n",
+		    N_ODD_KEYS)) != NULL,
+	    "%s", metrics->body);
 	hn_finish();
 }
 END_TEST
