Share raw requests and the loop over text cases in tests

Connecting, receiving and counting answers stood in two test programs, the loop over text cases in four that could use CASES_MAIN. Answers of handlers must still be HTTP/1.1.

--- a/tests/test_fields.c
+++ b/tests/test_fields.c
@@ -5,9 +5,6 @@
 #include "process/fields.h"
 #include "runner.h"
 
-#define CASES "tests/cases/fields.txt"
-
-static const struct text_case *cases;
 #define DEPTH 100000
 
 struct sample {
@@ -77,17 +74,6 @@
 	return g_string_free(out, FALSE);
 }
 
-/* The cases guard against values that are used although they are out of range. */
-START_TEST(one_case)
-{
-	const struct text_case *c = &cases[_i];
-	g_autofree char *got = decode(c->input, strlen(c->input));
-
-	ck_assert_msg(strcmp(got, c->expected) == 0,
-	    "%s: got \"%s\", expected \"%s\"", c->name, got, c->expected);
-}
-END_TEST
-
 /* An empty value may come as NULL, and deep nesting must not use up the stack. */
 START_TEST(no_document)
 {
@@ -102,14 +88,12 @@
 }
 END_TEST
 
-int
-main(void)
+/* The cases guard against values that are used although they are out of range. */
+static char *
+run_case(const char *name, const char *input)
 {
-	TCase *tc = tcase_create("fields");
-	size_t n;
-
-	cases = casefile_load(CASES, &n);
-	tcase_add_loop_test(tc, one_case, 0, (int)n);
-	tcase_add_test(tc, no_document);
-	return run_tcase("fields", tc, 0);
+	(void)name;
+	return decode(input, strlen(input));
 }
+
+CASES_MAIN("fields", run_case, no_document)
--- a/tests/test_job_bodies.c
+++ b/tests/test_job_bodies.c
@@ -2,7 +2,6 @@
  * Bodies of jobs as clients may send them, with real processes: each is served
  * or refused as a whole, and no process ends.
  */
-#include <arpa/inet.h>
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
@@ -10,6 +9,7 @@
 #include <unistd.h>
 
 #include "deployment.h"
+#include "rawhttp.h"
 #include "runner.h"
 
 #define JOB                                                                    \
@@ -43,29 +43,13 @@
     {"x\",\"spec\":\"y", NULL, -1},
 };
 
-static int
-connect_to(uint16_t port)
-{
-	struct timeval limit = {.tv_sec = HN_LIMIT_MS / 1000};
-	struct sockaddr_in to = {.sin_family = AF_INET,
-	    .sin_port = htons(port),
-	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-
-	ck_assert_int_eq(
-	    connect(fd, (const struct sockaddr *)&to, sizeof(to)), 0);
-	ck_assert_int_eq(
-	    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit)), 0);
-	return fd;
-}
-
 /* Sends a job in chunks of a size; the end may be left out. */
 static int
 send_chunked(uint16_t port, unsigned id, const char *body, size_t len,
     size_t chunk_bytes, bool complete)
 {
 	GString *text = g_string_new(NULL);
-	int fd = connect_to(port);
+	int fd = rh_connect(port, HN_LIMIT_MS);
 	size_t at, n;
 
 	g_string_append_printf(text,
@@ -98,7 +82,8 @@
 	int status = 0;
 
 	if (recv(fd, text, sizeof(text) - 1, 0) > 0)
-		sscanf(text, "HTTP/1.1 %d", &status);
+		status =
+		    g_str_has_prefix(text, "HTTP/1.1 ") ? rh_status(text) : 0;
 	close(fd);
 	return status;
 }
@@ -270,7 +255,7 @@
 		    i == 0 ? hn_str("%zx\r\n%s\r\n0\r\n\r\n", strlen(JOB), JOB)
 			   : JOB;
 
-		fd = connect_to(dpl.entry_port[0]);
+		fd = rh_connect(dpl.entry_port[0], HN_LIMIT_MS);
 		ck_assert_int_gt(send(fd, head, strlen(head), 0), 0);
 		ck_assert_int_gt(recv(fd, text, sizeof(text), 0), 0);
 		ck_assert(g_str_has_prefix(text, "HTTP/1.1 100 "));
--- a/tests/test_jobbody.c
+++ b/tests/test_jobbody.c
@@ -4,10 +4,6 @@
 #include "platform/job.h"
 #include "runner.h"
 
-#define CASES "tests/cases/jobbody.txt"
-
-static const struct text_case *cases;
-
 static const char *
 text_or_none(const char *text)
 {
@@ -64,20 +60,6 @@
 	return g_string_free(out, FALSE);
 }
 
-/*
- * The cases guard against jobs that are run otherwise than they were sent, and
- * against numbers that overflow later.
- */
-START_TEST(one_case)
-{
-	const struct text_case *c = &cases[_i];
-	g_autofree char *got = decode(c->input);
-
-	ck_assert_msg(strcmp(got, c->expected) == 0,
-	    "%s: got \"%s\", expected \"%s\"", c->name, got, c->expected);
-}
-END_TEST
-
 /* A job whose spec is one text, repeated. */
 static char *
 decode_repeated(const char *text, size_t n)
@@ -120,14 +102,15 @@
 }
 END_TEST
 
-int
-main(void)
+/*
+ * The cases guard against jobs that are run otherwise than they were sent, and
+ * against numbers that overflow later.
+ */
+static char *
+run_case(const char *name, const char *input)
 {
-	TCase *tc = tcase_create("jobbody");
-	size_t n;
-
-	cases = casefile_load(CASES, &n);
-	tcase_add_loop_test(tc, one_case, 0, (int)n);
-	tcase_add_test(tc, length_is_that_of_the_text);
-	return run_tcase("jobbody", tc, 0);
+	(void)name;
+	return decode(input);
 }
+
+CASES_MAIN("jobbody", run_case, length_is_that_of_the_text)
--- a/tests/test_jobform.c
+++ b/tests/test_jobform.c
@@ -4,10 +4,6 @@
 #include "request/jobform.h"
 #include "runner.h"
 
-#define CASES "tests/cases/jobform.txt"
-
-static const struct text_case *cases;
-
 static void
 append_bytes(GString *out, GBytes *bytes)
 {
@@ -54,23 +50,11 @@
  * The cases guard against tasks that start with another payload, or for another
  * service, than the caller sent.
  */
-START_TEST(one_case)
+static char *
+run_case(const char *name, const char *input)
 {
-	const struct text_case *c = &cases[_i];
-	g_autofree char *got = parse(c->input);
-
-	ck_assert_msg(strcmp(got, c->expected) == 0,
-	    "%s: got \"%s\", expected \"%s\"", c->name, got, c->expected);
+	(void)name;
+	return parse(input);
 }
-END_TEST
 
-int
-main(void)
-{
-	TCase *tc = tcase_create("jobform");
-	size_t n;
-
-	cases = casefile_load(CASES, &n);
-	tcase_add_loop_test(tc, one_case, 0, (int)n);
-	return run_tcase("jobform", tc, 0);
-}
+CASES_MAIN("jobform", run_case)
--- a/tests/test_jsontext.c
+++ b/tests/test_jsontext.c
@@ -4,11 +4,8 @@
 #include "process/jsontext.h"
 #include "runner.h"
 
-#define CASES "tests/cases/jsontext.txt"
 #define DEPTH 8
 
-static const struct text_case *cases;
-
 /* The member "t" as it is decoded, with zeros as "<0>", or the reason. */
 static char *
 decode(const char *data, size_t len)
@@ -43,17 +40,6 @@
 	return g_string_free(out, FALSE);
 }
 
-/* The cases guard against texts that json-c decodes otherwise than written. */
-START_TEST(one_case)
-{
-	const struct text_case *c = &cases[_i];
-	g_autofree char *got = decode(c->input, strlen(c->input));
-
-	ck_assert_msg(strcmp(got, c->expected) == 0,
-	    "%s: got \"%s\", expected \"%s\"", c->name, got, c->expected);
-}
-END_TEST
-
 /* Bytes that are no UTF-8 would reach a worker that can't read them. */
 START_TEST(malformed_utf8_is_no_unicode)
 {
@@ -96,15 +82,13 @@
 }
 END_TEST
 
-int
-main(void)
+/* The cases guard against texts that json-c decodes otherwise than written. */
+static char *
+run_case(const char *name, const char *input)
 {
-	TCase *tc = tcase_create("jsontext");
-	size_t n;
-
-	cases = casefile_load(CASES, &n);
-	tcase_add_loop_test(tc, one_case, 0, (int)n);
-	tcase_add_test(tc, malformed_utf8_is_no_unicode);
-	tcase_add_test(tc, truncated_document_is_refused);
-	return run_tcase("jsontext", tc, 0);
+	(void)name;
+	return decode(input, strlen(input));
 }
+
+CASES_MAIN("jsontext", run_case, malformed_utf8_is_no_unicode,
+    truncated_document_is_refused)
--- a/tests/test_odd_requests.c
+++ b/tests/test_odd_requests.c
@@ -2,8 +2,6 @@
  * Requests that are malformed as HTTP, on the ports of real processes: each has
  * one answer that says what is wrong, and changes nothing.
  */
-#include <arpa/inet.h>
-#include <errno.h>
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
@@ -11,6 +9,7 @@
 #include <unistd.h>
 
 #include "deployment.h"
+#include "rawhttp.h"
 #include "runner.h"
 
 #define ANSWER_MAX     8192
@@ -112,67 +111,37 @@
 	return replace(text, "@", large);
 }
 
-static int
-connect_to(uint16_t port)
-{
-	struct timeval limit = {.tv_usec = ANSWER_WAIT_MS * 1000};
-	struct sockaddr_in to = {.sin_family = AF_INET,
-	    .sin_port = htons(port),
-	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-
-	ck_assert_int_eq(
-	    connect(fd, (const struct sockaddr *)&to, sizeof(to)), 0);
-	ck_assert_int_eq(
-	    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit)), 0);
-	return fd;
-}
-
 /* Sends a request and reads what is answered within ANSWER_WAIT_MS. */
 static char *
 exchange(uint16_t port, const struct row *row, const char *target)
 {
 	g_autofree char *request = request_of(row, target);
-	char *answer = g_malloc0(ANSWER_MAX);
-	size_t len = 0;
-	ssize_t n;
-	int fd = connect_to(port);
+	char *answer;
+	int fd = rh_connect(port, ANSWER_WAIT_MS);
 
 	if (send(fd, request, strlen(request), MSG_NOSIGNAL) < 0)
 		perror("send");
 	if (row->half_close)
 		shutdown(fd, SHUT_WR);
-	while (len < ANSWER_MAX - 1 &&
-	       (n = recv(fd, answer + len, ANSWER_MAX - 1 - len, 0)) > 0)
-		len += (size_t)n;
+	answer = rh_receive(fd, ANSWER_MAX);
 	close(fd);
 	return answer;
 }
 
-static int
-count_answers(const char *text)
-{
-	int n = 0;
-
-	while ((text = strstr(text, "HTTP/1.")) != NULL) {
-		n++;
-		text++;
-	}
-	return n;
-}
-
 static void
 check_answer(const char *port_name, uint16_t port, const struct row *row,
     const char *target)
 {
 	g_autofree char *answer = exchange(port, row, target);
-	int status = 0;
+	int status = rh_status(answer);
 
-	sscanf(answer, "HTTP/1.%*d %d", &status);
 	ck_assert_msg(
-	    status == row->status && count_answers(answer) == (status != 0),
+	    status == row->status && rh_count_answers(answer) == (status != 0),
 	    "%s, %s: expected %d, got %d answers: \"%.300s\"", port_name,
-	    row->name, row->status, count_answers(answer), answer);
+	    row->name, row->status, rh_count_answers(answer), answer);
+	ck_assert_msg(
+	    row->by == LIBSOUP || g_str_has_prefix(answer, "HTTP/1.1 "),
+	    "%s, %s: \"%.300s\"", port_name, row->name, answer);
 	ck_assert_msg(
 	    row->by == LIBSOUP || strstr(answer, "\"reason\":\"") != NULL,
 	    "%s, %s: no reason in \"%.300s\"", port_name, row->name, answer);
