--- a/tests/standin_platform.c
+++ b/tests/standin_platform.c
@@ -37,6 +37,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "jsonreply.h"
+#include "kvstandin.h"
 #include "process/clock.h"
 
 #define MAX_WORKERS	    8
@@ -78,40 +80,26 @@
 	GPtrArray *runs;	   /* struct run */
 	struct json_object *ended; /* ended runs to report */
 	GHashTable *closed_runs;   /* task -> highest run ended or stopped */
-	GPtrArray *holds;	   /* struct pending_reply of hold calls */
+	GPtrArray *holds;	   /* struct hold of hold calls */
 	int64_t back_at_ms;	   /* end of a crash; 0: the worker is up */
 	char id[16];
 	int n_ids; /* ids that it has had before */
 };
 
-/*
- * A call that is answered later: a store watch, or a hold call, which can
- * extend the worker's lease and waits for ended runs.
- */
-struct pending_reply {
+/* A call that can extend the worker's lease and waits for ended runs. */
+struct hold {
 	SoupServerMessage *msg;
-	char *prefix;	  /* watch: of the keys */
-	int64_t after;	  /* watch: answered with later revisions */
 	int64_t until_ms; /* answered then at the latest */
 };
 
-struct item {
-	GBytes *data; /* NULL: deleted */
-	int64_t revision;
-};
-
 static struct worker workers[MAX_WORKERS];
 static int n_workers;
-static GHashTable *items; /* key -> struct item */
-static GPtrArray *watches;
-static int64_t revision = 1;
 static guint store_port;
 static SoupSession *session;
 static struct {
 	int starts, done, failed, limit, twice, lapsed, malformed, crashes;
 } counts;
 static struct {
-	bool store_down;
 	int deferred_percent;
 	int late_stops_ms;
 	int fail, stall, drain, mute, odd;
@@ -129,218 +117,6 @@
 static GHashTable *job_starts; /* job -> starts of its tasks */
 static GHashTable *job_specs;  /* job -> spec of its last start */
 
-static void
-reply(SoupServerMessage *msg, guint code, struct json_object *body)
-{
-	const char *text = json_object_to_json_string(body);
-
-	soup_server_message_set_status(msg, code, NULL);
-	soup_server_message_set_response(
-	    msg, "application/json", SOUP_MEMORY_COPY, text, strlen(text));
-	json_object_put(body);
-}
-
-static struct json_object *
-body_of(SoupServerMessage *msg)
-{
-	SoupMessageBody *body = soup_server_message_get_request_body(msg);
-
-	return body->length == 0 ? NULL : json_tokener_parse(body->data);
-}
-
-static int64_t
-get_int(struct json_object *from, const char *key)
-{
-	struct json_object *value;
-
-	return json_object_object_get_ex(from, key, &value)
-		   ? json_object_get_int64(value)
-		   : 0;
-}
-
-static const char *
-get_string(struct json_object *from, const char *key)
-{
-	struct json_object *value;
-
-	return json_object_object_get_ex(from, key, &value)
-		   ? json_object_get_string(value)
-		   : "";
-}
-
-static const char *
-param(GHashTable *query, const char *key)
-{
-	const char *value =
-	    query == NULL ? NULL : g_hash_table_lookup(query, key);
-
-	return value == NULL ? "" : value;
-}
-
-static void
-add_int(struct json_object *to, const char *key, int64_t value)
-{
-	json_object_object_add(to, key, json_object_new_int64(value));
-}
-
-/* The store. */
-
-static void
-item_free(gpointer data)
-{
-	struct item *item = data;
-
-	g_clear_pointer(&item->data, g_bytes_unref);
-	g_free(item);
-}
-
-static struct json_object *
-item_json(const char *key, const struct item *item)
-{
-	struct json_object *json = json_object_new_object();
-	gsize len;
-
-	json_object_object_add(json, "key", json_object_new_string(key));
-	add_int(json, "revision", item->revision);
-	if (item->data == NULL) {
-		json_object_object_add(
-		    json, "deleted", json_object_new_boolean(TRUE));
-	} else {
-		const guchar *data = g_bytes_get_data(item->data, &len);
-		g_autofree char *text = g_base64_encode(data, len);
-
-		json_object_object_add(
-		    json, "value", json_object_new_string(text));
-	}
-	return json;
-}
-
-/* Returns items changed after a revision; deleted ones only with deletions. */
-static struct json_object *
-select_items(const char *prefix, int64_t after, bool deletions)
-{
-	struct json_object *rows = json_object_new_array();
-	GHashTableIter iter;
-	gpointer key, value;
-
-	g_hash_table_iter_init(&iter, items);
-	while (g_hash_table_iter_next(&iter, &key, &value)) {
-		const struct item *item = value;
-
-		if (g_str_has_prefix(key, prefix) && item->revision > after &&
-		    (deletions || item->data != NULL))
-			json_object_array_add(rows, item_json(key, item));
-	}
-	return rows;
-}
-
-static void
-answer_watch(struct pending_reply *pending_reply, struct json_object *events)
-{
-	struct json_object *body = json_object_new_object();
-
-	json_object_object_add(body, "events", events);
-	add_int(body, "as_of", revision);
-	reply(pending_reply->msg, 200, body);
-	soup_server_message_unpause(pending_reply->msg);
-	g_object_unref(pending_reply->msg);
-	g_free(pending_reply->prefix);
-	g_free(pending_reply);
-}
-
-static void
-check_watches(void)
-{
-	guint i = 0;
-
-	while (i < watches->len) {
-		struct pending_reply *pending_reply = watches->pdata[i];
-		struct json_object *events = select_items(
-		    pending_reply->prefix, pending_reply->after, true);
-
-		if (!mode.store_down &&
-		    (json_object_array_length(events) > 0 ||
-			clk_now_ms() >= pending_reply->until_ms)) {
-			g_ptr_array_remove_index_fast(watches, i);
-			answer_watch(pending_reply, events);
-			continue;
-		}
-		json_object_put(events);
-		i++;
-	}
-}
-
-/* Writes a key and answers its watches; data NULL deletes the key. */
-static void
-write_key(const char *key, GBytes *data)
-{
-	struct item *item = g_new0(struct item, 1);
-
-	item->data = data;
-	item->revision = ++revision;
-	g_hash_table_replace(items, g_strdup(key), item);
-	check_watches();
-}
-
-static void
-handle_transaction(SoupServerMessage *msg)
-{
-	struct json_object *body = body_of(msg);
-	struct json_object *answer = json_object_new_object();
-	struct json_object *sets;
-	size_t i;
-
-	if (json_object_object_get_ex(body, "set_keys", &sets)) {
-		for (i = 0; i < json_object_array_length(sets); i++) {
-			struct json_object *set =
-			    json_object_array_get_idx(sets, i);
-			gsize len;
-			guchar *data =
-			    g_base64_decode(get_string(set, "value"), &len);
-
-			write_key(get_string(set, "key"),
-			    g_bytes_new_take(data, len));
-		}
-	}
-	add_int(answer, "revision", revision);
-	reply(msg, 200, answer);
-	json_object_put(body);
-}
-
-static void
-on_store(SoupServer *server, SoupServerMessage *msg, const char *path,
-    GHashTable *query, gpointer data)
-{
-	struct json_object *body;
-	struct pending_reply *pending_reply;
-
-	(void)server;
-	(void)data;
-	if (mode.store_down) {
-		reply(msg, 503, json_object_new_object());
-	} else if (g_str_has_suffix(path, "kv-range")) {
-		body = json_object_new_object();
-		json_object_object_add(body, "items",
-		    select_items(param(query, "prefix"), 0, false));
-		json_object_object_add(
-		    body, "has_more", json_object_new_boolean(FALSE));
-		add_int(body, "as_of", revision);
-		reply(msg, 200, body);
-	} else if (g_str_has_suffix(path, "kv-watch")) {
-		pending_reply = g_new0(struct pending_reply, 1);
-		pending_reply->msg = g_object_ref(msg);
-		pending_reply->prefix = g_strdup(param(query, "prefix"));
-		pending_reply->after = atoll(param(query, "after"));
-		pending_reply->until_ms =
-		    clk_now_ms() + atoll(param(query, "wait_ms"));
-		soup_server_message_pause(msg);
-		g_ptr_array_add(watches, pending_reply);
-		check_watches();
-	} else {
-		handle_transaction(msg);
-	}
-}
-
 /* The workers. */
 
 static int64_t
@@ -395,7 +171,7 @@
 }
 
 static void
-answer_hold(struct worker *w, struct pending_reply *pending_reply)
+answer_hold(struct worker *w, struct hold *hold)
 {
 	struct json_object *body = json_object_new_object();
 	struct json_object *rows = json_object_new_array();
@@ -418,12 +194,12 @@
 		    json_object_get(json_object_array_get_idx(w->ended, i)));
 	json_object_object_add(body, "running", rows);
 	json_object_object_add(body, "ended", ended);
-	add_int(body, "clock_ms", worker_clock(w));
-	add_int(body, "born", w->born_ms);
-	reply(pending_reply->msg, 200, body);
-	soup_server_message_unpause(pending_reply->msg);
-	g_object_unref(pending_reply->msg);
-	g_free(pending_reply);
+	jrep_add_int(body, "clock_ms", worker_clock(w));
+	jrep_add_int(body, "born", w->born_ms);
+	jrep_send(hold->msg, 200, body);
+	soup_server_message_unpause(hold->msg);
+	g_object_unref(hold->msg);
+	g_free(hold);
 }
 
 static void
@@ -432,15 +208,15 @@
 	guint i = 0;
 
 	while (i < w->holds->len) {
-		struct pending_reply *pending_reply = w->holds->pdata[i];
+		struct hold *hold = w->holds->pdata[i];
 
 		if (json_object_array_length(w->ended) == 0 &&
-		    clk_now_ms() < pending_reply->until_ms) {
+		    clk_now_ms() < hold->until_ms) {
 			i++;
 			continue;
 		}
 		g_ptr_array_remove_index_fast(w->holds, i);
-		answer_hold(w, pending_reply);
+		answer_hold(w, hold);
 	}
 }
 
@@ -501,11 +277,11 @@
 	const struct worker *other;
 
 	counts.starts++;
-	run->task = g_strdup(get_string(body, "task"));
-	run->number = get_int(body, "run");
-	run->total_ms = run->remaining_ms = atoll(get_string(body, "spec"));
-	run->fails = strcmp(get_string(body, "spec"), "fail") == 0;
-	run->crashes = strcmp(get_string(body, "spec"), "crash") == 0;
+	run->task = g_strdup(jrep_string(body, "task"));
+	run->number = jrep_int(body, "run");
+	run->total_ms = run->remaining_ms = atoll(jrep_string(body, "spec"));
+	run->fails = strcmp(jrep_string(body, "spec"), "fail") == 0;
+	run->crashes = strcmp(jrep_string(body, "spec"), "crash") == 0;
 	if (run->crashes)
 		run->remaining_ms = run->total_ms = CRASH_AFTER_MS;
 	other = worker_of(run->task);
@@ -532,20 +308,20 @@
 static const char *
 start_run(struct worker *w, struct json_object *body)
 {
-	const char *task = get_string(body, "task");
+	const char *task = jrep_string(body, "task");
 	const int64_t *highest = g_hash_table_lookup(w->closed_runs, task);
-	int64_t deadline_ms = get_int(body, "deadline_ms");
+	int64_t deadline_ms = jrep_int(body, "deadline_ms");
 
-	if (get_int(body, "fencing_token") < w->fencing_token)
+	if (jrep_int(body, "fencing_token") < w->fencing_token)
 		return "fence";
-	w->fencing_token = get_int(body, "fencing_token");
+	w->fencing_token = jrep_int(body, "fencing_token");
 	if (deadline_ms <= worker_clock(w))
 		return "late";
 	w->deadline_ms = MAX(
 	    w->deadline_ms, MIN(deadline_ms, worker_clock(w) + LEASE_MAX_MS));
-	if (highest != NULL && *highest >= get_int(body, "run"))
+	if (highest != NULL && *highest >= jrep_int(body, "run"))
 		return "old";
-	if (find_run(w, task, get_int(body, "run")) == NULL)
+	if (find_run(w, task, jrep_int(body, "run")) == NULL)
 		add_run(w, body);
 	return NULL;
 }
@@ -553,11 +329,11 @@
 static const char *
 stop_run(struct worker *w, struct json_object *body)
 {
-	const char *task = get_string(body, "task");
-	int64_t number = get_int(body, "run");
+	const char *task = jrep_string(body, "task");
+	int64_t number = jrep_int(body, "run");
 	guint i;
 
-	if (get_int(body, "fencing_token") < w->fencing_token)
+	if (jrep_int(body, "fencing_token") < w->fencing_token)
 		return "fence";
 	close_run(w, task, number);
 	for (i = 0; i < w->runs->len; i++) {
@@ -630,13 +406,13 @@
 static void
 take_hold(struct worker *w, SoupServerMessage *msg, struct json_object *body)
 {
-	struct pending_reply *pending_reply = g_new0(struct pending_reply, 1);
-	int64_t last = get_int(body, "last_seen");
-	int64_t deadline_ms = get_int(body, "deadline_ms");
+	struct hold *hold = g_new0(struct hold, 1);
+	int64_t last = jrep_int(body, "last_seen");
+	int64_t deadline_ms = jrep_int(body, "deadline_ms");
 	size_t i = 0;
 
 	w->fencing_token =
-	    MAX(w->fencing_token, get_int(body, "fencing_token"));
+	    MAX(w->fencing_token, jrep_int(body, "fencing_token"));
 	if (deadline_ms > 0)
 		w->deadline_ms = MAX(w->deadline_ms,
 		    MIN(deadline_ms, worker_clock(w) + LEASE_MAX_MS));
@@ -650,10 +426,10 @@
 		else
 			i++;
 	}
-	pending_reply->msg = g_object_ref(msg);
-	pending_reply->until_ms = clk_now_ms() + get_int(body, "wait_ms");
+	hold->msg = g_object_ref(msg);
+	hold->until_ms = clk_now_ms() + jrep_int(body, "wait_ms");
 	soup_server_message_pause(msg);
-	g_ptr_array_add(w->holds, pending_reply);
+	g_ptr_array_add(w->holds, hold);
 	check_holds(w);
 }
 
@@ -673,7 +449,7 @@
     GHashTable *query, gpointer data)
 {
 	struct worker *w = data;
-	struct json_object *body = body_of(msg);
+	struct json_object *body = jrep_body(msg);
 	struct json_object *answer;
 	const char *reason;
 	guint delay_ms;
@@ -687,12 +463,12 @@
 	}
 	if (!is_expected(w, msg)) {
 		g_clear_pointer(&body, json_object_put);
-		reply(msg, 421, json_object_new_object());
+		jrep_send(msg, 421, json_object_new_object());
 		return;
 	}
 	if (body == NULL) {
 		counts.malformed++;
-		reply(msg, 400, json_object_new_object());
+		jrep_send(msg, 400, json_object_new_object());
 		return;
 	}
 	delay_ms = deferral_ms(path);
@@ -703,11 +479,11 @@
 	} else {
 		reason = execute_call(w, path, body);
 		answer = json_object_new_object();
-		add_int(answer, "clock_ms", worker_clock(w));
+		jrep_add_int(answer, "clock_ms", worker_clock(w));
 		if (reason != NULL)
 			json_object_object_add(
 			    answer, "reason", json_object_new_string(reason));
-		reply(msg, reason == NULL ? 200 : 409, answer);
+		jrep_send(msg, reason == NULL ? 200 : 409, answer);
 	}
 	json_object_put(body);
 }
@@ -794,7 +570,7 @@
 		}
 		check_holds(w);
 	}
-	check_watches();
+	kvs_check_watches();
 	return G_SOURCE_CONTINUE;
 }
 
@@ -841,7 +617,7 @@
 static void
 set_number(GHashTable *query, const char *key, int *to)
 {
-	const char *text = param(query, key);
+	const char *text = jrep_param(query, key);
 
 	if (*text != '\0')
 		*to = atoi(text);
@@ -852,8 +628,8 @@
 {
 	int crash = -1;
 
-	if (*param(query, "store") != '\0')
-		mode.store_down = strcmp(param(query, "store"), "down") == 0;
+	if (*jrep_param(query, "store") != '\0')
+		kvs_set_down(strcmp(jrep_param(query, "store"), "down") == 0);
 	set_number(query, "late", &mode.deferred_percent);
 	set_number(query, "late_stops", &mode.late_stops_ms);
 	set_number(query, "fail", &mode.fail);
@@ -863,7 +639,7 @@
 	set_number(query, "odd", &mode.odd);
 	set_number(query, "beats", &mode.beats);
 	set_number(query, "keep_id", &mode.keep_id);
-	if (*param(query, "capacity") != '\0')
+	if (*jrep_param(query, "capacity") != '\0')
 		mode.capacity_since_ms = clk_now_ms();
 	set_number(query, "capacity", &mode.capacity_milli);
 	set_number(query, "crash", &crash);
@@ -877,7 +653,7 @@
 {
 	struct json_object *body = json_object_new_object();
 
-	add_int(body, "starts",
+	jrep_add_int(body, "starts",
 	    GPOINTER_TO_INT(g_hash_table_lookup(job_starts, job)));
 	json_object_object_add(
 	    body, "spec", json_object_get(g_hash_table_lookup(job_specs, job)));
@@ -892,15 +668,15 @@
 
 	for (i = 0; i < n_workers; i++)
 		running += (int)workers[i].runs->len;
-	add_int(body, "starts", counts.starts);
-	add_int(body, "done", counts.done);
-	add_int(body, "failed", counts.failed);
-	add_int(body, "limit", counts.limit);
-	add_int(body, "twice", counts.twice);
-	add_int(body, "lapsed", counts.lapsed);
-	add_int(body, "malformed", counts.malformed);
-	add_int(body, "crashes", counts.crashes);
-	add_int(body, "running", running);
+	jrep_add_int(body, "starts", counts.starts);
+	jrep_add_int(body, "done", counts.done);
+	jrep_add_int(body, "failed", counts.failed);
+	jrep_add_int(body, "limit", counts.limit);
+	jrep_add_int(body, "twice", counts.twice);
+	jrep_add_int(body, "lapsed", counts.lapsed);
+	jrep_add_int(body, "malformed", counts.malformed);
+	jrep_add_int(body, "crashes", counts.crashes);
+	jrep_add_int(body, "running", running);
 	return body;
 }
 
@@ -910,25 +686,34 @@
 	struct json_object *body = json_object_new_object();
 
 	json_object_object_add(body, "id", json_object_new_string(w->id));
-	add_int(body, "app_port", w->app_port);
-	add_int(body, "born", w->born_ms);
-	add_int(body, "seq", w->seq);
-	add_int(body, "clock_ms", worker_clock(w));
+	jrep_add_int(body, "app_port", w->app_port);
+	jrep_add_int(body, "born", w->born_ms);
+	jrep_add_int(body, "seq", w->seq);
+	jrep_add_int(body, "clock_ms", worker_clock(w));
 	return body;
 }
 
 static struct json_object *
 control_json(const char *path, GHashTable *query)
 {
-	int index = atoi(param(query, "index"));
+	int index = atoi(jrep_param(query, "index"));
 
 	if (g_str_has_suffix(path, "starts"))
-		return starts_json(param(query, "job"));
+		return starts_json(jrep_param(query, "job"));
 	if (g_str_has_suffix(path, "worker"))
 		return worker_json(&workers[CLAMP(index, 0, n_workers - 1)]);
 	return counts_json();
 }
 
+static void
+on_store(SoupServer *server, SoupServerMessage *msg, const char *path,
+    GHashTable *query, gpointer data)
+{
+	(void)server;
+	(void)data;
+	kvs_handle(msg, path, query);
+}
+
 static void
 on_control(SoupServer *server, SoupServerMessage *msg, const char *path,
     GHashTable *query, gpointer data)
@@ -939,13 +724,13 @@
 	(void)server;
 	(void)data;
 	if (g_str_has_suffix(path, "key"))
-		write_key(param(query, "key"),
+		kvs_write(jrep_param(query, "key"),
 		    strcmp(method, "DELETE") == 0
 			? NULL
 			: g_bytes_new(body->data, (gsize)body->length));
 	else if (g_str_has_suffix(path, "mode"))
 		set_mode(query);
-	reply(msg, 200, control_json(path, query));
+	jrep_send(msg, 200, control_json(path, query));
 }
 
 static void
@@ -1018,13 +803,11 @@
 	const struct argp parser = {options, parse_option, 0, 0, 0, 0, 0};
 
 	signal(SIGPIPE, SIG_IGN);
-	items =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, item_free);
+	kvs_open();
 	job_starts =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	job_specs = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)json_object_put);
-	watches = g_ptr_array_new();
 	session = soup_session_new_with_options(
 	    "proxy-resolver", NULL, "timeout", HEARTBEAT_TIMEOUT_S, NULL);
 	argp_parse(&parser, argc, argv, 0, NULL, NULL);
