Write the mark of lone surrogates as bytes

clang-tidy took the copy of a string without its end for a mistake (bugprone-not-null-terminated-result); "make lint" failed on it. It has no other finding on the tree. test_jsontext and test_jobbody pass.

--- a/src/process/jsontext.c
+++ b/src/process/jsontext.c
@@ -15,7 +15,8 @@
  * Two encoded surrogates, as long as an escape.  json-c lets them through, and
  * they are no UTF-8, so that a text that has them is not Unicode.
  */
-static const char lone_mark[] = "\xed\xa0\x80\xed\xa0\x80";
+static const uint8_t lone_mark[ESCAPE_BYTES] = {
+    0xed, 0xa0, 0x80, 0xed, 0xa0, 0x80};
 
 /* Strings of a document, before json-c decodes them. */
 struct scan {
