Reset connections at each byte of a request in chunks in a test

Guards against an entry that ends, or leaks under the sanitizers, when a client resets its connection while the request is taken from libsoup.

--- a/tests/test_job_bodies.c
+++ b/tests/test_job_bodies.c
@@ -235,6 +235,37 @@
 }
 END_TEST
 
+/*
+ * Connections that are reset at any byte of a request in chunks, which the entry
+ * takes from libsoup while it may notice the reset itself.
+ */
+START_TEST(reset_connections_harm_nobody)
+{
+	const char *request =
+	    hn_str("POST /q/%016x HTTP/1.1\r\nHost: 127.0.0.1\r\n"
+		   "Transfer-Encoding: chunked\r\n\r\n%zx\r\n%s\r\n0\r\n\r\n",
+		0x900, strlen(JOB), JOB);
+	const struct linger reset = {.l_onoff = 1, .l_linger = 0};
+	struct dpl dpl;
+	size_t len;
+	int fd;
+
+	dpl_start(&dpl, &(struct dpl_options){0});
+	for (len = 1; len <= strlen(request); len++) {
+		fd = rh_connect(dpl.entry_port[0], HN_LIMIT_MS);
+		ck_assert_int_eq(
+		    send(fd, request, len, MSG_NOSIGNAL), (ssize_t)len);
+		if (len % 3 == 0)
+			hn_sleep(1);
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+		close(fd);
+	}
+	ck_assert(dpl_completes_job(&dpl, 0));
+	ck_assert_int_eq(hn_wait_exit(dpl.entry[0], 0), -1);
+	hn_finish();
+}
+END_TEST
+
 /* A client that waits for "100 Continue" before it sends chunks. */
 START_TEST(client_that_expects_continue_is_served)
 {
@@ -327,7 +358,8 @@
 	const TTest *const tests[] = {chunked_jobs_served, large_bodies_refused,
 	    spec_reaches_worker_whole, longer_path_is_another_name,
 	    job_in_chunks_ends_with_its_connection,
-	    client_that_expects_continue_is_served, large_heartbeat_refused};
+	    client_that_expects_continue_is_served,
+	    reset_connections_harm_nobody, large_heartbeat_refused};
 
 	return run_tests(
 	    "job_bodies", tests, G_N_ELEMENTS(tests), 2 * HN_LIMIT_MS / 1000.0);
