Decode the configuration by tables of fields with ranges

What could be seen: a route with priority came first (it wrapped to 0), max_attempts of another type became 1, a stretch of 1e300 or NaN made the limit of a queue's backlog undefined, and a negative max_body_bytes one of 2^64.

Cause: the last decoder that read members one by one, with a default for another type and without ranges.

Change: a table for the configuration and one for its routes, with a type for numbers that may be fractions. A route out of range is left out with a log line, as one without a field was; the others hold. max_attempts 0 counts as 1, as before.

Evidence: 13 of 27 rows of test_platform_config failed before, three of them by the message only; all pass, as do test_configuration and test_crashing.

--- a/src/process/fields.c
+++ b/src/process/fields.c
@@ -35,6 +35,22 @@
 	return true;
 }
 
+static bool
+decode_real(struct json_object *value, const struct fld *field, void *to,
+    struct status *st)
+{
+	double number = json_object_get_double(value);
+
+	if (!json_object_is_type(value, json_type_double) &&
+	    !json_object_is_type(value, json_type_int))
+		return refuse(st, field->name, "another type");
+	/* NaN compares as false. */
+	if (!(number >= (double)field->min && number <= (double)field->max))
+		return refuse(st, field->name, "number out of range");
+	memcpy(to, &number, sizeof(number));
+	return true;
+}
+
 static bool
 check_bytes(struct json_object *value, const struct fld *field, int64_t min,
     int64_t max, struct status *st)
@@ -124,11 +140,15 @@
 	    [FLD_OBJECT] = json_type_object};
 	char *at = (char *)to + field->offset;
 
+	if (field->type == FLD_REAL)
+		return decode_real(value, field, at, st);
 	if (!json_object_is_type(value, types[field->type]))
 		return refuse(st, field->name, "another type");
 	switch (field->type) {
 	case FLD_INT:
 		return decode_int(value, field, at, st);
+	case FLD_REAL:
+		break; /* has two types, see above */
 	case FLD_TEXT:
 		return decode_text(value, field, at, st);
 	case FLD_BYTES:
--- a/src/process/fields.h
+++ b/src/process/fields.h
@@ -15,6 +15,7 @@
  */
 enum fld_type {
 	FLD_INT,   /* int64_t */
+	FLD_REAL,  /* double */
 	FLD_TEXT,  /* const char *, borrowed from the document */
 	FLD_BYTES, /* struct fld_bytes */
 	FLD_BOOL,  /* bool */
@@ -40,7 +41,7 @@
 	const char *name;
 	enum fld_type type;
 	bool required;
-	/* Value of an int, bytes of a text without escapes, number of texts. */
+	/* Value of a number, bytes of a text without escapes, number of texts. */
 	int64_t min;
 	int64_t max;
 	/* Further check of a text, or NULL. */
--- a/tests/test_platform_config.c
+++ b/tests/test_platform_config.c
@@ -38,6 +38,9 @@
 #define ROUTE(service)                                                         \
 	"{\"host\":\"h\",\"prefix\":\"/q/\",\"service\":\"" service "\"}"
 
+#define ROUTE_WITH(member)                                                     \
+	"{\"host\":\"h\",\"prefix\":\"/q/\",\"service\":\"desk\"," member "}"
+
 static const struct {
 	const char *config;
 	const char *service; /* or the reason */
@@ -54,10 +57,30 @@
     {CONFIG("{\"host\":\"h\",\"prefix\":\"/q/\",\"service\":\"a\","
 	    "\"service\\u0000\":\"b\"}"),
 	"a name has U+0000"},
+    {CONFIG(ROUTE_WITH("\"priority\":-1")), "no queue"},
+    {CONFIG(ROUTE_WITH("\"priority\":4294967296")), "no queue"},
+    {CONFIG(ROUTE_WITH("\"max_attempts\":0")), "desk"},
+    {CONFIG(ROUTE_WITH("\"max_attempts\":4294967296")), "no queue"},
+    {CONFIG(ROUTE_WITH("\"max_attempts\":\"3\"")), "no queue"},
+    {CONFIG(ROUTE_WITH("\"target_completion_ms\":-60")), "no queue"},
+    {CONFIG(ROUTE_WITH("\"target_completion_ms\":9223372036854775807")),
+	"no queue"},
+    {CONFIG(ROUTE_WITH("\"stretch\":-1")), "no queue"},
+    {CONFIG(ROUTE_WITH("\"stretch\":1e300")), "no queue"},
+    {CONFIG(ROUTE_WITH("\"stretch\":NaN")), "no queue"},
+    {CONFIG(ROUTE_WITH("\"stretch\":1.6,\"max_attempts\":4,\"priority\":2,"
+		       "\"target_completion_ms\":60,\"name\":\"r\"")),
+	"desk"},
+    {CONFIG(ROUTE_WITH("\"stretch\":2")), "desk"},
+    {CONFIG(ROUTE_WITH("\"priority\":-1") "," ROUTE("desk")), "desk"},
+    {"{\"version\":0,\"routes\":[]}", "field \"version\": number out of range"},
+    {"{\"version\":1,\"limits\":{\"max_body_bytes\":-1},\"routes\":[]}",
+	"field \"max_body_bytes\": number out of range"},
     {CONFIG(ROUTE("desk")) "x", "unexpected character"},
     {CONFIG(ROUTE("desk")) "\n", "desk"},
     {"{\"version\":1,\"routes\":[", "the document is not complete"},
-    {"{\"version\":1}", "configuration lacks routes or version"},
+    {"{\"version\":1}", "configuration lacks routes"},
+    {"{\"routes\":[]}", "field \"version\": missing"},
 };
 
 START_TEST(one_configuration)
