--- a/src/process/jsontext.c
+++ b/src/process/jsontext.c
@@ -178,7 +178,7 @@
 struct json_object *
 jtx_parse(const char *data, size_t len, uint32_t max_depth, struct status *st)
 {
-	struct scan sc = {.data = data, .end = data + len};
+	struct scan sc = {.data = data};
 	struct json_object *root;
 
 	/* json-c takes a zero byte for the end of the document. */
@@ -187,6 +187,7 @@
 		st_set(st, ST_INVALID, "%zu bytes are no JSON", len);
 		return NULL;
 	}
+	sc.end = data + len;
 	scan_strings(&sc);
 	root = parse(sc.marked != NULL ? sc.marked : data, len, max_depth, st);
 	g_free(sc.marked);
