Answer a body in chunks that does not arrive in time with 408

Cause: the time limit cancelled the pending read, and its callback freed the request, as for a connection that is gone.

Change: a read that the time limit has ended is refused with 408 and the reason; the client has one second to read it, as after each refusal.

Evidence: late_body_answered fails before (no answer), passes.

--- a/src/connection/framing.c
+++ b/src/connection/framing.c
@@ -26,6 +26,7 @@
 	char *text; /* being written */
 	GCancellable *cancellable;
 	GSource *timer;
+	bool late; /* the time limit has ended the pending call */
 	char buffer[READ_BYTES];
 };
 
@@ -58,12 +59,13 @@
 	return source;
 }
 
-/* Ends the pending call, whose callback frees the request. */
+/* Ends the pending call, whose callback refuses or frees the request. */
 static gboolean
 on_time_limit(gpointer data)
 {
 	struct taken *t = data;
 
+	t->late = true;
 	g_cancellable_cancel(t->cancellable);
 	return G_SOURCE_REMOVE;
 }
@@ -189,6 +191,17 @@
 		read_more(t);
 }
 
+/* The cancelled calls have ended, so that others can follow. */
+static void
+refuse_late_body(struct taken *t)
+{
+	g_object_unref(t->cancellable);
+	t->cancellable = g_cancellable_new();
+	set_time_limit(t, LINGER_MS);
+	refuse(
+	    t, SOUP_STATUS_REQUEST_TIMEOUT, "the body has not arrived in time");
+}
+
 static void
 on_read(GObject *source, GAsyncResult *result, gpointer data)
 {
@@ -196,7 +209,9 @@
 	gssize n =
 	    g_input_stream_read_finish(G_INPUT_STREAM(source), result, NULL);
 
-	if (n < 0 || (n == 0 && t->status != 0))
+	if (n < 0 && t->late && t->status == 0)
+		refuse_late_body(t);
+	else if (n < 0 || (n == 0 && t->status != 0))
 		taken_free(t);
 	else if (t->status != 0)
 		read_more(t);
--- a/tests/test_odd_requests.c
+++ b/tests/test_odd_requests.c
@@ -14,6 +14,7 @@
 
 #define ANSWER_MAX     8192
 #define ANSWER_WAIT_MS 500
+#define BODY_LIMIT_MS  30000 /* for a body in chunks to arrive */
 #define LARGE_BYTES    200000
 #define PATH	       "/q/00000000000007a0"
 #define JOB                                                                    \
@@ -151,6 +152,33 @@
  * Requests had no answer, two, or one that did not say what was wrong; a job was
  * run although its request was malformed after it.
  */
+/*
+ * A body in chunks that did not arrive in time was closed without an answer, so
+ * that its client could not tell this from a lost connection.
+ */
+START_TEST(late_body_answered)
+{
+	static const char request[] = "POST " PATH " HTTP/1.1\r\n"
+				      "Host: 127.0.0.1\r\n"
+				      "Transfer-Encoding: chunked\r\n\r\n"
+				      "4b\r\n{\"spec\"";
+	g_autofree char *answer = NULL;
+	struct dpl dpl;
+	int fd;
+
+	dpl_start(&dpl, &(struct dpl_options){0});
+	fd = rh_connect(dpl.entry_port[0], BODY_LIMIT_MS + ANSWER_WAIT_MS);
+	ck_assert_int_eq(
+	    send(fd, request, strlen(request), MSG_NOSIGNAL), strlen(request));
+	answer = rh_receive(fd, ANSWER_MAX);
+	ck_assert_msg(rh_status(answer) == 408 && rh_count_answers(answer) == 1,
+	    "answer: %s", answer);
+	close(fd);
+	ck_assert(dpl_completes_job(&dpl, 0));
+	hn_finish();
+}
+END_TEST
+
 START_TEST(one_answer_on_each_port)
 {
 	const struct row *row = &rows[_i];
@@ -179,6 +207,10 @@
 int
 main(void)
 {
-	return run_rows("odd_requests", one_answer_on_each_port, 0,
+	const TTest *const tests[] = {late_body_answered};
+	int status = run_rows("odd_requests", one_answer_on_each_port, 0,
 	    (int)G_N_ELEMENTS(rows), 1, 2 * HN_LIMIT_MS / 1000.0);
+
+	return status |
+	       run_tests("late_bodies", tests, 1, 2 * HN_LIMIT_MS / 1000.0);
 }
