Move the operators' configuration of an entry into a module of its own

No change of behaviour but one of order: the first configuration is reported after the failure domains were read, not before.

Evidence: test_platform, test_operators, test_configuration, test_odd_entries, test_shutdown, test_platform_config, test_fresh and test_updates pass.

--- a/src/process/jobentry.c
+++ b/src/process/jobentry.c
@@ -5,22 +5,16 @@
 #include "connection/worklink.h"
 #include "process/agentpool.h"
 #include "process/clock.h"
+#include "process/entryconfig.h"
 #include "process/events.h"
 #include "process/histogram.h"
 #include "process/jobentry.h"
 #include "request/cancelled.h"
 #include "request/sched.h"
-#include "version/mirror.h"
 
 #define JE_TICK_MS 50
 /* A longer gap between ticks means that this process was paused. */
 #define ENTRY_PAUSE_MS 700
-/*
- * A dead connection to the store is detected when a watch times out.  With
- * this limit a configuration change still takes effect within the 2 s that
- * operators are promised.
- */
-#define STORE_WATCH_MS 1500
 #define JE_MAX_JOBS    20000
 /*
  * Runs of an agent whose connection was lost are taken as stopped when both the
@@ -54,10 +48,7 @@
 	struct je_options opts;
 	uint64_t incarnation;
 	struct sch *sch;
-	struct mir *config_mirror;
-	struct rts *routes;
-	GHashTable *out_domains; /* failure domains out of service */
-	char **out_names;	 /* the same as an array; owns the strings */
+	struct ecf *config;
 	struct agp *agents;
 	struct ccl *cancelled;
 	GHashTable *waiters; /* ticket to struct waiter */
@@ -108,7 +99,7 @@
 {
 	struct je *je = ctx;
 
-	return g_hash_table_contains(je->out_domains, domain);
+	return ecf_is_out(je->config, domain);
 }
 
 static bool
@@ -211,8 +202,9 @@
 	    evt_text("job", job), evt_text("end", job_end_name(end)),
 	    evt_text("reason", reason),
 	    evt_int("ms_held", clk_now_ms() - waiter->submitted_ms),
-	    evt_int(
-		"config", je->routes == NULL ? 0 : rts_version(je->routes)));
+	    evt_int("config", ecf_routes(je->config) == NULL
+				  ? 0
+				  : rts_version(ecf_routes(je->config))));
 	answer_waiter(je, waiter, &a);
 }
 
@@ -221,9 +213,9 @@
 {
 	struct je *je = ctx;
 
-	args->revision = mir_revision(je->config_mirror);
-	args->out.out_len = g_strv_length(je->out_names);
-	args->out.out_val = je->out_names;
+	args->revision = ecf_revision(je->config);
+	args->out.out_len = g_strv_length(ecf_out_domains(je->config));
+	args->out.out_val = ecf_out_domains(je->config);
 }
 
 static void
@@ -290,83 +282,22 @@
 }
 
 static void
-update_routes(struct je *je, GHashTable *items)
+on_config_changed(bool first, void *ctx)
 {
-	struct status st;
-	struct rts *routes = je->opts.layout->routes(items, &st);
-	bool first;
+	struct je *je = ctx;
 
-	if (routes == NULL) {
-		evt_write("config", evt_text("state", "ignored"),
-		    evt_text("reason", st.message));
-		return;
-	}
-	if (je->routes != NULL &&
-	    rts_version(routes) < rts_version(je->routes)) {
-		rts_unref(routes);
-		return;
-	}
-	first = je->routes == NULL;
-	rts_unref(je->routes);
-	je->routes = routes;
 	if (first)
 		je->opts.configured(je->opts.ctx);
-}
-
-static void
-update_out_domains(struct je *je, GHashTable *items)
-{
-	char **p;
-
-	g_strfreev(je->out_names);
-	je->out_names = je->opts.layout->out(items);
-	g_hash_table_remove_all(je->out_domains);
-	for (p = je->out_names; *p != NULL; p++)
-		g_hash_table_add(je->out_domains, *p);
-}
-
-static void
-on_config_changed(struct mir *mir, void *ctx)
-{
-	struct je *je = ctx;
-
-	update_routes(je, mir_items(mir));
-	update_out_domains(je, mir_items(mir));
-	evt_write("config",
-	    evt_int(
-		"version", je->routes == NULL ? 0 : rts_version(je->routes)),
-	    evt_int("revision", mir_revision(mir)),
-	    evt_int(
-		"queues", je->routes == NULL ? 0 : rts_n_queues(je->routes)),
-	    evt_int("out", g_strv_length(je->out_names)));
 	agp_domains_changed(je->agents);
 	schedule_placement(je);
 }
 
-static void
-log_store_state(
-    const char *copy, bool reachable, const struct status *st, int64_t revision)
-{
-	evt_write("store", evt_text("copy", copy),
-	    evt_bool("reachable", reachable),
-	    evt_text("reason", reachable ? "" : st->message),
-	    evt_int("revision", revision));
-}
-
-static void
-on_store_state(
-    struct mir *mir, bool reachable, const struct status *st, void *ctx)
-{
-	(void)ctx;
-	log_store_state("operators", reachable, st, mir_revision(mir));
-}
-
 static void
 on_agents_store_state(
     bool reachable, const struct status *st, int64_t revision, void *ctx)
 {
 	(void)ctx;
-	log_store_state("agents", reachable, st, revision);
+	ecf_log_store("agents", reachable, st, revision);
 }
 
 /*
@@ -483,19 +414,17 @@
 	    reg, "sp_tasks_lost_total", "Tasks whose run was lost or stalled.");
 }
 
-static struct mir *
-make_config_mirror(struct je *je)
+static struct ecf *
+make_config(struct je *je)
 {
-	struct mir_options opts = {
+	struct ecf_options opts = {
 	    .ks = je->opts.ks,
-	    .prefix = je->opts.layout->operators_prefix,
-	    .wait_ms = STORE_WATCH_MS,
+	    .layout = je->opts.layout,
 	    .changed = on_config_changed,
-	    .reachable = on_store_state,
 	    .ctx = je,
 	};
 
-	return mir_new(&opts);
+	return ecf_new(&opts);
 }
 
 /* Cancels a job that is open here, and answers its call. */
@@ -539,7 +468,7 @@
 	    .counters = je->opts.counters,
 	    .sch = je->sch,
 	    .n_chosen = je->opts.agent_connections,
-	    .watch_ms = STORE_WATCH_MS,
+	    .watch_ms = ECF_STORE_WATCH_MS,
 	    .is_out = is_domain_out,
 	    .fill_heartbeat = fill_heartbeat,
 	    .update = on_update,
@@ -579,13 +508,11 @@
 	je->sch = sch_new(&sch);
 	wks_set_out_check(sch_workers(je->sch), is_domain_out, je);
 	je->cancelled = ccl_new();
-	je->out_domains = g_hash_table_new(g_str_hash, g_str_equal);
-	je->out_names = g_new0(char *, 1);
 	je->waiters = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, waiter_free);
 	make_counters(je);
 	je->agents = make_agents(je);
-	je->config_mirror = make_config_mirror(je);
+	je->config = make_config(je);
 	je->tick_ms = clk_now_ms();
 	je->tick_id = g_timeout_add(JE_TICK_MS, on_tick, je);
 	return je;
@@ -599,13 +526,10 @@
 	g_clear_handle_id(&je->tick_id, g_source_remove);
 	g_clear_handle_id(&je->placement_id, g_source_remove);
 	agp_free(je->agents);
-	mir_free(je->config_mirror);
+	ecf_free(je->config);
 	sch_free(je->sch);
 	ccl_free(je->cancelled);
 	g_hash_table_unref(je->waiters);
-	g_hash_table_unref(je->out_domains);
-	g_strfreev(je->out_names);
-	rts_unref(je->routes);
 	hst_free(je->job_times);
 	g_free(je);
 }
@@ -613,7 +537,7 @@
 bool
 je_is_ready(const struct je *je)
 {
-	return je->routes != NULL && !je->draining;
+	return ecf_routes(je->config) != NULL && !je->draining;
 }
 
 bool
@@ -625,7 +549,7 @@
 const struct rts *
 je_routes(const struct je *je)
 {
-	return je->routes;
+	return ecf_routes(je->config);
 }
 
 static void
@@ -648,14 +572,14 @@
 {
 	const struct rts_queue *queue;
 
-	if (je->routes == NULL) {
+	if (ecf_routes(je->config) == NULL) {
 		evt_write(
 		    "refusal", evt_text("reason", "no configuration yet"));
 		answer_now(fn, ctx, JE_NOT_READY, "no configuration yet",
 		    RETRY_AFTER_MIN_MS);
 		return NULL;
 	}
-	queue = rts_find(je->routes, host, path);
+	queue = rts_find(ecf_routes(je->config), host, path);
 	if (queue == NULL) {
 		answer_now(fn, ctx, JE_NO_QUEUE, "no such queue", 0);
 		return NULL;
@@ -689,7 +613,7 @@
 	    evt_text("reason", reasons[verdict]),
 	    evt_int("wait_ms", request->wait_ms),
 	    evt_int("jobs", sch_n_jobs(je->sch)),
-	    evt_int("config", rts_version(je->routes)));
+	    evt_int("config", rts_version(ecf_routes(je->config))));
 	answer_now(fn, ctx, overloaded ? JE_OVERLOADED : JE_REFUSED,
 	    reasons[verdict], MAX(RETRY_AFTER_MIN_MS, request->wait_ms));
 }
--- a/src/process/jobentry.h
+++ b/src/process/jobentry.h
@@ -5,6 +5,7 @@
 #include <stdint.h>
 
 #include "process/counters.h"
+#include "process/entryconfig.h"
 #include "process/status.h"
 #include "request/work.h"
 #include "version/keyspace.h"
@@ -40,20 +41,11 @@
 
 typedef void (*je_answer_fn)(const struct je_answer *answer, void *ctx);
 
-/* The adapter's keys in the store and the functions that parse them. */
-struct je_store_layout {
-	const char *operators_prefix;
-	/* NULL when the items hold no valid configuration. */
-	struct rts *(*routes)(GHashTable *items, struct status *st);
-	/* Failure domains out of service; freed with g_strfreev(). */
-	char **(*out)(GHashTable *items);
-};
-
 struct je_options {
 	const char *name;
 	const char *failure_domain;
-	const struct ks *ks;		      /* borrowed */
-	const struct je_store_layout *layout; /* borrowed */
+	const struct ks *ks;		 /* borrowed */
+	const struct ecf_layout *layout; /* borrowed */
 	/*
 	 * Run time assumed outside the preferred rack, where a task's data is,
 	 * as a multiple of the run time inside it.
