--- a/src/request/crashlog.h
+++ b/src/request/crashlog.h
@@ -25,9 +25,9 @@
 	char *queue;
 	/*
 	 * How likely its job is the cause, compared with what is usual for its
-	 * queue: half for each job that was started closer to the crash, since
-	 * a run that did no harm for longer is less likely the cause; divided
-	 * by the mean of that at moments without a crash.
+	 * queue: half for each moment closer to the crash at which others were
+	 * started, since a run that did no harm for longer is less likely the
+	 * cause; divided by the mean of that at moments without a crash.
 	 */
 	uint32_t weight_permille;
 	/* False: the worker may have crashed before the start reached it. */
