Let no lease outlive the silence of a run's entry

What callers saw: a task ran on two workers at once. An entry fell silent (frozen, or cut off from the agents), its caller had left it, and the stops of its runs were carried out late.

Cause: the agent ended the session 0.8 s after the entry's last message, counted the 0.4 s of patience with a stop from then on, and the lease it had renewed until then ended up to 0.58 s later: 1.78 s after the entry was last heard, while the job may be sent again after 1.3 s.

Change: the time of sending of an entry's last message counts, less what it was held up. The lease is not renewed once that is 0.65 s ago (a start still goes out, under the lease that is there), the session ends when it is 0.8 s ago, and a run counts as given up since the last message, not since the end of the session. The lease ends 1.23 s after the last message at the latest.

--- a/fuzz/fuzz_ledger.c
+++ b/fuzz/fuzz_ledger.c
@@ -1,7 +1,8 @@
 /*
  * The ledger under sequences of events, before a worker that carries out calls
- * late or not at all.  No task runs twice at once, and no start brings the worker
- * over its capacity.
+ * late or not at all.  No task runs twice at once, no start brings the worker
+ * over its capacity, and no lease reaches beyond the time at which the job of a
+ * run that its entry has given up may be sent again.
  */
 #include <glib.h>
 #include <string.h>
@@ -12,7 +13,12 @@
 #define N_TASKS	 6
 #define MAX_RUNS 256
 #define CAPACITY 10
-#define LEASE_MS 500
+/* Upper bound of a lease, by a clock that may be slow. */
+#define LEASE_MS  575
+#define RESEND_MS 1300
+/* Entries, and the sessions that they can have one after the other. */
+#define N_ENTRIES    3
+#define MAX_SESSIONS 64
 
 enum state { SENT, RUNNING, ENDED };
 
@@ -32,6 +38,9 @@
 	int64_t now_ms;
 	int64_t lease_ends_ms;
 	uint64_t seq;
+	uint64_t sessions[N_ENTRIES]; /* present one of each entry */
+	/* Last message in each session; 0: one has just arrived. */
+	int64_t last_sent_ms[MAX_SESSIONS];
 };
 
 static const char *const tasks[N_TASKS] = {"a", "b", "c", "d", "e", "f"};
@@ -46,6 +55,15 @@
 	return led_lease(w->led, w->now_ms) != WP_LEASE_WITHHOLD;
 }
 
+static int64_t
+last_sent_ms(uint64_t session, void *ctx)
+{
+	const struct world *w = ctx;
+	int64_t sent_ms = w->last_sent_ms[session];
+
+	return sent_ms == 0 ? w->now_ms : sent_ms;
+}
+
 static int
 task_index(const char *task)
 {
@@ -184,11 +202,13 @@
 submit(struct world *w, uint8_t byte)
 {
 	g_autoptr(GBytes) spec = g_bytes_new_static("s", 1);
+	g_autofree char *queue = g_strdup_printf(
+	    "%" G_GUINT64_FORMAT, w->sessions[byte % N_ENTRIES]);
 	struct led_start start = {
-	    .session = 1 + byte % 3,
+	    .session = w->sessions[byte % N_ENTRIES],
 	    .seq = ++w->seq,
 	    .task = tasks[byte % N_TASKS],
-	    .queue = "q",
+	    .queue = queue,
 	    .spec = spec,
 	    .size = {.cpu_milli = 1 + byte % N_TASKS},
 	    .expected_ms = 100,
@@ -199,17 +219,65 @@
 		led_submit(w->led, &start, w->now_ms);
 }
 
+/* The queue of a run is the number of its session. */
+static void
+check_renewal(const struct led_active_run *run, void *ctx)
+{
+	const struct world *w = ctx;
+	uint64_t session = g_ascii_strtoull(run->queue, NULL, 10);
+	int64_t sent_ms = w->last_sent_ms[session];
+
+	fz_check(sent_ms == 0 || w->now_ms + LEASE_MS <= sent_ms + RESEND_MS);
+}
+
+static void
+renew(struct world *w)
+{
+	if (led_lease(w->led, w->now_ms) != WP_LEASE_RENEW)
+		return;
+	led_each_active(w->led, check_renewal, w);
+	w->lease_ends_ms = MAX(w->lease_ends_ms, w->now_ms + LEASE_MS);
+}
+
+static void
+end_session(struct world *w, unsigned entry)
+{
+	uint64_t session = w->sessions[entry];
+	int64_t sent_ms = last_sent_ms(session, w);
+
+	if (session + N_ENTRIES >= MAX_SESSIONS)
+		return;
+	w->last_sent_ms[session] = sent_ms;
+	w->sessions[entry] += N_ENTRIES;
+	led_end_session(w->led, session, sent_ms, w->now_ms);
+}
+
+/* An entry falls silent, or is heard again. */
+static void
+toggle_silence(struct world *w, unsigned entry)
+{
+	int64_t *sent_ms = &w->last_sent_ms[w->sessions[entry]];
+
+	*sent_ms = *sent_ms == 0 ? w->now_ms : 0;
+}
+
 static void
 step(struct world *w, uint8_t op, uint8_t byte)
 {
+	unsigned entry = byte % N_ENTRIES;
 	struct run *run = pick(w, byte);
 
 	if (op % 10 == 0)
 		submit(w, byte);
 	else if (op % 10 == 1)
-		led_cancel(w->led, 1 + byte % 3, 1 + byte % 16, w->now_ms);
+		led_cancel(w->led, w->sessions[entry], 1 + byte % 16, w->now_ms,
+		    w->now_ms);
 	else if (op % 10 == 2)
-		led_end_session(w->led, 1 + byte % 3, w->now_ms);
+		end_session(w, entry);
+	else if (op % 10 == 9 && (op & 16) != 0)
+		renew(w);
+	else if (op % 10 == 9)
+		toggle_silence(w, entry);
 	else if (op % 10 == 3)
 		w->now_ms += byte;
 	else if (op % 10 == 4)
@@ -230,10 +298,11 @@
 int
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
-	struct world w = {.now_ms = 1000};
+	struct world w = {.now_ms = 1000, .sessions = {1, 2, 3}};
 	struct led_options opts = {
 	    .max_queue = 8,
 	    .may_start = may_start,
+	    .last_sent_ms = last_sent_ms,
 	    .start = on_start,
 	    .stop = on_stop,
 	    .request_report = on_report_wanted,
--- a/src/connection/holder.c
+++ b/src/connection/holder.c
@@ -218,8 +218,10 @@
 static int64_t
 start_deadline_ms(struct hold *hold)
 {
-	if (hold->leaving_since_ms != 0 ||
-	    hold->opts.lease(hold->opts.ctx) == WP_LEASE_WITHHOLD)
+	enum wp_lease lease = hold->opts.lease(hold->opts.ctx);
+
+	if (hold->leaving_since_ms != 0 || lease == WP_LEASE_PAUSE ||
+	    lease == WP_LEASE_WITHHOLD)
 		return hold->deadline_ms;
 	if (hold->unanswered_since_ms != 0 &&
 	    hold->lease_ends_ms - clk_now_ms() > hold->opts.lease_ms / 2)
--- a/src/connection/holder.h
+++ b/src/connection/holder.h
@@ -41,7 +41,7 @@
 	int64_t token; /* fencing token, above that of any earlier agent */
 	/*
 	 * What is to be done with the lease.  Polls renew it as long as a run
-	 * needs it; starts do so too unless it is withheld.
+	 * needs it; starts do so too unless it is paused or withheld.
 	 */
 	enum wp_lease (*lease)(void *ctx);
 	/*
--- a/src/connection/sessions.c
+++ b/src/connection/sessions.c
@@ -17,6 +17,8 @@
 	uint64_t id;
 	struct rpc_conn *conn;
 	int64_t last_input_ms;
+	/* Of the last message: its arrival, less the time it was held up. */
+	int64_t last_sent_ms;
 	uint64_t entry;	 /* its incarnation, 0 before RUN_OPEN */
 	bool identified; /* RUN_OPEN was received */
 };
@@ -55,12 +57,13 @@
 	struct session *s = ctx;
 	struct ses *ses = s->ses;
 	uint64_t id = s->id;
+	int64_t last_sent_ms = s->last_sent_ms;
 	bool identified = s->identified;
 
 	(void)conn;
 	g_hash_table_remove(ses->sessions, &id);
 	if (identified)
-		ses->opts.closed(id, why, ses->opts.ctx);
+		ses->opts.closed(id, last_sent_ms, why, ses->opts.ctx);
 }
 
 static struct ldl *
@@ -87,15 +90,18 @@
 is_held_up(struct session *s, int64_t sent_ms)
 {
 	int64_t silence_ms = s->ses->opts.silence_ms, delay_ms;
+	int64_t now_ms = clk_now_ms();
 
 	if (sent_ms < 0 || sent_ms > MAX_CLOCK_MS) {
 		rpc_close(s->conn, ST_INVALID, "time out of range");
 		return true;
 	}
 	delay_ms = ldl_measure(
-	    find_delay(s->ses, s->entry), sent_ms, clk_now_ms(), silence_ms);
-	if (delay_ms <= silence_ms)
+	    find_delay(s->ses, s->entry), sent_ms, now_ms, silence_ms);
+	if (delay_ms <= silence_ms) {
+		s->last_sent_ms = MAX(s->last_sent_ms, now_ms - delay_ms);
 		return false;
+	}
 	rpc_close(s->conn, ST_TIMEOUT, "message was held up on its way");
 	return true;
 }
@@ -234,7 +240,7 @@
 	(void)source;
 	s->ses = ses;
 	s->id = ++ses->next_id;
-	s->last_input_ms = clk_now_ms();
+	s->last_input_ms = s->last_sent_ms = clk_now_ms();
 	s->conn = rpc_new(&opts);
 	g_hash_table_insert(ses->sessions, &s->id, s);
 	return TRUE;
@@ -298,13 +304,41 @@
 	g_free(ses);
 }
 
+int64_t
+ses_last_sent_ms(const struct ses *ses, uint64_t id)
+{
+	const struct session *s = find_session(ses, id);
+
+	return s == NULL ? 0 : s->last_sent_ms;
+}
+
+static bool
+is_live(const struct session *s)
+{
+	return clk_now_ms() - s->last_sent_ms <= s->ses->opts.silence_ms;
+}
+
 bool
 ses_is_live(const struct ses *ses, uint64_t id)
 {
 	const struct session *s = find_session(ses, id);
 
-	return s != NULL &&
-	       clk_now_ms() - s->last_input_ms <= ses->opts.silence_ms;
+	return s != NULL && is_live(s);
+}
+
+void
+ses_tick(struct ses *ses)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, ses->sessions);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct session *s = value;
+
+		if (!is_live(s))
+			rpc_close(s->conn, ST_TIMEOUT, "entry is silent");
+	}
 }
 
 bool
--- a/src/connection/sessions.h
+++ b/src/connection/sessions.h
@@ -15,9 +15,12 @@
 
 struct ses_options {
 	const char *listen; /* "ip:port" */
-	int64_t silence_ms; /* a session without input for this long closes */
+	/* A session closes when its entry has sent nothing for this long. */
+	int64_t silence_ms;
 	void (*opened)(uint64_t session, const char *entry, void *ctx);
-	void (*closed)(uint64_t session, const struct status *why, void *ctx);
+	/* The entry sent the last message that has arrived at last_sent_ms. */
+	void (*closed)(uint64_t session, int64_t last_sent_ms,
+	    const struct status *why, void *ctx);
 	void (*start)(
 	    uint64_t session, const struct run_start_args *args, void *ctx);
 	void (*cancel)(
@@ -32,8 +35,15 @@
 struct ses *ses_new(const struct ses_options *opts, struct status *st);
 void ses_free(struct ses *ses);
 
-/* Whether input came within silence_ms, so that starts may be executed. */
+/*
+ * When the entry sent the last message that has arrived, on the clock of this
+ * process; 0 if there is no such session.
+ */
+int64_t ses_last_sent_ms(const struct ses *ses, uint64_t session);
+/* Whether that is at most silence_ms ago, so that starts may be executed. */
 bool ses_is_live(const struct ses *ses, uint64_t session);
+/* To be called periodically; closes the sessions that are not live. */
+void ses_tick(struct ses *ses);
 bool ses_send(struct ses *ses, uint64_t session, uint32_t proc,
     xdrproc_t encode, void *args);
 /* Ids of the sessions whose entry has sent RUN_OPEN; freed by the caller. */
--- a/src/connection/workerport.h
+++ b/src/connection/workerport.h
@@ -75,10 +75,14 @@
 	size_t n_ended;
 };
 
-/* What is to be done with the lease, which applies to all runs. */
+/*
+ * What is to be done with the lease, which applies to all runs.  Where runs
+ * differ, the last of these values that one asks for counts.
+ */
 enum wp_lease {
 	WP_LEASE_UNNEEDED, /* no run needs it */
 	WP_LEASE_RENEW,
+	WP_LEASE_PAUSE,	  /* not to be renewed now; its time goes on */
 	WP_LEASE_WITHHOLD /* it must expire, also under runs that need it */
 };
 
--- a/src/process/jobagent.c
+++ b/src/process/jobagent.c
@@ -237,14 +237,15 @@
 }
 
 static void
-on_closed(uint64_t session, const struct status *why, void *ctx)
+on_closed(
+    uint64_t session, int64_t last_sent_ms, const struct status *why, void *ctx)
 {
 	struct ja *ja = ctx;
 
 	evt_write("entry", evt_uint("session", session),
 	    evt_text("state", "lost"), evt_text("reason", why->message));
 	++*ja->sessions_lost;
-	led_end_session(ja->led, session, clk_now_ms());
+	led_end_session(ja->led, session, last_sent_ms, clk_now_ms());
 	g_hash_table_remove(ja->outboxes, &session);
 	upd_close(ja->updates, session);
 	plan_updates(ja);
@@ -284,11 +285,12 @@
 on_cancel(uint64_t session, const struct run_cancel_args *args, void *ctx)
 {
 	struct ja *ja = ctx;
+	int64_t now_ms = clk_now_ms();
 	uint32_t i;
 
 	for (i = 0; i < args->seqs.seqs_len; i++)
 		led_cancel(
-		    ja->led, session, args->seqs.seqs_val[i], clk_now_ms());
+		    ja->led, session, args->seqs.seqs_val[i], now_ms, now_ms);
 	plan_updates(ja);
 }
 
@@ -354,6 +356,14 @@
 	return is_accepting(ja, reason);
 }
 
+static int64_t
+last_sent_ms(uint64_t session, void *ctx)
+{
+	struct ja *ja = ctx;
+
+	return ses_last_sent_ms(ja->ses, session);
+}
+
 /* Callback context of a call to the worker about one run. */
 struct run_context {
 	struct ja *ja;
@@ -593,6 +603,7 @@
 {
 	struct ja *ja = data;
 
+	ses_tick(ja->ses);
 	hold_tick(ja->hold);
 	led_tick(ja->led, clk_now_ms());
 	check_lease(ja);
@@ -630,6 +641,7 @@
 	struct led_options led = {
 	    .max_queue = MAX_QUEUED_STARTS,
 	    .may_start = may_start,
+	    .last_sent_ms = last_sent_ms,
 	    .start = start_run,
 	    .stop = stop_run,
 	    .request_report = request_worker_report,
--- a/src/request/ledger.c
+++ b/src/request/ledger.c
@@ -11,6 +11,12 @@
  * the run is over before its job is sent again, 1.3 s after it was given up.
  */
 #define STOP_PATIENCE_MS 400
+/*
+ * The lease is not renewed when the entry of a run has sent nothing for this
+ * long.  With the lease of HOLD_MAX_LEASE_MS after it, the run is over 1.3 s
+ * after the entry's last message, also if its stop is not carried out then.
+ */
+#define SILENT_ENTRY_MS 650
 /* Run numbers skipped when the worker has already seen higher ones. */
 #define RUN_NUMBER_SKIP 10000
 #define MAX_RENUMBERS	3
@@ -279,7 +285,7 @@
 
 static void
 stop_matching(struct led *led, uint64_t session, uint64_t seq,
-    const char *reason, int64_t now_ms)
+    const char *reason, int64_t given_up_ms, int64_t now_ms)
 {
 	g_autoptr(GList) runs = g_hash_table_get_values(led->active);
 	GList *l;
@@ -290,24 +296,26 @@
 		if (run->session != session || (seq != 0 && run->seq != seq))
 			continue;
 		if (!run->given_up)
-			run->given_up_ms = now_ms;
+			run->given_up_ms = given_up_ms;
 		run->given_up = true;
 		begin_stop(led, run, reason, now_ms);
 	}
 }
 
 void
-led_cancel(struct led *led, uint64_t session, uint64_t seq, int64_t now_ms)
+led_cancel(struct led *led, uint64_t session, uint64_t seq, int64_t given_up_ms,
+    int64_t now_ms)
 {
 	refuse_matching(led, session, seq, "cancelled");
-	stop_matching(led, session, seq, "cancelled", now_ms);
+	stop_matching(led, session, seq, "cancelled", given_up_ms, now_ms);
 }
 
 void
-led_end_session(struct led *led, uint64_t session, int64_t now_ms)
+led_end_session(
+    struct led *led, uint64_t session, int64_t given_up_ms, int64_t now_ms)
 {
 	refuse_matching(led, session, 0, "session ended");
-	stop_matching(led, session, 0, "session ended", now_ms);
+	stop_matching(led, session, 0, "session ended", given_up_ms, now_ms);
 }
 
 void
@@ -648,6 +656,23 @@
 	led_return_queue(led, reason, now_ms);
 }
 
+/* What is to be done with the lease if there were no other run. */
+static enum wp_lease
+lease_of_run(const struct led *led, const struct run *run, int64_t now_ms)
+{
+	int64_t silent_ms;
+
+	if (run->given_up)
+		return now_ms - run->given_up_ms >= STOP_PATIENCE_MS
+			   ? WP_LEASE_WITHHOLD
+			   : WP_LEASE_UNNEEDED;
+	silent_ms =
+	    now_ms - led->opts.last_sent_ms(run->session, led->opts.ctx);
+	if (silent_ms >= SILENT_ENTRY_MS)
+		return WP_LEASE_PAUSE;
+	return run->state == STOPPING ? WP_LEASE_UNNEEDED : WP_LEASE_RENEW;
+}
+
 enum wp_lease
 led_lease(const struct led *led, int64_t now_ms)
 {
@@ -656,15 +681,8 @@
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, led->active);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct run *run = value;
-
-		if (run->given_up &&
-		    now_ms - run->given_up_ms >= STOP_PATIENCE_MS)
-			return WP_LEASE_WITHHOLD;
-		if (run->state != STOPPING)
-			lease = WP_LEASE_RENEW;
-	}
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		lease = MAX(lease, lease_of_run(led, value, now_ms));
 	return lease;
 }
 
--- a/src/request/ledger.h
+++ b/src/request/ledger.h
@@ -63,6 +63,8 @@
 	uint32_t max_queue;
 	/* Whether a start may be sent now; sets reason when it may not. */
 	bool (*may_start)(uint64_t session, const char **reason, void *ctx);
+	/* When the session's entry sent the last message that has arrived. */
+	int64_t (*last_sent_ms)(uint64_t session, void *ctx);
 	/*
 	 * Calls to the worker.  Their answers go to led_started() and
 	 * led_stopped().
@@ -85,10 +87,18 @@
 
 /* Queues a start.  A refused one gets its result during the call. */
 void led_submit(struct led *led, const struct led_start *start, int64_t now_ms);
-void led_cancel(
-    struct led *led, uint64_t session, uint64_t seq, int64_t now_ms);
-/* Returns the session's queued starts as not started and stops its runs. */
-void led_end_session(struct led *led, uint64_t session, int64_t now_ms);
+/*
+ * given_up_ms is the earliest time at which the entry may have given up the
+ * start: its job may be sent again 1.3 s later.
+ */
+void led_cancel(struct led *led, uint64_t session, uint64_t seq,
+    int64_t given_up_ms, int64_t now_ms);
+/*
+ * Returns the session's queued starts as not started and stops its runs.
+ * given_up_ms is as for led_cancel().
+ */
+void led_end_session(
+    struct led *led, uint64_t session, int64_t given_up_ms, int64_t now_ms);
 /* Returns every queued start as not started. */
 void led_return_queue(struct led *led, const char *reason, int64_t now_ms);
 /* Starts queued tasks that fit the free capacity, by priority. */
@@ -112,7 +122,8 @@
 /*
  * Whether the worker's lease is to be renewed.  It is withheld while a run does
  * not end that its entry has given up: the job may be sent again soon, and the
- * end of the lease is the only way left to end the run.
+ * end of the lease is the only way left to end the run.  It is paused while the
+ * entry of a run is silent, since that may have given up the run.
  */
 enum wp_lease led_lease(const struct led *led, int64_t now_ms);
 
--- a/tests/test_holder.c
+++ b/tests/test_holder.c
@@ -347,6 +347,8 @@
 		wait_for_call(w);
 	else if (strcmp(words[0], "withhold") == 0)
 		w->lease = WP_LEASE_WITHHOLD;
+	else if (strcmp(words[0], "pause") == 0)
+		w->lease = WP_LEASE_PAUSE;
 	else if (strcmp(words[0], "ready") == 0)
 		append(w, hold_is_ready(w->hold) ? "yes" : "no");
 	else if (strcmp(words[0], "start") == 0)
--- a/tests/test_late_calls.c
+++ b/tests/test_late_calls.c
@@ -3,6 +3,7 @@
  * task may run twice at once.
  */
 #include <glib.h>
+#include <signal.h>
 
 #include "deployment.h"
 #include "runner.h"
@@ -12,9 +13,18 @@
 #define LATE_MS		2500
 #define TASK_MS		3000
 #define HELD_UP_MS	2000
+/*
+ * An estimate by which no run is too slow: entries expect a share of it, which
+ * they learned from the short tasks before.
+ */
+#define UNKNOWN_MS (100 * TASK_MS)
+/* Tasks of a job that leaves a worker free for its second submission. */
+#define N_FEW 2
 
+/* Agents stop runs that seem to need more than three times the estimate. */
 static struct hn_http *
-post_job(struct dpl *dpl, int entry, unsigned id, int n_tasks, int deadline_ms)
+post_estimated_job(struct dpl *dpl, int entry, unsigned id, int n_tasks,
+    int deadline_ms, int estimate_ms)
 {
 	const char *const headers[] = {"Content-Type: application/json",
 	    hn_str("X-Deadline-Ms: %d", deadline_ms), NULL};
@@ -23,8 +33,14 @@
 	    dpl_url(dpl, entry, hn_str("/q/%016x", id)), headers,
 	    hn_str("{\"spec\":\"%d\",\"best_effort\":true,\"steps\":["
 		   "{\"count\":%d,\"cpu\":1000,\"mem_mb\":1,\"estimate_ms\":"
-		   "250}]}",
-		TASK_MS, n_tasks));
+		   "%d}]}",
+		TASK_MS, n_tasks, estimate_ms));
+}
+
+static struct hn_http *
+post_job(struct dpl *dpl, int entry, unsigned id, int n_tasks, int deadline_ms)
+{
+	return post_estimated_job(dpl, entry, id, n_tasks, deadline_ms, 250);
 }
 
 static int64_t
@@ -77,6 +93,35 @@
 }
 END_TEST
 
+/*
+ * An entry falls silent when its caller gives up, and the stops of its runs are
+ * carried out late.  The agents counted their patience with the stops from the
+ * end of its session, so that the lease was renewed for too long.
+ */
+START_TEST(late_stops_of_a_silent_entry)
+{
+	struct hn_http *job;
+	struct dpl dpl;
+
+	dpl_start(&dpl, &(struct dpl_options){0});
+	post_estimated_job(&dpl, 0, 0xd4, N_FEW, 20000, UNKNOWN_MS);
+	ck_assert(hn_wait_until(count(&dpl, "running") == N_FEW, HN_LIMIT_MS));
+	dpl_control(&dpl, "GET", hn_str("mode?late_stops=%d", LATE_MS), NULL);
+	hn_signal(dpl.entry[0], SIGSTOP);
+	hn_sleep(RESEND_MS);
+	job = post_estimated_job(
+	    &dpl, 1, 0xd4, N_FEW, JOB_DEADLINE_MS, UNKNOWN_MS);
+	hn_sleep(JOB_DEADLINE_MS / 2);
+	ck_assert_int_eq(count(&dpl, "twice"), 0);
+	ck_assert_int_ge(count(&dpl, "running"), N_FEW);
+	hn_signal(dpl.entry[0], SIGCONT);
+	dpl_control(&dpl, "GET", "mode?late_stops=0", NULL);
+	hn_http_wait(job, HN_LIMIT_MS);
+	ck_assert_int_eq(count(&dpl, "twice"), 0);
+	hn_finish();
+}
+END_TEST
+
 /*
  * A deregistration that was held up arrives in the worker's next life under the
  * same id.  What runs there was started elsewhere at once.
@@ -139,7 +184,7 @@
 {
 	const TTest *const tests[] = {held_up_starts_are_not_executed,
 	    late_stops_end_with_the_lease, late_stops_end_beside_other_runs,
-	    late_deregistration_ends_no_run};
+	    late_stops_of_a_silent_entry, late_deregistration_ends_no_run};
 
 	return run_tests("late_calls", tests, sizeof(tests) / sizeof(tests[0]),
 	    2 * HN_LIMIT_MS / 1000.0);
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -8,15 +8,18 @@
 #define MAX_QUEUE   4
 #define MAX_ROWS    8
 #define EXPECTED_MS 1000
+#define N_SESSIONS  4
 
 struct trace {
 	struct led *led;
 	GString *actual;
 	int64_t now_ms;
 	bool accepting;
+	/* Last message of each session's entry; 0: one has just arrived. */
+	int64_t last_sent_ms[N_SESSIONS];
 };
 
-static const char *const leases[] = {"unneeded", "renew", "withhold"};
+static const char *const leases[] = {"unneeded", "renew", "pause", "withhold"};
 
 static const char *const verdicts[] = {
     "done", "stale", "late", "fenced", "refused", "replaced", "no_answer"};
@@ -60,6 +63,15 @@
 	       led_lease(t->led, t->now_ms) != WP_LEASE_WITHHOLD;
 }
 
+static int64_t
+last_sent_ms(uint64_t session, void *ctx)
+{
+	const struct trace *t = ctx;
+	int64_t sent_ms = t->last_sent_ms[session];
+
+	return sent_ms == 0 ? t->now_ms : sent_ms;
+}
+
 static void
 on_start(const char *task, GBytes *spec, int64_t run, void *ctx)
 {
@@ -93,6 +105,7 @@
 	struct led_options opts = {
 	    .max_queue = MAX_QUEUE,
 	    .may_start = may_start,
+	    .last_sent_ms = last_sent_ms,
 	    .start = on_start,
 	    .stop = on_stop,
 	    .request_report = on_request_report,
@@ -191,6 +204,13 @@
 		led_stopped(t->led, number(w[1]), verdict, t->now_ms);
 }
 
+/* The time that a command names as its last word, or the present. */
+static int64_t
+given_up_ms(const struct trace *t, const char *word)
+{
+	return word == NULL ? t->now_ms : number(word);
+}
+
 static void
 step(void *ctx, char **w, GString *actual)
 {
@@ -214,9 +234,14 @@
 		report(t, w);
 	else if (strcmp(w[0], "cancel") == 0)
 		led_cancel(t->led, (uint64_t)number(w[1]),
-		    (uint64_t)number(w[2]), t->now_ms);
+		    (uint64_t)number(w[2]), given_up_ms(t, w[3]), t->now_ms);
 	else if (strcmp(w[0], "end") == 0)
-		led_end_session(t->led, (uint64_t)number(w[1]), t->now_ms);
+		led_end_session(t->led, (uint64_t)number(w[1]),
+		    given_up_ms(t, w[2]), t->now_ms);
+	else if (strcmp(w[0], "silent") == 0)
+		t->last_sent_ms[number(w[1])] = t->now_ms;
+	else if (strcmp(w[0], "heard") == 0)
+		t->last_sent_ms[number(w[1])] = 0;
 	else if (strcmp(w[0], "lease") == 0)
 		emit(t, "%s", leases[led_lease(t->led, t->now_ms)]);
 	else if (strcmp(w[0], "lost") == 0)
