Count the patience with a stop from the sending of its cancel

What callers saw: a task ran on two workers at once. A job reached its deadline, its cancels were held up on their way to the agents, the stops of its runs were carried out late, and other runs there needed the lease.

Cause: a run counted as given up since the arrival of its cancel. A message may be up to 0.8 s on its way, which came on top of the 0.4 s of patience and the 0.58 s of the lease: 1.78 s, while the job is sent again after 1.3 s. The class is that of the silent entry: a time that runs from what the receiver saw, where it has to run from what the sender did.

Change: CANCEL carries the time of its sending, as START and HEARTBEAT do, and a run counts as given up since then. One that is held up by more than 0.8 s ends the session, as for the other messages. The messages change, and with them the RPC program number.

--- a/src/connection/run.x
+++ b/src/connection/run.x
@@ -53,6 +53,7 @@
 
 /* Withdraws starts: tasks not started yet are dropped, others are stopped. */
 struct run_cancel_args {
+	int64_t sent_ms;
 	uint64_t seqs<RUN_BATCH_MAX>;
 };
 
@@ -140,4 +141,4 @@
 		void RUN_CRASH(run_crash_args) = 7;
 		void RUN_CANCEL_JOB(run_cancel_job_args) = 8;
 	} = 1;
-} = 0x20005357;
+} = 0x20005358;
--- a/src/connection/run_xdr.h
+++ b/src/connection/run_xdr.h
@@ -69,6 +69,7 @@
 typedef struct run_start_args run_start_args;
 
 struct run_cancel_args {
+	int64_t sent_ms;
 	struct {
 		u_int seqs_len;
 		uint64_t *seqs_val;
@@ -159,7 +160,7 @@
 };
 typedef struct run_cancel_job_args run_cancel_job_args;
 
-#define RUN_PROG 0x20005357
+#define RUN_PROG 0x20005358
 #define RUN_V1	 1
 
 #if defined(__STDC__) || defined(__cplusplus)
--- a/src/connection/sessions.c
+++ b/src/connection/sessions.c
@@ -141,10 +141,10 @@
 {
 	run_cancel_args args = {0};
 
-	if (xdr_run_cancel_args(xdrs, &args))
-		s->ses->opts.cancel(s->id, &args, s->ses->opts.ctx);
-	else
+	if (!xdr_run_cancel_args(xdrs, &args))
 		rpc_close(s->conn, ST_INVALID, "malformed cancel");
+	else if (!is_held_up(s, args.sent_ms))
+		s->ses->opts.cancel(s->id, &args, s->ses->opts.ctx);
 	xdr_free((xdrproc_t)xdr_run_cancel_args, &args);
 }
 
--- a/src/connection/worklink.c
+++ b/src/connection/worklink.c
@@ -363,6 +363,7 @@
 send_cancels(struct wlk *link)
 {
 	run_cancel_args args = {
+	    .sent_ms = clk_now_ms(),
 	    .seqs = {MIN(link->cancels->len, RUN_BATCH_MAX),
 		(uint64_t *)link->cancels->data},
 	};
--- a/src/process/jobagent.c
+++ b/src/process/jobagent.c
@@ -285,12 +285,12 @@
 on_cancel(uint64_t session, const struct run_cancel_args *args, void *ctx)
 {
 	struct ja *ja = ctx;
-	int64_t now_ms = clk_now_ms();
+	int64_t given_up_ms = ses_last_sent_ms(ja->ses, session);
 	uint32_t i;
 
 	for (i = 0; i < args->seqs.seqs_len; i++)
-		led_cancel(
-		    ja->led, session, args->seqs.seqs_val[i], now_ms, now_ms);
+		led_cancel(ja->led, session, args->seqs.seqs_val[i],
+		    given_up_ms, clk_now_ms());
 	plan_updates(ja);
 }
 
--- a/tests/test_late_calls.c
+++ b/tests/test_late_calls.c
@@ -18,29 +18,49 @@
  * they learned from the short tasks before.
  */
 #define UNKNOWN_MS (100 * TASK_MS)
-/* Tasks of a job that leaves a worker free for its second submission. */
-#define N_FEW 2
+#define N_FEW	   2
+/* Tasks that need the lease of every worker. */
+#define N_OTHERS 9
+/* Less than the silence after which an agent ends a session. */
+#define CANCEL_DELAY_MS 500
+/* Later than the end of the steps in which that delay is reached. */
+#define HELD_UP_DEADLINE_MS 2500
+
+struct job_form {
+	int n_tasks;
+	int task_ms;
+	/* Agents stop runs that seem to need more than three times this. */
+	int estimate_ms;
+	int deadline_ms;
+};
 
-/* Agents stop runs that seem to need more than three times the estimate. */
 static struct hn_http *
-post_estimated_job(struct dpl *dpl, int entry, unsigned id, int n_tasks,
-    int deadline_ms, int estimate_ms)
+post_form(struct dpl *dpl, int entry, unsigned id, const struct job_form *form)
 {
 	const char *const headers[] = {"Content-Type: application/json",
-	    hn_str("X-Deadline-Ms: %d", deadline_ms), NULL};
+	    hn_str("X-Deadline-Ms: %d", form->deadline_ms), NULL};
 
 	return hn_http_start("POST",
 	    dpl_url(dpl, entry, hn_str("/q/%016x", id)), headers,
 	    hn_str("{\"spec\":\"%d\",\"best_effort\":true,\"steps\":["
 		   "{\"count\":%d,\"cpu\":1000,\"mem_mb\":1,\"estimate_ms\":"
 		   "%d}]}",
-		TASK_MS, n_tasks, estimate_ms));
+		form->task_ms, form->n_tasks, form->estimate_ms));
 }
 
 static struct hn_http *
 post_job(struct dpl *dpl, int entry, unsigned id, int n_tasks, int deadline_ms)
 {
-	return post_estimated_job(dpl, entry, id, n_tasks, deadline_ms, 250);
+	return post_form(dpl, entry, id,
+	    &(struct job_form){n_tasks, TASK_MS, 250, deadline_ms});
+}
+
+/* A job that leaves a worker free for its second submission. */
+static struct hn_http *
+post_small_job(struct dpl *dpl, int entry, unsigned id, int deadline_ms)
+{
+	return post_form(dpl, entry, id,
+	    &(struct job_form){N_FEW, 2 * TASK_MS, UNKNOWN_MS, deadline_ms});
 }
 
 static int64_t
@@ -49,6 +69,20 @@
 	return hn_json_int(dpl_control(dpl, "GET", "counts", NULL), name);
 }
 
+/* Submits a job again while the stops of its first runs are late. */
+static void
+resend_small_job(struct dpl *dpl, unsigned id)
+{
+	struct hn_http *job = post_small_job(dpl, 1, id, JOB_DEADLINE_MS);
+
+	hn_sleep(JOB_DEADLINE_MS / 2);
+	ck_assert_int_eq(count(dpl, "twice"), 0);
+	ck_assert_int_ge(count(dpl, "running"), N_FEW);
+	dpl_control(dpl, "GET", "mode?late_stops=0", NULL);
+	hn_http_wait(job, HN_LIMIT_MS);
+	ck_assert_int_eq(count(dpl, "twice"), 0);
+}
+
 /*
  * A job reaches its deadline, and the stops of its runs are carried out late.
  * The agents went on renewing the lease of these runs, so that they were still
@@ -100,24 +134,65 @@
  */
 START_TEST(late_stops_of_a_silent_entry)
 {
-	struct hn_http *job;
 	struct dpl dpl;
 
 	dpl_start(&dpl, &(struct dpl_options){0});
-	post_estimated_job(&dpl, 0, 0xd4, N_FEW, 20000, UNKNOWN_MS);
+	post_small_job(&dpl, 0, 0xd4, 20000);
 	ck_assert(hn_wait_until(count(&dpl, "running") == N_FEW, HN_LIMIT_MS));
 	dpl_control(&dpl, "GET", hn_str("mode?late_stops=%d", LATE_MS), NULL);
 	hn_signal(dpl.entry[0], SIGSTOP);
 	hn_sleep(RESEND_MS);
-	job = post_estimated_job(
-	    &dpl, 1, 0xd4, N_FEW, JOB_DEADLINE_MS, UNKNOWN_MS);
-	hn_sleep(JOB_DEADLINE_MS / 2);
-	ck_assert_int_eq(count(&dpl, "twice"), 0);
-	ck_assert_int_ge(count(&dpl, "running"), N_FEW);
+	resend_small_job(&dpl, 0xd4);
 	hn_signal(dpl.entry[0], SIGCONT);
-	dpl_control(&dpl, "GET", "mode?late_stops=0", NULL);
-	hn_http_wait(job, HN_LIMIT_MS);
-	ck_assert_int_eq(count(&dpl, "twice"), 0);
+	hn_finish();
+}
+END_TEST
+
+static void
+delay_entries(struct dpl *dpl, int ms)
+{
+	int i;
+
+	for (i = 0; i < DPL_AGENTS; i++)
+		dpl_set_fault(dpl, DPL_ENTRIES_AGENT, i, "up", "delay", ms);
+}
+
+static void
+restore_entries(struct dpl *dpl)
+{
+	int i;
+
+	for (i = 0; i < DPL_AGENTS; i++)
+		dpl_set_fault(dpl, DPL_ENTRIES_AGENT, i, "", "restore", 0);
+}
+
+/*
+ * The cancels of a job that has reached its deadline are held up, by less than
+ * what ends a session, and the stops of its runs are carried out late.  The
+ * agents counted their patience with the stops from the arrival of the cancels.
+ */
+START_TEST(late_stops_after_held_up_cancels)
+{
+	const struct job_form other = {
+	    N_OTHERS, 2 * TASK_MS, UNKNOWN_MS, 20000};
+	struct hn_http *job;
+	struct dpl dpl;
+	int ms;
+
+	dpl_start(&dpl, &(struct dpl_options){.proxied = true});
+	job = post_small_job(&dpl, 0, 0xd5, HELD_UP_DEADLINE_MS);
+	ck_assert(hn_wait_until(count(&dpl, "running") == N_FEW, HN_LIMIT_MS));
+	post_form(&dpl, 1, 0xd6, &other);
+	dpl_control(&dpl, "GET", hn_str("mode?late_stops=%d", LATE_MS), NULL);
+	for (ms = 100; ms <= CANCEL_DELAY_MS; ms += 100) {
+		delay_entries(&dpl, ms);
+		hn_sleep(200);
+	}
+	ck_assert_int_eq(hn_http_wait(job, HN_LIMIT_MS)->status, 504);
+	hn_sleep(CANCEL_DELAY_MS);
+	restore_entries(&dpl);
+	hn_sleep(RESEND_MS - CANCEL_DELAY_MS);
+	resend_small_job(&dpl, 0xd5);
 	hn_finish();
 }
 END_TEST
@@ -158,13 +233,11 @@
 	struct hn_http *job;
 	int64_t starts;
 	struct dpl dpl;
-	int i, ms;
+	int ms;
 
 	dpl_start(&dpl, &(struct dpl_options){.proxied = true});
 	for (ms = 100; ms <= HELD_UP_MS; ms += 100) {
-		for (i = 0; i < DPL_AGENTS; i++)
-			dpl_set_fault(
-			    &dpl, DPL_ENTRIES_AGENT, i, "up", "delay", ms);
+		delay_entries(&dpl, ms);
 		hn_sleep(200);
 	}
 	starts = count(&dpl, "starts");
@@ -172,8 +245,7 @@
 	ck_assert_int_ne(hn_http_wait(job, HN_LIMIT_MS)->status, 200);
 	hn_sleep(HELD_UP_MS);
 	ck_assert_int_eq(count(&dpl, "starts"), starts);
-	for (i = 0; i < DPL_AGENTS; i++)
-		dpl_set_fault(&dpl, DPL_ENTRIES_AGENT, i, "", "restore", 0);
+	restore_entries(&dpl);
 	ck_assert(hn_wait_until(dpl_completes_job(&dpl, 0), HN_LIMIT_MS));
 	hn_finish();
 }
@@ -184,7 +256,8 @@
 {
 	const TTest *const tests[] = {held_up_starts_are_not_executed,
 	    late_stops_end_with_the_lease, late_stops_end_beside_other_runs,
-	    late_stops_of_a_silent_entry, late_deregistration_ends_no_run};
+	    late_stops_of_a_silent_entry, late_stops_after_held_up_cancels,
+	    late_deregistration_ends_no_run};
 
 	return run_tests("late_calls", tests, sizeof(tests) / sizeof(tests[0]),
 	    2 * HN_LIMIT_MS / 1000.0);
