Subtract the round trip from the time at which an entry was last heard

What callers saw: a task ran on two workers at once. All that an entry sent to the agents took 0.7 s from its first message on; the cancels of a job came that late, and the stops of its runs were carried out late.

Cause: delays are measured against the fastest message, since the clocks of two machines differ, so that a delay which is always there is not seen, and is added to each bound that counts from a message.

Change: UPDATE tells an entry which of its messages the agent has heard last, and how long ago; the entry measures the round trip by it (the fastest of the last 10 to 20 s) and tells it in each heartbeat, first before its first start. The agent subtracts it from the time at which the entry was last heard.

--- a/src/connection/linkdelay.c
+++ b/src/connection/linkdelay.c
@@ -22,6 +22,12 @@
 	ldl->late_since_ms = 0;
 }
 
+int64_t
+ldl_fastest_ms(const struct ldl *ldl)
+{
+	return MIN(ldl->fastest_ms[0], ldl->fastest_ms[1]);
+}
+
 int64_t
 ldl_measure(struct ldl *ldl, int64_t sent_ms, int64_t now_ms, int64_t max_ms)
 {
@@ -29,7 +35,7 @@
 
 	if (ldl->window_ms == 0)
 		begin(ldl, difference_ms, now_ms);
-	delay_ms = difference_ms - MIN(ldl->fastest_ms[0], ldl->fastest_ms[1]);
+	delay_ms = difference_ms - ldl_fastest_ms(ldl);
 	if (delay_ms <= max_ms) {
 		add(ldl, difference_ms, now_ms);
 		return MAX(delay_ms, 0);
--- a/src/connection/linkdelay.h
+++ b/src/connection/linkdelay.h
@@ -27,4 +27,7 @@
 int64_t ldl_measure(
     struct ldl *ldl, int64_t sent_ms, int64_t now_ms, int64_t max_ms);
 
+/* The smallest difference that counts as not held up; after ldl_measure(). */
+int64_t ldl_fastest_ms(const struct ldl *ldl);
+
 #endif
--- a/src/connection/run.x
+++ b/src/connection/run.x
@@ -60,6 +60,7 @@
 /* Heartbeat of the entry, with the failure domains taken out of service. */
 struct run_heartbeat_args {
 	int64_t sent_ms;
+	int64_t round_trip_ms;	/* fastest of the last seconds, 0: unknown */
 	int64_t revision;	/* of the configuration, 0: none yet */
 	run_name out<RUN_DOMAINS_MAX>;
 };
@@ -96,6 +97,8 @@
 	bool accepting;		/* whether starts are accepted */
 	uint32_t sessions;	/* entries connected to the agent */
 	uint32_t slowness_permille;	/* run times against nominal, 0: unknown */
+	int64_t heard_ms;	/* sent_ms of the entry's last call, 0: none */
+	int64_t heard_ago_ms;	/* time since its arrival */
 };
 
 enum run_crash_state {
--- a/src/connection/run_xdr.c
+++ b/src/connection/run_xdr.c
@@ -121,6 +121,8 @@
 
 	if (!xdr_int64_t(xdrs, &objp->sent_ms))
 		return FALSE;
+	if (!xdr_int64_t(xdrs, &objp->round_trip_ms))
+		return FALSE;
 	if (!xdr_int64_t(xdrs, &objp->revision))
 		return FALSE;
 	if (!xdr_array(xdrs, (char **)&objp->out.out_val,
@@ -195,6 +197,10 @@
 		return FALSE;
 	if (!xdr_uint32_t(xdrs, &objp->slowness_permille))
 		return FALSE;
+	if (!xdr_int64_t(xdrs, &objp->heard_ms))
+		return FALSE;
+	if (!xdr_int64_t(xdrs, &objp->heard_ago_ms))
+		return FALSE;
 	return TRUE;
 }
 
--- a/src/connection/run_xdr.h
+++ b/src/connection/run_xdr.h
@@ -79,6 +79,7 @@
 
 struct run_heartbeat_args {
 	int64_t sent_ms;
+	int64_t round_trip_ms;
 	int64_t revision;
 	struct {
 		u_int out_len;
@@ -126,6 +127,8 @@
 	bool_t accepting;
 	uint32_t sessions;
 	uint32_t slowness_permille;
+	int64_t heard_ms;
+	int64_t heard_ago_ms;
 };
 typedef struct run_update_args run_update_args;
 
--- a/src/connection/sessions.c
+++ b/src/connection/sessions.c
@@ -17,10 +17,16 @@
 	uint64_t id;
 	struct rpc_conn *conn;
 	int64_t last_input_ms;
-	/* Of the last message: its arrival, less the time it was held up. */
+	/*
+	 * Of the last message: its arrival, less the time it was held up and
+	 * the usual time on its way, which is at most a round trip.
+	 */
 	int64_t last_sent_ms;
-	uint64_t entry;	 /* its incarnation, 0 before RUN_OPEN */
-	bool identified; /* RUN_OPEN was received */
+	int64_t heard_ms; /* when it was sent, on the entry's clock */
+	int64_t heard_at_ms;
+	int64_t round_trip_ms; /* as the entry measures it, 0: unknown */
+	uint64_t entry;	       /* its incarnation, 0 before RUN_OPEN */
+	bool identified;       /* RUN_OPEN was received */
 };
 
 struct ses {
@@ -99,7 +105,9 @@
 	delay_ms = ldl_measure(
 	    find_delay(s->ses, s->entry), sent_ms, now_ms, silence_ms);
 	if (delay_ms <= silence_ms) {
-		s->last_sent_ms = MAX(s->last_sent_ms, now_ms - delay_ms);
+		s->last_sent_ms = now_ms - delay_ms - s->round_trip_ms;
+		s->heard_ms = sent_ms;
+		s->heard_at_ms = now_ms;
 		return false;
 	}
 	rpc_close(s->conn, ST_TIMEOUT, "message was held up on its way");
@@ -165,10 +173,15 @@
 {
 	run_heartbeat_args args = {0};
 
-	if (!xdr_run_heartbeat_args(xdrs, &args))
+	if (!xdr_run_heartbeat_args(xdrs, &args) || args.round_trip_ms < 0 ||
+	    args.round_trip_ms > MAX_CLOCK_MS) {
 		rpc_close(s->conn, ST_INVALID, "malformed heartbeat");
-	else if (!is_held_up(s, args.sent_ms))
+		goto out;
+	}
+	s->round_trip_ms = args.round_trip_ms;
+	if (!is_held_up(s, args.sent_ms))
 		s->ses->opts.on_heartbeat(s->id, &args, s->ses->opts.ctx);
+out:
 	xdr_free((xdrproc_t)xdr_run_heartbeat_args, &args);
 }
 
@@ -312,6 +325,17 @@
 	return s == NULL ? 0 : s->last_sent_ms;
 }
 
+void
+ses_fill_heard(const struct ses *ses, uint64_t id, struct run_update_args *args)
+{
+	const struct session *s = find_session(ses, id);
+
+	if (s == NULL)
+		return;
+	args->heard_ms = s->heard_ms;
+	args->heard_ago_ms = clk_now_ms() - s->heard_at_ms;
+}
+
 static bool
 is_live(const struct session *s)
 {
--- a/src/connection/worklink.c
+++ b/src/connection/worklink.c
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 
 #include "connection/address.h"
+#include "connection/linkdelay.h"
 #include "connection/rpc.h"
 #include "connection/startspecs.h"
 #include "connection/worklink.h"
@@ -19,8 +20,16 @@
  */
 #define MAX_HEARTBEAT_GAP_MS 600
 /* A connection without input for this long is closed. */
-#define INPUT_TIMEOUT_MS   800
-#define CONNECT_TIMEOUT_S  1
+#define INPUT_TIMEOUT_MS  800
+#define CONNECT_TIMEOUT_S 1
+/*
+ * The agent subtracts the round trip from the time of a message, to know when
+ * this process may have given up a run.  With a longer one it would find this
+ * process silent between two heartbeats.
+ */
+#define MAX_ROUND_TRIP_MS 350
+/* Largest time of a clock: differences of times do not overflow. */
+#define MAX_CLOCK_MS	   (INT64_C(1) << 53)
 #define WLK_BACKOFF_MIN_MS 50
 #define WLK_BACKOFF_MAX_MS 1000
 
@@ -33,6 +42,8 @@
 	struct rpc_conn *conn;
 	int64_t last_open_ms;
 	int64_t heartbeat_sent_ms; /* last heartbeat sent */
+	struct ldl round_trips;
+	bool round_trip_known;
 	int64_t backoff_ms;
 	GArray *starts;	  /* run_start; strings owned */
 	GPtrArray *specs; /* GBytes, of the starts */
@@ -109,6 +120,45 @@
 	schedule_reconnect(link);
 }
 
+static int64_t
+round_trip_ms(const struct wlk *link)
+{
+	if (!link->round_trip_known)
+		return 0;
+	return MAX(ldl_fastest_ms(&link->round_trips), 0);
+}
+
+static void
+send_heartbeat(struct wlk *link)
+{
+	run_heartbeat_args args = {0};
+
+	link->opts.fill_heartbeat(&args, link->opts.ctx);
+	link->heartbeat_sent_ms = args.sent_ms = clk_now_ms();
+	args.round_trip_ms = round_trip_ms(link);
+	rpc_send(link->conn, RUN_HEARTBEAT, (xdrproc_t)xdr_run_heartbeat_args,
+	    &args);
+}
+
+/* Returns false if the agent's times are out of range. */
+static bool
+measure_round_trip(struct wlk *link, const run_update_args *update)
+{
+	if (update->heard_ms < 0 || update->heard_ms > MAX_CLOCK_MS ||
+	    update->heard_ago_ms < 0 || update->heard_ago_ms > MAX_CLOCK_MS)
+		return false;
+	if (update->heard_ms == 0)
+		return true;
+	ldl_measure(&link->round_trips, update->heard_ms + update->heard_ago_ms,
+	    clk_now_ms(), INT64_MAX);
+	if (!link->round_trip_known) {
+		/* The agent has to know it before the first start. */
+		link->round_trip_known = true;
+		send_heartbeat(link);
+	}
+	return true;
+}
+
 static void
 on_call(struct rpc_conn *conn, const struct rpc_call *call, void *ctx)
 {
@@ -123,7 +173,8 @@
 	    xdr_run_worker_args(call->args, &worker))
 		link->opts.worker(link, &worker, link->opts.ctx);
 	else if (call->proc == RUN_UPDATE &&
-		 xdr_run_update_args(call->args, &update))
+		 xdr_run_update_args(call->args, &update) &&
+		 measure_round_trip(link, &update))
 		link->opts.update(link, &update, link->opts.ctx);
 	else if (call->proc == RUN_CRASH &&
 		 xdr_run_crash_args(call->args, &crash))
@@ -142,14 +193,14 @@
 void
 wlk_send_heartbeat(struct wlk *link)
 {
-	run_heartbeat_args args = {0};
+	if (link->conn != NULL)
+		send_heartbeat(link);
+}
 
-	if (link->conn == NULL)
-		return;
-	link->opts.fill_heartbeat(&args, link->opts.ctx);
-	link->heartbeat_sent_ms = args.sent_ms = clk_now_ms();
-	rpc_send(link->conn, RUN_HEARTBEAT, (xdrproc_t)xdr_run_heartbeat_args,
-	    &args);
+bool
+wlk_is_slow(const struct wlk *link)
+{
+	return round_trip_ms(link) > MAX_ROUND_TRIP_MS;
 }
 
 static bool
@@ -218,6 +269,8 @@
 		return;
 	}
 	reset_on_close(socket);
+	link->round_trips = (struct ldl){0};
+	link->round_trip_known = false;
 	link->conn = rpc_new(&opts);
 	g_object_unref(socket);
 	args.entry = (char *)link->opts.name;
--- a/src/process/jobagent.c
+++ b/src/process/jobagent.c
@@ -155,6 +155,7 @@
 	    .sessions = g_hash_table_size(ja->outboxes),
 	    .slowness_permille = slw_permille(&ja->slowness, clk_now_ms()),
 	};
+	ses_fill_heard(ja->ses, session, &args);
 	ses_send(ja->ses, session, RUN_UPDATE, (xdrproc_t)xdr_run_update_args,
 	    &args);
 	g_array_set_size(box->results, 0);
--- a/tests/test_late_calls.c
+++ b/tests/test_late_calls.c
@@ -23,6 +23,7 @@
 #define N_OTHERS 9
 /* Less than the silence after which an agent ends a session. */
 #define CANCEL_DELAY_MS 500
+#define SLOW_LINK_MS	700
 /* Later than the end of the steps in which that delay is reached. */
 #define HELD_UP_DEADLINE_MS 2500
 
@@ -197,6 +198,39 @@
 }
 END_TEST
 
+/*
+ * All that an entry sends is held up by the same time from its first message
+ * on, so that no message is later than the others.  The cancels of a job arrive
+ * late, and the stops of its runs are carried out late.
+ */
+START_TEST(late_stops_behind_a_slow_link)
+{
+	const struct job_form other = {
+	    N_OTHERS, 2 * TASK_MS, UNKNOWN_MS, 20000};
+	struct hn_http *job;
+	struct dpl dpl;
+
+	dpl_start(&dpl, &(struct dpl_options){.proxied = true});
+	hn_kill(dpl.entry[0]);
+	delay_entries(&dpl, SLOW_LINK_MS);
+	hn_restart(dpl.entry[0]);
+	ck_assert(hn_wait_until(
+	    hn_http("GET", dpl_url(&dpl, 0, "/q/"), NULL)->status == 200,
+	    HN_LIMIT_MS));
+	hn_sleep(INT64_C(2) * SLOW_LINK_MS);
+	job = post_small_job(&dpl, 0, 0xd7, HELD_UP_DEADLINE_MS);
+	post_form(&dpl, 0, 0xd8, &other);
+	hn_sleep(HELD_UP_DEADLINE_MS / 2);
+	dpl_control(&dpl, "GET", hn_str("mode?late_stops=%d", LATE_MS), NULL);
+	ck_assert_int_ne(hn_http_wait(job, HN_LIMIT_MS)->status, 200);
+	hn_sleep(SLOW_LINK_MS);
+	restore_entries(&dpl);
+	hn_sleep(RESEND_MS - SLOW_LINK_MS);
+	resend_small_job(&dpl, 0xd7);
+	hn_finish();
+}
+END_TEST
+
 /*
  * A deregistration that was held up arrives in the worker's next life under the
  * same id.  What runs there was started elsewhere at once.
@@ -257,7 +291,7 @@
 	const TTest *const tests[] = {held_up_starts_are_not_executed,
 	    late_stops_end_with_the_lease, late_stops_end_beside_other_runs,
 	    late_stops_of_a_silent_entry, late_stops_after_held_up_cancels,
-	    late_deregistration_ends_no_run};
+	    late_stops_behind_a_slow_link, late_deregistration_ends_no_run};
 
 	return run_tests("late_calls", tests, sizeof(tests) / sizeof(tests[0]),
 	    2 * HN_LIMIT_MS / 1000.0);
--- a/tests/test_linkdelay.c
+++ b/tests/test_linkdelay.c
@@ -22,6 +22,10 @@
 static void
 step(void *ctx, char **w, GString *actual)
 {
+	if (strcmp(w[0], "fastest") == 0) {
+		g_string_append_printf(actual, "%d", (int)ldl_fastest_ms(ctx));
+		return;
+	}
 	ck_assert_str_eq(w[0], "message");
 	g_string_append_printf(actual, "%d",
 	    (int)ldl_measure(ctx, atoi(w[1]), atoi(w[2]), MAX_MS));
