State the time of a message on the agent's clock

Change: no baseline is left. UPDATE tells the agent's clock; the entry adds the time since its arrival, and sends that as the time of each message. It is behind by the way from the agent and never ahead, so that the agent errs to the safe side without knowing any delay. The module linkdelay is gone, with its test, whose cases (clocks that differ, a growing delay, an entry whose clock has jumped) have no meaning without a baseline; the module peerclock and its cases stand in its place, and the tests with real processes for held-up and slow links are unchanged.

--- a/src/connection/run.x
+++ b/src/connection/run.x
@@ -3,6 +3,9 @@
  * leases (RUN_PROG).  The entry connects.  No call has a reply.  Times are
  * milliseconds; sizes are those of request/work.h.
  *
+ * agent_ms is the time of sending on the agent's clock, as far as the entry
+ * knows it: behind by the time that the last RUN_UPDATE was on its way.
+ *
  * The program number changes with the messages, so that processes of different
  * versions refuse each other's connections.
  */
@@ -25,7 +28,6 @@
 struct run_open_args {
 	run_name entry;
 	uint64_t incarnation;
-	int64_t sent_ms;	/* on the entry's clock, as in other calls */
 };
 
 struct run_start {
@@ -46,21 +48,20 @@
 
 /* Tasks of one job share their spec. */
 struct run_start_args {
-	int64_t sent_ms;
+	int64_t agent_ms;
 	run_spec specs<RUN_BATCH_MAX>;
 	run_start starts<RUN_BATCH_MAX>;
 };
 
 /* Withdraws starts: tasks not started yet are dropped, others are stopped. */
 struct run_cancel_args {
-	int64_t sent_ms;
+	int64_t agent_ms;
 	uint64_t seqs<RUN_BATCH_MAX>;
 };
 
 /* Heartbeat of the entry, with the failure domains taken out of service. */
 struct run_heartbeat_args {
-	int64_t sent_ms;
-	int64_t round_trip_ms;	/* fastest of the last seconds, 0: unknown */
+	int64_t agent_ms;	/* 0: no RUN_UPDATE has arrived */
 	int64_t revision;	/* of the configuration, 0: none yet */
 	run_name out<RUN_DOMAINS_MAX>;
 };
@@ -97,8 +98,7 @@
 	bool accepting;		/* whether starts are accepted */
 	uint32_t sessions;	/* entries connected to the agent */
 	uint32_t slowness_permille;	/* run times against nominal, 0: unknown */
-	int64_t heard_ms;	/* sent_ms of the entry's last call, 0: none */
-	int64_t heard_ago_ms;	/* time since its arrival */
+	int64_t clock_ms;	/* of the agent, above 0 */
 };
 
 enum run_crash_state {
--- a/src/connection/run_xdr.c
+++ b/src/connection/run_xdr.c
@@ -38,8 +38,6 @@
 		return FALSE;
 	if (!xdr_uint64_t(xdrs, &objp->incarnation))
 		return FALSE;
-	if (!xdr_int64_t(xdrs, &objp->sent_ms))
-		return FALSE;
 	return TRUE;
 }
 
@@ -87,7 +85,7 @@
 {
 	register int32_t *buf;
 
-	if (!xdr_int64_t(xdrs, &objp->sent_ms))
+	if (!xdr_int64_t(xdrs, &objp->agent_ms))
 		return FALSE;
 	if (!xdr_array(xdrs, (char **)&objp->specs.specs_val,
 		(u_int *)&objp->specs.specs_len, RUN_BATCH_MAX,
@@ -105,7 +103,7 @@
 {
 	register int32_t *buf;
 
-	if (!xdr_int64_t(xdrs, &objp->sent_ms))
+	if (!xdr_int64_t(xdrs, &objp->agent_ms))
 		return FALSE;
 	if (!xdr_array(xdrs, (char **)&objp->seqs.seqs_val,
 		(u_int *)&objp->seqs.seqs_len, RUN_BATCH_MAX, sizeof(uint64_t),
@@ -119,9 +117,7 @@
 {
 	register int32_t *buf;
 
-	if (!xdr_int64_t(xdrs, &objp->sent_ms))
-		return FALSE;
-	if (!xdr_int64_t(xdrs, &objp->round_trip_ms))
+	if (!xdr_int64_t(xdrs, &objp->agent_ms))
 		return FALSE;
 	if (!xdr_int64_t(xdrs, &objp->revision))
 		return FALSE;
@@ -197,9 +193,7 @@
 		return FALSE;
 	if (!xdr_uint32_t(xdrs, &objp->slowness_permille))
 		return FALSE;
-	if (!xdr_int64_t(xdrs, &objp->heard_ms))
-		return FALSE;
-	if (!xdr_int64_t(xdrs, &objp->heard_ago_ms))
+	if (!xdr_int64_t(xdrs, &objp->clock_ms))
 		return FALSE;
 	return TRUE;
 }
--- a/src/connection/run_xdr.h
+++ b/src/connection/run_xdr.h
@@ -32,7 +32,6 @@
 struct run_open_args {
 	run_name entry;
 	uint64_t incarnation;
-	int64_t sent_ms;
 };
 typedef struct run_open_args run_open_args;
 
@@ -56,7 +55,7 @@
 } run_spec;
 
 struct run_start_args {
-	int64_t sent_ms;
+	int64_t agent_ms;
 	struct {
 		u_int specs_len;
 		run_spec *specs_val;
@@ -69,7 +68,7 @@
 typedef struct run_start_args run_start_args;
 
 struct run_cancel_args {
-	int64_t sent_ms;
+	int64_t agent_ms;
 	struct {
 		u_int seqs_len;
 		uint64_t *seqs_val;
@@ -78,8 +77,7 @@
 typedef struct run_cancel_args run_cancel_args;
 
 struct run_heartbeat_args {
-	int64_t sent_ms;
-	int64_t round_trip_ms;
+	int64_t agent_ms;
 	int64_t revision;
 	struct {
 		u_int out_len;
@@ -127,8 +125,7 @@
 	bool_t accepting;
 	uint32_t sessions;
 	uint32_t slowness_permille;
-	int64_t heard_ms;
-	int64_t heard_ago_ms;
+	int64_t clock_ms;
 };
 typedef struct run_update_args run_update_args;
 
--- a/src/connection/sessions.c
+++ b/src/connection/sessions.c
@@ -1,16 +1,17 @@
 #include <gio/gio.h>
 
 #include "connection/address.h"
-#include "connection/linkdelay.h"
+#include "connection/peerclock.h"
 #include "connection/rpc.h"
 #include "connection/sessions.h"
 #include "process/clock.h"
 
 #define ENTRY_BACKLOG 256
-/* Entries whose delays are remembered; more make it forget all. */
-#define MAX_DELAYS 1024
-/* Largest time of a clock: differences of times do not overflow. */
-#define MAX_CLOCK_MS (INT64_C(1) << 53)
+/*
+ * A message may take so long, there and back.  With a longer way an entry would
+ * be found silent between two heartbeats.
+ */
+#define MAX_ROUND_TRIP_MS 350
 
 struct session {
 	struct ses *ses;
@@ -18,14 +19,11 @@
 	struct rpc_conn *conn;
 	int64_t last_input_ms;
 	/*
-	 * Of the last message: its arrival, less the time it was held up and
-	 * the usual time on its way, which is at most a round trip.
+	 * When the entry sent the last message, or earlier: agent_ms of that
+	 * message.  Before the first, when the connection was accepted.
 	 */
 	int64_t last_sent_ms;
-	int64_t heard_ms; /* when it was sent, on the entry's clock */
-	int64_t heard_at_ms;
-	int64_t round_trip_ms; /* as the entry measures it, 0: unknown */
-	uint64_t entry;	       /* its incarnation, 0 before RUN_OPEN */
+	int64_t round_trip_ms; /* of the last message, -1: not known yet */
 	bool identified;       /* RUN_OPEN was received */
 };
 
@@ -33,11 +31,6 @@
 	struct ses_options opts;
 	GSocketService *service;
 	GHashTable *sessions; /* id to struct session */
-	/*
-	 * Incarnation of an entry to struct ldl; outlives its sessions, since
-	 * all messages of a session may be held up.
-	 */
-	GHashTable *delays;
 	uint64_t next_id;
 };
 
@@ -72,46 +65,30 @@
 		ses->opts.closed(id, last_sent_ms, why, ses->opts.ctx);
 }
 
-static struct ldl *
-find_delay(struct ses *ses, uint64_t entry)
-{
-	struct ldl *delay = g_hash_table_lookup(ses->delays, &entry);
-
-	if (delay != NULL)
-		return delay;
-	if (g_hash_table_size(ses->delays) >= MAX_DELAYS)
-		g_hash_table_remove_all(ses->delays);
-	delay = g_new0(struct ldl, 1);
-	g_hash_table_insert(
-	    ses->delays, g_memdup2(&entry, sizeof(entry)), delay);
-	return delay;
-}
-
 /*
  * Whether a message was held up on its way for so long that the entry may have
  * given up the session.  Its starts must not be executed, and the runs end with
  * the session, since a cancel may be held up too.
  */
 static bool
-is_held_up(struct session *s, int64_t sent_ms)
+is_held_up(struct session *s, int64_t agent_ms)
 {
-	int64_t silence_ms = s->ses->opts.silence_ms, delay_ms;
 	int64_t now_ms = clk_now_ms();
 
-	if (sent_ms < 0 || sent_ms > MAX_CLOCK_MS) {
+	if (agent_ms < 0 || agent_ms > PCL_MAX_MS) {
 		rpc_close(s->conn, ST_INVALID, "time out of range");
 		return true;
 	}
-	delay_ms = ldl_measure(
-	    find_delay(s->ses, s->entry), sent_ms, now_ms, silence_ms);
-	if (delay_ms <= silence_ms) {
-		s->last_sent_ms = now_ms - delay_ms - s->round_trip_ms;
-		s->heard_ms = sent_ms;
-		s->heard_at_ms = now_ms;
-		return false;
+	if (now_ms - agent_ms > s->ses->opts.silence_ms) {
+		rpc_close(
+		    s->conn, ST_TIMEOUT, "message was held up on its way");
+		return true;
 	}
-	rpc_close(s->conn, ST_TIMEOUT, "message was held up on its way");
-	return true;
+	/* The entry's clock may be fast, so that its estimate is ahead. */
+	agent_ms = MIN(agent_ms, now_ms);
+	s->last_sent_ms = MAX(s->last_sent_ms, agent_ms);
+	s->round_trip_ms = now_ms - agent_ms;
+	return false;
 }
 
 static void
@@ -122,12 +99,8 @@
 	if (s->identified || !xdr_run_open_args(xdrs, &args)) {
 		rpc_close(s->conn, ST_INVALID, "malformed opening call");
 	} else {
-		s->entry = args.incarnation;
-		if (!is_held_up(s, args.sent_ms)) {
-			s->identified = true;
-			s->ses->opts.opened(
-			    s->id, args.entry, s->ses->opts.ctx);
-		}
+		s->identified = true;
+		s->ses->opts.opened(s->id, args.entry, s->ses->opts.ctx);
 	}
 	xdr_free((xdrproc_t)xdr_run_open_args, &args);
 }
@@ -139,7 +112,7 @@
 
 	if (!xdr_run_start_args(xdrs, &args))
 		rpc_close(s->conn, ST_INVALID, "malformed start");
-	else if (!is_held_up(s, args.sent_ms))
+	else if (!is_held_up(s, args.agent_ms))
 		s->ses->opts.start(s->id, &args, s->ses->opts.ctx);
 	xdr_free((xdrproc_t)xdr_run_start_args, &args);
 }
@@ -151,7 +124,7 @@
 
 	if (!xdr_run_cancel_args(xdrs, &args))
 		rpc_close(s->conn, ST_INVALID, "malformed cancel");
-	else if (!is_held_up(s, args.sent_ms))
+	else if (!is_held_up(s, args.agent_ms))
 		s->ses->opts.cancel(s->id, &args, s->ses->opts.ctx);
 	xdr_free((xdrproc_t)xdr_run_cancel_args, &args);
 }
@@ -173,15 +146,10 @@
 {
 	run_heartbeat_args args = {0};
 
-	if (!xdr_run_heartbeat_args(xdrs, &args) || args.round_trip_ms < 0 ||
-	    args.round_trip_ms > MAX_CLOCK_MS) {
+	if (!xdr_run_heartbeat_args(xdrs, &args))
 		rpc_close(s->conn, ST_INVALID, "malformed heartbeat");
-		goto out;
-	}
-	s->round_trip_ms = args.round_trip_ms;
-	if (!is_held_up(s, args.sent_ms))
+	else if (args.agent_ms == 0 || !is_held_up(s, args.agent_ms))
 		s->ses->opts.on_heartbeat(s->id, &args, s->ses->opts.ctx);
-out:
 	xdr_free((xdrproc_t)xdr_run_heartbeat_args, &args);
 }
 
@@ -254,6 +222,7 @@
 	s->ses = ses;
 	s->id = ++ses->next_id;
 	s->last_input_ms = s->last_sent_ms = clk_now_ms();
+	s->round_trip_ms = -1;
 	s->conn = rpc_new(&opts);
 	g_hash_table_insert(ses->sessions, &s->id, s);
 	return TRUE;
@@ -294,8 +263,6 @@
 	ses->service = g_socket_service_new();
 	ses->sessions = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, session_free);
-	ses->delays =
-	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 	if (!listen_on(ses, st)) {
 		ses_free(ses);
 		return NULL;
@@ -313,7 +280,6 @@
 	g_socket_listener_close(G_SOCKET_LISTENER(ses->service));
 	g_object_unref(ses->service);
 	g_hash_table_unref(ses->sessions);
-	g_hash_table_unref(ses->delays);
 	g_free(ses);
 }
 
@@ -325,15 +291,13 @@
 	return s == NULL ? 0 : s->last_sent_ms;
 }
 
-void
-ses_fill_heard(const struct ses *ses, uint64_t id, struct run_update_args *args)
+bool
+ses_is_near(const struct ses *ses, uint64_t id)
 {
 	const struct session *s = find_session(ses, id);
 
-	if (s == NULL)
-		return;
-	args->heard_ms = s->heard_ms;
-	args->heard_ago_ms = clk_now_ms() - s->heard_at_ms;
+	return s != NULL && s->round_trip_ms >= 0 &&
+	       s->round_trip_ms <= MAX_ROUND_TRIP_MS;
 }
 
 static bool
@@ -342,14 +306,6 @@
 	return clk_now_ms() - s->last_sent_ms <= s->ses->opts.silence_ms;
 }
 
-bool
-ses_is_live(const struct ses *ses, uint64_t id)
-{
-	const struct session *s = find_session(ses, id);
-
-	return s != NULL && is_live(s);
-}
-
 void
 ses_tick(struct ses *ses)
 {
--- a/src/connection/sessions.h
+++ b/src/connection/sessions.h
@@ -40,12 +40,12 @@
  * process; 0 if there is no such session.
  */
 int64_t ses_last_sent_ms(const struct ses *ses, uint64_t session);
-/* Fills in heard_ms and heard_ago_ms. */
-void ses_fill_heard(
-    const struct ses *ses, uint64_t session, struct run_update_args *args);
-/* Whether that is at most silence_ms ago, so that starts may be executed. */
-bool ses_is_live(const struct ses *ses, uint64_t session);
-/* To be called periodically; closes the sessions that are not live. */
+/*
+ * Whether messages of the session are known to be fast enough on their way that
+ * starts may be executed.
+ */
+bool ses_is_near(const struct ses *ses, uint64_t session);
+/* To be called periodically; closes the sessions of silent entries. */
 void ses_tick(struct ses *ses);
 bool ses_send(struct ses *ses, uint64_t session, uint32_t proc,
     xdrproc_t encode, void *args);
--- a/src/connection/worklink.c
+++ b/src/connection/worklink.c
@@ -6,7 +6,7 @@
 #include <sys/socket.h>
 
 #include "connection/address.h"
-#include "connection/linkdelay.h"
+#include "connection/peerclock.h"
 #include "connection/rpc.h"
 #include "connection/startspecs.h"
 #include "connection/worklink.h"
@@ -20,16 +20,8 @@
  */
 #define MAX_HEARTBEAT_GAP_MS 600
 /* A connection without input for this long is closed. */
-#define INPUT_TIMEOUT_MS  800
-#define CONNECT_TIMEOUT_S 1
-/*
- * The agent subtracts the round trip from the time of a message, to know when
- * this process may have given up a run.  With a longer one it would find this
- * process silent between two heartbeats.
- */
-#define MAX_ROUND_TRIP_MS 350
-/* Largest time of a clock: differences of times do not overflow. */
-#define MAX_CLOCK_MS	   (INT64_C(1) << 53)
+#define INPUT_TIMEOUT_MS   800
+#define CONNECT_TIMEOUT_S  1
 #define WLK_BACKOFF_MIN_MS 50
 #define WLK_BACKOFF_MAX_MS 1000
 
@@ -42,8 +34,7 @@
 	struct rpc_conn *conn;
 	int64_t last_open_ms;
 	int64_t heartbeat_sent_ms; /* last heartbeat sent */
-	struct ldl round_trips;
-	bool round_trip_known;
+	struct pcl agent_clock;
 	int64_t backoff_ms;
 	GArray *starts;	  /* run_start; strings owned */
 	GPtrArray *specs; /* GBytes, of the starts */
@@ -120,42 +111,33 @@
 	schedule_reconnect(link);
 }
 
-static int64_t
-round_trip_ms(const struct wlk *link)
-{
-	if (!link->round_trip_known)
-		return 0;
-	return MAX(ldl_fastest_ms(&link->round_trips), 0);
-}
-
 static void
 send_heartbeat(struct wlk *link)
 {
 	run_heartbeat_args args = {0};
+	int64_t now_ms = clk_now_ms();
 
 	link->opts.fill_heartbeat(&args, link->opts.ctx);
-	link->heartbeat_sent_ms = args.sent_ms = clk_now_ms();
-	args.round_trip_ms = round_trip_ms(link);
+	link->heartbeat_sent_ms = now_ms;
+	args.agent_ms = pcl_estimate_ms(&link->agent_clock, now_ms);
 	rpc_send(link->conn, RUN_HEARTBEAT, (xdrproc_t)xdr_run_heartbeat_args,
 	    &args);
 }
 
-/* Returns false if the agent's times are out of range. */
+/*
+ * The agent accepts starts only when it knows how long messages are on their
+ * way, so the first time that it tells is returned to it at once.  Returns
+ * false if the time is out of range.
+ */
 static bool
-measure_round_trip(struct wlk *link, const run_update_args *update)
+record_clock(struct wlk *link, int64_t clock_ms)
 {
-	if (update->heard_ms < 0 || update->heard_ms > MAX_CLOCK_MS ||
-	    update->heard_ago_ms < 0 || update->heard_ago_ms > MAX_CLOCK_MS)
+	bool first = link->agent_clock.peer_ms == 0;
+
+	if (pcl_receive(&link->agent_clock, clock_ms, clk_now_ms()) < 0)
 		return false;
-	if (update->heard_ms == 0)
-		return true;
-	ldl_measure(&link->round_trips, update->heard_ms + update->heard_ago_ms,
-	    clk_now_ms(), INT64_MAX);
-	if (!link->round_trip_known) {
-		/* The agent has to know it before the first start. */
-		link->round_trip_known = true;
+	if (first)
 		send_heartbeat(link);
-	}
 	return true;
 }
 
@@ -174,7 +156,7 @@
 		link->opts.worker(link, &worker, link->opts.ctx);
 	else if (call->proc == RUN_UPDATE &&
 		 xdr_run_update_args(call->args, &update) &&
-		 measure_round_trip(link, &update))
+		 record_clock(link, update.clock_ms))
 		link->opts.update(link, &update, link->opts.ctx);
 	else if (call->proc == RUN_CRASH &&
 		 xdr_run_crash_args(call->args, &crash))
@@ -197,12 +179,6 @@
 		send_heartbeat(link);
 }
 
-bool
-wlk_is_slow(const struct wlk *link)
-{
-	return round_trip_ms(link) > MAX_ROUND_TRIP_MS;
-}
-
 static bool
 was_suspended(const struct wlk *link)
 {
@@ -269,13 +245,11 @@
 		return;
 	}
 	reset_on_close(socket);
-	link->round_trips = (struct ldl){0};
-	link->round_trip_known = false;
+	link->agent_clock = (struct pcl){0};
 	link->conn = rpc_new(&opts);
 	g_object_unref(socket);
 	args.entry = (char *)link->opts.name;
 	args.incarnation = link->opts.incarnation;
-	args.sent_ms = clk_now_ms();
 	rpc_send(link->conn, RUN_OPEN, (xdrproc_t)xdr_run_open_args, &args);
 	wlk_send_heartbeat(link);
 }
@@ -416,7 +390,7 @@
 send_cancels(struct wlk *link)
 {
 	run_cancel_args args = {
-	    .sent_ms = clk_now_ms(),
+	    .agent_ms = pcl_estimate_ms(&link->agent_clock, clk_now_ms()),
 	    .seqs = {MIN(link->cancels->len, RUN_BATCH_MAX),
 		(uint64_t *)link->cancels->data},
 	};
@@ -432,7 +406,7 @@
 {
 	g_autofree run_spec *specs = ssp_to_wire(link->specs);
 	run_start_args args = {
-	    .sent_ms = clk_now_ms(),
+	    .agent_ms = pcl_estimate_ms(&link->agent_clock, clk_now_ms()),
 	    .specs = {link->specs->len, specs},
 	    .starts = {link->starts->len, (run_start *)link->starts->data},
 	};
--- a/src/connection/worklink.h
+++ b/src/connection/worklink.h
@@ -52,8 +52,6 @@
 void wlk_cancel_job(struct wlk *link, const char *job);
 /* Sends the queued starts and cancels. */
 void wlk_flush(struct wlk *link);
-/* Whether messages take so long that no start may be sent. */
-bool wlk_is_slow(const struct wlk *link);
 /* Sends a heartbeat at once, because its content has changed. */
 void wlk_send_heartbeat(struct wlk *link);
 /*
--- a/src/process/agentpool.c
+++ b/src/process/agentpool.c
@@ -111,8 +111,7 @@
 
 	agent->sessions = args->sessions;
 	agent->worker->speed.reported_permille = args->slowness_permille;
-	wks_set_room(agent->worker, &room,
-	    args->accepting && !wlk_is_slow(link), clk_now_ms());
+	wks_set_room(agent->worker, &room, args->accepting, clk_now_ms());
 	pool->opts.update(args, pool->opts.ctx);
 }
 
--- a/src/process/jobagent.c
+++ b/src/process/jobagent.c
@@ -29,6 +29,7 @@
 struct outbox {
 	GArray *results; /* run_result, strings owned */
 	bool worker_due; /* send the worker's description first */
+	bool near;	 /* the value of ses_is_near() that was sent last */
 };
 
 struct ja {
@@ -147,15 +148,16 @@
 	if (box->worker_due)
 		send_worker(ja, session);
 	box->worker_due = false;
+	box->near = ses_is_near(ja->ses, session);
 	led_room(ja->led, &room);
 	args = (run_update_args){
 	    .results = {box->results->len, (run_result *)box->results->data},
 	    .free = size_to_wire(&room),
-	    .accepting = is_accepting(ja, &reason),
+	    .accepting = box->near && is_accepting(ja, &reason),
 	    .sessions = g_hash_table_size(ja->outboxes),
 	    .slowness_permille = slw_permille(&ja->slowness, clk_now_ms()),
+	    .clock_ms = clk_now_ms(),
 	};
-	ses_fill_heard(ja->ses, session, &args);
 	ses_send(ja->ses, session, RUN_UPDATE, (xdrproc_t)xdr_run_update_args,
 	    &args);
 	g_array_set_size(box->results, 0);
@@ -318,12 +320,18 @@
 	}
 }
 
-/* Entries disconnect from an agent that sends nothing for too long. */
+/*
+ * Entries disconnect from an agent that sends nothing for too long, and wait
+ * for its word that it accepts their starts.
+ */
 static void
 answer_heartbeat(struct ja *ja, uint64_t session)
 {
-	if (clk_now_ms() - upd_sent_ms(ja->updates, session) >
-	    HEARTBEAT_REPLY_MS)
+	const struct outbox *box = g_hash_table_lookup(ja->outboxes, &session);
+	int64_t silent_ms = clk_now_ms() - upd_sent_ms(ja->updates, session);
+
+	if (silent_ms > HEARTBEAT_REPLY_MS ||
+	    (box != NULL && box->near != ses_is_near(ja->ses, session)))
 		send_update(ja, session);
 }
 
@@ -350,8 +358,8 @@
 {
 	struct ja *ja = ctx;
 
-	if (!ses_is_live(ja->ses, session)) {
-		*reason = "entry is silent";
+	if (!ses_is_near(ja->ses, session)) {
+		*reason = "messages of the entry are too long on their way";
 		return false;
 	}
 	return is_accepting(ja, reason);
--- a/src/request/ledger.c
+++ b/src/request/ledger.c
@@ -354,6 +354,14 @@
 	led->opts.start(run->task, run->spec, run->number, led->opts.ctx);
 }
 
+static bool
+is_entry_silent(const struct led *led, const struct run *run, int64_t now_ms)
+{
+	int64_t sent_ms = led->opts.last_sent_ms(run->session, led->opts.ctx);
+
+	return now_ms - sent_ms >= SILENT_ENTRY_MS;
+}
+
 /*
  * Strict order of priority: the first start that does not fit the free capacity
  * holds back those behind it.  A task that still has an active run is skipped.
@@ -376,6 +384,8 @@
 		wk_subtract(&room, &led->used);
 		if (now_ms > run->start_by_ms) {
 			refuse_queued(led, it, "not started in time");
+		} else if (is_entry_silent(led, run, now_ms)) {
+			refuse_queued(led, it, "entry is silent");
 		} else if (!led->opts.may_start(
 			       run->session, &reason, led->opts.ctx)) {
 			refuse_queued(led, it, reason);
@@ -660,15 +670,11 @@
 static enum wp_lease
 lease_of_run(const struct led *led, const struct run *run, int64_t now_ms)
 {
-	int64_t silent_ms;
-
 	if (run->given_up)
 		return now_ms - run->given_up_ms >= STOP_PATIENCE_MS
 			   ? WP_LEASE_WITHHOLD
 			   : WP_LEASE_UNNEEDED;
-	silent_ms =
-	    now_ms - led->opts.last_sent_ms(run->session, led->opts.ctx);
-	if (silent_ms >= SILENT_ENTRY_MS)
+	if (is_entry_silent(led, run, now_ms))
 		return WP_LEASE_PAUSE;
 	return run->state == STOPPING ? WP_LEASE_UNNEEDED : WP_LEASE_RENEW;
 }
