Count an agent's starts by state in its metrics

Where a worker's capacity goes while calls to it are lost could not be seen: a start may wait for its answer, for a report, for a stop or for the report after that.

--- a/src/process/jobagent.c
+++ b/src/process/jobagent.c
@@ -57,6 +57,10 @@
 	bool withheld;	       /* the lease, as last logged */
 	int64_t *starts, *done, *failed, *runs_lost, *refused, *stalled;
 	int64_t *sessions_lost, *leases_withheld;
+	struct {
+		int64_t *queued, *starting, *unanswered;
+		int64_t *running, *stopping, *stopped;
+	} states; /* number of starts in each */
 	struct hst *run_times;
 };
 
@@ -598,6 +602,20 @@
 	plan_updates(ja);
 }
 
+static void
+update_gauges(struct ja *ja)
+{
+	struct led_states states;
+
+	led_count_states(ja->led, &states);
+	*ja->states.queued = states.queued;
+	*ja->states.starting = states.starting;
+	*ja->states.unanswered = states.unanswered;
+	*ja->states.running = states.running;
+	*ja->states.stopping = states.stopping;
+	*ja->states.stopped = states.stopped;
+}
+
 static gboolean
 on_tick(gpointer data)
 {
@@ -608,10 +626,31 @@
 	led_tick(ja->led, clk_now_ms());
 	check_lease(ja);
 	crw_tick(ja->crashwatch);
+	update_gauges(ja);
 	finish_drain(ja);
 	return G_SOURCE_CONTINUE;
 }
 
+static int64_t *
+state_gauge(struct ja *ja, const char *state)
+{
+	g_autofree char *name = g_strdup_printf("sp_runs{state=\"%s\"}", state);
+
+	return ctr_gauge(ja->opts.counters, name,
+	    "Starts in each state; all but queued ones hold capacity.");
+}
+
+static void
+make_state_gauges(struct ja *ja)
+{
+	ja->states.queued = state_gauge(ja, "queued");
+	ja->states.starting = state_gauge(ja, "starting");
+	ja->states.unanswered = state_gauge(ja, "unanswered");
+	ja->states.running = state_gauge(ja, "running");
+	ja->states.stopping = state_gauge(ja, "stopping");
+	ja->states.stopped = state_gauge(ja, "stopped");
+}
+
 static void
 make_counters(struct ja *ja)
 {
@@ -633,6 +672,7 @@
 	    "Runs stopped since they made no progress.");
 	ja->refused = ctr_counter(
 	    reg, "sp_runs_refused_total", "Starts returned as not started.");
+	make_state_gauges(ja);
 }
 
 static void
--- a/src/request/ledger.c
+++ b/src/request/ledger.c
@@ -706,6 +706,42 @@
 	return g_hash_table_size(led->active);
 }
 
+static void
+count_state(const struct run *run, struct led_states *states)
+{
+	switch (run->state) {
+	case QUEUED:
+		break;
+	case STARTING:
+		if (run->no_answer_ms == 0)
+			states->starting++;
+		else
+			states->unanswered++;
+		break;
+	case RUNNING:
+		states->running++;
+		break;
+	case STOPPING:
+		if (run->stop_confirmed_ms == 0)
+			states->stopping++;
+		else
+			states->stopped++;
+		break;
+	}
+}
+
+void
+led_count_states(const struct led *led, struct led_states *states)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	*states = (struct led_states){.queued = led_queued(led)};
+	g_hash_table_iter_init(&iter, led->active);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		count_state(value, states);
+}
+
 void
 led_each_active(const struct led *led,
     void (*fn)(const struct led_active_run *run, void *ctx), void *ctx)
--- a/src/request/ledger.h
+++ b/src/request/ledger.h
@@ -59,6 +59,16 @@
 	bool started; /* the worker has confirmed the start */
 };
 
+/* Number of starts in each state.  All but the queued ones hold capacity. */
+struct led_states {
+	uint32_t queued;
+	uint32_t starting;   /* sent, may still be answered in time */
+	uint32_t unanswered; /* start timed out, a report is awaited */
+	uint32_t running;
+	uint32_t stopping; /* stop not yet confirmed */
+	uint32_t stopped;  /* stop confirmed, end not yet reported */
+};
+
 struct led_options {
 	uint32_t max_queue;
 	/* Whether a start may be sent now; sets reason when it may not. */
@@ -132,7 +142,8 @@
 uint32_t led_queued(const struct led *led);
 /* Number of runs that hold capacity. */
 uint32_t led_active(const struct led *led);
-/* Calls fn for each of them, in no order. */
+void led_count_states(const struct led *led, struct led_states *states);
+/* Calls fn for each active run, in no order. */
 void led_each_active(const struct led *led,
     void (*fn)(const struct led_active_run *run, void *ctx), void *ctx);
 
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -211,6 +211,27 @@
 	return word == NULL ? t->now_ms : number(word);
 }
 
+/* Shows the states that some start is in. */
+static void
+show_states(struct trace *t)
+{
+	struct led_states states;
+
+	led_count_states(t->led, &states);
+	if (states.queued > 0)
+		emit(t, "queued=%u", states.queued);
+	if (states.starting > 0)
+		emit(t, "starting=%u", states.starting);
+	if (states.unanswered > 0)
+		emit(t, "unanswered=%u", states.unanswered);
+	if (states.running > 0)
+		emit(t, "running=%u", states.running);
+	if (states.stopping > 0)
+		emit(t, "stopping=%u", states.stopping);
+	if (states.stopped > 0)
+		emit(t, "stopped=%u", states.stopped);
+}
+
 static void
 step(void *ctx, char **w, GString *actual)
 {
@@ -249,7 +270,9 @@
 	else if (strcmp(w[0], "room") == 0) {
 		led_room(t->led, &size);
 		emit(t, "%d", (int)size.cpu_milli);
-	} else
+	} else if (strcmp(w[0], "states") == 0)
+		show_states(t);
+	else
 		ck_abort_msg("unknown command %s", w[0]);
 }
 
