Repeat a poll that timed out at once

A poll that timed out has its timeout behind it, so it needs no pause; one that failed at once still has it.

--- a/src/connection/holder.c
+++ b/src/connection/holder.c
@@ -95,6 +95,7 @@
 	uint64_t generation;
 	int64_t sent_ms;
 	int64_t wait_ms;
+	int64_t timeout_ms; /* after the wait */
 	bool is_extra;
 };
 
@@ -341,6 +342,23 @@
 	    evt_uint("born_ms", hold->born_ms), evt_text("state", "stays"));
 }
 
+/*
+ * A poll that timed out is repeated at once, since the ends of runs stay
+ * unknown meanwhile; its timeout limits the rate.  Other failures may come at
+ * once, and a new incarnation is known only when its heartbeat arrives.
+ */
+static guint
+poll_pause_ms(const struct hold *hold, const struct call *call,
+    const struct wp_report *report)
+{
+	int64_t open_ms = clk_now_ms() - call->sent_ms;
+	bool timed_out = report->answer.verdict == WP_NO_ANSWER &&
+			 open_ms >= call->wait_ms + call->timeout_ms / 2;
+
+	return timed_out || is_report_of(hold, report) ? POLL_DELAY_MS
+						       : POLL_RETRY_MS;
+}
+
 static void
 on_report(const struct wp_report *report, void *ctx)
 {
@@ -371,9 +389,7 @@
 		hold->extra_pending = false;
 		hold_request_report(hold);
 	}
-	/* A new incarnation is known when its heartbeat arrives. */
-	schedule_poll(
-	    hold, is_report_of(hold, report) ? POLL_DELAY_MS : POLL_RETRY_MS);
+	schedule_poll(hold, poll_pause_ms(hold, call, report));
 }
 
 static void
@@ -386,6 +402,7 @@
 	call->generation = hold->generation;
 	call->sent_ms = clk_now_ms();
 	call->wait_ms = args->wait_ms;
+	call->timeout_ms = target.timeout_ms;
 	call->is_extra = is_extra;
 	if (is_extra)
 		hold->extra_in_progress = true;
--- a/tests/test_holder.c
+++ b/tests/test_holder.c
@@ -10,6 +10,8 @@
 
 #define LEASE_MS 1000 /* above HOLD_MAX_LEASE_MS */
 #define MAX_ROWS 8
+/* Less than the pause after a request for a report that failed at once. */
+#define SOON_MS 30
 
 /* A call that is not answered yet. */
 struct call {
@@ -301,6 +303,27 @@
 		g_main_context_iteration(NULL, TRUE);
 }
 
+static gboolean
+on_expired(gpointer data)
+{
+	*(bool *)data = true;
+	return G_SOURCE_REMOVE;
+}
+
+/* Shows if no request for a report comes before a failed one is repeated. */
+static void
+wait_shortly(struct fixture *w)
+{
+	guint n_calls = g_queue_get_length(&w->reports);
+	bool expired = false;
+
+	g_timeout_add(SOON_MS, on_expired, &expired);
+	while (!expired)
+		g_main_context_iteration(NULL, TRUE);
+	if (g_queue_get_length(&w->reports) == n_calls)
+		append(w, "none");
+}
+
 static void
 step_calls(struct fixture *w, char **words)
 {
@@ -345,6 +368,8 @@
 		hold_worker_left(w->hold, "i");
 	else if (strcmp(words[0], "next") == 0)
 		wait_for_call(w);
+	else if (strcmp(words[0], "soon") == 0)
+		wait_shortly(w);
 	else if (strcmp(words[0], "withhold") == 0)
 		w->lease = WP_LEASE_WITHHOLD;
 	else if (strcmp(words[0], "pause") == 0)
