Lengthen the timeout of worker calls only where nothing is answered

Each lost call counted towards the backoff unless an answer came between it and the next one. A miss now counts only if nothing was answered while the call was open, and calls that were open at one time count once.

Weighed: a timeout for each kind of call. Starts, stops and reports are answered equally fast; a worker whose starts alone are slow is served by the report that follows a timeout.

--- a/src/connection/holder.c
+++ b/src/connection/holder.c
@@ -186,11 +186,11 @@
 
 	if (verdict != WP_NO_ANSWER) {
 		hold->heard_ms = now_ms;
-		ans_received(&hold->answers, now_ms - sent_ms);
+		ans_received(&hold->answers, sent_ms, now_ms);
 		hold->unanswered_since_ms = 0;
 		return;
 	}
-	ans_missed(&hold->answers);
+	ans_missed(&hold->answers, sent_ms, now_ms);
 	hold->short_poll_until_ms = now_ms + SHORT_POLL_PERIOD_MS;
 	if (hold->unanswered_since_ms == 0)
 		hold->unanswered_since_ms = sent_ms;
@@ -378,6 +378,8 @@
 	if (report->answer.verdict == WP_NO_ANSWER || call->wait_ms == 0)
 		record_answer(hold, report->answer.verdict,
 		    call->sent_ms + call->wait_ms);
+	else
+		ans_heard(&hold->answers, clk_now_ms());
 	if (report->answer.verdict == WP_FENCED)
 		hold->token += FENCED_TOKEN_STEP;
 	if (is_report_of(hold, report)) {
--- a/src/request/answertime.c
+++ b/src/request/answertime.c
@@ -10,14 +10,22 @@
 #define MISSES_BEFORE_BACKOFF 2
 
 void
-ans_received(struct ans *ans, int64_t took_ms)
+ans_heard(struct ans *ans, int64_t now_ms)
 {
-	double error = (double)took_ms - ans->mean_ms;
-
+	ans->heard_ms = now_ms;
 	ans->consecutive_misses = 0;
+}
+
+void
+ans_received(struct ans *ans, int64_t sent_ms, int64_t now_ms)
+{
+	double took_ms = (double)(now_ms - sent_ms);
+	double error = took_ms - ans->mean_ms;
+
+	ans_heard(ans, now_ms);
 	if (ans->samples++ == 0) { /* initial values of RFC 6298 */
-		ans->mean_ms = (double)took_ms;
-		ans->deviation_ms = (double)took_ms / 2;
+		ans->mean_ms = took_ms;
+		ans->deviation_ms = took_ms / 2;
 		return;
 	}
 	ans->mean_ms += MEAN_WEIGHT * error;
@@ -25,10 +33,19 @@
 	    DEVIATION_WEIGHT * (fabs(error) - ans->deviation_ms);
 }
 
+/*
+ * A miss counts only if the peer answered nothing while the call was open: an
+ * answer shows that the call was lost, not that the peer is slow.  Of calls
+ * that were open at the same time one counts, so that a batch of lost calls
+ * doubles the timeout once.
+ */
 void
-ans_missed(struct ans *ans)
+ans_missed(struct ans *ans, int64_t sent_ms, int64_t now_ms)
 {
+	if (ans->heard_ms > sent_ms || ans->missed_ms > sent_ms)
+		return;
 	ans->consecutive_misses++;
+	ans->missed_ms = now_ms;
 }
 
 int64_t
--- a/src/request/answertime.h
+++ b/src/request/answertime.h
@@ -13,12 +13,17 @@
 	double mean_ms;
 	double deviation_ms;
 	uint32_t samples;
-	uint32_t consecutive_misses;
+	uint32_t consecutive_misses; /* without an answer between them */
+	int64_t heard_ms;	     /* last answer to any call */
+	int64_t missed_ms;	     /* when a miss was last counted */
 };
 
-void ans_received(struct ans *ans, int64_t took_ms);
-/* No answer came within the timeout. */
-void ans_missed(struct ans *ans);
+/* A call that could be answered from sent_ms on was answered. */
+void ans_received(struct ans *ans, int64_t sent_ms, int64_t now_ms);
+/* The peer has answered a call whose answer time is not known. */
+void ans_heard(struct ans *ans, int64_t now_ms);
+/* A call that could be answered from sent_ms on has timed out. */
+void ans_missed(struct ans *ans, int64_t sent_ms, int64_t now_ms);
 int64_t ans_timeout_ms(const struct ans *ans);
 
 #endif
--- a/tests/test_answertime.c
+++ b/tests/test_answertime.c
@@ -14,12 +14,13 @@
 START_TEST(fast_peer_has_short_timeout)
 {
 	struct ans ans = {0};
+	int64_t now_ms = 1000;
 	int i;
 
-	for (i = 0; i < 50; i++)
-		ans_received(&ans, 3);
+	for (i = 0; i < 50; i++, now_ms += 3)
+		ans_received(&ans, now_ms, now_ms + 3);
 	ck_assert_int_eq((int)ans_timeout_ms(&ans), 25);
-	ans_missed(&ans);
+	ans_missed(&ans, now_ms, now_ms + 25);
 	ck_assert_int_eq((int)ans_timeout_ms(&ans), 25);
 }
 END_TEST
@@ -31,7 +32,7 @@
 	int i;
 
 	for (i = 0; i < 50; i++)
-		ans_received(&ans, i % 2 == 0 ? 20 : 60);
+		ans_received(&ans, 1000, 1000 + (i % 2 == 0 ? 20 : 60));
 	ck_assert_int_gt((int)ans_timeout_ms(&ans), 60);
 }
 END_TEST
@@ -40,19 +41,58 @@
 START_TEST(consecutive_misses)
 {
 	struct ans ans = {0};
+	int64_t now_ms = 1000;
 	int i;
 
-	ans_received(&ans, 3);
-	for (i = 0; i < 2; i++)
-		ans_missed(&ans);
+	ans_received(&ans, now_ms, now_ms + 3);
+	now_ms += 3;
+	for (i = 0; i < 2; i++, now_ms += 25)
+		ans_missed(&ans, now_ms, now_ms + 25);
 	ck_assert_int_eq((int)ans_timeout_ms(&ans), 50);
-	for (i = 0; i < 40; i++)
-		ans_missed(&ans);
+	for (i = 0; i < 40; i++, now_ms += 250)
+		ans_missed(&ans, now_ms, now_ms + 250);
 	ck_assert_int_eq((int)ans_timeout_ms(&ans), 250);
-	ans_received(&ans, 3);
+	ans_received(&ans, now_ms, now_ms + 3);
+	ck_assert_int_eq((int)ans_timeout_ms(&ans), 25);
+}
+END_TEST
+
+/*
+ * Guards against a long timeout where calls are lost: starts that were sent and
+ * lost together counted as several misses in a row, and all calls to the worker
+ * then had to wait for up to 250 ms.
+ */
+START_TEST(calls_lost_together_count_once)
+{
+	struct ans ans = {0};
+	int i;
+
+	ans_received(&ans, 1000, 1003);
+	for (i = 0; i < 8; i++)
+		ans_missed(&ans, 1010 + i, 1035 + i);
+	ck_assert_int_eq((int)ans_timeout_ms(&ans), 25);
+	ans_missed(&ans, 1050, 1075);
+	ck_assert_int_eq((int)ans_timeout_ms(&ans), 50);
+}
+END_TEST
+
+/* A peer that answers other calls meanwhile is not slow. */
+START_TEST(misses_beside_answers)
+{
+	struct ans ans = {0};
+	int64_t now_ms = 1000;
+	int i;
+
+	for (i = 0; i < 10; i++, now_ms += 30) {
+		ans_received(&ans, now_ms, now_ms + 3);
+		ans_heard(&ans, now_ms + 10);
+		ans_missed(&ans, now_ms + 5, now_ms + 29);
+		ans_missed(&ans, now_ms + 6, now_ms + 30);
+	}
 	ck_assert_int_eq((int)ans_timeout_ms(&ans), 25);
 }
 END_TEST
 
 TEST_MAIN("answertime", 0, no_samples, fast_peer_has_short_timeout,
-    timeout_exceeds_usual_delays, consecutive_misses)
+    timeout_exceeds_usual_delays, consecutive_misses,
+    calls_lost_together_count_once, misses_beside_answers)
