Repeat an unanswered start under its run number

The worker executes a run number once at most, answers 200 if the run is there already, and refuses a number that has ended or was stopped, so the same start is sent again, up to five times; its late copies do nothing. Only then a report and a stop settle it, as before.

Each repetition passes the checks of a first call (session, readiness, drain, domains, start-by). A refusal after an unanswered call says nothing about that call: the run is settled by a report, its capacity stays held, and it gets no higher number. The capacity of a start is freed as before: by a reported end, by a confirmed stop and a later report, or with the lease. fuzz_ledger now plays repeated starts and their refusals.

--- a/fuzz/fuzz_ledger.c
+++ b/fuzz/fuzz_ledger.c
@@ -27,6 +27,7 @@
 	int64_t cpu;
 	int task;
 	enum state state;
+	bool stop_sent;
 	bool stopped; /* the worker has carried out a stop */
 	bool listed;  /* its end was in a report */
 };
@@ -70,15 +71,41 @@
 	return task[0] - 'a';
 }
 
+static struct run *
+find_run(struct world *w, int64_t number)
+{
+	size_t i;
+
+	for (i = 0; i < w->n_runs; i++) {
+		if (w->runs[i].number == number)
+			return &w->runs[i];
+	}
+	return NULL;
+}
+
+/* A repeated start names the same task, and no stop was sent for it. */
+static void
+check_repeated(const struct run *run, const char *task)
+{
+	fz_check(run->task == task_index(task));
+	fz_check(!run->stop_sent);
+}
+
 /* A task that may still run or begin at the worker must not be started. */
 static void
 on_start(const char *task, GBytes *spec, int64_t number, void *ctx)
 {
 	struct world *w = ctx;
-	struct run *run = &w->runs[w->n_runs];
+	struct run *run = find_run(w, number);
 	size_t i;
 
 	(void)spec;
+	w->lease_ends_ms = MAX(w->lease_ends_ms, w->now_ms + LEASE_MS);
+	if (run != NULL) {
+		check_repeated(run, task);
+		return;
+	}
+	run = &w->runs[w->n_runs];
 	for (i = 0; i < w->n_runs; i++)
 		fz_check(w->runs[i].task != task_index(task) ||
 			 w->runs[i].state == ENDED || w->runs[i].stopped);
@@ -87,15 +114,16 @@
 	*run = (struct run){.number = number, .task = task_index(task)};
 	run->cpu = 1 + run->task;
 	w->n_runs++;
-	w->lease_ends_ms = MAX(w->lease_ends_ms, w->now_ms + LEASE_MS);
 }
 
 static void
 on_stop(const char *task, int64_t number, void *ctx)
 {
+	struct run *run = find_run(ctx, number);
+
 	(void)task;
-	(void)number;
-	(void)ctx;
+	if (run != NULL)
+		run->stop_sent = true;
 }
 
 static void
@@ -131,13 +159,19 @@
 	fz_check(used <= CAPACITY);
 }
 
-/* The worker carries out a start, with or without an answer. */
+/*
+ * The worker carries out a start, with or without an answer.  It refuses one
+ * whose run has ended, or was stopped, before the call arrived.
+ */
 static void
-carry_out(struct world *w, struct run *run, bool answered)
+carry_out(struct world *w, struct run *run, bool answered, bool refused)
 {
 	struct wp_answer done = {.verdict = WP_DONE};
 	struct wp_answer none = {.verdict = WP_NO_ANSWER};
 
+	if (refused && run->state == ENDED)
+		done.verdict = WP_STALE_RUN;
+
 	if (run->state == SENT && !run->stopped) {
 		run->state = RUNNING;
 		check_capacity(w);
@@ -287,7 +321,7 @@
 	else if (run == NULL)
 		return;
 	else if (op % 10 == 6)
-		carry_out(w, run, (op & 16) != 0);
+		carry_out(w, run, (op & 16) != 0, (op & 32) != 0);
 	else if (op % 10 == 7)
 		stop(w, run, (op & 16) != 0);
 	else if (op % 10 == 8 && run->state == RUNNING)
--- a/src/request/ledger.c
+++ b/src/request/ledger.c
@@ -20,6 +20,13 @@
 /* Run numbers skipped when the worker has already seen higher ones. */
 #define RUN_NUMBER_SKIP 10000
 #define MAX_RENUMBERS	3
+/*
+ * A start is sent this often under one run number.  The worker executes a run
+ * number once at most and tells if it is there already, so that a call that is
+ * executed late does nothing.  When none is answered, a report and a stop
+ * settle the run.
+ */
+#define MAX_START_CALLS 5
 /*
  * A run is stalled when its progress has not changed for this share of its
  * expected run time, but at least STALL_MIN_MS, or for STALL_UNKNOWN_MS when no
@@ -57,8 +64,10 @@
 	uint32_t priority;
 	uint64_t order; /* number of the start in order of arrival */
 	int64_t start_by_ms;
-	int64_t number; /* run number given to the worker */
-	int64_t sent_ms;
+	int64_t number;		   /* run number given to the worker */
+	int64_t sent_ms;	   /* when the start was last sent */
+	int64_t first_sent_ms;	   /* with this run number */
+	uint32_t start_calls;	   /* likewise */
 	int64_t no_answer_ms;	   /* when the start timed out, 0: it did not */
 	int64_t stop_sent_ms;	   /* when a stop was last sent, 0: never */
 	int64_t stop_confirmed_ms; /* when the stop was confirmed, 0: not yet */
@@ -343,15 +352,35 @@
 		    led, "capacity of the worker has shrunk", now_ms);
 }
 
+static void
+call_start(struct led *led, struct run *run, int64_t now_ms)
+{
+	run->sent_ms = now_ms;
+	run->start_calls++;
+	led->opts.start(run->task, run->spec, run->number, led->opts.ctx);
+}
+
 static void
 send_start(struct led *led, struct run *run, int64_t now_ms)
 {
 	run->number = ++led->last_run;
 	run->state = STARTING;
-	run->sent_ms = now_ms;
+	run->first_sent_ms = now_ms;
+	run->start_calls = 0;
 	g_hash_table_insert(led->active, &run->number, run);
 	g_hash_table_insert(led->by_task, run->task, run);
-	led->opts.start(run->task, run->spec, run->number, led->opts.ctx);
+	call_start(led, run, now_ms);
+}
+
+/* A call that is repeated is subject to the same checks as the first one. */
+static bool
+may_repeat_start(const struct led *led, const struct run *run, int64_t now_ms)
+{
+	const char *reason;
+
+	return run->start_calls < MAX_START_CALLS &&
+	       now_ms <= run->start_by_ms &&
+	       led->opts.may_start(run->session, &reason, led->opts.ctx);
 }
 
 /*
@@ -428,6 +457,47 @@
 	send_start(led, run, now_ms);
 }
 
+/* Leaves it to a later report whether the run is there. */
+static void
+await_report(struct led *led, struct run *run, int64_t now_ms)
+{
+	run->no_answer_ms = now_ms;
+	led->opts.request_report(led->opts.ctx);
+}
+
+static void
+start_unanswered(struct led *led, struct run *run, int64_t now_ms)
+{
+	if (may_repeat_start(led, run, now_ms))
+		call_start(led, run, now_ms);
+	else
+		await_report(led, run, now_ms);
+}
+
+static void
+start_refused(struct led *led, struct run *run, const struct wp_answer *answer,
+    int64_t now_ms)
+{
+	/*
+	 * The refusal says nothing about earlier calls, which were not
+	 * answered: the run may be there, or may have ended.
+	 */
+	if (run->start_calls > 1) {
+		if (run->state == STARTING && run->no_answer_ms == 0)
+			await_report(led, run, now_ms);
+		return;
+	}
+	if (answer->verdict == WP_STALE_RUN && run->state == STARTING &&
+	    run->renumbers < MAX_RENUMBERS) {
+		renumber(led, run, now_ms);
+		return;
+	}
+	finish(led, run, LED_NOT_STARTED,
+	    answer->reason == NULL ? "refused by the worker" : answer->reason,
+	    now_ms);
+	led_start_queued(led, now_ms);
+}
+
 void
 led_started(struct led *led, int64_t number, const struct wp_answer *answer,
     int64_t now_ms)
@@ -442,28 +512,18 @@
 		if (run->state == STARTING)
 			run->state = RUNNING;
 		return;
-	case WP_STALE_RUN:
-		if (run->state == STARTING && run->renumbers < MAX_RENUMBERS) {
-			renumber(led, run, now_ms);
-			return;
-		}
-		break;
 	case WP_NO_ANSWER:
-		if (run->state == STARTING) {
-			run->no_answer_ms = now_ms;
-			led->opts.request_report(led->opts.ctx);
-		}
+		if (run->state == STARTING)
+			start_unanswered(led, run, now_ms);
 		return;
+	case WP_STALE_RUN:
 	case WP_DEADLINE_PASSED:
 	case WP_FENCED:
 	case WP_REFUSED:
 	case WP_REPLACED:
-		break;
+		start_refused(led, run, answer, now_ms);
+		return;
 	}
-	finish(led, run, LED_NOT_STARTED,
-	    answer->reason == NULL ? "refused by the worker" : answer->reason,
-	    now_ms);
-	led_start_queued(led, now_ms);
 }
 
 void
@@ -755,7 +815,8 @@
 		struct led_active_run active = {
 		    .task = run->task,
 		    .queue = run->queue,
-		    .sent_ms = run->sent_ms,
+		    /* Any of the calls without an answer may be in effect. */
+		    .sent_ms = run->started ? run->sent_ms : run->first_sent_ms,
 		    .started = run->started,
 		};
 
