Overlap polls and shorten timeouts where calls to a worker are lost

Where more than 0.06 of a worker's calls are lost, a poll now waits for 20 ms, the next one is sent at that interval without waiting for the timeout, and the least timeout is 10 ms. Calls to a peer that answers none of several in turn are not counted as lost: it is slow, or has ended.

--- a/src/connection/holder.c
+++ b/src/connection/holder.c
@@ -17,6 +17,12 @@
  */
 #define SHORT_POLL_WAIT_MS   30
 #define SHORT_POLL_PERIOD_MS 3000
+/*
+ * Where many calls are lost, polls wait for LOSSY_POLL_WAIT_MS and are sent at
+ * that interval, without waiting for the timeout of those before.
+ */
+#define LOSSY_POLL_WAIT_MS 20
+#define MAX_OPEN_POLLS	   4
 /* Delay before the next poll, so that one poll reports several ended runs. */
 #define POLL_DELAY_MS 4
 #define POLL_RETRY_MS 50
@@ -65,7 +71,8 @@
 	int64_t last_end;  /* highest number of a reported end */
 	int64_t clock_ms;  /* the worker's clock at clock_at_ms */
 	int64_t clock_at_ms;
-	int64_t sent_ms;       /* of the poll in progress, 0: none */
+	int64_t sent_ms; /* of the last poll if it is open, 0: it is not */
+	uint32_t open_polls;
 	int64_t answered_ms;   /* last report of this incarnation */
 	int64_t heard_ms;      /* last answer to any call */
 	int64_t deadline_ms;   /* of the lease, on the worker's clock */
@@ -359,6 +366,14 @@
 						       : POLL_RETRY_MS;
 }
 
+static void
+close_poll(struct hold *hold, const struct call *call)
+{
+	hold->open_polls--;
+	if (call->sent_ms == hold->sent_ms)
+		hold->sent_ms = 0;
+}
+
 static void
 on_report(const struct wp_report *report, void *ctx)
 {
@@ -370,7 +385,7 @@
 	if (call->is_extra)
 		hold->extra_in_progress = false;
 	else
-		hold->sent_ms = 0;
+		close_poll(hold, call);
 	/*
 	 * An answered poll with a wait is not recorded: it may return before
 	 * the wait is over, and so does not show the worker's answer time.
@@ -391,9 +406,18 @@
 		hold->extra_pending = false;
 		hold_request_report(hold);
 	}
+	if (hold->sent_ms == 0 && is_report_of(hold, report))
+		g_clear_handle_id(&hold->poll_id, g_source_remove);
 	schedule_poll(hold, poll_pause_ms(hold, call, report));
 }
 
+static void
+open_poll(struct hold *hold, const struct call *call)
+{
+	hold->sent_ms = call->sent_ms;
+	hold->open_polls++;
+}
+
 static void
 send_hold(struct hold *hold, const struct wp_hold *args, bool is_extra)
 {
@@ -409,28 +433,52 @@
 	if (is_extra)
 		hold->extra_in_progress = true;
 	else
-		hold->sent_ms = call->sent_ms;
+		open_poll(hold, call);
 	hold->opts.wp->hold(
 	    hold->opts.wp->port, &target, args, on_report, call);
 }
 
+static bool
+polls_overlap(const struct hold *hold)
+{
+	return hold->phase == READY && ans_is_lossy(&hold->answers);
+}
+
+static int64_t
+poll_wait_ms(const struct hold *hold)
+{
+	if (polls_overlap(hold))
+		return LOSSY_POLL_WAIT_MS;
+	return clk_now_ms() < hold->short_poll_until_ms ? SHORT_POLL_WAIT_MS
+							: POLL_WAIT_MS;
+}
+
+static bool
+may_poll(const struct hold *hold)
+{
+	if (hold->sent_ms == 0)
+		return true;
+	return polls_overlap(hold) && hold->open_polls < MAX_OPEN_POLLS &&
+	       clk_now_ms() - hold->sent_ms >= LOSSY_POLL_WAIT_MS;
+}
+
 static void
 poll_worker(struct hold *hold)
 {
 	struct wp_hold args = {.last_end = hold->last_end};
 
-	if (hold->phase == ABSENT || hold->sent_ms != 0)
+	if (hold->phase == ABSENT || !may_poll(hold))
 		return;
 	if (hold->phase == READY) {
-		args.wait_ms = clk_now_ms() < hold->short_poll_until_ms
-				   ? SHORT_POLL_WAIT_MS
-				   : POLL_WAIT_MS;
+		args.wait_ms = poll_wait_ms(hold);
 		if (hold->unanswered_since_ms == 0 &&
 		    hold->leaving_since_ms == 0 &&
 		    hold->opts.lease(hold->opts.ctx) == WP_LEASE_RENEW)
 			args.deadline_ms = extend_lease(hold);
 	}
 	send_hold(hold, &args, false);
+	if (polls_overlap(hold))
+		schedule_poll(hold, LOSSY_POLL_WAIT_MS);
 }
 
 void
@@ -466,6 +514,7 @@
 	hold->born_ms = worker->born_ms;
 	hold->last_end = 0;
 	hold->sent_ms = 0;
+	hold->open_polls = 0;
 	hold->unanswered_since_ms = 0;
 	hold->leaving_since_ms = 0;
 	hold->extra_in_progress = hold->extra_pending = false;
@@ -625,6 +674,7 @@
 	hold->generation++;
 	hold->phase = ABSENT;
 	hold->sent_ms = 0;
+	hold->open_polls = 0;
 	hold->leaving_since_ms = 0;
 	hold->extra_in_progress = hold->extra_pending = false;
 	hold->was_ready = false;
--- a/src/request/answertime.c
+++ b/src/request/answertime.c
@@ -2,17 +2,39 @@
 
 #include "request/answertime.h"
 
-#define MIN_TIMEOUT_MS	 25
-#define MAX_TIMEOUT_MS	 250
-#define MEAN_WEIGHT	 (1.0 / 8)
-#define DEVIATION_WEIGHT (1.0 / 4)
+#define MIN_TIMEOUT_MS 25
+#define MAX_TIMEOUT_MS 250
+/*
+ * Least timeout where many calls are lost.  Calm workers exceed it in up to
+ * 0.045 of the calls, so a peer counts as lossy only from LOSSY_SHARE on.
+ */
+#define MIN_LOSSY_TIMEOUT_MS 10
+#define LOSSY_SHARE	     0.06
+#define SHARE_WEIGHT	     (1.0 / 32)
+#define MEAN_WEIGHT	     (1.0 / 8)
+#define DEVIATION_WEIGHT     (1.0 / 4)
 /* One lost answer may be chance; several in a row indicate a slow peer. */
 #define MISSES_BEFORE_BACKOFF 2
 
+/*
+ * Misses count as lost calls when an answer follows soon: a peer that has ended
+ * or was slow loses no calls on their way.
+ */
+static void
+count_lost_calls(struct ans *ans)
+{
+	if (ans->consecutive_misses >= MISSES_BEFORE_BACKOFF)
+		ans->misses = 0;
+	for (; ans->misses > 0; ans->misses--)
+		ans->missed_share += SHARE_WEIGHT * (1 - ans->missed_share);
+	ans->missed_share -= SHARE_WEIGHT * ans->missed_share;
+}
+
 void
 ans_heard(struct ans *ans, int64_t now_ms)
 {
 	ans->heard_ms = now_ms;
+	count_lost_calls(ans);
 	ans->consecutive_misses = 0;
 }
 
@@ -42,12 +64,19 @@
 void
 ans_missed(struct ans *ans, int64_t sent_ms, int64_t now_ms)
 {
+	ans->misses++;
 	if (ans->heard_ms > sent_ms || ans->missed_ms > sent_ms)
 		return;
 	ans->consecutive_misses++;
 	ans->missed_ms = now_ms;
 }
 
+bool
+ans_is_lossy(const struct ans *ans)
+{
+	return ans->missed_share >= LOSSY_SHARE;
+}
+
 int64_t
 ans_timeout_ms(const struct ans *ans)
 {
@@ -55,7 +84,8 @@
 
 	if (ans->samples == 0)
 		return MAX_TIMEOUT_MS;
-	timeout_ms = fmax(timeout_ms, MIN_TIMEOUT_MS);
+	timeout_ms = fmax(timeout_ms,
+	    ans_is_lossy(ans) ? MIN_LOSSY_TIMEOUT_MS : MIN_TIMEOUT_MS);
 	if (ans->consecutive_misses >= MISSES_BEFORE_BACKOFF)
 		timeout_ms *=
 		    exp2(ans->consecutive_misses - MISSES_BEFORE_BACKOFF + 1);
