Repeat a stop without an answer at once only four times

A stop that got no answer was sent again at once each time. The timeout limited the rate while it doubled with each miss; since it stays short where the worker answers other calls, each run that does not end was sent up to a hundred stops a second. After four repetitions the next one waits for the interval that stops had before without any answer, 400 ms.

Seen as test_late_calls (late_stops_end_with_the_lease, late_stops_end_beside_other_runs) on the parent commit, with a load average of 40: the tasks were sent again too late in 4 of 11 runs.

--- a/src/request/ledger.c
+++ b/src/request/ledger.c
@@ -3,8 +3,12 @@
 
 #include "request/ledger.h"
 
-/* A stop that the worker has not confirmed is sent again after this time. */
-#define STOP_REPEAT_MS 400
+/*
+ * A stop that the worker has not confirmed is sent again after this time.  The
+ * first ones without an answer are repeated at once.
+ */
+#define STOP_REPEAT_MS	 400
+#define MAX_PROMPT_STOPS 5
 /*
  * A run that its entry has given up takes the lease from the worker if it has
  * not ended within this time.  With the lease of HOLD_MAX_LEASE_MS after it,
@@ -64,12 +68,13 @@
 	uint32_t priority;
 	uint64_t order; /* number of the start in order of arrival */
 	int64_t start_by_ms;
-	int64_t number;		   /* run number given to the worker */
-	int64_t sent_ms;	   /* when the start was last sent */
-	int64_t first_sent_ms;	   /* with this run number */
-	uint32_t start_calls;	   /* likewise */
-	int64_t no_answer_ms;	   /* when the start timed out, 0: it did not */
-	int64_t stop_sent_ms;	   /* when a stop was last sent, 0: never */
+	int64_t number;	       /* run number given to the worker */
+	int64_t sent_ms;       /* when the start was last sent */
+	int64_t first_sent_ms; /* with this run number */
+	uint32_t start_calls;  /* likewise */
+	int64_t no_answer_ms;  /* when the start timed out, 0: it did not */
+	int64_t stop_sent_ms;  /* when a stop was last sent, 0: never */
+	uint32_t stop_calls;
 	int64_t stop_confirmed_ms; /* when the stop was confirmed, 0: not yet */
 	bool given_up;		   /* by its entry, at given_up_ms */
 	int64_t given_up_ms;
@@ -258,6 +263,7 @@
 send_stop(struct led *led, struct run *run, int64_t now_ms)
 {
 	run->stop_sent_ms = now_ms;
+	run->stop_calls++;
 	led->opts.stop(run->task, run->number, led->opts.ctx);
 }
 
@@ -535,7 +541,8 @@
 	if (run == NULL || run->state != STOPPING)
 		return;
 	if (verdict == WP_NO_ANSWER) {
-		send_stop(led, run, now_ms);
+		if (run->stop_calls < MAX_PROMPT_STOPS)
+			send_stop(led, run, now_ms);
 		return;
 	}
 	if (verdict != WP_DONE && verdict != WP_STALE_RUN)
