Keep the runs of a replaced worker until its lease has ended

What callers saw: a task may run on two workers at once. A worker at another address took the place of the present one, whose runs were reported as lost as soon as the new one had been cleared, although the former had its lease for up to 0.58 s more.

Cause: only the clearing of the new worker was waited for. In the other direction, the end of the lease was enough to report the runs while the new worker, which may carry out starts that were meant for the former one, still had runs that were being stopped.

Change: the runs of a worker that is replaced by one at another address are lost when its lease has ended and the new one is cleared. The new one gets no starts until then, since the loss applies to all runs. One at the same address is proof that the former has ended, as before.

--- a/src/connection/holder.c
+++ b/src/connection/holder.c
@@ -1,4 +1,5 @@
 #include <glib.h>
+#include <string.h>
 
 #include "connection/claim.h"
 #include "connection/holder.h"
@@ -65,10 +66,10 @@
 	int64_t last_end;  /* highest number of a reported end */
 	int64_t clock_ms;  /* the worker's clock at clock_at_ms */
 	int64_t clock_at_ms;
-	int64_t sent_ms;       /* of the poll in progress, 0: none */
-	int64_t answered_ms;   /* last report of this incarnation */
-	int64_t heard_ms;      /* last answer to any call */
-	int64_t deadline_ms;   /* of the lease, on the worker's clock */
+	int64_t sent_ms;     /* of the poll in progress, 0: none */
+	int64_t answered_ms; /* last report of this incarnation */
+	int64_t heard_ms;    /* last answer to any call */
+	int64_t deadline_ms; /* of the lease, on the worker's clock, 0: none */
 	int64_t lease_ends_ms; /* upper bound, 0: no lease was given */
 	/*
 	 * When the first call without an answer was sent, plus its wait; 0:
@@ -82,6 +83,7 @@
 	int64_t short_poll_until_ms;
 	/* Runs to be reported as lost after clearing; incarnation 0: none. */
 	struct hold_lost replaced;
+	bool replaced_elsewhere; /* they were on a worker at another address */
 	struct ans answers;
 	bool extra_in_progress; /* call of hold_request_report() */
 	bool extra_pending;	/* requested during that call */
@@ -255,7 +257,7 @@
 
 /* Stops all runs left on the worker, since their resource use is unknown. */
 static void
-clear_runs(struct hold *hold, const struct wp_report *report)
+stop_all(struct hold *hold, const struct wp_report *report)
 {
 	struct wp_target target = current_target(hold);
 	size_t i;
@@ -264,11 +266,32 @@
 		hold->opts.wp->stop(hold->opts.wp->port, &target,
 		    report->running[i].task, report->running[i].run,
 		    ignore_answer, NULL);
-	if (report->n_running == 0)
+	evt_write("clear", evt_text("instance", hold->instance),
+	    evt_int("runs", report->n_running));
+}
+
+/*
+ * Whether no run is left on the worker that was replaced.  One at the same
+ * address has ended; one at another address may go on until its lease ends.
+ */
+static bool
+has_replaced_ended(const struct hold *hold)
+{
+	return hold->replaced.incarnation == 0 || !hold->replaced_elsewhere ||
+	       clk_now_ms() > hold->lease_ends_ms;
+}
+
+/*
+ * The worker becomes ready when none of its runs is left, nor one of the worker
+ * that it replaced: the loss of those applies to all runs.
+ */
+static void
+clear_runs(struct hold *hold, const struct wp_report *report)
+{
+	if (report->n_running > 0)
+		stop_all(hold, report);
+	else if (has_replaced_ended(hold))
 		hold->phase = READY;
-	else
-		evt_write("clear", evt_text("instance", hold->instance),
-		    evt_int("runs", report->n_running));
 }
 
 /*
@@ -288,6 +311,7 @@
 
 	hold->lease_ends_ms = 0;
 	hold->replaced.incarnation = 0;
+	hold->replaced_elsewhere = false;
 	hold->opts.runs_lost(&copy, hold->opts.ctx);
 }
 
@@ -442,6 +466,8 @@
 
 	if (had_worker && hold->replaced.incarnation == 0)
 		hold->replaced = current_runs_lost(hold, HOLD_REPLACED);
+	if (had_worker && strcmp(worker->address, hold->address) != 0)
+		hold->replaced_elsewhere = true;
 	hold->generation++;
 	hold->phase = CLEARING;
 	hold->born_ms = worker->born_ms;
@@ -629,13 +655,26 @@
 		hold_request_report(hold);
 }
 
+/*
+ * Whether a worker that replaced another one reports what runs on it.  The runs
+ * of the former are lost once it is cleared.
+ */
+static bool
+is_being_cleared(const struct hold *hold)
+{
+	return hold->replaced.incarnation != 0 &&
+	       clk_now_ms() - hold->answered_ms <= MAX_ANSWER_AGE_MS;
+}
+
 static void
 check_lease(struct hold *hold)
 {
-	struct hold_lost lost = current_runs_lost(hold, HOLD_SILENT);
+	struct hold_lost lost = hold->replaced.incarnation != 0
+				    ? hold->replaced
+				    : current_runs_lost(hold, HOLD_SILENT);
 
 	if (hold->lease_ends_ms == 0 || clk_now_ms() <= hold->lease_ends_ms ||
-	    hold_is_ready(hold))
+	    hold_is_ready(hold) || is_being_cleared(hold))
 		return;
 	hold->phase = CLEARING;
 	raise_token(hold);
--- a/tests/test_holder.c
+++ b/tests/test_holder.c
@@ -25,8 +25,9 @@
 	struct hold *hold;
 	int64_t token; /* of the last request for a report */
 	enum wp_lease lease;
-	uint64_t born_ms; /* of the worker that answers */
-	GQueue reports;	  /* struct call */
+	uint64_t born_ms;    /* of the worker that answers */
+	const char *address; /* in heartbeats */
+	GQueue reports;	     /* struct call */
 	GQueue starts;
 	GString *actual;
 };
@@ -196,6 +197,7 @@
 
 	now_ms = 0;
 	w->lease = WP_LEASE_RENEW;
+	w->address = "127.0.0.1:1";
 	w->wp = (struct wp){w, on_start, on_stop, on_hold};
 	g_queue_init(&w->reports);
 	g_queue_init(&w->starts);
@@ -244,7 +246,7 @@
 {
 	struct wp_worker worker = {
 	    .instance = "i",
-	    .address = "127.0.0.1:1",
+	    .address = w->address,
 	    .seq = atoi(words[1]),
 	    .born_ms = (uint64_t)atoi(words[2]),
 	    .clock_ms = words[3] == NULL ? now_ms : atoi(words[3]),
@@ -339,6 +341,8 @@
 		register_worker(w, words);
 	else if (strcmp(words[0], "worker") == 0)
 		w->born_ms = (uint64_t)atoi(words[1]);
+	else if (strcmp(words[0], "move") == 0)
+		w->address = "127.0.0.1:2";
 	else if (strcmp(words[0], "token") == 0)
 		append(w, "%d", (int)w->token);
 	else if (strcmp(words[0], "left") == 0)
