Do not carry the lease's deadline over to the next incarnation

A start that must not renew the lease carries the deadline that the lease has. After a new incarnation was adopted, that was still a time on the clock of the former one, often seconds ahead of the new one's clock, so that the start would have been carried out however late it came, and would have got the longest lease. And a start that is numbered anew and reaches a worker that is being cleared moved the end of the lease on, while that end is waited for.

Change: the deadline is forgotten on adoption, and no start renews the lease of a worker that is being cleared. The worker refuses a start without a deadline as late, and the task is placed again.

--- a/src/connection/holder.c
+++ b/src/connection/holder.c
@@ -215,15 +215,17 @@
  * Returns the lease deadline to send with a start.  While calls are unanswered,
  * the lease is extended only when at most half of it is left: an unanswered
  * call may have been executed, so if each start extended the lease, its upper
- * bound would move on and the runs would not be reported as lost.
+ * bound would move on and the runs would not be reported as lost.  A start that
+ * is numbered anew may reach a worker that is being cleared; without a deadline
+ * the worker refuses it.
  */
 static int64_t
 start_deadline_ms(struct hold *hold)
 {
 	enum wp_lease lease = hold->opts.lease(hold->opts.ctx);
 
-	if (hold->leaving_since_ms != 0 || lease == WP_LEASE_PAUSE ||
-	    lease == WP_LEASE_WITHHOLD)
+	if (hold->phase != READY || hold->leaving_since_ms != 0 ||
+	    lease == WP_LEASE_PAUSE || lease == WP_LEASE_WITHHOLD)
 		return hold->deadline_ms;
 	if (hold->unanswered_since_ms != 0 &&
 	    hold->lease_ends_ms - clk_now_ms() > hold->opts.lease_ms / 2)
@@ -478,6 +480,7 @@
 	hold->extra_in_progress = hold->extra_pending = false;
 	hold->clock_ms = worker->clock_ms;
 	hold->clock_at_ms = hold->answered_ms = clk_now_ms();
+	hold->deadline_ms = 0;
 	hold->was_ready = false;
 	g_clear_handle_id(&hold->poll_id, g_source_remove);
 	g_free(hold->instance);
