Take an answer of the worker's next incarnation as news at once

A start got no answer and was settled, and its task was placed elsewhere; its worker crashed, returned under its id and carried the start out.

Change: an answer under the worker's id with another start time stops the starts and the renewal, raises the token, and sends a hold with it at once. When the answer to a call with the raised token confirms the start time, the incarnation is taken up as one that a heartbeat told of, but gets no starts before its heartbeat, and the runs of the former life are not lost before that or the end of the lease. A single answer that is not the worker's own ends no run. Calls that are refused for a token that has been raised meanwhile no longer skip numbers.

--- a/src/connection/claim.c
+++ b/src/connection/claim.c
@@ -21,6 +21,7 @@
 	struct clm *clm;
 	struct wp_worker *worker;
 	int64_t until_ms;
+	int64_t token; /* of its last call */
 	bool in_call;
 	bool dropped; /* freed when its call is answered */
 	guint retry_id;
@@ -120,7 +121,7 @@
 		settle_answer(claim, report);
 		return;
 	case WP_FENCED:
-		claim->clm->opts.fenced(claim->clm->opts.ctx);
+		claim->clm->opts.fenced(claim->token, claim->clm->opts.ctx);
 		retry(claim);
 		return;
 	case WP_NO_ANSWER:
@@ -158,6 +159,7 @@
 	};
 
 	opts->fill_target(&target, opts->ctx);
+	claim->token = target.token;
 	claim->in_call = true;
 	opts->wp->hold(opts->wp->port, &target, &args, on_report, claim);
 }
--- a/src/connection/claim.h
+++ b/src/connection/claim.h
@@ -17,8 +17,8 @@
 	const struct wp *wp; /* borrowed */
 	/* Fencing token and timeout of the next call. */
 	void (*fill_target)(struct wp_target *target, void *ctx);
-	/* The worker refused the token as too low. */
-	void (*fenced)(void *ctx);
+	/* The worker refused a call with this token as too low. */
+	void (*fenced)(int64_t token, void *ctx);
 	/* The claim of worker holds. */
 	void (*confirmed)(const struct wp_worker *worker, void *ctx);
 	void *ctx;
--- a/src/connection/holder.c
+++ b/src/connection/holder.c
@@ -60,11 +60,18 @@
 	char *instance;
 	char *address;
 	uint64_t born_ms;
-	int64_t seq;	   /* of its last heartbeat */
-	int64_t stated_ms; /* the worker's clock in that */
-	int64_t token;	   /* fencing token */
-	int64_t last_end;  /* highest number of a reported end */
-	int64_t clock_ms;  /* the worker's clock at clock_at_ms */
+	/*
+	 * Start time in an answer under the same id that is not born_ms: the
+	 * worker has restarted, if the answer to a later call confirms it.  0:
+	 * none.
+	 */
+	uint64_t other_born_ms;
+	uint64_t described_born_ms; /* incarnation of its last heartbeat */
+	int64_t seq;		    /* of its last heartbeat */
+	int64_t stated_ms;	    /* the worker's clock in that */
+	int64_t token;		    /* fencing token */
+	int64_t last_end;	    /* highest number of a reported end */
+	int64_t clock_ms;	    /* the worker's clock at clock_at_ms */
 	int64_t clock_at_ms;
 	int64_t sent_ms;     /* of the poll in progress, 0: none */
 	int64_t answered_ms; /* last report of this incarnation */
@@ -91,13 +98,20 @@
 	bool was_ready;
 };
 
-/* A request for a report: a poll, or an extra one of hold_request_report(). */
+/* What a request for a report is for. */
+enum call_kind {
+	POLL,
+	EXTRA, /* hold_request_report() */
+	CHECK, /* of an answer that another incarnation gave */
+};
+
 struct call {
 	struct hold *hold;
+	enum call_kind kind;
 	uint64_t generation;
+	int64_t token;
 	int64_t sent_ms;
 	int64_t wait_ms;
-	bool is_extra;
 };
 
 /* A start or stop call, whose answer is passed to the caller. */
@@ -111,6 +125,8 @@
 };
 
 static void poll_worker(struct hold *hold);
+static void adopt_worker(struct hold *hold, const struct wp_worker *worker);
+static void on_report(const struct wp_report *report, void *ctx);
 
 /* The worker port must not deliver any answer after this. */
 void
@@ -140,6 +156,7 @@
 	int64_t now_ms = clk_now_ms();
 
 	return hold->phase == READY && hold->leaving_since_ms == 0 &&
+	       hold->other_born_ms == 0 &&
 	       now_ms - hold->answered_ms <= MAX_ANSWER_AGE_MS &&
 	       (hold->unanswered_since_ms == 0 ||
 		   now_ms - hold->unanswered_since_ms <= MAX_UNANSWERED_MS);
@@ -176,6 +193,27 @@
 	};
 }
 
+/*
+ * Raises the fencing token.  An unanswered call may still be executed, also by
+ * a new incarnation under the same name, until the worker sees a higher token.
+ */
+static void
+raise_token(struct hold *hold)
+{
+	hold->token++;
+}
+
+/*
+ * The worker refused a call with this token.  Of several calls with the same
+ * token, the first that is refused raises it.
+ */
+static void
+skip_token(struct hold *hold, int64_t token)
+{
+	if (token == hold->token)
+		hold->token += FENCED_TOKEN_STEP;
+}
+
 /*
  * Records whether a call was answered.  sent_ms is the earliest time at which
  * the worker could answer: that of sending, plus the wait of a poll.
@@ -272,14 +310,23 @@
 	    evt_int("runs", report->n_running));
 }
 
+/* Whether a heartbeat of the present incarnation is known. */
+static bool
+is_described(const struct hold *hold)
+{
+	return hold->described_born_ms == hold->born_ms;
+}
+
 /*
  * Whether no run is left on the worker that was replaced.  One at the same
- * address has ended; one at another address may go on until its lease ends.
+ * address has ended, if both answers and a heartbeat tell so; otherwise its
+ * runs may go on until its lease ends.
  */
 static bool
 has_replaced_ended(const struct hold *hold)
 {
-	return hold->replaced.incarnation == 0 || !hold->replaced_elsewhere ||
+	return hold->replaced.incarnation == 0 ||
+	       (!hold->replaced_elsewhere && is_described(hold)) ||
 	       clk_now_ms() > hold->lease_ends_ms;
 }
 
@@ -292,20 +339,10 @@
 {
 	if (report->n_running > 0)
 		stop_all(hold, report);
-	else if (has_replaced_ended(hold))
+	else if (has_replaced_ended(hold) && is_described(hold))
 		hold->phase = READY;
 }
 
-/*
- * Raises the fencing token.  An unanswered call may still be executed, also by
- * a new incarnation under the same name, until the worker sees a higher token.
- */
-static void
-raise_token(struct hold *hold)
-{
-	hold->token++;
-}
-
 static void
 report_runs_lost(struct hold *hold, const struct hold_lost *lost)
 {
@@ -342,7 +379,8 @@
 	if (hold->phase == CLEARING)
 		clear_runs(hold, report);
 	hold->opts.report(report, sent_ms, hold->opts.ctx);
-	if (hold->phase == READY && hold->replaced.incarnation != 0)
+	if (hold->replaced.incarnation != 0 && report->n_running == 0 &&
+	    has_replaced_ended(hold))
 		report_runs_lost(hold, &hold->replaced);
 	update_ready(hold);
 }
@@ -367,6 +405,110 @@
 	    evt_uint("born_ms", hold->born_ms), evt_text("state", "stays"));
 }
 
+static void
+send_hold(struct hold *hold, const struct wp_hold *args, enum call_kind kind)
+{
+	struct wp_target target = current_target(hold);
+	struct call *call = g_new0(struct call, 1);
+
+	call->hold = hold;
+	call->kind = kind;
+	call->generation = hold->generation;
+	call->token = hold->token;
+	call->sent_ms = clk_now_ms();
+	call->wait_ms = args->wait_ms;
+	if (kind == EXTRA)
+		hold->extra_in_progress = true;
+	else if (kind == POLL)
+		hold->sent_ms = call->sent_ms;
+	hold->opts.wp->hold(
+	    hold->opts.wp->port, &target, args, on_report, call);
+}
+
+/*
+ * An answer names another incarnation.  The token is raised and sent at once,
+ * so that the worker refuses what was meant for the former incarnation.
+ */
+static void
+suspect_restart(struct hold *hold, uint64_t born_ms)
+{
+	struct wp_hold args = {.last_end = hold->last_end};
+
+	hold->other_born_ms = born_ms;
+	raise_token(hold);
+	evt_write("worker", evt_text("instance", hold->instance),
+	    evt_uint("born_ms", born_ms), evt_text("state", "suspected"));
+	update_ready(hold);
+	send_hold(hold, &args, CHECK);
+}
+
+/*
+ * Takes up an incarnation that has answered twice, before its heartbeat, which
+ * any number and time is newer than.
+ */
+static void
+adopt_restarted(struct hold *hold, const struct wp_report *report)
+{
+	struct wp_worker worker = {
+	    .instance = hold->instance,
+	    .address = hold->address,
+	    .born_ms = report->born_ms,
+	    .clock_ms = report->answer.clock_ms,
+	    .seq = -1,
+	};
+
+	adopt_worker(hold, &worker);
+	hold->seq = hold->stated_ms = -1;
+	hold->opts.changed(hold->opts.ctx);
+	poll_worker(hold);
+}
+
+/*
+ * A single answer with another start time may be false.  The worker has
+ * restarted when the answer to a call with the token raised since confirms it.
+ */
+static void
+check_incarnation(
+    struct hold *hold, const struct wp_report *report, int64_t token)
+{
+	if (report->answer.verdict != WP_DONE || report->born_ms == 0)
+		return;
+	if (report->born_ms != hold->other_born_ms)
+		suspect_restart(hold, report->born_ms);
+	else if (token == hold->token)
+		adopt_restarted(hold, report);
+}
+
+static void
+handle_report(
+    struct hold *hold, const struct wp_report *report, const struct call *call)
+{
+	if (!is_report_of(hold, report)) {
+		check_incarnation(hold, report, call->token);
+		return;
+	}
+	if (call->token == hold->token)
+		hold->other_born_ms = 0;
+	settle_leave(hold, call->sent_ms);
+	process_report(hold, report, call->sent_ms);
+}
+
+static void
+mark_answered(struct hold *hold, const struct call *call)
+{
+	if (call->kind == EXTRA)
+		hold->extra_in_progress = false;
+	else if (call->kind == POLL)
+		hold->sent_ms = 0;
+}
+
+static guint
+poll_pause_ms(const struct hold *hold, const struct wp_report *report)
+{
+	return is_report_of(hold, report) && is_described(hold) ? POLL_DELAY_MS
+								: POLL_RETRY_MS;
+}
+
 static void
 on_report(const struct wp_report *report, void *ctx)
 {
@@ -375,10 +517,7 @@
 
 	if (call->generation != hold->generation)
 		return;
-	if (call->is_extra)
-		hold->extra_in_progress = false;
-	else
-		hold->sent_ms = 0;
+	mark_answered(hold, call);
 	/*
 	 * An answered poll with a wait is not recorded: it may return before
 	 * the wait is over, and so does not show the worker's answer time.
@@ -387,38 +526,14 @@
 		record_answer(hold, report->answer.verdict,
 		    call->sent_ms + call->wait_ms);
 	if (report->answer.verdict == WP_FENCED)
-		hold->token += FENCED_TOKEN_STEP;
-	if (is_report_of(hold, report)) {
-		settle_leave(hold, call->sent_ms);
-		process_report(hold, report, call->sent_ms);
-	}
-	if (call->is_extra &&
+		skip_token(hold, call->token);
+	handle_report(hold, report, call);
+	if (call->kind == EXTRA &&
 	    (hold->extra_pending || report->answer.verdict == WP_NO_ANSWER)) {
 		hold->extra_pending = false;
 		hold_request_report(hold);
 	}
-	/* A new incarnation is known when its heartbeat arrives. */
-	schedule_poll(
-	    hold, is_report_of(hold, report) ? POLL_DELAY_MS : POLL_RETRY_MS);
-}
-
-static void
-send_hold(struct hold *hold, const struct wp_hold *args, bool is_extra)
-{
-	struct wp_target target = current_target(hold);
-	struct call *call = g_new0(struct call, 1);
-
-	call->hold = hold;
-	call->generation = hold->generation;
-	call->sent_ms = clk_now_ms();
-	call->wait_ms = args->wait_ms;
-	call->is_extra = is_extra;
-	if (is_extra)
-		hold->extra_in_progress = true;
-	else
-		hold->sent_ms = call->sent_ms;
-	hold->opts.wp->hold(
-	    hold->opts.wp->port, &target, args, on_report, call);
+	schedule_poll(hold, poll_pause_ms(hold, report));
 }
 
 static void
@@ -428,7 +543,7 @@
 
 	if (hold->phase == ABSENT || hold->sent_ms != 0)
 		return;
-	if (hold->phase == READY) {
+	if (hold->phase == READY && hold->other_born_ms == 0) {
 		args.wait_ms = clk_now_ms() < hold->short_poll_until_ms
 				   ? SHORT_POLL_WAIT_MS
 				   : POLL_WAIT_MS;
@@ -437,7 +552,7 @@
 		    hold->opts.lease(hold->opts.ctx) == WP_LEASE_RENEW)
 			args.deadline_ms = extend_lease(hold);
 	}
-	send_hold(hold, &args, false);
+	send_hold(hold, &args, POLL);
 }
 
 void
@@ -450,16 +565,27 @@
 	if (hold->extra_in_progress)
 		hold->extra_pending = true;
 	else
-		send_hold(hold, &args, true);
+		send_hold(hold, &args, EXTRA);
 }
 
 static void
 record_statement(struct hold *hold, const struct wp_worker *worker)
 {
+	hold->described_born_ms = worker->born_ms;
 	hold->seq = worker->seq;
 	hold->stated_ms = worker->clock_ms;
 }
 
+/* text may be the present one. */
+static void
+set_text(char **to, const char *text)
+{
+	char *copy = g_strdup(text);
+
+	g_free(*to);
+	*to = copy;
+}
+
 static void
 adopt_worker(struct hold *hold, const struct wp_worker *worker)
 {
@@ -473,6 +599,7 @@
 	hold->generation++;
 	hold->phase = CLEARING;
 	hold->born_ms = worker->born_ms;
+	hold->other_born_ms = 0;
 	hold->last_end = 0;
 	hold->sent_ms = 0;
 	hold->unanswered_since_ms = 0;
@@ -483,10 +610,8 @@
 	hold->deadline_ms = 0;
 	hold->was_ready = false;
 	g_clear_handle_id(&hold->poll_id, g_source_remove);
-	g_free(hold->instance);
-	hold->instance = g_strdup(worker->instance);
-	g_free(hold->address);
-	hold->address = g_strdup(worker->address);
+	set_text(&hold->instance, worker->instance);
+	set_text(&hold->address, worker->address);
 	if (had_calls) {
 		/*
 		 * The new incarnation may have executed a start sent to a
@@ -537,15 +662,17 @@
 apply_statement(struct hold *hold, const struct wp_worker *worker)
 {
 	bool adopted = hold->phase == ABSENT || !is_current(hold, worker);
+	bool was_described;
 
 	if (adopted)
 		adopt_worker(hold, worker);
+	was_described = !adopted && is_described(hold);
 	record_statement(hold, worker);
 	hold->opts.described(worker, hold->opts.ctx);
-	if (!adopted)
-		return;
-	hold->opts.changed(hold->opts.ctx);
-	poll_worker(hold);
+	if (adopted)
+		hold->opts.changed(hold->opts.ctx);
+	if (!was_described)
+		poll_worker(hold);
 }
 
 /*
@@ -572,11 +699,9 @@
 }
 
 static void
-on_claim_fenced(void *ctx)
+on_claim_fenced(int64_t token, void *ctx)
 {
-	struct hold *hold = ctx;
-
-	hold->token += FENCED_TOKEN_STEP;
+	skip_token(ctx, token);
 }
 
 void
@@ -723,10 +848,8 @@
 
 	if (relayed_call->generation == hold->generation) {
 		record_answer(hold, answer->verdict, relayed_call->sent_ms);
-		/* One of several calls with the same token raises it. */
-		if (answer->verdict == WP_FENCED &&
-		    relayed_call->token == hold->token)
-			hold->token += FENCED_TOKEN_STEP;
+		if (answer->verdict == WP_FENCED)
+			skip_token(hold, relayed_call->token);
 	}
 	relayed_call->fn(answer, relayed_call->ctx);
 }
--- a/tests/standin_platform.c
+++ b/tests/standin_platform.c
@@ -25,6 +25,11 @@
  *   drain=N        worker N reports itself as draining
  *   mute=N         worker N answers no calls and sends no heartbeats
  *   crash=N        worker N loses its state and restarts at once
+ *   down=N         worker N crashes and is silent for down_ms
+ *   down_ms=MS
+ *   keep_start=1   the next run-start call gets no answer, and is executed by
+ *                  the worker's next life at the age of late_start_ms
+ *   late_start_ms=MS
  *   beats=0        no worker sends heartbeats
  *   capacity=MILLI CPU of every worker from now on
  *   keep_id=1      a worker that a task has crashed returns under its id
@@ -84,6 +89,9 @@
 	GHashTable *closed_runs;   /* task -> highest run ended or stopped */
 	GPtrArray *holds;	   /* struct hold of hold calls */
 	int64_t back_at_ms;	   /* end of a crash; 0: the worker is up */
+	struct deferred_call *late_start; /* for its next life */
+	int64_t former_token; /* highest fencing token of its former life */
+	int64_t fenced_ms; /* age at which it saw a higher one, -1: not yet */
 	char id[16];
 	int n_ids; /* ids that it has had before */
 };
@@ -104,6 +112,7 @@
 static struct {
 	int deferred_percent;
 	int late_stops_ms;
+	int keep_start, late_start_ms, down_ms;
 	int fail, stall, drain, mute, odd;
 	int beats;
 	int keep_id;
@@ -322,6 +331,14 @@
 		counts.limit++;
 }
 
+static void
+see_token(struct worker *w, int64_t token)
+{
+	w->fencing_token = MAX(w->fencing_token, token);
+	if (w->fenced_ms < 0 && token > w->former_token)
+		w->fenced_ms = worker_clock(w);
+}
+
 /*
  * Starts a run unless it is running.  Returns NULL or the reason for a refusal:
  * "fence" (a higher fencing token was received before), "late" (the deadline
@@ -336,7 +353,7 @@
 
 	if (jrep_int(body, "fencing_token") < w->fencing_token)
 		return "fence";
-	w->fencing_token = jrep_int(body, "fencing_token");
+	see_token(w, jrep_int(body, "fencing_token"));
 	if (deadline_ms <= worker_clock(w))
 		return "late";
 	w->deadline_ms = MAX(
@@ -412,19 +429,48 @@
 	return (guint)g_random_int_range(DEFERRED_MIN_MS, DEFERRED_MAX_MS);
 }
 
-static void
-defer_call(struct worker *w, SoupServerMessage *msg, const char *path,
-    struct json_object *body, guint delay_ms)
+static struct deferred_call *
+deferred_call_new(struct worker *w, const char *path, struct json_object *body)
 {
 	struct deferred_call *deferred_call = g_new0(struct deferred_call, 1);
+
 	deferred_call->worker = w;
 	deferred_call->id = g_strdup(w->id);
 	deferred_call->path = g_strdup(path);
 	deferred_call->body = json_object_get(body);
-	g_timeout_add(delay_ms, on_deferred_call, deferred_call);
+	return deferred_call;
+}
+
+static void
+defer_call(struct worker *w, SoupServerMessage *msg, const char *path,
+    struct json_object *body, guint delay_ms)
+{
+	g_timeout_add(
+	    delay_ms, on_deferred_call, deferred_call_new(w, path, body));
 	soup_server_message_pause(msg); /* until the caller closes */
 }
 
+static void
+set_id(struct worker *w)
+{
+	if (w->n_ids == 0)
+		g_snprintf(w->id, sizeof(w->id), "w%d", w->index);
+	else
+		g_snprintf(w->id, sizeof(w->id), "w%d-%d", w->index, w->n_ids);
+}
+
+/* Calls in progress get no answer.  What runs ends at once. */
+static void
+crash_worker(struct worker *w, int64_t down_ms)
+{
+	g_ptr_array_set_size(w->runs, 0);
+	g_ptr_array_set_size(w->holds, 0);
+	w->back_at_ms = clk_now_ms() + down_ms;
+	w->n_ids += mode.keep_id == 0;
+	set_id(w);
+	counts.crashes++;
+}
+
 static void
 take_hold(struct worker *w, SoupServerMessage *msg, struct json_object *body)
 {
@@ -433,8 +479,7 @@
 	int64_t deadline_ms = jrep_int(body, "deadline_ms");
 	size_t i = 0;
 
-	w->fencing_token =
-	    MAX(w->fencing_token, jrep_int(body, "fencing_token"));
+	see_token(w, jrep_int(body, "fencing_token"));
 	if (deadline_ms > 0)
 		w->deadline_ms = MAX(w->deadline_ms,
 		    MIN(deadline_ms, worker_clock(w) + LEASE_MAX_MS));
@@ -494,7 +539,11 @@
 		return;
 	}
 	delay_ms = deferral_ms(path);
-	if (delay_ms > 0) {
+	if (mode.keep_start != 0 && g_str_has_suffix(path, "run-start")) {
+		mode.keep_start = 0;
+		w->late_start = deferred_call_new(w, path, body);
+		soup_server_message_pause(msg); /* until the caller closes */
+	} else if (delay_ms > 0) {
 		defer_call(w, msg, path, body, delay_ms);
 	} else if (g_str_has_suffix(path, "hold")) {
 		take_hold(w, msg, body);
@@ -514,33 +563,17 @@
 reset_worker(struct worker *w)
 {
 	w->born_ms = clk_wall_ms();
+	w->former_token = MAX(w->former_token, w->fencing_token);
+	w->fenced_ms = -1;
 	w->seq = w->fencing_token = w->deadline_ms = w->last_end_seq = 0;
 	g_ptr_array_set_size(w->runs, 0);
 	json_object_put(w->ended);
 	w->ended = json_object_new_array();
 	g_hash_table_remove_all(w->closed_runs);
 	w->back_at_ms = 0;
-}
-
-static void
-set_id(struct worker *w)
-{
-	if (w->n_ids == 0)
-		g_snprintf(w->id, sizeof(w->id), "w%d", w->index);
-	else
-		g_snprintf(w->id, sizeof(w->id), "w%d-%d", w->index, w->n_ids);
-}
-
-/* Calls in progress get no answer. */
-static void
-crash_worker(struct worker *w)
-{
-	reset_worker(w);
-	g_ptr_array_set_size(w->holds, 0);
-	w->back_at_ms = clk_now_ms() + CRASH_MS;
-	w->n_ids += mode.keep_id == 0;
-	set_id(w);
-	counts.crashes++;
+	if (w->late_start != NULL)
+		g_timeout_add((guint)mode.late_start_ms, on_deferred_call,
+		    g_steal_pointer(&w->late_start));
 }
 
 static void
@@ -556,7 +589,7 @@
 		counts.failed++;
 		end_run(w, index, "failed");
 	} else if (run->remaining_ms <= 0 && run->crashes) {
-		crash_worker(w);
+		crash_worker(w, CRASH_MS);
 	} else if (run->remaining_ms <= 0) {
 		counts.done++;
 		end_run(w, index, "done");
@@ -648,12 +681,15 @@
 static void
 set_mode(GHashTable *query)
 {
-	int crash = -1;
+	int crash = -1, down = -1;
 
 	if (*jrep_param(query, "store") != '\0')
 		kvs_set_down(strcmp(jrep_param(query, "store"), "down") == 0);
 	set_number(query, "late", &mode.deferred_percent);
 	set_number(query, "late_stops", &mode.late_stops_ms);
+	set_number(query, "keep_start", &mode.keep_start);
+	set_number(query, "late_start_ms", &mode.late_start_ms);
+	set_number(query, "down_ms", &mode.down_ms);
 	set_number(query, "fail", &mode.fail);
 	set_number(query, "stall", &mode.stall);
 	set_number(query, "drain", &mode.drain);
@@ -667,6 +703,9 @@
 	set_number(query, "crash", &crash);
 	if (crash >= 0 && crash < n_workers)
 		reset_worker(&workers[crash]);
+	set_number(query, "down", &down);
+	if (down >= 0 && down < n_workers)
+		crash_worker(&workers[down], mode.down_ms);
 	on_heartbeat(NULL);
 }
 
@@ -714,6 +753,8 @@
 	jrep_add_int(body, "born", w->born_ms);
 	jrep_add_int(body, "seq", w->seq);
 	jrep_add_int(body, "clock_ms", worker_clock(w));
+	jrep_add_int(body, "fenced_ms", w->fenced_ms);
+	jrep_add_int(body, "kept_start", w->late_start != NULL);
 	return body;
 }
 
--- a/tests/test_late_calls.c
+++ b/tests/test_late_calls.c
@@ -20,6 +20,14 @@
 #define UNKNOWN_MS (100 * TASK_MS)
 /* Tasks of a job that leaves a worker free for its second submission. */
 #define N_FEW 2
+/* Tasks of a job that uses all workers. */
+#define N_WIDE 9
+/*
+ * Age of a worker's next life at which it executes a start of the former: after
+ * a short crash a call to the former waits for an answer for up to 410 ms.
+ */
+#define LATE_SHORT_START_MS 800
+#define EXECUTED_MS	    50
 
 /* Agents stop runs that seem to need more than three times the estimate. */
 static struct hn_http *
@@ -179,12 +187,96 @@
 }
 END_TEST
 
+static int64_t
+worker_value(struct dpl *dpl, int worker, const char *name)
+{
+	return hn_json_int(
+	    dpl_control(dpl, "GET", hn_str("worker?index=%d", worker), NULL),
+	    name);
+}
+
+/* The worker that keeps a start for its next life, or -1. */
+static int
+keeping_worker(struct dpl *dpl)
+{
+	int i;
+
+	for (i = 0; i < DPL_AGENTS; i++) {
+		if (worker_value(dpl, i, "kept_start") == 1)
+			return i;
+	}
+	return -1;
+}
+
+/* Sends a job, one start of which is kept.  Returns the worker that does so. */
+static int
+post_job_with_kept_start(
+    struct dpl *dpl, unsigned id, int late_start_ms, struct hn_http **job)
+{
+	int worker;
+
+	dpl_control(dpl, "GET",
+	    hn_str(
+		"mode?keep_id=1&keep_start=1&late_start_ms=%d", late_start_ms),
+	    NULL);
+	*job = post_estimated_job(dpl, 0, id, N_WIDE, 20000, UNKNOWN_MS);
+	ck_assert(
+	    hn_wait_until((worker = keeping_worker(dpl)) >= 0, HN_LIMIT_MS));
+	return worker;
+}
+
+/*
+ * The worker crashes, and its next life executes the start before any
+ * heartbeat.  The task is at work elsewhere by then.
+ */
+static void
+crash_before_late_start(
+    struct dpl *dpl, int worker, int down_ms, int late_start_ms)
+{
+	int64_t born_ms = worker_value(dpl, worker, "born");
+
+	dpl_control(dpl, "GET",
+	    hn_str("mode?beats=0&down=%d&down_ms=%d", worker, down_ms), NULL);
+	ck_assert(hn_wait_until(
+	    worker_value(dpl, worker, "born") != born_ms, HN_LIMIT_MS));
+	hn_sleep(late_start_ms + EXECUTED_MS);
+	printf("away for %d ms, fenced at the age of %d ms\n", down_ms,
+	    (int)worker_value(dpl, worker, "fenced_ms"));
+	fflush(stdout);
+	dpl_control(dpl, "GET", "mode?beats=1&drain=-1", NULL);
+	ck_assert_int_eq(count(dpl, "twice"), 0);
+}
+
+/*
+ * A start without an answer was settled and its task placed elsewhere, when its
+ * worker crashed and returned at once.  The agent ignored the answers of the
+ * next life, and called it with the former fencing token until its heartbeat.
+ */
+START_TEST(late_start_after_a_short_crash)
+{
+	struct hn_http *job;
+	struct dpl dpl;
+	int worker;
+
+	dpl_start(&dpl, &(struct dpl_options){0});
+	worker =
+	    post_job_with_kept_start(&dpl, 0xd5, LATE_SHORT_START_MS, &job);
+	dpl_control(&dpl, "GET", hn_str("mode?drain=%d", worker), NULL);
+	ck_assert(hn_wait_until(count(&dpl, "running") == N_WIDE, HN_LIMIT_MS));
+	crash_before_late_start(&dpl, worker, 0, LATE_SHORT_START_MS);
+	ck_assert_int_eq(hn_http_wait(job, HN_LIMIT_MS)->status, 200);
+	ck_assert_int_eq(count(&dpl, "twice"), 0);
+	hn_finish();
+}
+END_TEST
+
 int
 main(void)
 {
 	const TTest *const tests[] = {held_up_starts_are_not_executed,
 	    late_stops_end_with_the_lease, late_stops_end_beside_other_runs,
-	    late_stops_of_a_silent_entry, late_deregistration_ends_no_run};
+	    late_stops_of_a_silent_entry, late_deregistration_ends_no_run,
+	    late_start_after_a_short_crash};
 
 	return run_tests("late_calls", tests, sizeof(tests) / sizeof(tests[0]),
 	    2 * HN_LIMIT_MS / 1000.0);
