Check a silent worker often, with a fencing token that rises at once

A start that got no answer was carried out by the worker's next life under the same id, after its task had been placed elsewhere.

Cause: the token was raised with the end of the lease, and polls to a worker that answers none wait up to 250 ms and pause for 50 ms, so that for up to 300 ms nothing showed the next life the higher token.

Change: once no call was answered for 250 ms, when starts stop, the token is raised, and holds are sent every 20 ms with a timeout of 60 ms (three wait for an answer at most), for 10 s. They renew no lease, acknowledge no ends, and do not count in the measured answer times. Polls go on beside them.

What remains: the next life is open for the first 0 to 22 ms (20 crashes, load average 33 to 53 on 8 processors), and while it answers no call at all.

The soak test now prints each fault at once.

--- a/src/connection/holder.c
+++ b/src/connection/holder.c
@@ -42,6 +42,14 @@
  */
 #define LEAVE_CHECK_MS 100
 #define LEAVE_LIMIT_MS 400
+/*
+ * Calls to a worker that is silent or may have restarted, so that its next
+ * incarnation sees the raised fencing token soon after its start.  At most three
+ * of them wait for an answer, and they end after CHECK_LIMIT_MS; polls go on.
+ */
+#define CHECK_INTERVAL_MS 20
+#define CHECK_TIMEOUT_MS  60
+#define CHECK_LIMIT_MS	  10000
 /* How far a heartbeat may be ahead of the worker's clock as known: rounding. */
 #define CLOCK_SLACK_MS 50
 /* Added to the fencing token when the worker refused it as too low. */
@@ -95,6 +103,8 @@
 	bool extra_in_progress; /* call of hold_request_report() */
 	bool extra_pending;	/* requested during that call */
 	guint poll_id;
+	guint check_id;
+	int64_t check_since_ms; /* first of the present checks, 0: none */
 	bool was_ready;
 };
 
@@ -102,7 +112,7 @@
 enum call_kind {
 	POLL,
 	EXTRA, /* hold_request_report() */
-	CHECK, /* of an answer that another incarnation gave */
+	CHECK, /* whether another incarnation answers */
 };
 
 struct call {
@@ -127,6 +137,7 @@
 static void poll_worker(struct hold *hold);
 static void adopt_worker(struct hold *hold, const struct wp_worker *worker);
 static void on_report(const struct wp_report *report, void *ctx);
+static void update_checks(struct hold *hold);
 
 /* The worker port must not deliver any answer after this. */
 void
@@ -136,6 +147,7 @@
 		return;
 	clm_free(hold->claims);
 	g_clear_handle_id(&hold->poll_id, g_source_remove);
+	g_clear_handle_id(&hold->check_id, g_source_remove);
 	g_free(hold->instance);
 	g_free(hold->address);
 	g_free(hold);
@@ -148,18 +160,24 @@
 	hold->phase = ABSENT;
 	clm_close(hold->claims);
 	g_clear_handle_id(&hold->poll_id, g_source_remove);
+	g_clear_handle_id(&hold->check_id, g_source_remove);
+}
+
+/* Whether no call has been answered for some time.  No starts are sent. */
+static bool
+is_silent(const struct hold *hold)
+{
+	return hold->unanswered_since_ms != 0 &&
+	       clk_now_ms() - hold->unanswered_since_ms > MAX_UNANSWERED_MS;
 }
 
 bool
 hold_is_ready(const struct hold *hold)
 {
-	int64_t now_ms = clk_now_ms();
-
 	return hold->phase == READY && hold->leaving_since_ms == 0 &&
 	       hold->other_born_ms == 0 &&
-	       now_ms - hold->answered_ms <= MAX_ANSWER_AGE_MS &&
-	       (hold->unanswered_since_ms == 0 ||
-		   now_ms - hold->unanswered_since_ms <= MAX_UNANSWERED_MS);
+	       clk_now_ms() - hold->answered_ms <= MAX_ANSWER_AGE_MS &&
+	       !is_silent(hold);
 }
 
 uint64_t
@@ -417,6 +435,8 @@
 	call->token = hold->token;
 	call->sent_ms = clk_now_ms();
 	call->wait_ms = args->wait_ms;
+	if (kind == CHECK)
+		target.timeout_ms = CHECK_TIMEOUT_MS;
 	if (kind == EXTRA)
 		hold->extra_in_progress = true;
 	else if (kind == POLL)
@@ -425,6 +445,55 @@
 	    hold->opts.wp->port, &target, args, on_report, call);
 }
 
+/*
+ * Acknowledges no ends: another incarnation would take the number of the last
+ * one for one of its own.
+ */
+static void
+send_check(struct hold *hold)
+{
+	struct wp_hold args = {0};
+
+	send_hold(hold, &args, CHECK);
+}
+
+static gboolean
+on_check_due(gpointer data)
+{
+	struct hold *hold = data;
+
+	update_checks(hold);
+	if (hold->check_id == 0)
+		return G_SOURCE_REMOVE;
+	send_check(hold);
+	return G_SOURCE_CONTINUE;
+}
+
+/*
+ * Starts or ends the checks.  The token is raised when they start: unanswered
+ * starts of the former incarnation must have a lower one.
+ */
+static void
+update_checks(struct hold *hold)
+{
+	int64_t now_ms = clk_now_ms();
+
+	if (hold->phase == ABSENT ||
+	    (hold->other_born_ms == 0 && !is_silent(hold))) {
+		hold->check_since_ms = 0;
+		g_clear_handle_id(&hold->check_id, g_source_remove);
+		return;
+	}
+	if (hold->check_since_ms == 0) {
+		hold->check_since_ms = now_ms;
+		raise_token(hold);
+		hold->check_id =
+		    g_timeout_add(CHECK_INTERVAL_MS, on_check_due, hold);
+	} else if (now_ms - hold->check_since_ms > CHECK_LIMIT_MS) {
+		g_clear_handle_id(&hold->check_id, g_source_remove);
+	}
+}
+
 /*
  * An answer names another incarnation.  The token is raised and sent at once,
  * so that the worker refuses what was meant for the former incarnation.
@@ -432,14 +501,13 @@
 static void
 suspect_restart(struct hold *hold, uint64_t born_ms)
 {
-	struct wp_hold args = {.last_end = hold->last_end};
-
 	hold->other_born_ms = born_ms;
 	raise_token(hold);
 	evt_write("worker", evt_text("instance", hold->instance),
 	    evt_uint("born_ms", born_ms), evt_text("state", "suspected"));
 	update_ready(hold);
-	send_hold(hold, &args, CHECK);
+	update_checks(hold);
+	send_check(hold);
 }
 
 /*
@@ -520,9 +588,11 @@
 	mark_answered(hold, call);
 	/*
 	 * An answered poll with a wait is not recorded: it may return before
-	 * the wait is over, and so does not show the worker's answer time.
+	 * the wait is over, and so does not show the worker's answer time.  Nor
+	 * does a check that got none, whose timeout is fixed.
 	 */
-	if (report->answer.verdict == WP_NO_ANSWER || call->wait_ms == 0)
+	if (report->answer.verdict == WP_NO_ANSWER ? call->kind != CHECK
+						   : call->wait_ms == 0)
 		record_answer(hold, report->answer.verdict,
 		    call->sent_ms + call->wait_ms);
 	if (report->answer.verdict == WP_FENCED)
@@ -819,6 +889,7 @@
 	if (hold->phase == ABSENT)
 		return;
 	update_ready(hold);
+	update_checks(hold);
 	if (hold->leaving_since_ms != 0)
 		check_leave(hold);
 	else
--- a/tests/test_soak.c
+++ b/tests/test_soak.c
@@ -375,6 +375,7 @@
 	printf("%8" PRId64 " ms %s, target %d, for %" PRId64 " ms\n",
 	    hn_now_ms() - soak->start_ms, fault_kinds[kind].name, target,
 	    lasts_ms);
+	fflush(stdout); /* a failed check ends this process */
 	if (fault_kinds[kind].end == NULL)
 		return;
 	ck_assert_int_lt(soak->n_faults, MAX_FAULTS);
