--- a/src/connection/holder.c
+++ b/src/connection/holder.c
@@ -1,4 +1,5 @@
 #include <glib.h>
+#include <string.h>
 
 #include "connection/claim.h"
 #include "connection/holder.h"
@@ -47,6 +48,14 @@
  */
 #define LEAVE_CHECK_MS 100
 #define LEAVE_LIMIT_MS 400
+/*
+ * Calls to a worker that is silent or may have restarted, so that its next
+ * incarnation sees the raised fencing token soon after its start.  At most three
+ * of them wait for an answer, and they end after CHECK_LIMIT_MS; polls go on.
+ */
+#define CHECK_INTERVAL_MS 20
+#define CHECK_TIMEOUT_MS  60
+#define CHECK_LIMIT_MS	  10000
 /* How far a heartbeat may be ahead of the worker's clock as known: rounding. */
 #define CLOCK_SLACK_MS 50
 /* Added to the fencing token when the worker refused it as too low. */
@@ -65,17 +74,24 @@
 	char *instance;
 	char *address;
 	uint64_t born_ms;
-	int64_t seq;	   /* of its last heartbeat */
-	int64_t stated_ms; /* the worker's clock in that */
-	int64_t token;	   /* fencing token */
-	int64_t last_end;  /* highest number of a reported end */
-	int64_t clock_ms;  /* the worker's clock at clock_at_ms */
+	/*
+	 * Start time in an answer under the same id that is not born_ms: the
+	 * worker has restarted, if the answer to a later call confirms it.  0:
+	 * none.
+	 */
+	uint64_t other_born_ms;
+	uint64_t described_born_ms; /* incarnation of its last heartbeat */
+	int64_t seq;		    /* of its last heartbeat */
+	int64_t stated_ms;	    /* the worker's clock in that */
+	int64_t token;		    /* fencing token */
+	int64_t last_end;	    /* highest number of a reported end */
+	int64_t clock_ms;	    /* the worker's clock at clock_at_ms */
 	int64_t clock_at_ms;
 	int64_t sent_ms; /* of the last poll if it is open, 0: it is not */
 	uint32_t open_polls;
-	int64_t answered_ms;   /* last report of this incarnation */
-	int64_t heard_ms;      /* last answer to any call */
-	int64_t deadline_ms;   /* of the lease, on the worker's clock */
+	int64_t answered_ms; /* last report of this incarnation */
+	int64_t heard_ms;    /* last answer to any call */
+	int64_t deadline_ms; /* of the lease, on the worker's clock, 0: none */
 	int64_t lease_ends_ms; /* upper bound, 0: no lease was given */
 	/*
 	 * When the first call without an answer was sent, plus its wait; 0:
@@ -89,21 +105,31 @@
 	int64_t short_poll_until_ms;
 	/* Runs to be reported as lost after clearing; incarnation 0: none. */
 	struct hold_lost replaced;
+	bool replaced_elsewhere; /* they were on a worker at another address */
 	struct ans answers;
 	bool extra_in_progress; /* call of hold_request_report() */
 	bool extra_pending;	/* requested during that call */
 	guint poll_id;
+	guint check_id;
+	int64_t check_since_ms; /* first of the present checks, 0: none */
 	bool was_ready;
 };
 
-/* A request for a report: a poll, or an extra one of hold_request_report(). */
+/* What a request for a report is for. */
+enum call_kind {
+	POLL,
+	EXTRA, /* hold_request_report() */
+	CHECK, /* whether another incarnation answers */
+};
+
 struct call {
 	struct hold *hold;
+	enum call_kind kind;
 	uint64_t generation;
+	int64_t token;
 	int64_t sent_ms;
 	int64_t wait_ms;
 	int64_t timeout_ms; /* after the wait */
-	bool is_extra;
 };
 
 /* A start or stop call, whose answer is passed to the caller. */
@@ -117,6 +143,9 @@
 };
 
 static void poll_worker(struct hold *hold);
+static void adopt_worker(struct hold *hold, const struct wp_worker *worker);
+static void on_report(const struct wp_report *report, void *ctx);
+static void update_checks(struct hold *hold);
 
 /* The worker port must not deliver any answer after this. */
 void
@@ -126,6 +155,7 @@
 		return;
 	clm_free(hold->claims);
 	g_clear_handle_id(&hold->poll_id, g_source_remove);
+	g_clear_handle_id(&hold->check_id, g_source_remove);
 	g_free(hold->instance);
 	g_free(hold->address);
 	g_free(hold);
@@ -138,17 +168,24 @@
 	hold->phase = ABSENT;
 	clm_close(hold->claims);
 	g_clear_handle_id(&hold->poll_id, g_source_remove);
+	g_clear_handle_id(&hold->check_id, g_source_remove);
+}
+
+/* Whether no call has been answered for some time.  No starts are sent. */
+static bool
+is_silent(const struct hold *hold)
+{
+	return hold->unanswered_since_ms != 0 &&
+	       clk_now_ms() - hold->unanswered_since_ms > MAX_UNANSWERED_MS;
 }
 
 bool
 hold_is_ready(const struct hold *hold)
 {
-	int64_t now_ms = clk_now_ms();
-
 	return hold->phase == READY && hold->leaving_since_ms == 0 &&
-	       now_ms - hold->answered_ms <= MAX_ANSWER_AGE_MS &&
-	       (hold->unanswered_since_ms == 0 ||
-		   now_ms - hold->unanswered_since_ms <= MAX_UNANSWERED_MS);
+	       hold->other_born_ms == 0 &&
+	       clk_now_ms() - hold->answered_ms <= MAX_ANSWER_AGE_MS &&
+	       !is_silent(hold);
 }
 
 uint64_t
@@ -182,6 +219,27 @@
 	};
 }
 
+/*
+ * Raises the fencing token.  An unanswered call may still be executed, also by
+ * a new incarnation under the same name, until the worker sees a higher token.
+ */
+static void
+raise_token(struct hold *hold)
+{
+	hold->token++;
+}
+
+/*
+ * The worker refused a call with this token.  Of several calls with the same
+ * token, the first that is refused raises it.
+ */
+static void
+skip_token(struct hold *hold, int64_t token)
+{
+	if (token == hold->token)
+		hold->token += FENCED_TOKEN_STEP;
+}
+
 /*
  * Records whether a call was answered.  sent_ms is the earliest time at which
  * the worker could answer: that of sending, plus the wait of a poll.
@@ -221,15 +279,17 @@
  * Returns the lease deadline to send with a start.  While calls are unanswered,
  * the lease is extended only when at most half of it is left: an unanswered
  * call may have been executed, so if each start extended the lease, its upper
- * bound would move on and the runs would not be reported as lost.
+ * bound would move on and the runs would not be reported as lost.  A start that
+ * is numbered anew may reach a worker that is being cleared; without a deadline
+ * the worker refuses it.
  */
 static int64_t
 start_deadline_ms(struct hold *hold)
 {
 	enum wp_lease lease = hold->opts.lease(hold->opts.ctx);
 
-	if (hold->leaving_since_ms != 0 || lease == WP_LEASE_PAUSE ||
-	    lease == WP_LEASE_WITHHOLD)
+	if (hold->phase != READY || hold->leaving_since_ms != 0 ||
+	    lease == WP_LEASE_PAUSE || lease == WP_LEASE_WITHHOLD)
 		return hold->deadline_ms;
 	if (hold->unanswered_since_ms != 0 &&
 	    hold->lease_ends_ms - clk_now_ms() > hold->opts.lease_ms / 2)
@@ -263,7 +323,7 @@
 
 /* Stops all runs left on the worker, since their resource use is unknown. */
 static void
-clear_runs(struct hold *hold, const struct wp_report *report)
+stop_all(struct hold *hold, const struct wp_report *report)
 {
 	struct wp_target target = current_target(hold);
 	size_t i;
@@ -272,21 +332,41 @@
 		hold->opts.wp->stop(hold->opts.wp->port, &target,
 		    report->running[i].task, report->running[i].run,
 		    ignore_answer, NULL);
-	if (report->n_running == 0)
-		hold->phase = READY;
-	else
-		evt_write("clear", evt_text("instance", hold->instance),
-		    evt_int("runs", report->n_running));
+	evt_write("clear", evt_text("instance", hold->instance),
+	    evt_int("runs", report->n_running));
+}
+
+/* Whether a heartbeat of the present incarnation is known. */
+static bool
+is_described(const struct hold *hold)
+{
+	return hold->described_born_ms == hold->born_ms;
 }
 
 /*
- * Raises the fencing token.  An unanswered call may still be executed, also by
- * a new incarnation under the same name, until the worker sees a higher token.
+ * Whether no run is left on the worker that was replaced.  One at the same
+ * address has ended, if both answers and a heartbeat tell so; otherwise its
+ * runs may go on until its lease ends.
+ */
+static bool
+has_replaced_ended(const struct hold *hold)
+{
+	return hold->replaced.incarnation == 0 ||
+	       (!hold->replaced_elsewhere && is_described(hold)) ||
+	       clk_now_ms() > hold->lease_ends_ms;
+}
+
+/*
+ * The worker becomes ready when none of its runs is left, nor one of the worker
+ * that it replaced: the loss of those applies to all runs.
  */
 static void
-raise_token(struct hold *hold)
+clear_runs(struct hold *hold, const struct wp_report *report)
 {
-	hold->token++;
+	if (report->n_running > 0)
+		stop_all(hold, report);
+	else if (has_replaced_ended(hold) && is_described(hold))
+		hold->phase = READY;
 }
 
 static void
@@ -296,6 +376,7 @@
 
 	hold->lease_ends_ms = 0;
 	hold->replaced.incarnation = 0;
+	hold->replaced_elsewhere = false;
 	hold->opts.runs_lost(&copy, hold->opts.ctx);
 }
 
@@ -324,7 +405,8 @@
 	if (hold->phase == CLEARING)
 		clear_runs(hold, report);
 	hold->opts.report(report, sent_ms, hold->opts.ctx);
-	if (hold->phase == READY && hold->replaced.incarnation != 0)
+	if (hold->replaced.incarnation != 0 && report->n_running == 0 &&
+	    has_replaced_ended(hold))
 		report_runs_lost(hold, &hold->replaced);
 	update_ready(hold);
 }
@@ -361,9 +443,16 @@
 	int64_t open_ms = clk_now_ms() - call->sent_ms;
 	bool timed_out = report->answer.verdict == WP_NO_ANSWER &&
 			 open_ms >= call->wait_ms + call->timeout_ms / 2;
+	bool usual = is_report_of(hold, report) && is_described(hold);
+
+	return timed_out || usual ? POLL_DELAY_MS : POLL_RETRY_MS;
+}
 
-	return timed_out || is_report_of(hold, report) ? POLL_DELAY_MS
-						       : POLL_RETRY_MS;
+static void
+open_poll(struct hold *hold, const struct call *call)
+{
+	hold->sent_ms = call->sent_ms;
+	hold->open_polls++;
 }
 
 static void
@@ -374,6 +463,154 @@
 		hold->sent_ms = 0;
 }
 
+static void
+send_hold(struct hold *hold, const struct wp_hold *args, enum call_kind kind)
+{
+	struct wp_target target = current_target(hold);
+	struct call *call = g_new0(struct call, 1);
+
+	call->hold = hold;
+	call->kind = kind;
+	call->generation = hold->generation;
+	call->token = hold->token;
+	call->sent_ms = clk_now_ms();
+	call->wait_ms = args->wait_ms;
+	if (kind == CHECK)
+		target.timeout_ms = CHECK_TIMEOUT_MS;
+	call->timeout_ms = target.timeout_ms;
+	if (kind == EXTRA)
+		hold->extra_in_progress = true;
+	else if (kind == POLL)
+		open_poll(hold, call);
+	hold->opts.wp->hold(
+	    hold->opts.wp->port, &target, args, on_report, call);
+}
+
+/*
+ * Acknowledges no ends: another incarnation would take the number of the last
+ * one for one of its own.
+ */
+static void
+send_check(struct hold *hold)
+{
+	struct wp_hold args = {0};
+
+	send_hold(hold, &args, CHECK);
+}
+
+static gboolean
+on_check_due(gpointer data)
+{
+	struct hold *hold = data;
+
+	update_checks(hold);
+	if (hold->check_id == 0)
+		return G_SOURCE_REMOVE;
+	send_check(hold);
+	return G_SOURCE_CONTINUE;
+}
+
+/*
+ * Starts or ends the checks.  The token is raised when they start: unanswered
+ * starts of the former incarnation must have a lower one.
+ */
+static void
+update_checks(struct hold *hold)
+{
+	int64_t now_ms = clk_now_ms();
+
+	if (hold->phase == ABSENT ||
+	    (hold->other_born_ms == 0 && !is_silent(hold))) {
+		hold->check_since_ms = 0;
+		g_clear_handle_id(&hold->check_id, g_source_remove);
+		return;
+	}
+	if (hold->check_since_ms == 0) {
+		hold->check_since_ms = now_ms;
+		raise_token(hold);
+		hold->check_id =
+		    g_timeout_add(CHECK_INTERVAL_MS, on_check_due, hold);
+	} else if (now_ms - hold->check_since_ms > CHECK_LIMIT_MS) {
+		g_clear_handle_id(&hold->check_id, g_source_remove);
+	}
+}
+
+/*
+ * An answer names another incarnation.  The token is raised and sent at once,
+ * so that the worker refuses what was meant for the former incarnation.
+ */
+static void
+suspect_restart(struct hold *hold, uint64_t born_ms)
+{
+	hold->other_born_ms = born_ms;
+	raise_token(hold);
+	evt_write("worker", evt_text("instance", hold->instance),
+	    evt_uint("born_ms", born_ms), evt_text("state", "suspected"));
+	update_ready(hold);
+	update_checks(hold);
+	send_check(hold);
+}
+
+/*
+ * Takes up an incarnation that has answered twice, before its heartbeat, which
+ * any number and time is newer than.
+ */
+static void
+adopt_restarted(struct hold *hold, const struct wp_report *report)
+{
+	struct wp_worker worker = {
+	    .instance = hold->instance,
+	    .address = hold->address,
+	    .born_ms = report->born_ms,
+	    .clock_ms = report->answer.clock_ms,
+	    .seq = -1,
+	};
+
+	adopt_worker(hold, &worker);
+	hold->seq = hold->stated_ms = -1;
+	hold->opts.changed(hold->opts.ctx);
+	poll_worker(hold);
+}
+
+/*
+ * A single answer with another start time may be false.  The worker has
+ * restarted when the answer to a call with the token raised since confirms it.
+ */
+static void
+check_incarnation(
+    struct hold *hold, const struct wp_report *report, int64_t token)
+{
+	if (report->answer.verdict != WP_DONE || report->born_ms == 0)
+		return;
+	if (report->born_ms != hold->other_born_ms)
+		suspect_restart(hold, report->born_ms);
+	else if (token == hold->token)
+		adopt_restarted(hold, report);
+}
+
+static void
+handle_report(
+    struct hold *hold, const struct wp_report *report, const struct call *call)
+{
+	if (!is_report_of(hold, report)) {
+		check_incarnation(hold, report, call->token);
+		return;
+	}
+	if (call->token == hold->token)
+		hold->other_born_ms = 0;
+	settle_leave(hold, call->sent_ms);
+	process_report(hold, report, call->sent_ms);
+}
+
+static void
+mark_answered(struct hold *hold, const struct call *call)
+{
+	if (call->kind == EXTRA)
+		hold->extra_in_progress = false;
+	else if (call->kind == POLL)
+		close_poll(hold, call);
+}
+
 static void
 on_report(const struct wp_report *report, void *ctx)
 {
@@ -382,26 +619,22 @@
 
 	if (call->generation != hold->generation)
 		return;
-	if (call->is_extra)
-		hold->extra_in_progress = false;
-	else
-		close_poll(hold, call);
+	mark_answered(hold, call);
 	/*
 	 * An answered poll with a wait is not recorded: it may return before
-	 * the wait is over, and so does not show the worker's answer time.
+	 * the wait is over, and so does not show the worker's answer time.  Nor
+	 * does a check that got none, whose timeout is fixed.
 	 */
-	if (report->answer.verdict == WP_NO_ANSWER || call->wait_ms == 0)
+	if (report->answer.verdict == WP_NO_ANSWER ? call->kind != CHECK
+						   : call->wait_ms == 0)
 		record_answer(hold, report->answer.verdict,
 		    call->sent_ms + call->wait_ms);
-	else
+	else if (report->answer.verdict != WP_NO_ANSWER)
 		ans_heard(&hold->answers, clk_now_ms());
 	if (report->answer.verdict == WP_FENCED)
-		hold->token += FENCED_TOKEN_STEP;
-	if (is_report_of(hold, report)) {
-		settle_leave(hold, call->sent_ms);
-		process_report(hold, report, call->sent_ms);
-	}
-	if (call->is_extra &&
+		skip_token(hold, call->token);
+	handle_report(hold, report, call);
+	if (call->kind == EXTRA &&
 	    (hold->extra_pending || report->answer.verdict == WP_NO_ANSWER)) {
 		hold->extra_pending = false;
 		hold_request_report(hold);
@@ -411,33 +644,6 @@
 	schedule_poll(hold, poll_pause_ms(hold, call, report));
 }
 
-static void
-open_poll(struct hold *hold, const struct call *call)
-{
-	hold->sent_ms = call->sent_ms;
-	hold->open_polls++;
-}
-
-static void
-send_hold(struct hold *hold, const struct wp_hold *args, bool is_extra)
-{
-	struct wp_target target = current_target(hold);
-	struct call *call = g_new0(struct call, 1);
-
-	call->hold = hold;
-	call->generation = hold->generation;
-	call->sent_ms = clk_now_ms();
-	call->wait_ms = args->wait_ms;
-	call->timeout_ms = target.timeout_ms;
-	call->is_extra = is_extra;
-	if (is_extra)
-		hold->extra_in_progress = true;
-	else
-		open_poll(hold, call);
-	hold->opts.wp->hold(
-	    hold->opts.wp->port, &target, args, on_report, call);
-}
-
 static bool
 polls_overlap(const struct hold *hold)
 {
@@ -469,14 +675,14 @@
 
 	if (hold->phase == ABSENT || !may_poll(hold))
 		return;
-	if (hold->phase == READY) {
+	if (hold->phase == READY && hold->other_born_ms == 0) {
 		args.wait_ms = poll_wait_ms(hold);
 		if (hold->unanswered_since_ms == 0 &&
 		    hold->leaving_since_ms == 0 &&
 		    hold->opts.lease(hold->opts.ctx) == WP_LEASE_RENEW)
 			args.deadline_ms = extend_lease(hold);
 	}
-	send_hold(hold, &args, false);
+	send_hold(hold, &args, POLL);
 	if (polls_overlap(hold))
 		schedule_poll(hold, LOSSY_POLL_WAIT_MS);
 }
@@ -491,16 +697,27 @@
 	if (hold->extra_in_progress)
 		hold->extra_pending = true;
 	else
-		send_hold(hold, &args, true);
+		send_hold(hold, &args, EXTRA);
 }
 
 static void
 record_statement(struct hold *hold, const struct wp_worker *worker)
 {
+	hold->described_born_ms = worker->born_ms;
 	hold->seq = worker->seq;
 	hold->stated_ms = worker->clock_ms;
 }
 
+/* text may be the present one. */
+static void
+set_text(char **to, const char *text)
+{
+	char *copy = g_strdup(text);
+
+	g_free(*to);
+	*to = copy;
+}
+
 static void
 adopt_worker(struct hold *hold, const struct wp_worker *worker)
 {
@@ -509,9 +726,12 @@
 
 	if (had_worker && hold->replaced.incarnation == 0)
 		hold->replaced = current_runs_lost(hold, HOLD_REPLACED);
+	if (had_worker && strcmp(worker->address, hold->address) != 0)
+		hold->replaced_elsewhere = true;
 	hold->generation++;
 	hold->phase = CLEARING;
 	hold->born_ms = worker->born_ms;
+	hold->other_born_ms = 0;
 	hold->last_end = 0;
 	hold->sent_ms = 0;
 	hold->open_polls = 0;
@@ -520,12 +740,11 @@
 	hold->extra_in_progress = hold->extra_pending = false;
 	hold->clock_ms = worker->clock_ms;
 	hold->clock_at_ms = hold->answered_ms = clk_now_ms();
+	hold->deadline_ms = 0;
 	hold->was_ready = false;
 	g_clear_handle_id(&hold->poll_id, g_source_remove);
-	g_free(hold->instance);
-	hold->instance = g_strdup(worker->instance);
-	g_free(hold->address);
-	hold->address = g_strdup(worker->address);
+	set_text(&hold->instance, worker->instance);
+	set_text(&hold->address, worker->address);
 	if (had_calls) {
 		/*
 		 * The new incarnation may have executed a start sent to a
@@ -576,15 +795,17 @@
 apply_statement(struct hold *hold, const struct wp_worker *worker)
 {
 	bool adopted = hold->phase == ABSENT || !is_current(hold, worker);
+	bool was_described;
 
 	if (adopted)
 		adopt_worker(hold, worker);
+	was_described = !adopted && is_described(hold);
 	record_statement(hold, worker);
 	hold->opts.described(worker, hold->opts.ctx);
-	if (!adopted)
-		return;
-	hold->opts.changed(hold->opts.ctx);
-	poll_worker(hold);
+	if (adopted)
+		hold->opts.changed(hold->opts.ctx);
+	if (!was_described)
+		poll_worker(hold);
 }
 
 /*
@@ -611,11 +832,9 @@
 }
 
 static void
-on_claim_fenced(void *ctx)
+on_claim_fenced(int64_t token, void *ctx)
 {
-	struct hold *hold = ctx;
-
-	hold->token += FENCED_TOKEN_STEP;
+	skip_token(ctx, token);
 }
 
 void
@@ -698,13 +917,26 @@
 		hold_request_report(hold);
 }
 
+/*
+ * Whether a worker that replaced another one reports what runs on it.  The runs
+ * of the former are lost once it is cleared.
+ */
+static bool
+is_being_cleared(const struct hold *hold)
+{
+	return hold->replaced.incarnation != 0 &&
+	       clk_now_ms() - hold->answered_ms <= MAX_ANSWER_AGE_MS;
+}
+
 static void
 check_lease(struct hold *hold)
 {
-	struct hold_lost lost = current_runs_lost(hold, HOLD_SILENT);
+	struct hold_lost lost = hold->replaced.incarnation != 0
+				    ? hold->replaced
+				    : current_runs_lost(hold, HOLD_SILENT);
 
 	if (hold->lease_ends_ms == 0 || clk_now_ms() <= hold->lease_ends_ms ||
-	    hold_is_ready(hold))
+	    hold_is_ready(hold) || is_being_cleared(hold))
 		return;
 	hold->phase = CLEARING;
 	raise_token(hold);
@@ -721,6 +953,7 @@
 	if (hold->phase == ABSENT)
 		return;
 	update_ready(hold);
+	update_checks(hold);
 	if (hold->leaving_since_ms != 0)
 		check_leave(hold);
 	else
@@ -750,10 +983,8 @@
 
 	if (relayed_call->generation == hold->generation) {
 		record_answer(hold, answer->verdict, relayed_call->sent_ms);
-		/* One of several calls with the same token raises it. */
-		if (answer->verdict == WP_FENCED &&
-		    relayed_call->token == hold->token)
-			hold->token += FENCED_TOKEN_STEP;
+		if (answer->verdict == WP_FENCED)
+			skip_token(hold, relayed_call->token);
 	}
 	relayed_call->fn(answer, relayed_call->ctx);
 }
