--- a/src/connection/holder.c
+++ b/src/connection/holder.c
@@ -404,7 +404,9 @@
 		hold->last_end = MAX(hold->last_end, report->ended[i].number);
 	if (hold->phase == CLEARING)
 		clear_runs(hold, report);
-	hold->opts.report(report, sent_ms, hold->opts.ctx);
+	/* The present worker knows nothing of runs on the one elsewhere. */
+	if (!hold->replaced_elsewhere || has_replaced_ended(hold))
+		hold->opts.report(report, sent_ms, hold->opts.ctx);
 	if (hold->replaced.incarnation != 0 && report->n_running == 0 &&
 	    has_replaced_ended(hold))
 		report_runs_lost(hold, &hold->replaced);
