Let the soak play late calls, odd heartbeats and callers that leave

From seed 7000 on half of its faults are of them: callers that leave an entry, cancels at another entry, deregistrations that arrive in the worker's next life, heartbeats of another writer, stops carried out late, alone and beside a paused entry or one whose links to the agents are frozen one way, and a path to an agent whose delay grows. Half of the jobs run for 1.5 to 3 s, so that they are at work when their callers send them again, which then reaches another entry. Earlier seeds play as before. A cancelled job may end with 410 too; whether its tasks are stopped in time is left to test_cancel_elsewhere, as other faults may be in the way.

The odd heartbeats move from test_odd_heartbeats to a module of their own.

Traced in 7012: an entry fell silent, its sessions ended 0.8 s later, the stops came late, the job was sent again after 1.3 s and started at 119.430 s, while the lease of the former runs ended at 119.565 and 119.576 s.

--- a/tests/deployment.c
+++ b/tests/deployment.c
@@ -201,3 +201,19 @@
 		*direction == '\0' ? "" : "&direction=", direction),
 	    NULL);
 }
+
+void
+dpl_set_entry_fault(
+    const struct dpl *dpl, int entry, const char *direction, const char *action)
+{
+	int i;
+
+	/* The first message of a link names its entry. */
+	for (i = 0; i < DPL_AGENTS; i++)
+		hn_http("POST",
+		    hn_str("http://127.0.0.1:%u/?pair=%u&action=%s&"
+			   "direction=%s&match=e%d",
+			dpl->proxy_port, dpl->path[DPL_ENTRIES_AGENT][i],
+			action, direction, entry),
+		    NULL);
+}
--- a/tests/deployment.h
+++ b/tests/deployment.h
@@ -66,5 +66,8 @@
 /* Sets a fault proxy rule for a path; direction "" means both directions. */
 void dpl_set_fault(const struct dpl *dpl, enum dpl_path path, int index,
     const char *direction, const char *action, int ms);
+/* Sets a rule for the links of one entry to all agents. */
+void dpl_set_entry_fault(const struct dpl *dpl, int entry,
+    const char *direction, const char *action);
 
 #endif
--- /dev/null
+++ b/tests/oddheartbeat.h
@@ -0,0 +1,28 @@
+#ifndef SP_ODD_HEARTBEAT_H
+#define SP_ODD_HEARTBEAT_H
+
+#include "deployment.h"
+
+/* Heartbeats of another writer than the worker that they speak of. */
+
+#define OHB_INSTANCES_PATH "/sequoiaplank/instances/"
+
+struct ohb_row {
+	const char *name;
+	const char *id; /* NULL: the worker's */
+	const char *born;
+	int64_t born_later_ms; /* than the worker, if born is NULL */
+	const char *address;   /* NULL: the worker's */
+	const char *seq;       /* NULL: above the worker's */
+	const char *clock_ms;  /* NULL: the worker's */
+	const char *rest;      /* further fields */
+};
+
+extern const struct ohb_row ohb_rows[];
+extern const int ohb_n_rows;
+
+/* Does not wait for the agent's answer. */
+struct hn_http *ohb_send(
+    const struct dpl *dpl, int worker, const struct ohb_row *row);
+
+#endif
--- a/tests/test_odd_heartbeats.c
+++ b/tests/test_odd_heartbeats.c
@@ -7,85 +7,14 @@
 #include <string.h>
 
 #include "deployment.h"
+#include "oddheartbeat.h"
 #include "runner.h"
 
-#define INSTANCES "/sequoiaplank/instances/"
 /* Two heartbeats of the stand-in's workers, and news of them to the entries. */
 #define HEARTBEATS_MS 700
 #define N_TASKS	      24
 #define N_OTHERS      16 /* tasks that fit on the other workers */
 
-/* Where the worker's own value stands in a row. */
-#define OWN 0
-
-struct row {
-	const char *name;
-	const char *id; /* NULL: the worker's */
-	const char *born;
-	int64_t born_later_ms; /* than the worker, if born is NULL */
-	const char *address;   /* NULL: the worker's */
-	const char *seq;       /* NULL: above the worker's */
-	const char *clock_ms;  /* NULL: the worker's */
-	const char *rest;      /* further fields */
-};
-
-/* The fields that the review's foreign heartbeat leaves out are in REST. */
-#define REST ",\"version\":\"v1\",\"slots\":8,\"labels\":[\"a\"]"
-#define HIGH "1000000000000"
-
-static const struct row rows[] = {
-    {"start beyond 64 bits and port out of range", "x", "99999999999999999999",
-	0, "127.0.0.1:99999", NULL, NULL, REST},
-    {"start beyond 64 bits", "x", "99999999999999999999", 0, NULL, NULL, NULL,
-	REST},
-    {"address that no port listens on", "x", "1999999999999", 0, "127.0.0.1:1",
-	NULL, NULL, REST},
-    {"unknown id at the worker's address", "x", NULL, 1000, NULL, NULL, NULL,
-	REST},
-    {"later start under the worker's id", NULL, NULL, 1000, NULL, NULL, NULL,
-	REST},
-    {"worker's id at another address", NULL, NULL, OWN, "127.0.0.1:1", HIGH,
-	NULL, REST},
-    {"high number without further fields", NULL, NULL, OWN, NULL, HIGH, NULL,
-	""},
-    {"high number", NULL, NULL, OWN, NULL, HIGH, NULL, REST},
-    {"high number and time", NULL, NULL, OWN, NULL, HIGH, HIGH, REST},
-    {"number beyond 64 bits", NULL, NULL, OWN, NULL, "99999999999999999999",
-	NULL, REST},
-};
-
-static const char *
-text_or(const char *text, const char *otherwise)
-{
-	return text == NULL ? otherwise : text;
-}
-
-static void
-send_odd_heartbeat(struct dpl *dpl, const struct row *row)
-{
-	struct hn_http *worker = dpl_control(dpl, "GET", "worker", NULL);
-	const char *born = hn_str("%" G_GINT64_FORMAT,
-	    hn_json_int(worker, "born") + row->born_later_ms);
-	const char *address =
-	    hn_str("127.0.0.1:%d", (int)hn_json_int(worker, "app_port"));
-	const char *seq =
-	    hn_str("%" G_GINT64_FORMAT, hn_json_int(worker, "seq") + 1);
-	const char *clock_ms =
-	    hn_str("%" G_GINT64_FORMAT, hn_json_int(worker, "clock_ms"));
-
-	hn_http("PUT",
-	    hn_str("http://127.0.0.1:%u" INSTANCES "%s", dpl->control_port[0],
-		text_or(row->id, hn_json_str(worker, "id"))),
-	    hn_str("{\"service\":\"desk\",\"address\":\"%s\","
-		   "\"zone\":\"z0\",\"state\":\"ready\","
-		   "\"cold_remaining_ms\":0,\"capacity\":{\"cpu\":8000,"
-		   "\"mem_mb\":4096,\"gpu\":0},\"clock_ms\":%s,\"seq\":%s,"
-		   "\"born\":%s%s}",
-		text_or(row->address, address),
-		text_or(row->clock_ms, clock_ms), text_or(row->seq, seq),
-		text_or(row->born, born), row->rest));
-}
-
 static int
 max_running(struct dpl *dpl)
 {
@@ -102,7 +31,7 @@
 
 START_TEST(odd_heartbeat_displaces_nobody)
 {
-	const struct row *row = &rows[_i];
+	const struct ohb_row *row = &ohb_rows[_i];
 	struct hn_http *job, *counts;
 	struct dpl dpl;
 
@@ -112,13 +41,13 @@
 	    "{\"spec\":\"1500\",\"best_effort\":true,\"steps\":[{\"count\":9,"
 	    "\"cpu\":1000,\"mem_mb\":1,\"estimate_ms\":250}]}");
 	hn_sleep(300);
-	send_odd_heartbeat(&dpl, row);
+	hn_http_wait(ohb_send(&dpl, 0, row), 2 * HN_LIMIT_MS);
 	ck_assert_int_eq(hn_http_wait(job, HN_LIMIT_MS)->status, 200);
 	counts = dpl_control(&dpl, "GET", "counts", NULL);
 	ck_assert_msg(hn_json_int(counts, "lapsed") == 0 &&
 			  hn_json_int(counts, "twice") == 0,
 	    "%s: %s", row->name, counts->body);
-	send_odd_heartbeat(&dpl, row);
+	hn_http_wait(ohb_send(&dpl, 0, row), 2 * HN_LIMIT_MS);
 	hn_sleep(HEARTBEATS_MS);
 	ck_assert_msg(hn_wait_until(max_running(&dpl) == N_TASKS, HN_LIMIT_MS),
 	    "%s: the worker is not used", row->name);
@@ -140,11 +69,12 @@
 
 	dpl_start(&dpl, &(struct dpl_options){0});
 	for (i = 0; i < G_N_ELEMENTS(bodies); i++)
-		ck_assert_msg(hn_http("PUT",
-				  hn_str("http://127.0.0.1:%u" INSTANCES "w0",
-				      dpl.control_port[0]),
-				  bodies[i])
-				      ->status == 400,
+		ck_assert_msg(
+		    hn_http("PUT",
+			hn_str("http://127.0.0.1:%u" OHB_INSTANCES_PATH "w0",
+			    dpl.control_port[0]),
+			bodies[i])
+			    ->status == 400,
 		    "%s", bodies[i]);
 	ck_assert_int_eq(hn_wait_exit(dpl.agent[0], 0), -1);
 	ck_assert_int_eq(max_running(&dpl), N_TASKS);
@@ -178,7 +108,7 @@
 {
 	const TTest *const tests[] = {no_heartbeat, odd_answers_are_ignored};
 	int red = run_table("odd_heartbeats", odd_heartbeat_displaces_nobody,
-	    G_N_ELEMENTS(rows), 2 * HN_LIMIT_MS / 1000.0);
+	    ohb_n_rows, 2 * HN_LIMIT_MS / 1000.0);
 
 	if (getenv("SCENARIO") != NULL)
 		return red;
--- a/tests/test_soak.c
+++ b/tests/test_soak.c
@@ -2,8 +2,9 @@
  * Injects random faults, which may overlap, into entries and agents on the
  * stand-in platform: processes are stopped, killed, terminated and restarted;
  * connections are delayed, cut or frozen by a proxy; the store and the workers
- * misbehave; configurations change.  Meanwhile clients submit jobs and resubmit
- * them as the platform's clients do.
+ * misbehave; configurations change.  Messages arrive late or from another writer.
+ * Meanwhile clients submit jobs, resubmit them as the platform's clients do, leave
+ * them and cancel them.
  *
  * Checks that no worker is given more than its capacity, no task runs twice at
  * the same time, no task of a refused job has run, every job gets a final
@@ -19,12 +20,14 @@
 #include <string.h>
 
 #include "deployment.h"
+#include "oddheartbeat.h"
 #include "runner.h"
 
 #define RUN_MS		     7000
 #define SETTLE_MS	     20000
 #define LOOP_INTERVAL_MS     10
 #define MAX_OPEN_JOBS	     12
+#define MAX_TASKS	     6 /* of a job's first step */
 #define MEAN_JOB_INTERVAL_MS 60
 #define RESEND_MS	     1300
 #define DEADLINE_MS	     6000
@@ -35,10 +38,11 @@
 
 /*
  * Default seeds.  122, 126, 143, 145 and 147 are regression tests: a start sent
- * to a worker was carried out by the worker's next incarnation.
+ * to a worker was carried out by the worker's next incarnation.  So are 7007 and
+ * 7012: a lease outlived the silence of the entry whose runs it was for.
  */
 static const uint32_t fixed_seeds[] = {
-    1, 2, 3, 122, 126, 143, 145, 147, 1001, 1002, 4001, 4002};
+    1, 2, 3, 122, 126, 143, 145, 147, 1001, 1002, 4001, 4002, 7007, 7012};
 /*
  * From this seed on, some jobs crash their workers and capacities change.
  * Earlier seeds stay as they are, since some are regression tests.
@@ -51,6 +55,22 @@
 #define ODD_SPEC_SEED	4000
 #define CHUNKED_ONE_IN	3
 #define N_NARROW_FAULTS 15
+#define N_WIDE_FAULTS	16
+/*
+ * And from this one on, calls, stops and deregistrations come late, heartbeats
+ * come from others, callers leave and cancel, and some tasks run long enough to
+ * be at work when their job is sent again.
+ */
+#define LATE_SEED	   7000
+#define LATE_FAULT_ONE_IN  2
+#define LONG_RUN_ONE_IN	   2
+#define LONG_RUN_MIN_MS	   1500
+#define LONG_RUN_MAX_MS	   3000
+#define LONG_RUN_MAX_TASKS 2
+#define LATE_STOP_STEP_MS  500
+/* Faults whose effect takes longer than a session last this much longer. */
+#define LONG_FAULT_FACTOR    3
+#define DELAY_GROWTH_DIVISOR 2 /* a delay grows by 1 ms in this many ms */
 
 struct job {
 	struct job *next;
@@ -59,6 +79,8 @@
 	char *body;
 	char *spec; /* JSON of the spec; NULL: workers must not be told it */
 	int tries;
+	int entry; /* of the latest submission */
+	bool cancelled;
 	int64_t first_ms;
 	int64_t resend_at_ms; /* 0: an answer is outstanding */
 };
@@ -68,7 +90,10 @@
 /* An active fault; end() undoes it at end_ms. */
 struct fault {
 	void (*end)(struct soak *soak, int target);
+	/* NULL: nothing changes while the fault lasts. */
+	void (*grow)(struct soak *soak, int target, int64_t elapsed_ms);
 	int target;
+	int64_t begin_ms;
 	int64_t end_ms;
 };
 
@@ -78,9 +103,10 @@
 	struct job *open_jobs; /* jobs without a final answer */
 	int n_open_jobs;
 	uint32_t last_id;
-	int completed, failed, refused, given_up, malformed;
+	int completed, failed, refused, given_up, malformed, cancelled;
 	bool wide;
 	bool odd_specs;
+	bool late;
 	int version;
 	int64_t start_ms;
 	struct fault faults[MAX_FAULTS];
@@ -328,48 +354,200 @@
 	return true;
 }
 
+/* The callers of the entry's jobs leave, and send these again later. */
+static bool
+leave_jobs(struct soak *soak, int target)
+{
+	const struct job *job;
+
+	for (job = soak->open_jobs; job != NULL; job = job->next) {
+		if (job->resend_at_ms == 0 &&
+		    job->entry == target % DPL_ENTRIES)
+			hn_http_cancel(job->http);
+	}
+	return true;
+}
+
+/* Cancels the oldest job that has an open call, at another entry. */
+static bool
+cancel_elsewhere(struct soak *soak, int target)
+{
+	struct job *job, *oldest = NULL;
+
+	(void)target;
+	for (job = soak->open_jobs; job != NULL; job = job->next) {
+		if (job->resend_at_ms == 0 && !job->cancelled)
+			oldest = job;
+	}
+	if (oldest == NULL)
+		return false;
+	oldest->cancelled = true;
+	hn_http_start("DELETE",
+	    dpl_url(&soak->dpl, (oldest->entry + 1) % DPL_ENTRIES,
+		hn_str("/q/%s", oldest->id)),
+	    NULL, NULL);
+	return true;
+}
+
+static void
+send_deregistration(struct soak *soak, int target)
+{
+	int i = target % DPL_AGENTS;
+
+	hn_http_start("DELETE",
+	    hn_str("http://127.0.0.1:%u" OHB_INSTANCES_PATH "w%d",
+		soak->dpl.control_port[i], i),
+	    NULL, NULL);
+}
+
+static bool
+send_odd_heartbeat(struct soak *soak, int target)
+{
+	int row = g_rand_int_range(soak->rand, 0, ohb_n_rows);
+
+	ohb_send(&soak->dpl, target % DPL_AGENTS, &ohb_rows[row]);
+	return true;
+}
+
+static void
+restore_stops(struct soak *soak, int target)
+{
+	(void)target;
+	set_mode(soak, "late_stops", 0);
+}
+
+static bool
+delay_stops(struct soak *soak, int target)
+{
+	set_mode(soak, "late_stops", LATE_STOP_STEP_MS * (2 + target));
+	return true;
+}
+
+static void
+continue_entry(struct soak *soak, int target)
+{
+	continue_process(soak, target % DPL_ENTRIES);
+	restore_stops(soak, target);
+}
+
+/* The callers leave an entry that can't notice it, and stops come late. */
+static bool
+pause_entry_and_delay_stops(struct soak *soak, int target)
+{
+	if (!pause_process(soak, target % DPL_ENTRIES))
+		return false;
+	leave_jobs(soak, target);
+	return delay_stops(soak, target);
+}
+
+static void
+restore_entry_links(struct soak *soak, int target)
+{
+	int i;
+
+	for (i = 0; i < DPL_AGENTS; i++)
+		dpl_set_fault(
+		    &soak->dpl, DPL_ENTRIES_AGENT, i, "", "restore", 0);
+	dpl_set_entry_fault(
+	    &soak->dpl, target % DPL_ENTRIES, "both", "release");
+	restore_stops(soak, target);
+}
+
+static bool
+freeze_entry_links(struct soak *soak, int target)
+{
+	static const char *const directions[] = {"up", "down"};
+
+	dpl_set_entry_fault(&soak->dpl, target % DPL_ENTRIES,
+	    directions[target / DPL_ENTRIES % 2], "freeze");
+	leave_jobs(soak, target);
+	return delay_stops(soak, target);
+}
+
+static void
+restore_agent_links(struct soak *soak, int target)
+{
+	dpl_set_fault(&soak->dpl, DPL_ENTRIES_AGENT, target % DPL_AGENTS, "",
+	    "restore", 0);
+}
+
+/* Without a gap that is long enough to end the sessions. */
+static void
+grow_delay(struct soak *soak, int target, int64_t elapsed_ms)
+{
+	dpl_set_fault(&soak->dpl, DPL_ENTRIES_AGENT, target % DPL_AGENTS, "up",
+	    "delay", (int)(elapsed_ms / DELAY_GROWTH_DIVISOR));
+}
+
+static bool
+begin_growing_delay(struct soak *soak, int target)
+{
+	grow_delay(soak, target, 0);
+	return true;
+}
+
 /*
  * begin() returns false when the fault cannot be injected into the target.
- * end() is NULL for faults without a duration.
+ * end() is NULL for faults without a duration; grow() runs while one lasts.
  */
 static const struct {
 	const char *name;
 	bool (*begin)(struct soak *soak, int target);
 	void (*end)(struct soak *soak, int target);
+	void (*grow)(struct soak *soak, int target, int64_t elapsed_ms);
+	bool is_long;
 } fault_kinds[] = {
-    {"process paused", pause_process, continue_process},
-    {"process killed", kill_process, restart_process},
-    {"process terminated", terminate_process, restart_terminated},
-    {"reload", reload_settings, NULL},
-    {"store down", stop_store, restore_store},
-    {"worker calls delayed", delay_worker_calls, clear_call_delay},
-    {"worker fails", set_worker_failure, clear_worker_failure},
-    {"worker stalls", set_worker_stall, clear_worker_stall},
-    {"worker silent", set_worker_silence, clear_worker_silence},
-    {"worker crashes", crash_worker, NULL},
-    {"new configuration", configure, NULL},
-    {"domain out", take_domain_out, restore_domain},
-    {"connections cut", cut_path, restore_path},
-    {"path delayed", delay_path, restore_path},
-    {"path frozen", freeze_path, restore_path},
-    {"capacity changed", change_capacity, restore_capacity},
+    {"process paused", pause_process, continue_process, NULL, false},
+    {"process killed", kill_process, restart_process, NULL, false},
+    {"process terminated", terminate_process, restart_terminated, NULL, false},
+    {"reload", reload_settings, NULL, NULL, false},
+    {"store down", stop_store, restore_store, NULL, false},
+    {"worker calls delayed", delay_worker_calls, clear_call_delay, NULL, false},
+    {"worker fails", set_worker_failure, clear_worker_failure, NULL, false},
+    {"worker stalls", set_worker_stall, clear_worker_stall, NULL, false},
+    {"worker silent", set_worker_silence, clear_worker_silence, NULL, false},
+    {"worker crashes", crash_worker, NULL, NULL, false},
+    {"new configuration", configure, NULL, NULL, false},
+    {"domain out", take_domain_out, restore_domain, NULL, false},
+    {"connections cut", cut_path, restore_path, NULL, false},
+    {"path delayed", delay_path, restore_path, NULL, false},
+    {"path frozen", freeze_path, restore_path, NULL, false},
+    {"capacity changed", change_capacity, restore_capacity, NULL, false},
+    {"callers leave", leave_jobs, NULL, NULL, false},
+    {"cancel elsewhere", cancel_elsewhere, NULL, NULL, false},
+    {"late deregistration", crash_worker, send_deregistration, NULL, false},
+    {"odd heartbeat", send_odd_heartbeat, NULL, NULL, false},
+    {"stops late", delay_stops, restore_stops, NULL, true},
+    {"entry paused, stops late", pause_entry_and_delay_stops, continue_entry,
+	NULL, true},
+    {"entry's links frozen one way, stops late", freeze_entry_links,
+	restore_entry_links, NULL, true},
+    {"starts held up", begin_growing_delay, restore_agent_links, grow_delay,
+	true},
 };
 
-static int
-n_fault_kinds(const struct soak *soak)
+static size_t
+choose_fault_kind(struct soak *soak)
 {
-	return soak->wide ? (int)G_N_ELEMENTS(fault_kinds) : N_NARROW_FAULTS;
+	int n_others = soak->wide ? N_WIDE_FAULTS : N_NARROW_FAULTS;
+
+	if (soak->late &&
+	    g_rand_int_range(soak->rand, 0, LATE_FAULT_ONE_IN) == 0)
+		return (size_t)g_rand_int_range(
+		    soak->rand, N_WIDE_FAULTS, (int)G_N_ELEMENTS(fault_kinds));
+	return (size_t)g_rand_int_range(soak->rand, 0, n_others);
 }
 
 static void
 begin_fault(struct soak *soak)
 {
-	size_t kind =
-	    (size_t)g_rand_int_range(soak->rand, 0, n_fault_kinds(soak));
+	size_t kind = choose_fault_kind(soak);
 	int target = g_rand_int_range(soak->rand, 0, DPL_ENTRIES + DPL_AGENTS);
 	int64_t lasts_ms =
 	    g_rand_int_range(soak->rand, FAULT_MIN_MS, FAULT_MAX_MS);
 
+	if (fault_kinds[kind].is_long)
+		lasts_ms *= LONG_FAULT_FACTOR;
 	if (!fault_kinds[kind].begin(soak, target))
 		return;
 	printf("%8" PRId64 " ms %s, target %d, for %" PRId64 " ms\n",
@@ -378,8 +556,26 @@
 	if (fault_kinds[kind].end == NULL)
 		return;
 	ck_assert_int_lt(soak->n_faults, MAX_FAULTS);
-	soak->faults[soak->n_faults++] = (struct fault){
-	    fault_kinds[kind].end, target, hn_now_ms() + lasts_ms};
+	soak->faults[soak->n_faults++] =
+	    (struct fault){.end = fault_kinds[kind].end,
+		.grow = fault_kinds[kind].grow,
+		.target = target,
+		.begin_ms = hn_now_ms(),
+		.end_ms = hn_now_ms() + lasts_ms};
+}
+
+static void
+grow_faults(struct soak *soak)
+{
+	int i;
+
+	for (i = 0; i < soak->n_faults; i++) {
+		const struct fault *fault = &soak->faults[i];
+
+		if (fault->grow != NULL)
+			fault->grow(
+			    soak, fault->target, hn_now_ms() - fault->begin_ms);
+	}
 }
 
 static void
@@ -426,16 +622,21 @@
 	int run_ms = g_rand_int_range(soak->rand, 20, 500);
 	bool crashes =
 	    soak->wide && g_rand_int_range(soak->rand, 0, CRASH_ONE_IN) == 0;
-
+	bool is_long =
+	    soak->late && g_rand_int_range(soak->rand, 0, LONG_RUN_ONE_IN) == 0;
+	int max_tasks = is_long ? LONG_RUN_MAX_TASKS : MAX_TASKS;
 	bool is_malformed = false;
-	const char *spec =
-	    crashes ? "crash" : job_spec(soak, run_ms, &is_malformed);
+	const char *spec;
 
+	if (is_long)
+		run_ms = g_rand_int_range(
+		    soak->rand, LONG_RUN_MIN_MS, LONG_RUN_MAX_MS);
+	spec = crashes ? "crash" : job_spec(soak, run_ms, &is_malformed);
 	job->spec = is_malformed ? NULL : g_strdup_printf("\"%s\"", spec);
 	job->body = g_strdup_printf(
 	    "{\"spec\":\"%s\",\"best_effort\":true,\"steps\":["
 	    "{\"count\":%d,\"cpu\":1000,\"mem_mb\":1,\"estimate_ms\":%d}%s]}",
-	    spec, g_rand_int_range(soak->rand, 1, 7), run_ms,
+	    spec, g_rand_int_range(soak->rand, 1, max_tasks + 1), run_ms,
 	    steps == 1 ? ""
 		       : ",{\"count\":1,\"cpu\":1000,\"mem_mb\":1,"
 			 "\"estimate_ms\":100,\"after\":[0]}");
@@ -452,7 +653,11 @@
 	bool chunked = soak->odd_specs &&
 		       g_rand_int_range(soak->rand, 0, CHUNKED_ONE_IN) == 0;
 
+	/* As the platform's clients do: a retry reaches another entry. */
+	if (soak->late && job->tries > 0)
+		entry = (job->entry + 1) % DPL_ENTRIES;
 	job->tries++;
+	job->entry = entry;
 	job->resend_at_ms = 0;
 	job->http = hn_http_start("POST",
 	    dpl_url(&soak->dpl, entry, hn_str("/q/%s", job->id)),
@@ -529,6 +734,13 @@
 		soak->refused++;
 		return true;
 	}
+	if (job->cancelled) {
+		ck_assert_msg(status == 0 || status == 410 || status == 502 ||
+				  status == 504,
+		    "cancelled job %s: status %d", job->id, status);
+		soak->cancelled++;
+		return true;
+	}
 	ck_assert_msg(status == 0 || status == 502 || status == 504,
 	    "job %s: status %d", job->id, status);
 	if (hn_now_ms() - job->first_ms > DEADLINE_MS) {
@@ -586,6 +798,7 @@
 					      FAULT_MIN_MS, FAULT_MAX_MS);
 		}
 		end_faults(soak, false);
+		grow_faults(soak);
 		if (hn_now_ms() >= job_ms &&
 		    soak->n_open_jobs < MAX_OPEN_JOBS) {
 			new_job(soak);
@@ -613,7 +826,8 @@
 {
 	struct soak soak = {.version = 1,
 	    .wide = seed >= WIDE_SEED,
-	    .odd_specs = seed >= ODD_SPEC_SEED};
+	    .odd_specs = seed >= ODD_SPEC_SEED,
+	    .late = seed >= LATE_SEED};
 	int i;
 
 	printf("soak seed %u\n", seed);
@@ -632,9 +846,9 @@
 		    seed, i);
 	check_counts(&soak);
 	printf("soak seed %u: %d completed, %d failed, %d refused, %d given "
-	       "up, %d malformed\n",
+	       "up, %d malformed, %d cancelled\n",
 	    seed, soak.completed, soak.failed, soak.refused, soak.given_up,
-	    soak.malformed);
+	    soak.malformed, soak.cancelled);
 	ck_assert_int_gt(soak.completed, 0);
 	g_rand_free(soak.rand);
 	hn_finish();
