Search seeded fleets for runs that break TWICE, LIMIT or REFUSED

spsim runs the product's entries and agents in one process on a virtual clock, with modelled workers, network, store and callers. A failing seed is made smaller by leaving out faults one by one. The test checks that each of seven deliberate faults of the model is found, and that a short search without them finds nothing.

--- a/Makefile
+++ b/Makefile
@@ -54,6 +54,17 @@
 PLATFORM_OBJS = $(filter-out %/spjobd.o, $(PLATFORM_SRCS:%.c=$(B)/%.o))
 PLATFORM_LIB = $(B)/libplatform.a
 PLATFORM_PROGRAM = $(B)/spjobd
+# The simulation replaces the clock, timers, sockets and connections of the
+# library, so its archive comes before the library's.
+SIM_PROGRAM = $(B)/spsim
+SIM_OBJS = $(patsubst %.c,$(B)/%.o,$(filter-out sim/spsim.c,$(wildcard sim/*.c)))
+SIM_LIB = $(B)/libsim.a
+SIM_WRAPPED = g_timeout_add g_idle_add g_idle_add_full g_source_remove \
+    getrandom setsockopt g_socket_get_fd g_socket_set_option \
+    g_socket_connection_get_socket g_socket_listener_add_address \
+    g_socket_listener_close g_signal_connect_data \
+    g_socket_client_connect_async g_socket_client_connect_finish sch_new
+SIM_LDFLAGS = $(SIM_WRAPPED:%=-Wl,--wrap=%)
 STANDINS = $(STANDIN_SRCS:tests/%.c=$(B)/%)
 TESTS = $(TEST_SRCS:tests/%.c=$(B)/%)
 BENCHES = $(BENCH_SRCS:bench/%.c=$(B)/%)
@@ -68,10 +79,11 @@
 
 C_FILES = $(filter-out %_xdr.c %_xdr.h, \
     $(wildcard src/*/*.c src/*/*.h include/*.h tests/*.c tests/*.h \
-    bench/*.c bench/*.h platform/*.c platform/*.h fuzz/*.c fuzz/*.h))
+    bench/*.c bench/*.h platform/*.c platform/*.h fuzz/*.c fuzz/*.h \
+    sim/*.c sim/*.h))
 
 all: $(PROGRAMS) $(SHARED_LIB) $(PLATFORM_PROGRAM)
-test-programs: all $(STANDINS) $(TESTS) $(BENCHES)
+test-programs: all $(STANDINS) $(TESTS) $(BENCHES) $(SIM_PROGRAM)
 
 $(B)/%.o: %.c
 	@mkdir -p $(@D)
@@ -105,10 +117,23 @@
 # The target that deploy/system.toml builds.
 platform: $(PLATFORM_PROGRAM)
 
+$(SIM_LIB): $(SIM_OBJS)
+	@rm -f $@
+	ar rcs $@ $(SIM_OBJS)
+
+$(SIM_PROGRAM): $(B)/sim/spsim.o $(SIM_LIB) $(PLATFORM_LIB) $(LIB)
+	$(CC) $(SANFLAGS) $(SIM_LDFLAGS) -o $@ $< $(SIM_LIB) $(PLATFORM_LIB) \
+	    $(LIB) $(LIBS)
+
 $(STANDINS): $(B)/%: $(B)/tests/%.o $(SUPPORT_LIB) $(LIB)
 	$(CC) $(SANFLAGS) -o $@ $< $(SUPPORT_LIB) $(LIB) $(LIBS)
 
-$(TESTS): $(B)/%: $(B)/tests/%.o $(SUPPORT_LIB) $(PLATFORM_LIB) $(LIB)
+$(B)/test_sim: $(B)/tests/test_sim.o $(SIM_LIB) $(SUPPORT_LIB) $(PLATFORM_LIB) \
+    $(LIB)
+	$(CC) $(SANFLAGS) $(SIM_LDFLAGS) -o $@ $< $(SIM_LIB) $(SUPPORT_LIB) \
+	    $(PLATFORM_LIB) $(LIB) $(LIBS) $(shell pkg-config --libs check)
+
+$(filter-out $(B)/test_sim,$(TESTS)): $(B)/%: $(B)/tests/%.o $(SUPPORT_LIB) $(PLATFORM_LIB) $(LIB)
 	$(CC) $(SANFLAGS) -o $@ $< $(SUPPORT_LIB) $(PLATFORM_LIB) $(LIB) \
 	    $(LIBS) $(shell pkg-config --libs check)
 
--- /dev/null
+++ b/sim/options.h
@@ -0,0 +1,35 @@
+#ifndef SIM_OPTIONS_H
+#define SIM_OPTIONS_H
+
+#include <stdint.h>
+
+/* Deliberate faults of the model, each of which must make a rule break. */
+enum sop_mutant {
+	SOP_NO_MUTANT,
+	SOP_SLOW_CLOCK,	  /* workers' clocks are 20% slow */
+	SOP_LATE_EXPIRY,  /* workers end runs 500 ms after the lease */
+	SOP_NO_WAIT,	  /* entries place the tasks of a lost agent at once */
+	SOP_EARLY_RESEND, /* callers send again after 100 ms */
+	SOP_HIDDEN_STOPS, /* reports omit runs that are being stopped */
+	SOP_NO_SEAL,	  /* a stop does not seal a run that is not there yet */
+	SOP_REFUSE_SENT,  /* callers see a 502 as a 503 */
+	SOP_N_MUTANTS
+};
+
+struct sop {
+	uint32_t n_entries;
+	uint32_t n_agents;
+	uint32_t n_callers;
+	int64_t duration_ms;
+	enum sop_mutant mutant;
+};
+
+#define SOP_DEFAULTS                                                           \
+	{                                                                      \
+		.n_entries = 3, .n_agents = 4, .n_callers = 8,                 \
+		.duration_ms = 12000                                           \
+	}
+
+const char *sop_mutant_name(enum sop_mutant mutant);
+
+#endif
--- /dev/null
+++ b/tests/test_sim.c
@@ -0,0 +1,146 @@
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "runner.h"
+#include "sim/plan.h"
+#include "sim/search.h"
+
+#define TIMEOUT_S 60
+/* Seeds within which each mutant is found, with a margin. */
+#define MUTANT_SEEDS 400
+#define CLEAN_SEEDS  150
+#define REPLAYED     20
+
+static struct srh_options
+search_options(uint64_t n_seeds, enum sop_mutant mutant)
+{
+	return (struct srh_options){
+	    .fleet = {.n_entries = 3,
+		.n_agents = 4,
+		.n_callers = 8,
+		.duration_ms = 12000,
+		.mutant = mutant},
+	    .first_seed = 1,
+	    .n_seeds = n_seeds,
+	    .max_findings = 1,
+	};
+}
+
+/* Guards against a search that is blind: each deliberate fault must be found. */
+START_TEST(finds_each_mutant)
+{
+	enum sop_mutant mutant = (enum sop_mutant)_i;
+	struct srh_options opts = search_options(MUTANT_SEEDS, mutant);
+	struct srh_result result = srh_search(&opts);
+
+	ck_assert_msg(result.n_findings == 1, "mutant %s was not found",
+	    sop_mutant_name(mutant));
+}
+END_TEST
+
+/* Guards against false findings, and against a change that breaks a rule. */
+START_TEST(finds_nothing_without_a_mutant)
+{
+	struct srh_options opts = search_options(CLEAN_SEEDS, SOP_NO_MUTANT);
+	struct srh_result result;
+
+	opts.out = stdout;
+	result = srh_search(&opts);
+	ck_assert_uint_eq(result.n_findings, 0);
+	ck_assert_uint_eq(result.n_run, CLEAN_SEEDS);
+	/* The fleets do work in spite of their faults. */
+	ck_assert_uint_gt(result.n_completed, result.n_jobs / 2);
+}
+END_TEST
+
+/* Guards against a seed that can't be replayed. */
+START_TEST(replays_a_seed_exactly)
+{
+	struct srh_options opts = search_options(REPLAYED, SOP_NO_MUTANT);
+	struct srh_result first = srh_search(&opts);
+	struct srh_result second = srh_search(&opts);
+
+	ck_assert_uint_eq(first.n_events, second.n_events);
+	ck_assert_uint_eq(first.n_jobs, second.n_jobs);
+	ck_assert_uint_eq(first.n_completed, second.n_completed);
+}
+END_TEST
+
+/* Guards against a shorter list of faults that no longer breaks the rule. */
+START_TEST(leaves_out_needless_faults)
+{
+	struct srh_options opts = search_options(MUTANT_SEEDS, SOP_LATE_EXPIRY);
+	struct srh_result result = srh_search(&opts);
+	uint64_t seed = result.first_finding;
+	g_autoptr(GArray) all = spl_make(seed, &opts.fleet);
+	g_autoptr(GArray) left = srh_shrink(seed, &opts.fleet, SCK_TWICE);
+	guint i;
+
+	ck_assert_uint_lt(left->len, all->len);
+	ck_assert_int_eq(
+	    sfl_run(seed, &opts.fleet, left, false).violation.rule, SCK_TWICE);
+	for (i = 0; i < left->len; i++) {
+		g_autoptr(GArray) fewer = g_array_copy(left);
+
+		g_array_remove_index(fewer, i);
+		ck_assert_int_ne(
+		    sfl_run(seed, &opts.fleet, fewer, false).violation.rule,
+		    SCK_TWICE);
+	}
+}
+END_TEST
+
+struct bad_command {
+	const char *arguments;
+	const char *message; /* part of it */
+};
+
+static const struct bad_command bad_commands[] = {
+    {"", "no command"},
+    {"hunt", "command \"hunt\" is not search or replay"},
+    {"replay", "replay needs a seed"},
+    {"replay x", "seed \"x\" is not a number"},
+    {"replay -- -1", "seed \"-1\" is not a number"},
+    {"search 5", "unexpected argument \"5\""},
+    {"search --seeds 0", "--seeds \"0\" is not a number from 1"},
+    {"search --seeds 1x", "--seeds \"1x\" is not a number"},
+    {"search --seeds 99999999999999999999", "is not a number"},
+    {"search --entries 65", "--entries \"65\" is not a number from 1 to 64"},
+    {"search --duration 10", "--duration \"10\" is not a number"},
+    {"search --mutant bat", "mutant \"bat\" is not one of: none"},
+    {"search --speed 3", "unrecognized option"},
+};
+
+/* Guards against a mistyped option that silently searches something else. */
+START_TEST(refuses_bad_arguments)
+{
+	const struct bad_command *bad = &bad_commands[_i];
+	const char *build = g_getenv("BUILD_DIR");
+	g_autofree char *command = g_strdup_printf("%s/spsim %s 2>&1",
+	    build == NULL ? "build" : build, bad->arguments);
+	char output[4096] = "";
+	FILE *from = popen(command, "r");
+	size_t len = fread(output, 1, sizeof(output) - 1, from);
+
+	output[len] = '\0';
+	ck_assert_int_ne(pclose(from), 0);
+	ck_assert_msg(strstr(output, bad->message) != NULL,
+	    "spsim %s: got \"%s\"", bad->arguments, output);
+}
+END_TEST
+
+int
+main(void)
+{
+	TCase *tc = tcase_create("sim");
+
+	tcase_add_loop_test(
+	    tc, finds_each_mutant, SOP_NO_MUTANT + 1, SOP_N_MUTANTS);
+	tcase_add_test(tc, finds_nothing_without_a_mutant);
+	tcase_add_test(tc, replays_a_seed_exactly);
+	tcase_add_test(tc, leaves_out_needless_faults);
+	tcase_add_loop_test(
+	    tc, refuses_bad_arguments, 0, (int)G_N_ELEMENTS(bad_commands));
+	return run_tcase("sim", tc, TIMEOUT_S);
+}
