--- a/sim/check.c
+++ b/sim/check.c
@@ -209,8 +209,7 @@
 }
 
 void
-sck_run_ended(const char *task, uint32_t worker)
+sck_run_ended(const char *task)
 {
-	(void)worker;
 	set_n_runs(task, n_runs(task) - 1);
 }
--- a/sim/check.h
+++ b/sim/check.h
@@ -44,6 +44,6 @@
 /* A run has begun on, or is gone from, a worker that is up. */
 void sck_run_started(
     const char *task, uint32_t worker, int64_t used, int64_t capacity);
-void sck_run_ended(const char *task, uint32_t worker);
+void sck_run_ended(const char *task);
 
 #endif
--- a/sim/worker.c
+++ b/sim/worker.c
@@ -514,7 +514,7 @@
 	run->over = true;
 	sck_note(run->task, "run %d on worker %u %s",
 	    (int)(run->number % 1000000), w->index, names[end_kind]);
-	sck_run_ended(run->task, w->index);
+	sck_run_ended(run->task);
 	g_ptr_array_remove(w->runs, run);
 	answer_polls(w);
 }
@@ -865,7 +865,7 @@
 		run->over = true;
 		sck_note(run->task, "run %d is lost with worker %u",
 		    (int)(run->number % 1000000), index);
-		sck_run_ended(run->task, index);
+		sck_run_ended(run->task);
 		g_ptr_array_remove_index(w->runs, 0);
 	}
 	g_ptr_array_set_size(w->ends, 0);
