--- a/src/process/jobagent.c
+++ b/src/process/jobagent.c
@@ -29,6 +29,7 @@
 struct outbox {
 	GArray *results; /* run_result, strings owned */
 	bool worker_due; /* send the worker's description first */
+	bool near;	 /* the value of ses_is_near() that was sent last */
 };
 
 struct ja {
@@ -57,6 +58,10 @@
 	bool withheld;	       /* the lease, as last logged */
 	int64_t *starts, *done, *failed, *runs_lost, *refused, *stalled;
 	int64_t *sessions_lost, *leases_withheld;
+	struct {
+		int64_t *queued, *starting, *unanswered;
+		int64_t *running, *stopping, *stopped;
+	} states; /* number of starts in each */
 	struct hst *run_times;
 };
 
@@ -147,15 +152,16 @@
 	if (box->worker_due)
 		send_worker(ja, session);
 	box->worker_due = false;
+	box->near = ses_is_near(ja->ses, session);
 	led_room(ja->led, &room);
 	args = (run_update_args){
 	    .results = {box->results->len, (run_result *)box->results->data},
 	    .free = size_to_wire(&room),
-	    .accepting = is_accepting(ja, &reason),
+	    .accepting = box->near && is_accepting(ja, &reason),
 	    .sessions = g_hash_table_size(ja->outboxes),
 	    .slowness_permille = slw_permille(&ja->slowness, clk_now_ms()),
+	    .clock_ms = clk_now_ms(),
 	};
-	ses_fill_heard(ja->ses, session, &args);
 	ses_send(ja->ses, session, RUN_UPDATE, (xdrproc_t)xdr_run_update_args,
 	    &args);
 	g_array_set_size(box->results, 0);
@@ -318,12 +324,18 @@
 	}
 }
 
-/* Entries disconnect from an agent that sends nothing for too long. */
+/*
+ * Entries disconnect from an agent that sends nothing for too long, and wait
+ * for its word that it accepts their starts.
+ */
 static void
 answer_heartbeat(struct ja *ja, uint64_t session)
 {
-	if (clk_now_ms() - upd_sent_ms(ja->updates, session) >
-	    HEARTBEAT_REPLY_MS)
+	const struct outbox *box = g_hash_table_lookup(ja->outboxes, &session);
+	int64_t silent_ms = clk_now_ms() - upd_sent_ms(ja->updates, session);
+
+	if (silent_ms > HEARTBEAT_REPLY_MS ||
+	    (box != NULL && box->near != ses_is_near(ja->ses, session)))
 		send_update(ja, session);
 }
 
@@ -350,8 +362,8 @@
 {
 	struct ja *ja = ctx;
 
-	if (!ses_is_live(ja->ses, session)) {
-		*reason = "entry is silent";
+	if (!ses_is_near(ja->ses, session)) {
+		*reason = "messages of the entry are too long on their way";
 		return false;
 	}
 	return is_accepting(ja, reason);
@@ -599,6 +611,20 @@
 	plan_updates(ja);
 }
 
+static void
+update_gauges(struct ja *ja)
+{
+	struct led_states states;
+
+	led_count_states(ja->led, &states);
+	*ja->states.queued = states.queued;
+	*ja->states.starting = states.starting;
+	*ja->states.unanswered = states.unanswered;
+	*ja->states.running = states.running;
+	*ja->states.stopping = states.stopping;
+	*ja->states.stopped = states.stopped;
+}
+
 static gboolean
 on_tick(gpointer data)
 {
@@ -609,10 +635,31 @@
 	led_tick(ja->led, clk_now_ms());
 	check_lease(ja);
 	crw_tick(ja->crashwatch);
+	update_gauges(ja);
 	finish_drain(ja);
 	return G_SOURCE_CONTINUE;
 }
 
+static int64_t *
+state_gauge(struct ja *ja, const char *state)
+{
+	g_autofree char *name = g_strdup_printf("sp_runs{state=\"%s\"}", state);
+
+	return ctr_gauge(ja->opts.counters, name,
+	    "Starts in each state; all but queued ones hold capacity.");
+}
+
+static void
+make_state_gauges(struct ja *ja)
+{
+	ja->states.queued = state_gauge(ja, "queued");
+	ja->states.starting = state_gauge(ja, "starting");
+	ja->states.unanswered = state_gauge(ja, "unanswered");
+	ja->states.running = state_gauge(ja, "running");
+	ja->states.stopping = state_gauge(ja, "stopping");
+	ja->states.stopped = state_gauge(ja, "stopped");
+}
+
 static void
 make_counters(struct ja *ja)
 {
@@ -634,6 +681,7 @@
 	    "Runs stopped since they made no progress.");
 	ja->refused = ctr_counter(
 	    reg, "sp_runs_refused_total", "Starts returned as not started.");
+	make_state_gauges(ja);
 }
 
 static void
--- a/src/request/ledger.c
+++ b/src/request/ledger.c
@@ -3,8 +3,12 @@
 
 #include "request/ledger.h"
 
-/* A stop that the worker has not confirmed is sent again after this time. */
-#define STOP_REPEAT_MS 400
+/*
+ * A stop that the worker has not confirmed is sent again after this time.  The
+ * first ones without an answer are repeated at once.
+ */
+#define STOP_REPEAT_MS	 400
+#define MAX_PROMPT_STOPS 5
 /*
  * A run that its entry has given up takes the lease from the worker if it has
  * not ended within this time.  With the lease of HOLD_MAX_LEASE_MS after it,
@@ -20,6 +24,13 @@
 /* Run numbers skipped when the worker has already seen higher ones. */
 #define RUN_NUMBER_SKIP 10000
 #define MAX_RENUMBERS	3
+/*
+ * A start is sent this often under one run number.  The worker executes a run
+ * number once at most and tells if it is there already, so that a call that is
+ * executed late does nothing.  When none is answered, a report and a stop
+ * settle the run.
+ */
+#define MAX_START_CALLS 5
 /*
  * A run is stalled when its progress has not changed for this share of its
  * expected run time, but at least STALL_MIN_MS, or for STALL_UNKNOWN_MS when no
@@ -57,10 +68,13 @@
 	uint32_t priority;
 	uint64_t order; /* number of the start in order of arrival */
 	int64_t start_by_ms;
-	int64_t number; /* run number given to the worker */
-	int64_t sent_ms;
-	int64_t no_answer_ms;	   /* when the start timed out, 0: it did not */
-	int64_t stop_sent_ms;	   /* when a stop was last sent, 0: never */
+	int64_t number;	       /* run number given to the worker */
+	int64_t sent_ms;       /* when the start was last sent */
+	int64_t first_sent_ms; /* with this run number */
+	uint32_t start_calls;  /* likewise */
+	int64_t no_answer_ms;  /* when the start timed out, 0: it did not */
+	int64_t stop_sent_ms;  /* when a stop was last sent, 0: never */
+	uint32_t stop_calls;
 	int64_t stop_confirmed_ms; /* when the stop was confirmed, 0: not yet */
 	bool given_up;		   /* by its entry, at given_up_ms */
 	int64_t given_up_ms;
@@ -249,6 +263,7 @@
 send_stop(struct led *led, struct run *run, int64_t now_ms)
 {
 	run->stop_sent_ms = now_ms;
+	run->stop_calls++;
 	led->opts.stop(run->task, run->number, led->opts.ctx);
 }
 
@@ -343,15 +358,43 @@
 		    led, "capacity of the worker has shrunk", now_ms);
 }
 
+static void
+call_start(struct led *led, struct run *run, int64_t now_ms)
+{
+	run->sent_ms = now_ms;
+	run->start_calls++;
+	led->opts.start(run->task, run->spec, run->number, led->opts.ctx);
+}
+
 static void
 send_start(struct led *led, struct run *run, int64_t now_ms)
 {
 	run->number = ++led->last_run;
 	run->state = STARTING;
-	run->sent_ms = now_ms;
+	run->first_sent_ms = now_ms;
+	run->start_calls = 0;
 	g_hash_table_insert(led->active, &run->number, run);
 	g_hash_table_insert(led->by_task, run->task, run);
-	led->opts.start(run->task, run->spec, run->number, led->opts.ctx);
+	call_start(led, run, now_ms);
+}
+
+/* A call that is repeated is subject to the same checks as the first one. */
+static bool
+may_repeat_start(const struct led *led, const struct run *run, int64_t now_ms)
+{
+	const char *reason;
+
+	return run->start_calls < MAX_START_CALLS &&
+	       now_ms <= run->start_by_ms &&
+	       led->opts.may_start(run->session, &reason, led->opts.ctx);
+}
+
+static bool
+is_entry_silent(const struct led *led, const struct run *run, int64_t now_ms)
+{
+	int64_t sent_ms = led->opts.last_sent_ms(run->session, led->opts.ctx);
+
+	return now_ms - sent_ms >= SILENT_ENTRY_MS;
 }
 
 /*
@@ -376,6 +419,8 @@
 		wk_subtract(&room, &led->used);
 		if (now_ms > run->start_by_ms) {
 			refuse_queued(led, it, "not started in time");
+		} else if (is_entry_silent(led, run, now_ms)) {
+			refuse_queued(led, it, "entry is silent");
 		} else if (!led->opts.may_start(
 			       run->session, &reason, led->opts.ctx)) {
 			refuse_queued(led, it, reason);
@@ -428,6 +473,47 @@
 	send_start(led, run, now_ms);
 }
 
+/* Leaves it to a later report whether the run is there. */
+static void
+await_report(struct led *led, struct run *run, int64_t now_ms)
+{
+	run->no_answer_ms = now_ms;
+	led->opts.request_report(led->opts.ctx);
+}
+
+static void
+start_unanswered(struct led *led, struct run *run, int64_t now_ms)
+{
+	if (may_repeat_start(led, run, now_ms))
+		call_start(led, run, now_ms);
+	else
+		await_report(led, run, now_ms);
+}
+
+static void
+start_refused(struct led *led, struct run *run, const struct wp_answer *answer,
+    int64_t now_ms)
+{
+	/*
+	 * The refusal says nothing about earlier calls, which were not
+	 * answered: the run may be there, or may have ended.
+	 */
+	if (run->start_calls > 1) {
+		if (run->state == STARTING && run->no_answer_ms == 0)
+			await_report(led, run, now_ms);
+		return;
+	}
+	if (answer->verdict == WP_STALE_RUN && run->state == STARTING &&
+	    run->renumbers < MAX_RENUMBERS) {
+		renumber(led, run, now_ms);
+		return;
+	}
+	finish(led, run, LED_NOT_STARTED,
+	    answer->reason == NULL ? "refused by the worker" : answer->reason,
+	    now_ms);
+	led_start_queued(led, now_ms);
+}
+
 void
 led_started(struct led *led, int64_t number, const struct wp_answer *answer,
     int64_t now_ms)
@@ -442,28 +528,18 @@
 		if (run->state == STARTING)
 			run->state = RUNNING;
 		return;
-	case WP_STALE_RUN:
-		if (run->state == STARTING && run->renumbers < MAX_RENUMBERS) {
-			renumber(led, run, now_ms);
-			return;
-		}
-		break;
 	case WP_NO_ANSWER:
-		if (run->state == STARTING) {
-			run->no_answer_ms = now_ms;
-			led->opts.request_report(led->opts.ctx);
-		}
+		if (run->state == STARTING)
+			start_unanswered(led, run, now_ms);
 		return;
+	case WP_STALE_RUN:
 	case WP_DEADLINE_PASSED:
 	case WP_FENCED:
 	case WP_REFUSED:
 	case WP_REPLACED:
-		break;
+		start_refused(led, run, answer, now_ms);
+		return;
 	}
-	finish(led, run, LED_NOT_STARTED,
-	    answer->reason == NULL ? "refused by the worker" : answer->reason,
-	    now_ms);
-	led_start_queued(led, now_ms);
 }
 
 void
@@ -475,7 +551,8 @@
 	if (run == NULL || run->state != STOPPING)
 		return;
 	if (verdict == WP_NO_ANSWER) {
-		send_stop(led, run, now_ms);
+		if (run->stop_calls < MAX_PROMPT_STOPS)
+			send_stop(led, run, now_ms);
 		return;
 	}
 	if (verdict != WP_DONE && verdict != WP_STALE_RUN)
@@ -660,15 +737,11 @@
 static enum wp_lease
 lease_of_run(const struct led *led, const struct run *run, int64_t now_ms)
 {
-	int64_t silent_ms;
-
 	if (run->given_up)
 		return now_ms - run->given_up_ms >= STOP_PATIENCE_MS
 			   ? WP_LEASE_WITHHOLD
 			   : WP_LEASE_UNNEEDED;
-	silent_ms =
-	    now_ms - led->opts.last_sent_ms(run->session, led->opts.ctx);
-	if (silent_ms >= SILENT_ENTRY_MS)
+	if (is_entry_silent(led, run, now_ms))
 		return WP_LEASE_PAUSE;
 	return run->state == STOPPING ? WP_LEASE_UNNEEDED : WP_LEASE_RENEW;
 }
@@ -706,6 +779,42 @@
 	return g_hash_table_size(led->active);
 }
 
+static void
+count_state(const struct run *run, struct led_states *states)
+{
+	switch (run->state) {
+	case QUEUED:
+		break;
+	case STARTING:
+		if (run->no_answer_ms == 0)
+			states->starting++;
+		else
+			states->unanswered++;
+		break;
+	case RUNNING:
+		states->running++;
+		break;
+	case STOPPING:
+		if (run->stop_confirmed_ms == 0)
+			states->stopping++;
+		else
+			states->stopped++;
+		break;
+	}
+}
+
+void
+led_count_states(const struct led *led, struct led_states *states)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	*states = (struct led_states){.queued = led_queued(led)};
+	g_hash_table_iter_init(&iter, led->active);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		count_state(value, states);
+}
+
 void
 led_each_active(const struct led *led,
     void (*fn)(const struct led_active_run *run, void *ctx), void *ctx)
@@ -719,7 +828,8 @@
 		struct led_active_run active = {
 		    .task = run->task,
 		    .queue = run->queue,
-		    .sent_ms = run->sent_ms,
+		    /* Any of the calls without an answer may be in effect. */
+		    .sent_ms = run->started ? run->sent_ms : run->first_sent_ms,
 		    .started = run->started,
 		};
 
--- a/tests/test_holder.c
+++ b/tests/test_holder.c
@@ -10,6 +10,10 @@
 
 #define LEASE_MS 1000 /* above HOLD_MAX_LEASE_MS */
 #define MAX_ROWS 8
+/* Less than the pause after a request for a report that failed at once. */
+#define SOON_MS 30
+/* Checks differ from other requests for a report by their fixed timeout. */
+#define CHECK_TIMEOUT_MS 60
 
 /* A call that is not answered yet. */
 struct call {
@@ -25,8 +29,10 @@
 	struct hold *hold;
 	int64_t token; /* of the last request for a report */
 	enum wp_lease lease;
-	uint64_t born_ms; /* of the worker that answers */
-	GQueue reports;	  /* struct call */
+	uint64_t born_ms;    /* of the worker that answers */
+	const char *address; /* in heartbeats */
+	GQueue reports;	     /* struct call */
+	GQueue checks;	     /* struct call */
 	GQueue starts;
 	GString *actual;
 };
@@ -121,6 +127,10 @@
 	struct fixture *w = port;
 
 	w->token = target->token;
+	if (target->timeout_ms == CHECK_TIMEOUT_MS) {
+		push_call(w, &w->checks, fn, NULL, ctx);
+		return;
+	}
 	append(w, "hold(wait=%d,lease=%s)", (int)hold->wait_ms,
 	    lease_text(hold->deadline_ms));
 	push_call(w, &w->reports, fn, NULL, ctx);
@@ -196,8 +206,10 @@
 
 	now_ms = 0;
 	w->lease = WP_LEASE_RENEW;
+	w->address = "127.0.0.1:1";
 	w->wp = (struct wp){w, on_start, on_stop, on_hold};
 	g_queue_init(&w->reports);
+	g_queue_init(&w->checks);
 	g_queue_init(&w->starts);
 	w->hold = hold_new(&opts);
 	return w;
@@ -223,6 +235,13 @@
 	complete(g_queue_pop_head(calls), report);
 }
 
+static void
+end_calls(GQueue *calls, struct wp_report *report)
+{
+	while (!g_queue_is_empty(calls))
+		end_call(calls, report);
+}
+
 static void
 end(void *ctx)
 {
@@ -231,10 +250,9 @@
 
 	w->actual = NULL;
 	hold_close(w->hold);
-	while (!g_queue_is_empty(&w->reports))
-		end_call(&w->reports, &none);
-	while (!g_queue_is_empty(&w->starts))
-		end_call(&w->starts, &none);
+	end_calls(&w->reports, &none);
+	end_calls(&w->checks, &none);
+	end_calls(&w->starts, &none);
 	hold_free(w->hold);
 	g_free(w);
 }
@@ -244,7 +262,7 @@
 {
 	struct wp_worker worker = {
 	    .instance = "i",
-	    .address = "127.0.0.1:1",
+	    .address = w->address,
 	    .seq = atoi(words[1]),
 	    .born_ms = (uint64_t)atoi(words[2]),
 	    .clock_ms = words[3] == NULL ? now_ms : atoi(words[3]),
@@ -267,7 +285,7 @@
 
 /* answer [running TASK RUN]... [ended N TASK RUN]... */
 static void
-answer(struct fixture *w, char **words)
+answer(GQueue *calls, char **words)
 {
 	struct wp_running running[MAX_ROWS] = {0};
 	struct wp_ended ended[MAX_ROWS] = {0};
@@ -291,14 +309,35 @@
 			i += 4;
 		}
 	}
-	end_call(&w->reports, &report);
+	end_call(calls, &report);
 }
 
 static void
-wait_for_call(struct fixture *w)
+wait_for_call(GQueue *calls)
 {
-	while (g_queue_is_empty(&w->reports))
+	while (g_queue_is_empty(calls))
+		g_main_context_iteration(NULL, TRUE);
+}
+
+static gboolean
+on_expired(gpointer data)
+{
+	*(bool *)data = true;
+	return G_SOURCE_REMOVE;
+}
+
+/* Shows if no request for a report comes before a failed one is repeated. */
+static void
+wait_shortly(struct fixture *w)
+{
+	guint n_calls = g_queue_get_length(&w->reports);
+	bool expired = false;
+
+	g_timeout_add(SOON_MS, on_expired, &expired);
+	while (!expired)
 		g_main_context_iteration(NULL, TRUE);
+	if (g_queue_get_length(&w->reports) == n_calls)
+		append(w, "none");
 }
 
 static void
@@ -311,7 +350,11 @@
 	    .answer = {.verdict = WP_FENCED, .clock_ms = now_ms}};
 
 	if (strcmp(words[0], "answer") == 0)
-		answer(w, words);
+		answer(&w->reports, words);
+	else if (strcmp(words[0], "answer_check") == 0)
+		answer(&w->checks, words);
+	else if (strcmp(words[0], "drop_checks") == 0)
+		end_calls(&w->checks, &none);
 	else if (strcmp(words[0], "drop") == 0)
 		end_call(&w->reports, &none);
 	else if (strcmp(words[0], "started") == 0)
@@ -339,12 +382,20 @@
 		register_worker(w, words);
 	else if (strcmp(words[0], "worker") == 0)
 		w->born_ms = (uint64_t)atoi(words[1]);
+	else if (strcmp(words[0], "move") == 0)
+		w->address = "127.0.0.1:2";
 	else if (strcmp(words[0], "token") == 0)
 		append(w, "%d", (int)w->token);
 	else if (strcmp(words[0], "left") == 0)
 		hold_worker_left(w->hold, "i");
 	else if (strcmp(words[0], "next") == 0)
-		wait_for_call(w);
+		wait_for_call(&w->reports);
+	else if (strcmp(words[0], "soon") == 0)
+		wait_shortly(w);
+	else if (strcmp(words[0], "checks") == 0)
+		append(w, "%d", (int)g_queue_get_length(&w->checks));
+	else if (strcmp(words[0], "next_check") == 0)
+		wait_for_call(&w->checks);
 	else if (strcmp(words[0], "withhold") == 0)
 		w->lease = WP_LEASE_WITHHOLD;
 	else if (strcmp(words[0], "pause") == 0)
