Count the patience with a stop from the pause in which a caller left

What callers saw: a task ran on two workers at once. A caller left an entry that was paused for 0.42 s, the cancels were sent after the pause, and the stops of the runs were slow.

Cause: a cancel stated the time of its sending. The caller's 1.3 s begin when it leaves, which a slow or paused entry notices later; pauses below 0.6 s end no session.

Change: the entry records its pauses by its ticks (module pause), and states in each cancel until when it has certainly noticed what its callers did: the time of sending, or the begin of a pause that ended less than 0.1 s ago. An old cancel no longer ends its session; its runs take the lease at once instead.

--- a/src/connection/run.x
+++ b/src/connection/run.x
@@ -55,7 +55,10 @@
 
 /* Withdraws starts: tasks not started yet are dropped, others are stopped. */
 struct run_cancel_args {
-	int64_t agent_ms;
+	/*
+	 * agent_ms, or earlier: the callers may have left the entry since then.
+	 */
+	int64_t given_up_ms;
 	uint64_t seqs<RUN_BATCH_MAX>;
 };
 
--- a/src/connection/run_xdr.c
+++ b/src/connection/run_xdr.c
@@ -103,7 +103,7 @@
 {
 	register int32_t *buf;
 
-	if (!xdr_int64_t(xdrs, &objp->agent_ms))
+	if (!xdr_int64_t(xdrs, &objp->given_up_ms))
 		return FALSE;
 	if (!xdr_array(xdrs, (char **)&objp->seqs.seqs_val,
 		(u_int *)&objp->seqs.seqs_len, RUN_BATCH_MAX, sizeof(uint64_t),
--- a/src/connection/run_xdr.h
+++ b/src/connection/run_xdr.h
@@ -68,7 +68,7 @@
 typedef struct run_start_args run_start_args;
 
 struct run_cancel_args {
-	int64_t agent_ms;
+	int64_t given_up_ms;
 	struct {
 		u_int seqs_len;
 		uint64_t *seqs_val;
--- a/src/connection/sessions.c
+++ b/src/connection/sessions.c
@@ -122,9 +122,10 @@
 {
 	run_cancel_args args = {0};
 
-	if (!xdr_run_cancel_args(xdrs, &args))
+	if (!xdr_run_cancel_args(xdrs, &args) || args.given_up_ms < 0 ||
+	    args.given_up_ms > PCL_MAX_MS)
 		rpc_close(s->conn, ST_INVALID, "malformed cancel");
-	else if (!is_held_up(s, args.agent_ms))
+	else
 		s->ses->opts.cancel(s->id, &args, s->ses->opts.ctx);
 	xdr_free((xdrproc_t)xdr_run_cancel_args, &args);
 }
--- a/src/connection/worklink.c
+++ b/src/connection/worklink.c
@@ -390,7 +390,8 @@
 send_cancels(struct wlk *link)
 {
 	run_cancel_args args = {
-	    .agent_ms = pcl_estimate_ms(&link->agent_clock, clk_now_ms()),
+	    .given_up_ms = pcl_estimate_ms(
+		&link->agent_clock, link->opts.noticed_ms(link->opts.ctx)),
 	    .seqs = {MIN(link->cancels->len, RUN_BATCH_MAX),
 		(uint64_t *)link->cancels->data},
 	};
--- a/src/connection/worklink.h
+++ b/src/connection/worklink.h
@@ -22,6 +22,8 @@
 	uint64_t incarnation;
 	/* Fills a heartbeat to send; its array is borrowed. */
 	void (*fill_heartbeat)(struct run_heartbeat_args *args, void *ctx);
+	/* Until when this process has noticed that its callers left. */
+	int64_t (*noticed_ms)(void *ctx);
 	void (*worker)(
 	    struct wlk *link, const struct run_worker_args *args, void *ctx);
 	void (*update)(
--- a/src/process/agentpool.c
+++ b/src/process/agentpool.c
@@ -172,6 +172,14 @@
 	pool->opts.fill_heartbeat(args, pool->opts.ctx);
 }
 
+static int64_t
+noticed_ms(void *ctx)
+{
+	struct agp *pool = ctx;
+
+	return pool->opts.noticed_ms(pool->opts.ctx);
+}
+
 static void
 agent_free(gpointer data)
 {
@@ -191,6 +199,7 @@
 	    .name = pool->opts.name,
 	    .incarnation = pool->opts.incarnation,
 	    .fill_heartbeat = fill_heartbeat,
+	    .noticed_ms = noticed_ms,
 	    .worker = on_worker,
 	    .update = on_update,
 	    .crash = on_crash,
--- a/src/process/agentpool.h
+++ b/src/process/agentpool.h
@@ -28,6 +28,7 @@
 	/* Whether a failure domain is out of service. */
 	bool (*is_out)(const char *failure_domain, void *ctx);
 	void (*fill_heartbeat)(struct run_heartbeat_args *args, void *ctx);
+	int64_t (*noticed_ms)(void *ctx);
 	/* Runs after the scheduler was given an agent's free capacity. */
 	void (*update)(const struct run_update_args *args, void *ctx);
 	/* A job was cancelled at another entry. */
--- a/src/process/jobagent.c
+++ b/src/process/jobagent.c
@@ -292,7 +292,7 @@
 on_cancel(uint64_t session, const struct run_cancel_args *args, void *ctx)
 {
 	struct ja *ja = ctx;
-	int64_t given_up_ms = ses_last_sent_ms(ja->ses, session);
+	int64_t given_up_ms = MIN(args->given_up_ms, clk_now_ms());
 	uint32_t i;
 
 	for (i = 0; i < args->seqs.seqs_len; i++)
--- a/src/process/jobentry.c
+++ b/src/process/jobentry.c
@@ -9,6 +9,7 @@
 #include "process/events.h"
 #include "process/histogram.h"
 #include "process/jobentry.h"
+#include "process/pause.h"
 #include "request/cancelled.h"
 #include "request/sched.h"
 
@@ -53,7 +54,7 @@
 	struct ccl *cancelled;
 	GHashTable *waiters; /* ticket to struct waiter */
 	uint64_t next_ticket;
-	int64_t tick_ms;
+	struct pau pause;
 	int64_t drain_since_ms;
 	/* In a shutdown: time since which no job is open; 0 while one is. */
 	int64_t idle_since_ms;
@@ -218,6 +219,14 @@
 	args->out.out_val = ecf_out_domains(je->config);
 }
 
+static int64_t
+noticed_ms(void *ctx)
+{
+	struct je *je = ctx;
+
+	return pau_noticed_ms(&je->pause, clk_now_ms());
+}
+
 static void
 count_result(struct je *je, const run_result *result)
 {
@@ -309,14 +318,15 @@
 handle_pause(struct je *je)
 {
 	int64_t now_ms = clk_now_ms();
+	int64_t paused_ms = now_ms - je->pause.tick_ms;
 
-	if (now_ms - je->tick_ms > ENTRY_PAUSE_MS) {
-		evt_write("pause", evt_int("paused_ms", now_ms - je->tick_ms),
+	if (paused_ms > ENTRY_PAUSE_MS) {
+		evt_write("pause", evt_int("paused_ms", paused_ms),
 		    evt_int("jobs", sch_n_jobs(je->sch)));
 		sch_abort_all(je->sch, "entry was paused");
 		agp_reconnect(je->agents, "process was paused");
 	}
-	je->tick_ms = now_ms;
+	pau_tick(&je->pause, now_ms);
 }
 
 static bool
@@ -471,6 +481,7 @@
 	    .watch_ms = ECF_STORE_WATCH_MS,
 	    .is_out = is_domain_out,
 	    .fill_heartbeat = fill_heartbeat,
+	    .noticed_ms = noticed_ms,
 	    .update = on_update,
 	    .cancelled = on_cancelled,
 	    .store_state = on_agents_store_state,
@@ -513,7 +524,7 @@
 	make_counters(je);
 	je->agents = make_agents(je);
 	je->config = make_config(je);
-	je->tick_ms = clk_now_ms();
+	pau_tick(&je->pause, clk_now_ms());
 	je->tick_id = g_timeout_add(JE_TICK_MS, on_tick, je);
 	return je;
 }
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -8,9 +8,10 @@
 
 #define TIMEOUT_S 60
 /* Seeds within which each mutant is found, with a margin. */
-#define MUTANT_SEEDS 1200
-#define CLEAN_SEEDS  150
-#define REPLAYED     20
+#define MUTANT_SEEDS	  1200
+#define CLEAN_SEEDS	  150
+#define REPLAYED	  20
+#define PAUSED_ENTRY_SEED 30007165
 
 static struct srh_options
 search_options(uint64_t n_seeds, enum sop_mutant mutant)
@@ -54,6 +55,19 @@
 }
 END_TEST
 
+/*
+ * Guards against runs that outlive their caller: an entry noticed only after a
+ * pause of 0.4 s that the caller had left, and the stops were slow.
+ */
+START_TEST(caller_leaves_a_paused_entry)
+{
+	struct srh_options opts = search_options(1, SOP_NO_MUTANT);
+
+	opts.first_seed = PAUSED_ENTRY_SEED;
+	ck_assert_uint_eq(srh_search(&opts).n_findings, 0);
+}
+END_TEST
+
 /* Guards against a seed that can't be replayed. */
 START_TEST(replays_a_seed_exactly)
 {
@@ -138,6 +152,7 @@
 	tcase_add_loop_test(
 	    tc, finds_each_mutant, SOP_NO_MUTANT + 1, SOP_N_MUTANTS);
 	tcase_add_test(tc, finds_nothing_without_a_mutant);
+	tcase_add_test(tc, caller_leaves_a_paused_entry);
 	tcase_add_test(tc, replays_a_seed_exactly);
 	tcase_add_test(tc, leaves_out_needless_faults);
 	tcase_add_loop_test(
--- a/tests/test_worklink.c
+++ b/tests/test_worklink.c
@@ -23,6 +23,13 @@
 	memset(args, 0, sizeof(*args));
 }
 
+static int64_t
+noticed_ms(void *ctx)
+{
+	(void)ctx;
+	return 0;
+}
+
 static void
 on_worker(struct wlk *link, const struct run_worker_args *args, void *ctx)
 {
@@ -97,6 +104,7 @@
 	    .address = agent.address,
 	    .name = "e0",
 	    .fill_heartbeat = fill_heartbeat,
+	    .noticed_ms = noticed_ms,
 	    .worker = on_worker,
 	    .update = on_update,
 	    .closed = on_closed,
