Take a cancel of a silent entry in fuzz_ledger as one that was held up

Cause: in the target a cancel stated the present as the time at which the entry gave the start up, also in a session whose entry counted as silent for a second. Such a cancel is a message, so that the entry was not silent. The product states the earliest time at which the entry may have given the start up, and a cancel that was held up states an earlier one. The target does so now; check_renewal() and its bound are unchanged.

--- a/fuzz/fuzz_ledger.c
+++ b/fuzz/fuzz_ledger.c
@@ -273,6 +273,18 @@
 	w->lease_ends_ms = MAX(w->lease_ends_ms, w->now_ms + LEASE_MS);
 }
 
+/*
+ * The cancel of an entry that has been silent was held up: the entry may have
+ * given the start up as early as just after its last message.
+ */
+static void
+cancel(struct world *w, uint64_t session, uint64_t seq)
+{
+	int64_t given_up_ms = last_sent_ms(session, w);
+
+	led_cancel(w->led, session, seq, given_up_ms, w->now_ms);
+}
+
 static void
 end_session(struct world *w, unsigned entry)
 {
@@ -304,8 +316,7 @@
 	if (op % 10 == 0)
 		submit(w, byte);
 	else if (op % 10 == 1)
-		led_cancel(w->led, w->sessions[entry], 1 + byte % 16, w->now_ms,
-		    w->now_ms);
+		cancel(w, w->sessions[entry], 1 + byte % 16);
 	else if (op % 10 == 2)
 		end_session(w, entry);
 	else if (op % 10 == 9 && (op & 16) != 0)
