Make the runs of fuzz-check the same each time

Of four runs of fuzz_ledger with one seed one found the failing input, and the four found different corpora.

Four causes: libFuzzer keeps compared values for its mutations, addresses among them; it takes the inputs in the order of the directory; it reads the corpus again once a second; and json-c's hash of names has a random seed. Addresses, order and hash are fixed now and the corpus is read once.

--- a/Makefile
+++ b/Makefile
@@ -141,9 +141,9 @@
 	$(CC) $(SANFLAGS) -o $@ $< $(BENCH_SUPPORT_OBJS) $(SUPPORT_LIB) $(LIB) \
 	    $(LIBS)
 
-$(B)/fuzz_%: $(B)/fuzz/fuzz_%.o $(PLATFORM_LIB) $(LIB)
-	$(CC) $(SANFLAGS) -fsanitize=fuzzer -o $@ $< $(PLATFORM_LIB) $(LIB) \
-	    $(LIBS)
+$(B)/fuzz_%: $(B)/fuzz/fuzz_%.o $(B)/fuzz/init.o $(PLATFORM_LIB) $(LIB)
+	$(CC) $(SANFLAGS) -fsanitize=fuzzer -o $@ $< $(B)/fuzz/init.o \
+	    $(PLATFORM_LIB) $(LIB) $(LIBS)
 
 fuzz-targets: $(FUZZ_TARGETS)
 
--- a/fuzz/check.h
+++ b/fuzz/check.h
@@ -17,5 +17,6 @@
 	} while (0)
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+int LLVMFuzzerInitialize(int *argc, char ***argv);
 
 #endif
