--- a/src/request/ledger.c
+++ b/src/request/ledger.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "request/ledger.h"
+#include "request/progress.h"
 
 /*
  * A stop that the worker has not confirmed is sent again after this time.  The
@@ -31,24 +32,6 @@
  * settle the run.
  */
 #define MAX_START_CALLS 5
-/*
- * A run is stalled when its progress has not changed for this share of its
- * expected run time, but at least STALL_MIN_MS, or for STALL_UNKNOWN_MS when no
- * run time is expected.  The time grows with the run time because progress is
- * reported in whole percent, which change less often in long tasks.
- */
-#define STALL_MIN_MS	     300
-#define STALL_EXPECTED_SHARE 0.06
-#define STALL_UNKNOWN_MS     10000
-/*
- * A run whose projected run time is more than SLOW_FACTOR times the expected
- * one and at least SLOW_MIN_MS longer is stopped, so that another worker can
- * still finish the task in time.  The projection needs SLOW_MIN_PERCENT of
- * progress.
- */
-#define SLOW_FACTOR	 3
-#define SLOW_MIN_MS	 200
-#define SLOW_MIN_PERCENT 3
 
 enum state {
 	QUEUED,
@@ -81,13 +64,8 @@
 	uint32_t renumbers;
 	bool started;		 /* the worker has confirmed the start */
 	const char *stop_reason; /* why the run is being stopped */
-	int64_t expected_ms;
 	int64_t nominal_ms;
-	int64_t percent;    /* as last reported, -1: never */
-	int64_t changed_ms; /* worker's clock at its last change */
-	int64_t first_ms;   /* worker's clock of the first report */
-	int64_t first_percent;
-	int64_t projected_ms; /* run time projected from progress, 0: unknown */
+	struct prg progress;
 	bool stalled;
 };
 
@@ -200,7 +178,7 @@
 	int64_t run_ms = run->sent_ms == 0 ? 0 : now_ms - run->sent_ms;
 
 	if (outcome == LED_STALLED)
-		run_ms = run->projected_ms;
+		run_ms = run->progress.projected_ms;
 
 	report_result(led, run, outcome, run_ms, reason);
 	release(led, run);
@@ -245,9 +223,8 @@
 	run->priority = start->priority;
 	run->order = led->next_order++;
 	run->start_by_ms = start->start_by_ms;
-	run->expected_ms = start->expected_ms;
 	run->nominal_ms = start->nominal_ms;
-	run->percent = -1;
+	prg_init(&run->progress, start->expected_ms);
 	reason = reason_to_refuse(led, run);
 	if (reason != NULL) {
 		report_result(led, run, LED_NOT_STARTED, 0, reason);
@@ -585,31 +562,6 @@
 	    now_ms);
 }
 
-static int64_t
-stall_ms(const struct run *run)
-{
-	if (run->expected_ms == 0)
-		return STALL_UNKNOWN_MS;
-	return MAX(STALL_MIN_MS,
-	    (int64_t)((double)run->expected_ms * STALL_EXPECTED_SHARE));
-}
-
-/*
- * Projects the run time from the progress since the first report, and compares
- * it with the expected one.
- */
-static bool
-is_too_slow(struct run *run, int64_t percent, int64_t clock_ms)
-{
-	int64_t gained = percent - run->first_percent;
-
-	if (run->expected_ms == 0 || gained < SLOW_MIN_PERCENT)
-		return false;
-	run->projected_ms = (clock_ms - run->first_ms) * 100 / gained;
-	return run->projected_ms > run->expected_ms * SLOW_FACTOR &&
-	       run->projected_ms > run->expected_ms + SLOW_MIN_MS;
-}
-
 static void
 stop_slow(
     struct led *led, struct run *run, const char *stop_reason, int64_t now_ms)
@@ -631,17 +583,15 @@
 	if (run == NULL || run->state != RUNNING ||
 	    strcmp(run->task, row->task) != 0)
 		return;
-	if (run->percent < 0) {
-		run->first_percent = row->percent;
-		run->first_ms = clock_ms;
-	}
-	if (row->percent != run->percent) {
-		run->percent = row->percent;
-		run->changed_ms = clock_ms;
-		if (is_too_slow(run, row->percent, clock_ms))
-			stop_slow(led, run, "too slow", now_ms);
-	} else if (clock_ms - run->changed_ms >= stall_ms(run)) {
+	switch (prg_report(&run->progress, row->percent, clock_ms)) {
+	case PRG_USUAL:
+		return;
+	case PRG_STALLED:
 		stop_slow(led, run, "no progress", now_ms);
+		return;
+	case PRG_TOO_SLOW:
+		stop_slow(led, run, "too slow", now_ms);
+		return;
 	}
 }
 
--- /dev/null
+++ b/src/request/progress.h
@@ -0,0 +1,29 @@
+#ifndef SP_PROGRESS_H
+#define SP_PROGRESS_H
+
+#include <stdint.h>
+
+/*
+ * Whether a run makes progress, and as fast as expected, judged by the percent
+ * that its worker reports.  Times are by the worker's clock.  Plain data; reads
+ * no clock.
+ */
+struct prg {
+	int64_t expected_ms;  /* run time, 0: unknown */
+	int64_t projected_ms; /* run time, by the progress so far, 0: unknown */
+	int64_t percent;      /* as last reported, -1: never */
+	int64_t changed_ms;   /* when it was first reported */
+	int64_t first_ms;     /* of the first report */
+	int64_t first_percent;
+};
+
+enum prg_verdict {
+	PRG_USUAL,
+	PRG_STALLED,  /* no progress */
+	PRG_TOO_SLOW, /* by projected_ms */
+};
+
+void prg_init(struct prg *prg, int64_t expected_ms);
+enum prg_verdict prg_report(struct prg *prg, int64_t percent, int64_t clock_ms);
+
+#endif
