Move an entry's graceful shutdown into a module of its own

jobentry.c (830 lines) held the state and the sums of a shutdown among connections, counters and answers. No change of behaviour; test_shutdown and test_platform (shutdown_answers_all) pass unchanged. jobentry.c has 775 lines.

--- a/src/process/jobentry.c
+++ b/src/process/jobentry.c
@@ -5,6 +5,7 @@
 #include "connection/worklink.h"
 #include "process/agentpool.h"
 #include "process/clock.h"
+#include "process/drain.h"
 #include "process/entryconfig.h"
 #include "process/events.h"
 #include "process/histogram.h"
@@ -25,16 +26,6 @@
 #define ENTRY_SILENCE_MS   800
 #define STOP_MARGIN_MS	   300
 #define RETRY_AFTER_MIN_MS 1000
-/*
- * Part of a graceful shutdown during which jobs are still accepted, since
- * callers keep using open connections until the load balancer notices that
- * this entry is not ready.
- */
-#define DRAIN_ACCEPT_PERCENT 55
-#define DRAIN_PATH_FACTOR    3
-#define DRAIN_SPARE_MS	     500
-/* Time for the last answers to be sent before the process exits. */
-#define DRAIN_FLUSH_MS 200
 
 /* A call waiting for its job to end. */
 struct waiter {
@@ -55,11 +46,7 @@
 	GHashTable *waiters; /* ticket to struct waiter */
 	uint64_t next_ticket;
 	struct pau pause;
-	int64_t drain_since_ms;
-	/* In a shutdown: time since which no job is open; 0 while one is. */
-	int64_t idle_since_ms;
-	bool draining;
-	bool drained;
+	struct drn drain;
 	guint tick_id;
 	guint placement_id;
 	int64_t *ended_counters[SCH_BROKEN + 1];
@@ -329,55 +316,13 @@
 	pau_tick(&je->pause, now_ms);
 }
 
-static bool
-accepts_jobs(const struct je *je)
-{
-	return !je->draining ||
-	       clk_now_ms() - je->drain_since_ms <
-		   je->opts.drain_ms * DRAIN_ACCEPT_PERCENT / 100;
-}
-
-/*
- * After that part a job is still accepted if it is short enough to be done
- * before the end of the shutdown, even if it takes several times as long as
- * estimated.
- */
-static bool
-accepts_job(const struct je *je, const struct wk_job *job)
-{
-	int64_t path_ms = wk_job_critical_path_ms(job);
-
-	return accepts_jobs(je) ||
-	       (path_ms > 0 && clk_now_ms() - je->drain_since_ms +
-				       DRAIN_PATH_FACTOR * path_ms +
-				       DRAIN_SPARE_MS <=
-				   je->opts.drain_ms);
-}
-
-/*
- * Completes the shutdown once no job has been open for DRAIN_FLUSH_MS.  Jobs
- * still open after drain_ms are given up.
- */
 static void
 finish_drain(struct je *je)
 {
-	int64_t now_ms = clk_now_ms();
-	bool late;
-
-	if (!je->draining || je->drained || accepts_jobs(je))
-		return;
-	late = now_ms - je->drain_since_ms >= je->opts.drain_ms;
-	if (late)
+	if (drn_is_late(&je->drain, clk_now_ms()))
 		sch_abort_all(je->sch, "entry is shutting down");
-	if (sch_n_jobs(je->sch) > 0)
-		je->idle_since_ms = 0;
-	else if (je->idle_since_ms == 0)
-		je->idle_since_ms = now_ms;
-	if (je->idle_since_ms == 0 ||
-	    now_ms - je->idle_since_ms < DRAIN_FLUSH_MS)
-		return;
-	je->drained = true;
-	je->opts.drained(je->opts.ctx);
+	if (drn_tick(&je->drain, sch_n_jobs(je->sch), clk_now_ms()))
+		je->opts.drained(je->opts.ctx);
 }
 
 static gboolean
@@ -514,6 +459,7 @@
 	};
 
 	je->opts = *opts;
+	je->drain.limit_ms = opts->drain_ms;
 	if (getrandom(&je->incarnation, sizeof(je->incarnation), 0) < 0)
 		je->incarnation = (uint64_t)clk_now_ns();
 	je->sch = sch_new(&sch);
@@ -548,13 +494,13 @@
 bool
 je_is_ready(const struct je *je)
 {
-	return ecf_routes(je->config) != NULL && !je->draining;
+	return ecf_routes(je->config) != NULL && !je->drain.active;
 }
 
 bool
 je_is_draining(const struct je *je)
 {
-	return je->draining;
+	return je->drain.active;
 }
 
 const struct rts *
@@ -703,7 +649,9 @@
 		wk_job_free(job);
 		return 0;
 	}
-	if (!accepts_job(je, job)) {
+	if (je->drain.active &&
+	    !drn_accepts(
+		&je->drain, wk_job_critical_path_ms(job), clk_now_ms())) {
 		refuse_draining(je, job, fn, ctx);
 		wk_job_free(job);
 		return 0;
@@ -823,8 +771,5 @@
 void
 je_drain(struct je *je)
 {
-	if (je->draining)
-		return;
-	je->draining = true;
-	je->drain_since_ms = clk_now_ms();
+	drn_begin(&je->drain, clk_now_ms());
 }
