Place tasks and send cancels in the loop iteration that asks for them

Cause: placement and the flush of cancels were idle sources of the idle priority, which have a turn only when no socket and no timer is ready. A throttled entry nearly always has input, and since its iterations became shorter there are more of them before one that finds none. A cancel waited likewise, while its run went on. entry.c, entrylink.c and entryset.c use the default priority for the same purpose already.

--- a/src/connection/worklink.c
+++ b/src/connection/worklink.c
@@ -373,7 +373,8 @@
 		return;
 	g_array_append_val(link->cancels, seq);
 	if (link->flush_id == 0)
-		link->flush_id = g_idle_add(on_flush, link);
+		link->flush_id =
+		    g_idle_add_full(G_PRIORITY_DEFAULT, on_flush, link, NULL);
 }
 
 void
--- a/src/process/jobentry.c
+++ b/src/process/jobentry.c
@@ -75,11 +75,17 @@
 	return G_SOURCE_REMOVE;
 }
 
+/*
+ * An idle source of default priority runs after all sources that are ready now,
+ * so that one placement serves the news of the same loop iteration; at a lower
+ * priority it would wait until there is no input.
+ */
 static void
 schedule_placement(struct je *je)
 {
 	if (je->placement_id == 0 && sch_has_waiting_tasks(je->sch))
-		je->placement_id = g_idle_add(place_waiting_tasks, je);
+		je->placement_id = g_idle_add_full(
+		    G_PRIORITY_DEFAULT, place_waiting_tasks, je, NULL);
 }
 
 static bool
--- a/tests/test_worklink.c
+++ b/tests/test_worklink.c
@@ -79,6 +79,36 @@
 	return agent->conn != NULL;
 }
 
+static struct wlk *
+connect_link(struct agent *agent)
+{
+	struct wlk_options opts = {
+	    .address = agent->address,
+	    .name = "e0",
+	    .fill_heartbeat = fill_heartbeat,
+	    .noticed_ms = noticed_ms,
+	    .worker = on_worker,
+	    .update = on_update,
+	    .closed = on_closed,
+	    .ctx = agent,
+	};
+	struct wlk *link;
+
+	open_agent(agent);
+	link = wlk_new(&opts);
+	ck_assert(hn_wait_until(has_accepted(agent), HN_LIMIT_MS));
+	ck_assert(hn_wait_until(wlk_is_open(link), HN_LIMIT_MS));
+	return link;
+}
+
+static void
+close_agent(struct agent *agent)
+{
+	g_object_unref(agent->conn);
+	g_object_unref(agent->listener);
+	hn_finish();
+}
+
 /* Reads until the connection closes; returns errno, 0: orderly close. */
 static int
 read_to_end(struct agent *agent)
@@ -100,30 +130,58 @@
 START_TEST(close_discards_undelivered_data)
 {
 	struct agent agent = {0};
-	struct wlk_options opts = {
-	    .address = agent.address,
-	    .name = "e0",
-	    .fill_heartbeat = fill_heartbeat,
-	    .noticed_ms = noticed_ms,
-	    .worker = on_worker,
-	    .update = on_update,
-	    .closed = on_closed,
-	    .ctx = &agent,
-	};
-	struct wlk *link;
+	struct wlk *link = connect_link(&agent);
 
-	open_agent(&agent);
-	link = wlk_new(&opts);
-	ck_assert(hn_wait_until(has_accepted(&agent), HN_LIMIT_MS));
-	ck_assert(hn_wait_until(wlk_is_open(link), HN_LIMIT_MS));
 	wlk_free(link);
 	ck_assert(agent.closed);
 	g_socket_set_blocking(agent.conn, TRUE);
 	ck_assert_int_eq(read_to_end(&agent), ECONNRESET);
-	g_object_unref(agent.conn);
-	g_object_unref(agent.listener);
-	hn_finish();
+	close_agent(&agent);
+}
+END_TEST
+
+static size_t
+read_available(struct agent *agent)
+{
+	int fd = g_socket_get_fd(agent->conn);
+	char buf[4096];
+	ssize_t n;
+	size_t total = 0;
+
+	while ((n = recv(fd, buf, sizeof(buf), MSG_DONTWAIT)) > 0)
+		total += (size_t)n;
+	return total;
+}
+
+static gboolean
+stay_ready(gpointer data)
+{
+	(void)data;
+	return G_SOURCE_CONTINUE;
+}
+
+/*
+ * Guards against cancels that wait for as long as the main loop has other input:
+ * the run goes on meanwhile, and its job may be sent again.
+ */
+START_TEST(cancel_is_sent_by_a_busy_loop)
+{
+	struct agent agent = {0};
+	struct wlk *link = connect_link(&agent);
+	guint busy_id =
+	    g_idle_add_full(G_PRIORITY_DEFAULT, stay_ready, NULL, NULL);
+	int i;
+
+	read_available(&agent);
+	wlk_cancel(link, 1);
+	for (i = 0; i < 3; i++)
+		g_main_context_iteration(NULL, FALSE);
+	ck_assert_uint_gt(read_available(&agent), 0);
+	g_source_remove(busy_id);
+	wlk_free(link);
+	close_agent(&agent);
 }
 END_TEST
 
-TEST_MAIN("worklink", 0, close_discards_undelivered_data)
+TEST_MAIN("worklink", 0, close_discards_undelivered_data,
+    cancel_is_sent_by_a_busy_loop)
