--- a/tests/test_configuration.c
+++ b/tests/test_configuration.c
@@ -374,6 +374,18 @@
 }
 END_TEST
 
+static void
+check_entry_0_reaches(struct run *run, int64_t version)
+{
+	static const char *const any[] = {"", NULL};
+
+	if (hn_wait_until(sys_version(&run->sys, 0) == version, HN_LIMIT_MS))
+		return;
+	hn_print_log(run->sys.entry[0].proc, any);
+	ck_abort_msg("entry 0 holds version %d, not %d, after %d ms",
+	    (int)sys_version(&run->sys, 0), (int)version, (int)HN_LIMIT_MS);
+}
+
 /*
  * Guards against an entry that restarts during a store outage and adopts an
  * older version, or starts tasks in a domain that is out of service.
@@ -404,8 +416,7 @@
 	}
 	ck_assert_int_eq(sys_endpoint_starts(&run.sys, 0), total);
 	store_up(&run);
-	ck_assert(
-	    hn_wait_until(sys_version(&run.sys, 0) == version, HN_LIMIT_MS));
+	check_entry_0_reaches(&run, version);
 	ck_assert(sys_wait_job_completes(&run.sys, 0, HN_LIMIT_MS));
 	ck_assert_int_eq(sys_endpoint_starts(&run.sys, 0), total);
 	stop(&run);
