Repeat no start to a worker that answers no call

A worker crashed and was back under its id, silent. A start that its agent had repeated to it after its return waited there, and was carried out when the silence ended, ahead of the calls with the raised fencing token. The task had been placed elsewhere meanwhile.

Cause: a start without an answer was repeated up to four times at once, within 400 ms, whether or not the worker answered anything. Such a worker may have crashed, and each repeated call may be the first one that its next incarnation gets.

Now a start is repeated at once only if the worker answered another call within the last 60 ms. Otherwise a report settles it, as before after the fifth call, but a report that does not list it lets it be repeated, since the worker answers again; a stop follows only if it may not be repeated. Where calls are lost, polls are answered every 20 ms or so, and starts are repeated at once as before.

A start whose repetition the worker refused is never repeated.

fuzz_ledger checks that no start is repeated while calls go unanswered.

--- a/fuzz/fuzz_ledger.c
+++ b/fuzz/fuzz_ledger.c
@@ -38,6 +38,7 @@
 	size_t n_runs;
 	int64_t now_ms;
 	int64_t lease_ends_ms;
+	bool worker_answers;
 	uint64_t seq;
 	uint64_t sessions[N_ENTRIES]; /* present one of each entry */
 	/* Last message in each session; 0: one has just arrived. */
@@ -56,6 +57,14 @@
 	return led_lease(w->led, w->now_ms) != WP_LEASE_WITHHOLD;
 }
 
+static bool
+worker_answers(void *ctx)
+{
+	const struct world *w = ctx;
+
+	return w->worker_answers;
+}
+
 static int64_t
 last_sent_ms(uint64_t session, void *ctx)
 {
@@ -83,10 +92,14 @@
 	return NULL;
 }
 
-/* A repeated start names the same task, and no stop was sent for it. */
+/*
+ * A repeated start names the same task, no stop was sent for it, and the worker
+ * answers other calls.
+ */
 static void
-check_repeated(const struct run *run, const char *task)
+check_repeated(const struct world *w, const struct run *run, const char *task)
 {
+	fz_check(w->worker_answers);
 	fz_check(run->task == task_index(task));
 	fz_check(!run->stop_sent);
 }
@@ -102,7 +115,7 @@
 	(void)spec;
 	w->lease_ends_ms = MAX(w->lease_ends_ms, w->now_ms + LEASE_MS);
 	if (run != NULL) {
-		check_repeated(run, task);
+		check_repeated(w, run, task);
 		return;
 	}
 	run = &w->runs[w->n_runs];
@@ -171,7 +184,7 @@
 
 	if (refused && run->state == ENDED)
 		done.verdict = WP_STALE_RUN;
-
+	w->worker_answers = answered;
 	if (run->state == SENT && !run->stopped) {
 		run->state = RUNNING;
 		check_capacity(w);
@@ -215,6 +228,7 @@
 		run->listed = run->state == ENDED;
 	}
 	r.answer.clock_ms = w->now_ms;
+	w->worker_answers = true;
 	led_report(w->led, &r, w->now_ms, w->now_ms);
 }
 
@@ -343,10 +357,15 @@
 int
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
-	struct world w = {.now_ms = 1000, .sessions = {1, 2, 3}};
+	struct world w = {
+	    .now_ms = 1000,
+	    .worker_answers = true,
+	    .sessions = {1, 2, 3},
+	};
 	struct led_options opts = {
 	    .max_queue = 8,
 	    .may_start = may_start,
+	    .worker_answers = worker_answers,
 	    .last_sent_ms = last_sent_ms,
 	    .start = on_start,
 	    .stop = on_stop,
--- a/src/connection/holder.c
+++ b/src/connection/holder.c
@@ -34,6 +34,12 @@
  */
 #define MAX_ANSWER_AGE_MS 700
 #define MAX_UNANSWERED_MS 250
+/*
+ * After a call without an answer, starts are repeated only if another call was
+ * answered within this time.  Where calls are lost, polls are sent every
+ * LOSSY_POLL_WAIT_MS, so that this is mostly so even if half of them are lost.
+ */
+#define ANSWERING_MS 60
 /*
  * Added to the lease to get an upper bound of its end: the worker's clock may
  * be 2% slow, and rounding and killing the tasks take more time.
@@ -188,6 +194,15 @@
 	       !is_silent(hold);
 }
 
+bool
+hold_is_answering(const struct hold *hold)
+{
+	if (hold->phase != READY || hold->replaced.incarnation != 0)
+		return false;
+	return hold->unanswered_since_ms == 0 ||
+	       clk_now_ms() - hold->heard_ms <= ANSWERING_MS;
+}
+
 uint64_t
 hold_incarnation(const struct hold *hold)
 {
--- a/src/connection/holder.h
+++ b/src/connection/holder.h
@@ -92,6 +92,13 @@
  * agent process, or reported as lost, is left on it.
  */
 bool hold_is_ready(const struct hold *hold);
+/*
+ * Whether starts without an answer may be sent again.  They may not if no call
+ * was answered lately: the worker may have crashed, and its next incarnation
+ * would carry them out.  Nor may they while runs of a former worker remain to be
+ * reported as lost.
+ */
+bool hold_is_answering(const struct hold *hold);
 /* The worker's start time, which identifies its incarnation; 0: no worker. */
 uint64_t hold_incarnation(const struct hold *hold);
 void hold_start(struct hold *hold, const char *task, GBytes *spec, int64_t run,
--- a/src/process/jobagent.c
+++ b/src/process/jobagent.c
@@ -369,6 +369,14 @@
 	return is_accepting(ja, reason);
 }
 
+static bool
+worker_answers(void *ctx)
+{
+	const struct ja *ja = ctx;
+
+	return hold_is_answering(ja->hold);
+}
+
 static int64_t
 last_sent_ms(uint64_t session, void *ctx)
 {
@@ -690,6 +698,7 @@
 	struct led_options led = {
 	    .max_queue = MAX_QUEUED_STARTS,
 	    .may_start = may_start,
+	    .worker_answers = worker_answers,
 	    .last_sent_ms = last_sent_ms,
 	    .start = start_run,
 	    .stop = stop_run,
--- a/src/request/ledger.c
+++ b/src/request/ledger.c
@@ -73,6 +73,7 @@
 	int64_t first_sent_ms; /* with this run number */
 	uint32_t start_calls;  /* likewise */
 	int64_t no_answer_ms;  /* when the start timed out, 0: it did not */
+	bool repeat_refused;   /* the worker refused a repeated start */
 	int64_t stop_sent_ms;  /* when a stop was last sent, 0: never */
 	uint32_t stop_calls;
 	int64_t stop_confirmed_ms; /* when the stop was confirmed, 0: not yet */
@@ -378,14 +379,19 @@
 	call_start(led, run, now_ms);
 }
 
-/* A call that is repeated is subject to the same checks as the first one. */
+/*
+ * A call that is repeated is subject to the same checks as the first one.  None
+ * is sent to a worker that answers no call: it may have crashed, and its next
+ * incarnation would carry out the start when the task runs elsewhere.
+ */
 static bool
 may_repeat_start(const struct led *led, const struct run *run, int64_t now_ms)
 {
 	const char *reason;
 
-	return run->start_calls < MAX_START_CALLS &&
+	return run->start_calls < MAX_START_CALLS && !run->repeat_refused &&
 	       now_ms <= run->start_by_ms &&
+	       led->opts.worker_answers(led->opts.ctx) &&
 	       led->opts.may_start(run->session, &reason, led->opts.ctx);
 }
 
@@ -499,6 +505,7 @@
 	 * answered: the run may be there, or may have ended.
 	 */
 	if (run->start_calls > 1) {
+		run->repeat_refused = true;
 		if (run->state == STARTING && run->no_answer_ms == 0)
 			await_report(led, run, now_ms);
 		return;
@@ -680,10 +687,21 @@
 	}
 }
 
+static void
+settle_unlisted(struct led *led, struct run *run, int64_t now_ms)
+{
+	if (may_repeat_start(led, run, now_ms)) {
+		run->no_answer_ms = 0;
+		call_start(led, run, now_ms);
+	} else {
+		begin_stop(led, run, "start without an answer", now_ms);
+	}
+}
+
 /*
  * Settles starts that got no answer.  One that a later report lists is running.
- * Any other may still be carried out, so a stop is sent, after which the worker
- * refuses its run number.
+ * Any other may still be carried out.  It is repeated, since the worker answers
+ * again, or a stop is sent, after which the worker refuses its run number.
  */
 static void
 settle_unanswered(struct led *led, const struct wp_report *report,
@@ -702,7 +720,7 @@
 		if (run->started)
 			run->state = RUNNING;
 		else
-			begin_stop(led, run, "start without an answer", now_ms);
+			settle_unlisted(led, run, now_ms);
 	}
 }
 
--- a/tests/test_holder.c
+++ b/tests/test_holder.c
@@ -29,10 +29,11 @@
 	struct hold *hold;
 	int64_t token; /* of the last request for a report */
 	enum wp_lease lease;
-	uint64_t born_ms;    /* of the worker that answers */
-	const char *address; /* in heartbeats */
-	GQueue reports;	     /* struct call */
-	GQueue checks;	     /* struct call */
+	bool shows_answering; /* with each report */
+	uint64_t born_ms;     /* of the worker that answers */
+	const char *address;  /* in heartbeats */
+	GQueue reports;	      /* struct call */
+	GQueue checks;	      /* struct call */
 	GQueue starts;
 	GString *actual;
 };
@@ -144,12 +145,22 @@
 	return w->lease;
 }
 
+static void
+show_answering(struct fixture *w)
+{
+	append(w, hold_is_answering(w->hold) ? "answering" : "unanswered");
+}
+
 static void
 on_report(const struct wp_report *report, int64_t sent_ms, void *ctx)
 {
+	struct fixture *w = ctx;
+
 	(void)report;
 	(void)sent_ms;
-	append(ctx, "report");
+	append(w, "report");
+	if (w->shows_answering)
+		show_answering(w);
 }
 
 static void
@@ -402,6 +413,10 @@
 		w->lease = WP_LEASE_PAUSE;
 	else if (strcmp(words[0], "ready") == 0)
 		append(w, hold_is_ready(w->hold) ? "yes" : "no");
+	else if (strcmp(words[0], "answering") == 0)
+		show_answering(w);
+	else if (strcmp(words[0], "show_answering") == 0)
+		w->shows_answering = true;
 	else if (strcmp(words[0], "start") == 0)
 		hold_start(
 		    w->hold, words[1], NULL, atoi(words[2]), on_started, w);
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -15,6 +15,7 @@
 	GString *actual;
 	int64_t now_ms;
 	bool accepting;
+	bool answering; /* the worker answers calls */
 	/* Last message of each session's entry; 0: one has just arrived. */
 	int64_t last_sent_ms[N_SESSIONS];
 };
@@ -63,6 +64,14 @@
 	       led_lease(t->led, t->now_ms) != WP_LEASE_WITHHOLD;
 }
 
+static bool
+worker_answers(void *ctx)
+{
+	const struct trace *t = ctx;
+
+	return t->answering;
+}
+
 static int64_t
 last_sent_ms(uint64_t session, void *ctx)
 {
@@ -105,6 +114,7 @@
 	struct led_options opts = {
 	    .max_queue = MAX_QUEUE,
 	    .may_start = may_start,
+	    .worker_answers = worker_answers,
 	    .last_sent_ms = last_sent_ms,
 	    .start = on_start,
 	    .stop = on_stop,
@@ -114,6 +124,7 @@
 	};
 
 	t->accepting = true;
+	t->answering = true;
 	t->led = led_new(&opts);
 	return t;
 }
@@ -247,6 +258,8 @@
 		led_set_capacity(t->led, &size, t->now_ms);
 	} else if (strcmp(w[0], "accepting") == 0)
 		t->accepting = number(w[1]) != 0;
+	else if (strcmp(w[0], "answering") == 0)
+		t->answering = number(w[1]) != 0;
 	else if (strcmp(w[0], "submit") == 0)
 		submit(t, w);
 	else if (strcmp(w[0], "started") == 0 || strcmp(w[0], "stopped") == 0)
