Send no start to a worker that answers no call

Cause: an agent learns that its worker has crashed when the poll that was open times out, up to 0.19 s later, and the worker counted as ready for 0.25 s more. A start that was sent in that time to the worker's next life under the same id, which answered nothing, was carried out when the silence ended, up to seconds after its task had been placed elsewhere.

Now queued starts wait as long as a call is unanswered and none was answered within the last 60 ms, as repeated ones do. They are sent with the next report, or returned to their entries when their time is over or the worker is no longer ready, 0.25 s after the first call without an answer: before, they were lost with the worker 0.3 s later.

--- a/src/connection/holder.c
+++ b/src/connection/holder.c
@@ -35,7 +35,7 @@
 #define MAX_ANSWER_AGE_MS 700
 #define MAX_UNANSWERED_MS 250
 /*
- * After a call without an answer, starts are repeated only if another call was
+ * After a call without an answer, starts are sent only if another call was
  * answered within this time.  Where calls are lost, polls are sent every
  * LOSSY_POLL_WAIT_MS, so that this is mostly so even if half of them are lost.
  */
--- a/src/connection/holder.h
+++ b/src/connection/holder.h
@@ -93,10 +93,10 @@
  */
 bool hold_is_ready(const struct hold *hold);
 /*
- * Whether starts without an answer may be sent again.  They may not if no call
- * was answered lately: the worker may have crashed, and its next incarnation
- * would carry them out.  Nor may they while runs of a former worker remain to be
- * reported as lost.
+ * Whether starts are to be sent, or sent again, at present.  They are not if a
+ * call got no answer and none was answered lately: the worker may have crashed,
+ * and its next incarnation would carry them out.  Nor are they while runs of a
+ * former worker remain to be reported as lost.
  */
 bool hold_is_answering(const struct hold *hold);
 /* The worker's start time, which identifies its incarnation; 0: no worker. */
--- a/src/request/ledger.c
+++ b/src/request/ledger.c
@@ -406,6 +406,7 @@
 /*
  * Strict order of priority: the first start that does not fit the free capacity
  * holds back those behind it.  A task that still has an active run is skipped.
+ * All wait while the worker answers no call, as repeated starts do.
  */
 void
 led_start_queued(struct led *led, int64_t now_ms)
@@ -430,7 +431,8 @@
 		} else if (!led->opts.may_start(
 			       run->session, &reason, led->opts.ctx)) {
 			refuse_queued(led, it, reason);
-		} else if (!g_hash_table_contains(led->by_task, run->task)) {
+		} else if (led->opts.worker_answers(led->opts.ctx) &&
+			   !g_hash_table_contains(led->by_task, run->task)) {
 			if (!wk_fits(&run->size, &room))
 				break;
 			g_sequence_remove(it);
--- a/src/request/ledger.h
+++ b/src/request/ledger.h
@@ -73,7 +73,7 @@
 	uint32_t max_queue;
 	/* Whether a start may be sent now; sets reason when it may not. */
 	bool (*may_start)(uint64_t session, const char **reason, void *ctx);
-	/* Whether the worker has answered calls lately; if not, none is repeated. */
+	/* Whether the worker has answered calls lately; if not, no start is sent. */
 	bool (*worker_answers)(void *ctx);
 	/* When the session's entry sent the last message that has arrived. */
 	int64_t (*last_sent_ms)(uint64_t session, void *ctx);
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -5,6 +5,7 @@
 #include "runner.h"
 #include "sim/plan.h"
 #include "sim/search.h"
+#include "sim/worker.h"
 
 #define TIMEOUT_S 60
 /* Seeds within which each mutant is found, with a margin. */
@@ -12,6 +13,8 @@
 #define CLEAN_SEEDS	  150
 #define REPLAYED	  20
 #define PAUSED_ENTRY_SEED 30007165
+#define SILENT_LIVES	  1000
+#define SILENT_MS	  1500
 
 static struct srh_options
 search_options(uint64_t n_seeds, enum sop_mutant mutant)
@@ -68,6 +71,53 @@
 }
 END_TEST
 
+/* A worker crashes, and is back under its id, but silent. */
+static void
+add_silent_life(GArray *faults, uint32_t agent, int64_t at_ms, int64_t away_ms)
+{
+	struct spl_fault crash = {
+	    .kind = SPL_CRASH_WORKER,
+	    .at_ms = at_ms,
+	    .lasts_ms = away_ms,
+	    .agent = agent,
+	    .variant = SWK_SAME_ID,
+	};
+	struct spl_fault silence = {
+	    .kind = SPL_SILENT_WORKER,
+	    .at_ms = at_ms + away_ms - 1,
+	    .lasts_ms = SILENT_MS,
+	    .agent = agent,
+	};
+
+	g_array_append_val(faults, crash);
+	g_array_append_val(faults, silence);
+}
+
+/*
+ * Guards against starts that are sent to a crashed worker long after its last
+ * answer: its next life carried them out when the tasks ran elsewhere.
+ */
+START_TEST(no_start_waits_in_a_silent_life)
+{
+	struct srh_options opts = search_options(1, SOP_NO_MUTANT);
+	uint64_t seed;
+
+	for (seed = 1; seed <= SILENT_LIVES; seed++) {
+		g_autoptr(GArray) faults =
+		    g_array_new(FALSE, FALSE, sizeof(struct spl_fault));
+		int64_t away_ms = 250 + (int64_t)seed % 200;
+		struct sck_violation found;
+
+		add_silent_life(faults, 0, 3000, away_ms);
+		add_silent_life(faults, 1, 5500, away_ms);
+		found = sfl_run(seed, &opts.fleet, faults, false).violation;
+		ck_assert_msg(found.rule == SCK_KEPT,
+		    "seed %d: %s broken by %s", (int)seed,
+		    sck_rule_name(found.rule), found.task);
+	}
+}
+END_TEST
+
 /* Guards against a seed that can't be replayed. */
 START_TEST(replays_a_seed_exactly)
 {
@@ -153,6 +203,7 @@
 	    tc, finds_each_mutant, SOP_NO_MUTANT + 1, SOP_N_MUTANTS);
 	tcase_add_test(tc, finds_nothing_without_a_mutant);
 	tcase_add_test(tc, caller_leaves_a_paused_entry);
+	tcase_add_test(tc, no_start_waits_in_a_silent_life);
 	tcase_add_test(tc, replays_a_seed_exactly);
 	tcase_add_test(tc, leaves_out_needless_faults);
 	tcase_add_loop_test(
