Notice callers that leave after bytes beyond their request

A caller that sent anything after its request, an empty line or a second request, and then closed the connection, left a job that ran on until its deadline, while the caller may send it to another entry 1.3 s later. One whose connection had ended before a paused entry read its request was taken as present if more followed than the entry reads at once.

Cause: once bytes came, the entry watched the connection for POLLHUP alone, which an orderly close of the other side does not cause, and whether a caller has gone was judged by a read, which sees the bytes before the end. Both go by POLLRDHUP now, which does not depend on unread bytes.

--- a/src/connection/httplisten.c
+++ b/src/connection/httplisten.c
@@ -1,8 +1,8 @@
-#include <errno.h>
+#include <poll.h>
+
 #include "connection/address.h"
 #include "connection/framing.h"
 #include "connection/httplisten.h"
-#include <sys/socket.h>
 
 /*
  * With GLib's default of 10, the kernel dropped connections when 200 callers
@@ -172,12 +172,15 @@
 bool
 hl_client_has_gone(GSocket *socket)
 {
-	char byte;
-	ssize_t n;
-
-	do
-		n = recv(
-		    g_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-	while (n < 0 && errno == EINTR);
-	return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+	struct pollfd end = {
+	    .fd = g_socket_get_fd(socket), .events = POLLRDHUP};
+
+	return poll(&end, 1, 0) > 0;
+}
+
+GSource *
+hl_hangup_source(GSocket *socket)
+{
+	/* GIOCondition has the values of poll(), but no name for this one. */
+	return g_socket_create_source(socket, (GIOCondition)POLLRDHUP, NULL);
 }
--- a/src/connection/httplisten.h
+++ b/src/connection/httplisten.h
@@ -41,9 +41,14 @@
  */
 GBytes *hl_body(SoupServerMessage *msg);
 /*
- * Whether the client has closed or reset the connection.  False while unread
- * data precedes the end of an orderly close.
+ * Whether the client has closed or reset the connection, or the sending half of
+ * it; also while data that it sent before is unread.
  */
 bool hl_client_has_gone(GSocket *socket);
+/*
+ * Returns a source with a GSocketSourceFunc, which is ready as soon as
+ * hl_client_has_gone() is true.
+ */
+GSource *hl_hangup_source(GSocket *socket);
 
 #endif
