--- a/src/process/fields.c
+++ b/src/process/fields.c
@@ -3,13 +3,24 @@
 #include "process/fields.h"
 #include "process/jsontext.h"
 
-static bool
-refuse(struct status *st, const char *name, const char *why)
+/* Follows the name of the field in the message of a refusal. */
+#define NAME_END "\": "
+
+bool
+fld_refuse(struct status *st, const char *name, const char *why)
 {
-	st_set(st, ST_INVALID, "field \"%s\": %s", name, why);
+	st_set(st, ST_INVALID, "field \"%s" NAME_END "%s", name, why);
 	return false;
 }
 
+const char *
+fld_reason(const struct status *st)
+{
+	const char *name_end = strstr(st->message, NAME_END);
+
+	return name_end == NULL ? st->message : name_end + strlen(NAME_END);
+}
+
 struct json_object *
 fld_parse(const char *data, size_t len, struct status *st)
 {
@@ -30,7 +41,7 @@
 	int64_t number = json_object_get_int64(value);
 
 	if (number < field->min || number > field->max)
-		return refuse(st, field->name, "number out of range");
+		return fld_refuse(st, field->name, "number out of range");
 	memcpy(to, &number, sizeof(number));
 	return true;
 }
@@ -43,10 +54,10 @@
 
 	if (!json_object_is_type(value, json_type_double) &&
 	    !json_object_is_type(value, json_type_int))
-		return refuse(st, field->name, "another type");
+		return fld_refuse(st, field->name, "another type");
 	/* NaN compares as false. */
 	if (!(number >= (double)field->min && number <= (double)field->max))
-		return refuse(st, field->name, "number out of range");
+		return fld_refuse(st, field->name, "number out of range");
 	memcpy(to, &number, sizeof(number));
 	return true;
 }
@@ -58,9 +69,9 @@
 	int64_t len = json_object_get_string_len(value);
 
 	if (len < min || len > max)
-		return refuse(st, field->name, "length out of range");
+		return fld_refuse(st, field->name, "length out of range");
 	if (!jtx_is_unicode(value))
-		return refuse(st, field->name, "malformed Unicode");
+		return fld_refuse(st, field->name, "malformed Unicode");
 	return true;
 }
 
@@ -74,9 +85,9 @@
 	if (!check_bytes(value, field, min, max, st))
 		return false;
 	if (strlen(text) != (size_t)len)
-		return refuse(st, field->name, "text with U+0000");
+		return fld_refuse(st, field->name, "text with U+0000");
 	if (field->is_valid != NULL && !field->is_valid(text))
-		return refuse(st, field->name, "malformed text");
+		return fld_refuse(st, field->name, "malformed text");
 	return true;
 }
 
@@ -114,12 +125,14 @@
 
 	if ((int64_t)n < field->min || (int64_t)n > field->max ||
 	    n > FLD_MAX_TEXTS)
-		return refuse(st, field->name, "number of texts out of range");
+		return fld_refuse(
+		    st, field->name, "number of texts out of range");
 	for (i = 0; i < n; i++) {
 		struct json_object *item = json_object_array_get_idx(value, i);
 
 		if (!json_object_is_type(item, json_type_string))
-			return refuse(st, field->name, "not a list of texts");
+			return fld_refuse(
+			    st, field->name, "not a list of texts");
 		if (!check_text(item, field, 0, FLD_MAX_TEXT_BYTES, st))
 			return false;
 		texts->texts[i] = json_object_get_string(item);
@@ -140,15 +153,18 @@
 	    [FLD_OBJECT] = json_type_object};
 	char *at = (char *)to + field->offset;
 
+	if (field->type == FLD_ANY)
+		return true;
 	if (field->type == FLD_REAL)
 		return decode_real(value, field, at, st);
 	if (!json_object_is_type(value, types[field->type]))
-		return refuse(st, field->name, "another type");
+		return fld_refuse(st, field->name, "another type");
 	switch (field->type) {
 	case FLD_INT:
 		return decode_int(value, field, at, st);
 	case FLD_REAL:
-		break; /* has two types, see above */
+	case FLD_ANY:
+		break; /* have no single type, see above */
 	case FLD_TEXT:
 		return decode_text(value, field, at, st);
 	case FLD_BYTES:
@@ -180,7 +196,30 @@
 			if (!decode_value(value, field, to, st))
 				return false;
 		} else if (field->required) {
-			return refuse(st, field->name, "missing");
+			return fld_refuse(st, field->name, "missing");
+		}
+	}
+	return true;
+}
+
+bool
+fld_decode_row(struct json_object *from, const struct fld *fields, void *to,
+    struct status *st)
+{
+	struct json_object *value;
+	size_t i;
+
+	if (!json_object_is_type(from, json_type_array)) {
+		st_set(st, ST_INVALID, "not an array");
+		return false;
+	}
+	for (i = 0; fields[i].name != NULL; i++) {
+		value = json_object_array_get_idx(from, i);
+		if (value != NULL) {
+			if (!decode_value(value, &fields[i], to, st))
+				return false;
+		} else if (fields[i].required) {
+			return fld_refuse(st, fields[i].name, "missing");
 		}
 	}
 	return true;
--- a/src/process/fields.h
+++ b/src/process/fields.h
@@ -14,13 +14,14 @@
  * of range.  Members that no table names are ignored.
  */
 enum fld_type {
-	FLD_INT,   /* int64_t */
-	FLD_REAL,  /* double */
-	FLD_TEXT,  /* const char *, borrowed from the document */
-	FLD_BYTES, /* struct fld_bytes */
-	FLD_BOOL,  /* bool */
-	FLD_TEXTS, /* struct fld_texts */
-	FLD_OBJECT /* its members go to the same struct */
+	FLD_INT,    /* int64_t */
+	FLD_REAL,   /* double */
+	FLD_TEXT,   /* const char *, borrowed from the document */
+	FLD_BYTES,  /* struct fld_bytes */
+	FLD_BOOL,   /* bool */
+	FLD_TEXTS,  /* struct fld_texts */
+	FLD_OBJECT, /* its members go to the same struct */
+	FLD_ANY	    /* any value or none, which is not decoded */
 };
 
 #define FLD_MAX_TEXTS	   64
@@ -63,5 +64,18 @@
  */
 bool fld_decode(struct json_object *from, const struct fld *fields, void *to,
     struct status *st);
+/* As fld_decode(), for an array; fields describe its elements in their order. */
+bool fld_decode_row(struct json_object *from, const struct fld *fields,
+    void *to, struct status *st);
+/*
+ * Sets the status of a refused field and returns false; for checks that a table
+ * can't express.  Each why becomes a label of a counter, so it must be constant.
+ */
+bool fld_refuse(struct status *st, const char *name, const char *why);
+/*
+ * What is wrong with the field that a refused document names, without the name
+ * of the field; part of the status.
+ */
+const char *fld_reason(const struct status *st);
 
 #endif
