List again after a malformed event of the store

Cause: a malformed event was left out and the revision of its page was taken, so that the change was missed until the next write of the key. The pause grows until a watch succeeds: a list that succeeds between two malformed events doesn't reset it.

--- a/src/version/keyspace.h
+++ b/src/version/keyspace.h
@@ -11,9 +11,10 @@
  * Interface to the platform's key-value store for mirrors: lists, watches and
  * single writes.  Every call is asynchronous and runs its callback exactly once
  * from the main loop.  Status codes: ST_OK; ST_UNAVAILABLE or ST_TIMEOUT
- * without an answer; ST_NOT_FOUND for a watch from a revision whose later
- * changes the store no longer keeps; ST_UNKNOWN for a write that may have taken
- * effect; ST_CONFLICT for a write whose condition does not hold.
+ * without an answer; ST_INVALID for a malformed page; ST_NOT_FOUND for a watch
+ * from a revision whose later changes the store no longer keeps; ST_UNKNOWN for
+ * a write that may have taken effect; ST_CONFLICT for a write whose condition
+ * does not hold.
  */
 struct ks_item {
 	const char *key;
--- a/src/version/mirror.c
+++ b/src/version/mirror.c
@@ -102,7 +102,6 @@
 static void
 mark_confirmed(struct mir *mir, const struct status *st)
 {
-	mir->backoff_ms = 0;
 	mir->confirmed_ms = clk_now_ms();
 	if (!mir->reachable && mir->opts.reachable != NULL)
 		mir->opts.reachable(mir, true, st, mir->opts.ctx);
@@ -194,6 +193,14 @@
 	return strcmp(last_key(mir->listing), former) > 0;
 }
 
+/* Lists again after a pause. */
+static void
+list_later(struct mir *mir, const struct status *st)
+{
+	restart_list(mir);
+	schedule_retry(mir, st);
+}
+
 static void
 on_list(const struct status *st, const struct ks_page *page, void *ctx)
 {
@@ -206,20 +213,17 @@
 		return;
 	}
 	if (st->code != ST_OK) {
-		restart_list(mir);
-		schedule_retry(mir, st);
+		list_later(mir, st);
 		return;
 	}
 	if (page->as_of < mir->revision) {
-		restart_list(mir);
 		st_set(&bad, ST_UNAVAILABLE, "list is older than the copy");
-		schedule_retry(mir, &bad);
+		list_later(mir, &bad);
 		return;
 	}
 	if (!add_page(mir, page)) {
-		restart_list(mir);
 		st_set(&bad, ST_UNAVAILABLE, "page of a list has no new key");
-		schedule_retry(mir, &bad);
+		list_later(mir, &bad);
 		return;
 	}
 	mark_confirmed(mir, st);
@@ -263,10 +267,16 @@
 		start_next_call(mir);
 		return;
 	}
+	/* The changes of a malformed answer would be missed. */
+	if (st->code == ST_INVALID) {
+		list_later(mir, st);
+		return;
+	}
 	if (st->code != ST_OK) {
 		schedule_retry(mir, st);
 		return;
 	}
+	mir->backoff_ms = 0;
 	mark_confirmed(mir, st);
 	for (i = 0; i < page->n_items; i++) {
 		if (apply_event(mir, &page->items[i]))
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -174,6 +174,8 @@
 		fail_call(t, ST_UNAVAILABLE);
 	else if (strcmp(w[0], "compacted") == 0)
 		fail_call(t, ST_NOT_FOUND);
+	else if (strcmp(w[0], "malformed") == 0)
+		fail_call(t, ST_INVALID);
 	else if (strcmp(w[0], "retry") == 0) {
 		while (t->fn == NULL)
 			g_main_context_iteration(NULL, TRUE);
