Replace a copy that is ahead of the store

Cause: one answer with an "as_of" far ahead set the revision of the copy. Each later list was "older than the copy" then, and each later watch began after the changes that it should have brought, for ever. The store's answers are linearizable, so that an answer that is older than the copy shows one of the two to be false. A watch that is older is not applied any more, but lists again; the fourth answer in a row that is older replaces the copy.

--- a/src/version/mirror.c
+++ b/src/version/mirror.c
@@ -9,6 +9,12 @@
  * end of an outage.
  */
 #define BACKOFF_MAX_MS 800
+/*
+ * The store's answers are linearizable.  After more than so many in a row that
+ * are older than the copy, the answer that set the revision of the copy was
+ * false, and the next list replaces it.
+ */
+#define MAX_OLDER_ANSWERS 3
 
 struct mir {
 	struct mir_options opts;
@@ -19,6 +25,7 @@
 	int64_t revision;
 	int64_t confirmed_ms;
 	int64_t backoff_ms;
+	uint32_t n_older; /* answers in a row that are older than the copy */
 	bool listed;
 	bool reachable;
 	bool in_call;
@@ -144,6 +151,7 @@
 	g_hash_table_unref(mir->items);
 	mir->items = g_steal_pointer(&mir->listing);
 	mir->revision = mir->listing_revision;
+	mir->n_older = 0;
 	mir->listed = true;
 	if (changed)
 		mir->opts.changed(mir, mir->opts.ctx);
@@ -193,6 +201,18 @@
 	return strcmp(last_key(mir->listing), former) > 0;
 }
 
+/* Whether an answer is older than the copy and is to be ignored. */
+static bool
+is_older(struct mir *mir, const struct ks_page *page)
+{
+	if (page->as_of >= mir->revision) {
+		mir->n_older = 0;
+		return false;
+	}
+	mir->n_older++;
+	return mir->n_older <= MAX_OLDER_ANSWERS;
+}
+
 /* Lists again after a pause. */
 static void
 list_later(struct mir *mir, const struct status *st)
@@ -216,7 +236,7 @@
 		list_later(mir, st);
 		return;
 	}
-	if (page->as_of < mir->revision) {
+	if (is_older(mir, page)) {
 		st_set(&bad, ST_UNAVAILABLE, "list is older than the copy");
 		list_later(mir, &bad);
 		return;
@@ -254,6 +274,7 @@
 on_watch(const struct status *st, const struct ks_page *page, void *ctx)
 {
 	struct mir *mir = ctx;
+	struct status bad;
 	bool changed = false;
 	size_t i;
 
@@ -276,13 +297,20 @@
 		schedule_retry(mir, st);
 		return;
 	}
+	if (page->as_of < mir->revision) {
+		mir->n_older++;
+		st_set(&bad, ST_UNAVAILABLE, "watch is older than the copy");
+		list_later(mir, &bad);
+		return;
+	}
+	mir->n_older = 0;
 	mir->backoff_ms = 0;
 	mark_confirmed(mir, st);
 	for (i = 0; i < page->n_items; i++) {
 		if (apply_event(mir, &page->items[i]))
 			changed = true;
 	}
-	mir->revision = MAX(mir->revision, page->as_of);
+	mir->revision = page->as_of;
 	if (changed)
 		mir->opts.changed(mir, mir->opts.ctx);
 	if (changed && mir->opts.pause_ms > 0)
