Give the module progress a prefix of its own

prg_ was the prefix of platform/registry already. pgr_ is used by no other module. No change of behaviour; test_progress and test_ledger pass.

--- a/src/request/ledger.c
+++ b/src/request/ledger.c
@@ -66,7 +66,7 @@
 	bool started;		 /* the worker has confirmed the start */
 	const char *stop_reason; /* why the run is being stopped */
 	int64_t nominal_ms;
-	struct prg progress;
+	struct pgr progress;
 	bool stalled;
 };
 
@@ -225,7 +225,7 @@
 	run->order = led->next_order++;
 	run->start_by_ms = start->start_by_ms;
 	run->nominal_ms = start->nominal_ms;
-	prg_init(&run->progress, start->expected_ms);
+	pgr_init(&run->progress, start->expected_ms);
 	reason = reason_to_refuse(led, run);
 	if (reason != NULL) {
 		report_result(led, run, LED_NOT_STARTED, 0, reason);
@@ -592,13 +592,13 @@
 	if (run == NULL || run->state != RUNNING ||
 	    strcmp(run->task, row->task) != 0)
 		return;
-	switch (prg_report(&run->progress, row->percent, clock_ms)) {
-	case PRG_USUAL:
+	switch (pgr_report(&run->progress, row->percent, clock_ms)) {
+	case PGR_USUAL:
 		return;
-	case PRG_STALLED:
+	case PGR_STALLED:
 		stop_slow(led, run, "no progress", now_ms);
 		return;
-	case PRG_TOO_SLOW:
+	case PGR_TOO_SLOW:
 		stop_slow(led, run, "too slow", now_ms);
 		return;
 	}
--- a/src/request/progress.c
+++ b/src/request/progress.c
@@ -23,18 +23,18 @@
 #define SLOW_MIN_PERCENT 3
 
 void
-prg_init(struct prg *prg, int64_t expected_ms)
+pgr_init(struct pgr *pgr, int64_t expected_ms)
 {
-	*prg = (struct prg){.expected_ms = expected_ms, .percent = -1};
+	*pgr = (struct pgr){.expected_ms = expected_ms, .percent = -1};
 }
 
 static int64_t
-stall_ms(const struct prg *prg)
+stall_ms(const struct pgr *pgr)
 {
-	if (prg->expected_ms == 0)
+	if (pgr->expected_ms == 0)
 		return STALL_UNKNOWN_MS;
 	return MAX(STALL_MIN_MS,
-	    (int64_t)((double)prg->expected_ms * STALL_EXPECTED_SHARE));
+	    (int64_t)((double)pgr->expected_ms * STALL_EXPECTED_SHARE));
 }
 
 /*
@@ -42,29 +42,29 @@
  * it with the expected one.
  */
 static bool
-is_too_slow(struct prg *prg, int64_t clock_ms)
+is_too_slow(struct pgr *pgr, int64_t clock_ms)
 {
-	int64_t gained = prg->percent - prg->first_percent;
+	int64_t gained = pgr->percent - pgr->first_percent;
 
-	if (prg->expected_ms == 0 || gained < SLOW_MIN_PERCENT)
+	if (pgr->expected_ms == 0 || gained < SLOW_MIN_PERCENT)
 		return false;
-	prg->projected_ms = (clock_ms - prg->first_ms) * 100 / gained;
-	return prg->projected_ms > prg->expected_ms * SLOW_FACTOR &&
-	       prg->projected_ms > prg->expected_ms + SLOW_MIN_MS;
+	pgr->projected_ms = (clock_ms - pgr->first_ms) * 100 / gained;
+	return pgr->projected_ms > pgr->expected_ms * SLOW_FACTOR &&
+	       pgr->projected_ms > pgr->expected_ms + SLOW_MIN_MS;
 }
 
-enum prg_verdict
-prg_report(struct prg *prg, int64_t percent, int64_t clock_ms)
+enum pgr_verdict
+pgr_report(struct pgr *pgr, int64_t percent, int64_t clock_ms)
 {
-	if (prg->percent < 0) {
-		prg->first_percent = percent;
-		prg->first_ms = clock_ms;
+	if (pgr->percent < 0) {
+		pgr->first_percent = percent;
+		pgr->first_ms = clock_ms;
 	}
-	if (percent != prg->percent) {
-		prg->percent = percent;
-		prg->changed_ms = clock_ms;
-		return is_too_slow(prg, clock_ms) ? PRG_TOO_SLOW : PRG_USUAL;
+	if (percent != pgr->percent) {
+		pgr->percent = percent;
+		pgr->changed_ms = clock_ms;
+		return is_too_slow(pgr, clock_ms) ? PGR_TOO_SLOW : PGR_USUAL;
 	}
-	return clock_ms - prg->changed_ms >= stall_ms(prg) ? PRG_STALLED
-							   : PRG_USUAL;
+	return clock_ms - pgr->changed_ms >= stall_ms(pgr) ? PGR_STALLED
+							   : PGR_USUAL;
 }
--- a/src/request/progress.h
+++ b/src/request/progress.h
@@ -8,7 +8,7 @@
  * that its worker reports.  Times are by the worker's clock.  Plain data; reads
  * no clock.
  */
-struct prg {
+struct pgr {
 	int64_t expected_ms;  /* run time, 0: unknown */
 	int64_t projected_ms; /* run time, by the progress so far, 0: unknown */
 	int64_t percent;      /* as last reported, -1: never */
@@ -17,13 +17,13 @@
 	int64_t first_percent;
 };
 
-enum prg_verdict {
-	PRG_USUAL,
-	PRG_STALLED,  /* no progress */
-	PRG_TOO_SLOW, /* by projected_ms */
+enum pgr_verdict {
+	PGR_USUAL,
+	PGR_STALLED,  /* no progress */
+	PGR_TOO_SLOW, /* by projected_ms */
 };
 
-void prg_init(struct prg *prg, int64_t expected_ms);
-enum prg_verdict prg_report(struct prg *prg, int64_t percent, int64_t clock_ms);
+void pgr_init(struct pgr *pgr, int64_t expected_ms);
+enum pgr_verdict pgr_report(struct pgr *pgr, int64_t percent, int64_t clock_ms);
 
 #endif
--- a/tests/test_progress.c
+++ b/tests/test_progress.c
@@ -6,15 +6,15 @@
 #include "runner.h"
 
 static const char *const verdicts[] = {
-    [PRG_USUAL] = "usual",
-    [PRG_STALLED] = "stalled",
-    [PRG_TOO_SLOW] = "too slow",
+    [PGR_USUAL] = "usual",
+    [PGR_STALLED] = "stalled",
+    [PGR_TOO_SLOW] = "too slow",
 };
 
 static void *
 start(void)
 {
-	return g_new0(struct prg, 1);
+	return g_new0(struct pgr, 1);
 }
 
 static void
@@ -26,15 +26,15 @@
 static void
 step(void *ctx, char **w, GString *actual)
 {
-	struct prg *prg = ctx;
+	struct pgr *pgr = ctx;
 
 	if (strcmp(w[0], "expect") == 0)
-		prg_init(prg, atoi(w[1]));
+		pgr_init(pgr, atoi(w[1]));
 	else if (strcmp(w[0], "projected") == 0)
-		g_string_append_printf(actual, "%d", (int)prg->projected_ms);
+		g_string_append_printf(actual, "%d", (int)pgr->projected_ms);
 	else if (strcmp(w[0], "report") == 0)
 		g_string_append(
-		    actual, verdicts[prg_report(prg, atoi(w[1]), atoi(w[2]))]);
+		    actual, verdicts[pgr_report(pgr, atoi(w[1]), atoi(w[2]))]);
 	else
 		ck_abort_msg("unknown command %s", w[0]);
 }
