Let the clocks of the simulated processes run at different rates

The clocks of entries and agents differed by a constant only. Now each runs up to 0.1% slow or fast, and the timers of a process follow its clock, rounded up to whole milliseconds as GLib's never end early.

--- a/sim/fleet.c
+++ b/sim/fleet.c
@@ -20,6 +20,8 @@
 #define AGENT_CONNECTIONS 64
 /* The clocks of the machines differ by up to this. */
 #define MAX_CLOCK_OFFSET_MS 100000
+#define MAX_CLOCK_DRIFT	    0.001
+#define MUTANT_DRIFT	    0.3
 /* A process that has died is back after this, plus the length of the fault. */
 #define RESTART_MS 100
 /* Links delay by up to this in a fault; longer ones reset the connection. */
@@ -34,7 +36,7 @@
 struct entry {
 	uint32_t index;
 	char *name;
-	int64_t clock_offset_ms;
+	struct slp_clock clock;
 	struct slp_proc *proc; /* NULL: dead */
 	struct je *je;
 	struct ks *ks;
@@ -45,7 +47,7 @@
 struct agent {
 	uint32_t index;
 	char *address;
-	int64_t clock_offset_ms;
+	struct slp_clock clock;
 	struct slp_proc *proc; /* NULL: dead */
 	struct ja *ja;
 	struct ks *ks;
@@ -85,7 +87,7 @@
 	};
 	struct slp_proc *former;
 
-	entry->proc = slp_proc_new(entry->clock_offset_ms);
+	entry->proc = slp_proc_new(&entry->clock);
 	entry->paused = false;
 	snt_register(entry->proc, true, entry->index);
 	entry->ks = sst_client_new(entry->proc);
@@ -132,7 +134,7 @@
 	struct slp_proc *former;
 	struct status st;
 
-	agent->proc = slp_proc_new(agent->clock_offset_ms);
+	agent->proc = slp_proc_new(&agent->clock);
 	agent->paused = false;
 	snt_register(agent->proc, false, agent->index);
 	agent->ks = sst_client_new(agent->proc);
@@ -452,6 +454,16 @@
 
 /* A whole run. */
 
+static struct slp_clock
+random_clock(void)
+{
+	return (struct slp_clock){
+	    .offset_ms = g_random_int_range(0, MAX_CLOCK_OFFSET_MS),
+	    .rate =
+		1 + g_random_double_range(-MAX_CLOCK_DRIFT, MAX_CLOCK_DRIFT),
+	};
+}
+
 static void
 make_fleet(void)
 {
@@ -464,8 +476,9 @@
 
 		agent->index = i;
 		agent->address = snt_agent_address(i);
-		agent->clock_offset_ms =
-		    g_random_int_range(0, MAX_CLOCK_OFFSET_MS);
+		agent->clock = random_clock();
+		if (fleet.opts.mutant == SOP_FAST_AGENTS)
+			agent->clock.rate = 1 + MUTANT_DRIFT;
 		start_agent(agent);
 	}
 	swk_start_all();
@@ -474,8 +487,7 @@
 
 		entry->index = i;
 		entry->name = g_strdup_printf("entry%u", i);
-		entry->clock_offset_ms =
-		    g_random_int_range(0, MAX_CLOCK_OFFSET_MS);
+		entry->clock = random_clock();
 		start_entry(entry);
 	}
 }
--- a/sim/loop.c
+++ b/sim/loop.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <string.h>
 #include <sys/types.h>
 
@@ -9,7 +10,7 @@
 #define WALL_MS INT64_C(1700000000000)
 
 struct slp_proc {
-	int64_t clock_offset_ms;
+	struct slp_clock clock;
 	bool paused; /* until the held events have run */
 	bool dead;
 	enum slp_order order; /* of the held events */
@@ -150,11 +151,11 @@
 }
 
 struct slp_proc *
-slp_proc_new(int64_t clock_offset_ms)
+slp_proc_new(const struct slp_clock *clock)
 {
 	struct slp_proc *proc = g_new0(struct slp_proc, 1);
 
-	proc->clock_offset_ms = clock_offset_ms;
+	proc->clock = *clock;
 	proc->held = g_ptr_array_new();
 	g_ptr_array_add(loop.procs, proc);
 	return proc;
@@ -211,6 +212,18 @@
 	event->free_data = free_data;
 }
 
+/*
+ * Virtual time in which the process's clock advances by an interval.  GLib's
+ * timers never end early, so it is rounded up.
+ */
+static int64_t
+virtual_ms(const struct slp_proc *proc, guint interval_ms)
+{
+	if (proc == NULL)
+		return interval_ms;
+	return (int64_t)ceil(interval_ms / proc->clock.rate);
+}
+
 static void
 run_event(struct event *event)
 {
@@ -224,7 +237,8 @@
 		event->fn(event->data);
 	slp_enter(former);
 	if (again && !event->cancelled) {
-		event->at_ms = loop.now_ms + event->interval_ms;
+		event->at_ms =
+		    loop.now_ms + virtual_ms(event->proc, event->interval_ms);
 		push(event);
 		return;
 	}
@@ -300,10 +314,12 @@
 int64_t
 clk_now_ms(void)
 {
-	int64_t offset_ms =
-	    loop.current == NULL ? 0 : loop.current->clock_offset_ms;
+	const struct slp_proc *proc = loop.current;
 
-	return BOOT_MS + loop.now_ms + offset_ms;
+	if (proc == NULL)
+		return BOOT_MS + loop.now_ms;
+	return BOOT_MS + proc->clock.offset_ms +
+	       (int64_t)((double)loop.now_ms * proc->clock.rate);
 }
 
 int64_t
@@ -330,8 +346,8 @@
 guint
 __wrap_g_timeout_add(guint interval, GSourceFunc fn, gpointer data)
 {
-	struct event *event =
-	    add_event(loop.current, loop.now_ms + (int64_t)interval);
+	struct event *event = add_event(
+	    loop.current, loop.now_ms + virtual_ms(loop.current, interval));
 
 	event->source = fn;
 	event->data = data;
--- a/sim/loop.h
+++ b/sim/loop.h
@@ -24,8 +24,14 @@
 int64_t slp_now_ms(void);
 uint64_t slp_n_events(void);
 
-/* The clocks of a process differ from virtual time by a constant. */
-struct slp_proc *slp_proc_new(int64_t clock_offset_ms);
+/* The clock of a machine, against virtual time. */
+struct slp_clock {
+	int64_t offset_ms;
+	double rate;
+};
+
+/* The process reads this clock, and its timers follow it. */
+struct slp_proc *slp_proc_new(const struct slp_clock *clock);
 /* Drops the events of the process; it must not be used afterwards. */
 void slp_kill(struct slp_proc *proc);
 void slp_pause(struct slp_proc *proc);
--- a/sim/options.c
+++ b/sim/options.c
@@ -12,6 +12,7 @@
 	    [SOP_HIDDEN_STOPS] = "hidden-stops",
 	    [SOP_NO_SEAL] = "no-seal",
 	    [SOP_REFUSE_SENT] = "refuse-sent",
+	    [SOP_FAST_AGENTS] = "fast-agents",
 	};
 
 	return names[mutant];
--- a/sim/options.h
+++ b/sim/options.h
@@ -13,6 +13,7 @@
 	SOP_HIDDEN_STOPS, /* reports omit runs that are being stopped */
 	SOP_NO_SEAL,	  /* a stop does not seal a run that is not there yet */
 	SOP_REFUSE_SENT,  /* callers see a 502 as a 503 */
+	SOP_FAST_AGENTS,  /* agents' clocks are 30% fast */
 	SOP_N_MUTANTS
 };
 
