Play fleets with a paused entry in test_sim, beside the one seed

It plays 300 fleets with these faults as well: each entry is paused for 0.42 s while its callers leave and stops are slow. The seed is still checked.

no_start_waits_in_a_silent_life shares the function, and plays 200 fleets for each of five times that the worker was away (250 to 410 ms), in place of 1,000 with a time that follows from the seed.

--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -13,15 +13,25 @@
 #define CLEAN_SEEDS	  150
 #define REPLAYED	  20
 #define PAUSED_ENTRY_SEED 30007165
-#define SILENT_LIVES	  1000
-#define SILENT_MS	  1500
+/* Fleets with a paused entry, whose faults are fixed. */
+#define PAUSED_ENTRIES 300
+#define PAUSE_MS       420
+#define STOP_MS	       1400
+/* Fleets with a silent worker, for each time that it was away. */
+#define SILENT_LIVES 200
+#define SILENT_MS    1500
+#define MIN_AWAY_MS  250
+#define AWAY_STEP_MS 40
+#define N_AWAY	     5
+#define N_ENTRIES    3
+#define N_AGENTS     4
 
 static struct srh_options
 search_options(uint64_t n_seeds, enum sop_mutant mutant)
 {
 	return (struct srh_options){
-	    .fleet = {.n_entries = 3,
-		.n_agents = 4,
+	    .fleet = {.n_entries = N_ENTRIES,
+		.n_agents = N_AGENTS,
 		.n_callers = 8,
 		.duration_ms = 12000,
 		.mutant = mutant},
@@ -58,6 +68,56 @@
 }
 END_TEST
 
+/* Plays the faults with some seeds; no rule may break. */
+static void
+expect_rules_kept(const GArray *faults, uint64_t n_seeds)
+{
+	struct srh_options opts = search_options(n_seeds, SOP_NO_MUTANT);
+	uint64_t seed;
+
+	for (seed = 1; seed <= n_seeds; seed++) {
+		struct sck_violation found =
+		    sfl_run(seed, &opts.fleet, faults, false).violation;
+
+		ck_assert_msg(found.rule == SCK_KEPT,
+		    "seed %d: %s broken by %s", (int)seed,
+		    sck_rule_name(found.rule), found.task);
+	}
+}
+
+static void
+add_fault(GArray *faults, struct spl_fault fault)
+{
+	g_array_append_val(faults, fault);
+}
+
+/* The callers of an entry leave during its pause, and stops are slow. */
+static void
+add_pause(GArray *faults, uint32_t entry, int64_t at_ms)
+{
+	uint32_t i;
+
+	for (i = 0; i < N_AGENTS; i++)
+		add_fault(faults, (struct spl_fault){
+				      .kind = SPL_SLOW_STOPS,
+				      .at_ms = at_ms - 300,
+				      .lasts_ms = 1500,
+				      .agent = i,
+				      .variant = STOP_MS,
+				  });
+	add_fault(faults, (struct spl_fault){
+			      .kind = SPL_PAUSE_ENTRY,
+			      .at_ms = at_ms,
+			      .lasts_ms = PAUSE_MS,
+			      .entry = entry,
+			  });
+	add_fault(faults, (struct spl_fault){
+			      .kind = SPL_CALLERS_LEAVE,
+			      .at_ms = at_ms + 5,
+			      .entry = entry,
+			  });
+}
+
 /*
  * Guards against runs that outlive their caller: an entry noticed only after a
  * pause of 0.4 s that the caller had left, and the stops were slow.
@@ -65,9 +125,15 @@
 START_TEST(caller_leaves_a_paused_entry)
 {
 	struct srh_options opts = search_options(1, SOP_NO_MUTANT);
+	g_autoptr(GArray) faults =
+	    g_array_new(FALSE, FALSE, sizeof(struct spl_fault));
+	uint32_t i;
 
 	opts.first_seed = PAUSED_ENTRY_SEED;
 	ck_assert_uint_eq(srh_search(&opts).n_findings, 0);
+	for (i = 0; i < N_ENTRIES; i++)
+		add_pause(faults, i, 2800 + 2500 * (int64_t)i);
+	expect_rules_kept(faults, PAUSED_ENTRIES);
 }
 END_TEST
 
@@ -75,22 +141,19 @@
 static void
 add_silent_life(GArray *faults, uint32_t agent, int64_t at_ms, int64_t away_ms)
 {
-	struct spl_fault crash = {
-	    .kind = SPL_CRASH_WORKER,
-	    .at_ms = at_ms,
-	    .lasts_ms = away_ms,
-	    .agent = agent,
-	    .variant = SWK_SAME_ID,
-	};
-	struct spl_fault silence = {
-	    .kind = SPL_SILENT_WORKER,
-	    .at_ms = at_ms + away_ms - 1,
-	    .lasts_ms = SILENT_MS,
-	    .agent = agent,
-	};
-
-	g_array_append_val(faults, crash);
-	g_array_append_val(faults, silence);
+	add_fault(faults, (struct spl_fault){
+			      .kind = SPL_CRASH_WORKER,
+			      .at_ms = at_ms,
+			      .lasts_ms = away_ms,
+			      .agent = agent,
+			      .variant = SWK_SAME_ID,
+			  });
+	add_fault(faults, (struct spl_fault){
+			      .kind = SPL_SILENT_WORKER,
+			      .at_ms = at_ms + away_ms - 1,
+			      .lasts_ms = SILENT_MS,
+			      .agent = agent,
+			  });
 }
 
 /*
@@ -99,22 +162,13 @@
  */
 START_TEST(no_start_waits_in_a_silent_life)
 {
-	struct srh_options opts = search_options(1, SOP_NO_MUTANT);
-	uint64_t seed;
+	g_autoptr(GArray) faults =
+	    g_array_new(FALSE, FALSE, sizeof(struct spl_fault));
+	int64_t away_ms = MIN_AWAY_MS + _i * AWAY_STEP_MS;
 
-	for (seed = 1; seed <= SILENT_LIVES; seed++) {
-		g_autoptr(GArray) faults =
-		    g_array_new(FALSE, FALSE, sizeof(struct spl_fault));
-		int64_t away_ms = 250 + (int64_t)seed % 200;
-		struct sck_violation found;
-
-		add_silent_life(faults, 0, 3000, away_ms);
-		add_silent_life(faults, 1, 5500, away_ms);
-		found = sfl_run(seed, &opts.fleet, faults, false).violation;
-		ck_assert_msg(found.rule == SCK_KEPT,
-		    "seed %d: %s broken by %s", (int)seed,
-		    sck_rule_name(found.rule), found.task);
-	}
+	add_silent_life(faults, 0, 3000, away_ms);
+	add_silent_life(faults, 1, 5500, away_ms);
+	expect_rules_kept(faults, SILENT_LIVES);
 }
 END_TEST
 
@@ -203,7 +257,7 @@
 	    tc, finds_each_mutant, SOP_NO_MUTANT + 1, SOP_N_MUTANTS);
 	tcase_add_test(tc, finds_nothing_without_a_mutant);
 	tcase_add_test(tc, caller_leaves_a_paused_entry);
-	tcase_add_test(tc, no_start_waits_in_a_silent_life);
+	tcase_add_loop_test(tc, no_start_waits_in_a_silent_life, 0, N_AWAY);
 	tcase_add_test(tc, replays_a_seed_exactly);
 	tcase_add_test(tc, leaves_out_needless_faults);
 	tcase_add_loop_test(
