Count a lease that a restarted worker was given by mistake

Cause: a renewal on its way to a worker that crashes is carried out by its next incarnation under the same id, until that has seen the raised fencing token. The deadline is on the clock of the former one, so that the new one's lease lasts as long as it grants, max_hold_ms, and a deadline never shortens it. The holder counted its own, shorter lease: if the worker then fell silent, its runs were given up, and could be placed elsewhere, while it still carried them out.

Found by fuzz_holder after 34 s: a run at work when the holder reported it as lost. The lease of such a worker is now counted as ending max_hold_ms after the last report before it is ready, unless it ends later. A restart doesn't become slower; only a worker that falls silent within max_hold_ms of one loses its runs later.

--- a/src/connection/holder.c
+++ b/src/connection/holder.c
@@ -69,6 +69,7 @@
 
 struct hold {
 	struct hold_options opts;
+	int64_t granted_ms; /* longest lease that the worker grants */
 	struct clm *claims; /* heartbeats that are being checked */
 	enum phase phase;
 	char *instance;
@@ -93,6 +94,11 @@
 	int64_t heard_ms;    /* last answer to any call */
 	int64_t deadline_ms; /* of the lease, on the worker's clock, 0: none */
 	int64_t lease_ends_ms; /* upper bound, 0: no lease was given */
+	/*
+	 * Upper bound of a lease that a call to a former incarnation gave the
+	 * present one, 0: none.
+	 */
+	int64_t stray_lease_ends_ms;
 	/*
 	 * When the first call without an answer was sent, plus its wait; 0:
 	 * none.  Reset by a report of the current incarnation and by any answer
@@ -261,6 +267,25 @@
 		hold->unanswered_since_ms = sent_ms;
 }
 
+/* Upper bound of the end of a lease that is given now, on this clock. */
+static int64_t
+latest_end_ms(int64_t lease_ms)
+{
+	return clk_now_ms() + lease_ms * (100 + LEASE_SLACK_PERCENT) / 100 +
+	       LEASE_SLACK_MS;
+}
+
+/*
+ * The next incarnation under the same id has carried out calls to the former one
+ * until it saw the raised fencing token.  Their deadlines were on the clock of
+ * the former, so its lease may be as long as the worker grants.
+ */
+static void
+record_stray_lease(struct hold *hold)
+{
+	hold->stray_lease_ends_ms = latest_end_ms(hold->granted_ms);
+}
+
 /* Renews the lease; returns its new end on the worker's clock. */
 static int64_t
 extend_lease(struct hold *hold)
@@ -268,8 +293,7 @@
 	int64_t now_ms = clk_now_ms();
 
 	hold->lease_ends_ms =
-	    now_ms + hold->opts.lease_ms * (100 + LEASE_SLACK_PERCENT) / 100 +
-	    LEASE_SLACK_MS;
+	    MAX(latest_end_ms(hold->opts.lease_ms), hold->stray_lease_ends_ms);
 	hold->deadline_ms =
 	    hold->clock_ms + (now_ms - hold->clock_at_ms) + hold->opts.lease_ms;
 	return hold->deadline_ms;
@@ -402,8 +426,11 @@
 	hold->clock_at_ms = hold->answered_ms;
 	for (i = 0; i < report->n_ended; i++)
 		hold->last_end = MAX(hold->last_end, report->ended[i].number);
-	if (hold->phase == CLEARING)
+	if (hold->phase == CLEARING) {
+		if (hold->stray_lease_ends_ms != 0)
+			record_stray_lease(hold);
 		clear_runs(hold, report);
+	}
 	/* The present worker knows nothing of runs on the one elsewhere. */
 	if (!hold->replaced_elsewhere || has_replaced_ended(hold))
 		hold->opts.report(report, sent_ms, hold->opts.ctx);
@@ -725,6 +752,9 @@
 {
 	bool had_worker = hold->phase != ABSENT;
 	bool had_calls = hold->born_ms != 0;
+	bool has_same_id = had_calls &&
+			   strcmp(worker->instance, hold->instance) == 0 &&
+			   strcmp(worker->address, hold->address) == 0;
 
 	if (had_worker && hold->replaced.incarnation == 0)
 		hold->replaced = current_runs_lost(hold, HOLD_REPLACED);
@@ -743,6 +773,9 @@
 	hold->clock_ms = worker->clock_ms;
 	hold->clock_at_ms = hold->answered_ms = clk_now_ms();
 	hold->deadline_ms = 0;
+	hold->stray_lease_ends_ms = 0;
+	if (has_same_id)
+		record_stray_lease(hold);
 	hold->was_ready = false;
 	g_clear_handle_id(&hold->poll_id, g_source_remove);
 	set_text(&hold->instance, worker->instance);
@@ -865,6 +898,7 @@
 	};
 
 	hold->opts = *opts;
+	hold->granted_ms = opts->lease_ms;
 	hold->opts.lease_ms = MIN(opts->lease_ms, HOLD_MAX_LEASE_MS);
 	hold->token = opts->token;
 	hold->claims = clm_new(&claims);
