Count the time left for a start from its sending

A start that was held up on its way, by less than the 350 ms there and back for which an agent refuses it, was executed up to that much later than its job's deadline, when the caller has its 504.

Cause: an agent added start_within_ms to the time at which the start arrived. It adds it to the time of sending now, which START states on the agent's clock. A start_within_ms out of range, which overflowed that sum, ends the session as malformed.

--- a/src/connection/run.x
+++ b/src/connection/run.x
@@ -40,7 +40,7 @@
 	uint32_t priority;	/* 0 first */
 	int64_t expected_ms;	/* run time on this worker */
 	int64_t nominal_ms;	/* run time on any worker of its kind */
-	int64_t start_within_ms;	/* latest start, after receipt */
+	int64_t start_within_ms;	/* latest start, after agent_ms */
 };
 
 /* A text that may have U+0000. */
--- a/src/connection/sessions.c
+++ b/src/connection/sessions.c
@@ -105,12 +105,27 @@
 	xdr_free((xdrproc_t)xdr_run_open_args, &args);
 }
 
+/* start_within_ms is below 0 if the job has reached its deadline. */
+static bool
+are_times_valid(const run_start_args *args)
+{
+	uint32_t i;
+
+	for (i = 0; i < args->starts.starts_len; i++) {
+		int64_t ms = args->starts.starts_val[i].start_within_ms;
+
+		if (ms < -PCL_MAX_MS || ms > PCL_MAX_MS)
+			return false;
+	}
+	return true;
+}
+
 static void
 handle_start(struct session *s, XDR *xdrs)
 {
 	run_start_args args = {0};
 
-	if (!xdr_run_start_args(xdrs, &args))
+	if (!xdr_run_start_args(xdrs, &args) || !are_times_valid(&args))
 		rpc_close(s->conn, ST_INVALID, "malformed start");
 	else if (!is_held_up(s, args.agent_ms))
 		s->ses->opts.start(s->id, &args, s->ses->opts.ctx);
--- a/src/process/jobagent.c
+++ b/src/process/jobagent.c
@@ -264,6 +264,7 @@
 	struct ja *ja = ctx;
 	g_autoptr(GPtrArray) specs = ssp_from_wire(args);
 	int64_t now_ms = clk_now_ms();
+	int64_t sent_ms = MIN(args->agent_ms, now_ms);
 	uint32_t i;
 
 	for (i = 0; i < args->starts.starts_len; i++) {
@@ -278,7 +279,7 @@
 		    .priority = s->priority,
 		    .expected_ms = s->expected_ms,
 		    .nominal_ms = s->nominal_ms,
-		    .start_by_ms = now_ms + s->start_within_ms,
+		    .start_by_ms = sent_ms + s->start_within_ms,
 		};
 
 		if (g_strcmp0(s->service, ja->worker->service) != 0)
--- a/tests/test_late_calls.c
+++ b/tests/test_late_calls.c
@@ -4,6 +4,7 @@
  */
 #include <glib.h>
 #include <signal.h>
+#include <string.h>
 
 #include "deployment.h"
 #include "runner.h"
@@ -27,6 +28,13 @@
 #define SLOW_LINK_MS	700
 /* Later than the end of the steps in which that delay is reached. */
 #define HELD_UP_DEADLINE_MS 2500
+/* Less than the time on its way for which an agent refuses a start. */
+#define START_DELAY_MS	  200
+#define SHORT_DEADLINE_MS 100
+#define SHORT_TASK_MS	  20
+#define N_SHORT_JOBS	  20
+/* Tasks that no two workers have room for. */
+#define N_ALL 40
 /* Tasks of a job that uses all workers. */
 #define N_WIDE 9
 /*
@@ -298,6 +306,59 @@
 }
 END_TEST
 
+/* Starts that agent 0 has returned. */
+static int64_t
+n_returned(struct dpl *dpl)
+{
+	const char *name = "\nsp_runs_refused_total ";
+	struct hn_http *metrics = hn_http("GET",
+	    hn_str("http://127.0.0.1:%u/metrics", dpl->agent_metrics_port),
+	    NULL);
+	const char *line = strstr(metrics->body, name);
+
+	ck_assert_ptr_nonnull(line);
+	return g_ascii_strtoll(line + strlen(name), NULL, 10);
+}
+
+/* Sends a job that reaches its deadline while its starts are on their way. */
+static void
+post_job_with_short_deadline(struct dpl *dpl, unsigned id)
+{
+	struct hn_http *job = post_form(dpl, 0, id,
+	    &(struct job_form){
+		N_ALL, SHORT_TASK_MS, UNKNOWN_MS, SHORT_DEADLINE_MS});
+
+	ck_assert_int_ne(hn_http_wait(job, HN_LIMIT_MS)->status, 200);
+	hn_sleep(INT64_C(2) * START_DELAY_MS);
+}
+
+/*
+ * Starts that were on their way for longer than their job had left, but for
+ * less than what lets an agent refuse them, were executed after the job's
+ * deadline: the time that is left counted from their arrival.  On a busy
+ * machine an entry may send no start before the deadline, so that the job is
+ * repeated until an agent has returned one.
+ */
+START_TEST(starts_are_not_executed_after_the_deadline)
+{
+	int64_t starts, returned;
+	struct dpl dpl;
+	unsigned i;
+
+	dpl_start(&dpl, &(struct dpl_options){.proxied = true});
+	delay_entries(&dpl, START_DELAY_MS);
+	hn_sleep(INT64_C(4) * START_DELAY_MS);
+	starts = count(&dpl, "starts");
+	returned = n_returned(&dpl);
+	for (i = 0; i < N_SHORT_JOBS && n_returned(&dpl) == returned; i++) {
+		post_job_with_short_deadline(&dpl, 0xe0 + i);
+		ck_assert_int_eq(count(&dpl, "starts"), starts);
+	}
+	ck_assert_int_gt(n_returned(&dpl), returned);
+	hn_finish();
+}
+END_TEST
+
 static int64_t
 worker_value(struct dpl *dpl, int worker, const char *name)
 {
@@ -411,6 +472,7 @@
 main(void)
 {
 	const TTest *const tests[] = {held_up_starts_are_not_executed,
+	    starts_are_not_executed_after_the_deadline,
 	    late_stops_end_with_the_lease, late_stops_end_beside_other_runs,
 	    late_stops_of_a_silent_entry, late_stops_after_held_up_cancels,
 	    late_stops_behind_a_slow_link, late_deregistration_ends_no_run,
