Do not take the worker's clock back to that of an older report

Responses of a worker on different connections may overtake each other, and where calls are lost up to four polls overlap. A report that was made before the last one set the worker's clock back, so that the next lease and the next starts had a deadline that was too early by the age of the report. Later renewals repair it, and the worker never shortens a lease, so that no lapse is known.

--- a/src/connection/holder.c
+++ b/src/connection/holder.c
@@ -398,8 +398,11 @@
 
 	hold->answered_ms = hold->heard_ms = clk_now_ms();
 	hold->unanswered_since_ms = 0;
-	hold->clock_ms = report->answer.clock_ms;
-	hold->clock_at_ms = hold->answered_ms;
+	/* Responses of the worker may overtake each other. */
+	if (report->answer.clock_ms >= hold->clock_ms) {
+		hold->clock_ms = report->answer.clock_ms;
+		hold->clock_at_ms = hold->answered_ms;
+	}
 	for (i = 0; i < report->n_ended; i++)
 		hold->last_end = MAX(hold->last_end, report->ended[i].number);
 	if (hold->phase == CLEARING)
--- a/tests/test_holder.c
+++ b/tests/test_holder.c
@@ -344,6 +344,7 @@
 step_calls(struct fixture *w, char **words)
 {
 	struct wp_report none = {.answer = {.verdict = WP_NO_ANSWER}};
+	struct wp_report late = {.answer = {.verdict = WP_DONE}};
 	struct wp_report done = {
 	    .answer = {.verdict = WP_DONE, .clock_ms = now_ms}};
 	struct wp_report fenced = {
@@ -351,7 +352,10 @@
 
 	if (strcmp(words[0], "answer") == 0)
 		answer(&w->reports, words);
-	else if (strcmp(words[0], "answer_check") == 0)
+	else if (strcmp(words[0], "late_answer") == 0) {
+		late.answer.clock_ms = atoi(words[1]);
+		end_call(&w->reports, &late);
+	} else if (strcmp(words[0], "answer_check") == 0)
 		answer(&w->checks, words);
 	else if (strcmp(words[0], "drop_checks") == 0)
 		end_calls(&w->checks, &none);
