Ignore the progress in a report that is older than the last change

A report that another one had overtaken set the percentage of a run back, and the next report then counted as progress, so that a run that stands still was stopped later than it had to be. No run is stopped too early by it: an older report has an older clock, and the next one counts as a change.

Reports on which the percentage changed are the only ones that matter, so that a report with a clock before the last change is left out.

ledger.txt (An older report does not hide that a run makes no progress): no stop after 300 ms without progress before the change. Its command report takes the worker's clock.

--- a/src/request/ledger.c
+++ b/src/request/ledger.c
@@ -631,6 +631,9 @@
 	if (run == NULL || run->state != RUNNING ||
 	    strcmp(run->task, row->task) != 0)
 		return;
+	/* Responses of the worker may overtake each other. */
+	if (clock_ms < run->changed_ms)
+		return;
 	if (run->percent < 0) {
 		run->first_percent = row->percent;
 		run->first_ms = clock_ms;
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -154,15 +154,21 @@
 	led_submit(t->led, &s, t->now_ms);
 }
 
-/* report SENT (TASK.RUN | TASK.RUN@PERCENT | TASK.RUN=HOW)... */
+/* report SENT[/CLOCK] (TASK.RUN | TASK.RUN@PERCENT | TASK.RUN=HOW)... */
 static void
 report(struct trace *t, char **w)
 {
 	struct wp_running running[MAX_ROWS];
 	struct wp_ended ended[MAX_ROWS];
 	struct wp_report r = {.running = running, .ended = ended};
+	char *clock = strchr(w[1], '/');
 	int i;
 
+	r.answer.clock_ms = t->now_ms;
+	if (clock != NULL) {
+		*clock = '\0';
+		r.answer.clock_ms = number(clock + 1);
+	}
 	for (i = 2; w[i] != NULL; i++) {
 		char *eq = strchr(w[i], '=');
 		char *dot = strchr(w[i], '.');
@@ -187,7 +193,6 @@
 			.end_kind = index_of(ends, G_N_ELEMENTS(ends), eq + 1)};
 		r.n_ended++;
 	}
-	r.answer.clock_ms = t->now_ms;
 	led_report(t->led, &r, number(w[1]), t->now_ms);
 }
 
