--- a/src/request/progress.c
+++ b/src/request/progress.c
@@ -56,6 +56,9 @@
 enum pgr_verdict
 pgr_report(struct pgr *pgr, int64_t percent, int64_t clock_ms)
 {
+	/* Responses of the worker may overtake each other. */
+	if (clock_ms < pgr->changed_ms)
+		return PGR_USUAL;
 	if (pgr->percent < 0) {
 		pgr->first_percent = percent;
 		pgr->first_ms = clock_ms;
--- a/src/request/progress.h
+++ b/src/request/progress.h
@@ -24,6 +24,7 @@
 };
 
 void pgr_init(struct pgr *pgr, int64_t expected_ms);
+/* A report that is older than the last change is ignored. */
 enum pgr_verdict pgr_report(struct pgr *pgr, int64_t percent, int64_t clock_ms);
 
 #endif
