Keep a timed-out call's connection for a late answer

Each call that timed out cost a connection, also those that were answered shortly after.

Change: an answer that has arrived is read before its call is found to have timed out, and the connection is kept until 60 ms after sending for a late answer, which is dropped. No other call uses it before. A call that is not sent by its timeout is dropped, as before. Kept connections come on top of the limit of connections to a host.

Tests: test_http, of which late_answer_frees_the_connection, pending_connection_is_not_used and answer_that_has_arrived_counts fail without the change; call_that_was_not_sent_is_dropped fails if calls that wait for a connection are kept too.

--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -1,13 +1,16 @@
 #include <check.h>
 #include <errno.h>
 #include <gio/gio.h>
+#include <string.h>
 #include <sys/socket.h>
 
 #include "harness.h"
 #include "platform/http.h"
+#include "platform/json.h"
 #include "runner.h"
 
 #define TIMEOUT_MS 100
+#define LATE_MS	   5000
 
 static GSocket *
 listen_on(const char *ip, uint16_t port)
@@ -74,4 +77,203 @@
 }
 END_TEST
 
-TEST_MAIN("http", 0, timeout_resets_the_connection)
+/* A server that answers when a test says so, and calls to it. */
+struct fixture {
+	GSocket *listener;
+	struct ph *ph;
+	struct ph_call call;
+};
+
+static void
+start(struct fixture *w, int64_t late_ms)
+{
+	uint16_t port = hn_port();
+
+	w->listener = listen_on("127.0.0.1", port);
+	w->ph = ph_new(1);
+	w->call = (struct ph_call){
+	    .method = "POST",
+	    .address = hn_str("127.0.0.1:%u", port),
+	    .path = "/start",
+	    .body = "{}",
+	    .timeout_ms = TIMEOUT_MS,
+	    .late_ms = late_ms,
+	};
+}
+
+static void
+end(struct fixture *w, GSocket *conn)
+{
+	ph_free(w->ph);
+	g_object_unref(conn);
+	g_object_unref(w->listener);
+	hn_finish();
+}
+
+static void
+on_number(const struct ph_answer *answer, void *ctx)
+{
+	int64_t *number = ctx;
+
+	*number = pj_int(answer->body, "number", -1);
+}
+
+/* Waits for a connection, whose request has been sent by then. */
+static GSocket *
+accept_one(struct fixture *w)
+{
+	ck_assert(hn_wait_until(
+	    g_socket_condition_check(w->listener, G_IO_IN), HN_LIMIT_MS));
+	return g_socket_accept(w->listener, NULL, NULL);
+}
+
+static void
+receive_request(GSocket *conn)
+{
+	char buf[4096];
+
+	ck_assert(hn_wait_until(
+	    g_socket_condition_check(conn, G_IO_IN), HN_LIMIT_MS));
+	ck_assert_int_gt(
+	    g_socket_receive(conn, buf, sizeof(buf), NULL, NULL), 0);
+}
+
+static void
+send_answer(GSocket *conn, int number)
+{
+	const char *body = hn_str("{\"number\":%d}", number);
+	const char *answer =
+	    hn_str("HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
+		strlen(body), body);
+
+	ck_assert_int_eq(
+	    g_socket_send(conn, answer, strlen(answer), NULL, NULL),
+	    (gssize)strlen(answer));
+}
+
+/*
+ * Guards against a new connection for each call that a busy worker answers
+ * late, and against a late answer that is taken for that of the next call.
+ */
+START_TEST(late_answer_frees_the_connection)
+{
+	int64_t first = 0, second = 0;
+	struct fixture w;
+	GSocket *conn;
+
+	start(&w, LATE_MS);
+	ph_send(w.ph, &w.call, on_number, &first);
+	conn = accept_one(&w);
+	receive_request(conn);
+	ck_assert(hn_wait_until(first != 0, HN_LIMIT_MS));
+	ck_assert_int_eq(first, -1);
+	send_answer(conn, 1);
+	hn_sleep(TIMEOUT_MS);
+	ph_send(w.ph, &w.call, on_number, &second);
+	receive_request(conn);
+	send_answer(conn, 2);
+	ck_assert(hn_wait_until(second != 0, HN_LIMIT_MS));
+	ck_assert_int_eq(second, 2);
+	end(&w, conn);
+}
+END_TEST
+
+/*
+ * Guards against calls that wait for the connection of a call whose answer does
+ * not come, and against answers to the wrong call.
+ */
+START_TEST(pending_connection_is_not_used)
+{
+	int64_t first = 0, second = 0;
+	struct fixture w;
+	GSocket *conn, *other;
+
+	start(&w, LATE_MS);
+	ph_send(w.ph, &w.call, on_number, &first);
+	conn = accept_one(&w);
+	ck_assert(hn_wait_until(first != 0, HN_LIMIT_MS));
+	ph_send(w.ph, &w.call, on_number, &second);
+	other = accept_one(&w);
+	receive_request(other);
+	send_answer(conn, 1);
+	send_answer(other, 2);
+	ck_assert(hn_wait_until(second != 0, HN_LIMIT_MS));
+	ck_assert_int_eq(first, -1);
+	ck_assert_int_eq(second, 2);
+	g_object_unref(other);
+	end(&w, conn);
+}
+END_TEST
+
+/*
+ * Guards against a start that waited for a connection, was taken for one that
+ * got no answer and is sent after that.
+ */
+START_TEST(call_that_was_not_sent_is_dropped)
+{
+	int64_t first = 0, second = 0;
+	struct fixture w;
+	GSocket *conn;
+
+	start(&w, LATE_MS);
+	w.call.timeout_ms = LATE_MS;
+	ph_send(w.ph, &w.call, on_number, &first);
+	conn = accept_one(&w);
+	receive_request(conn);
+	w.call.timeout_ms = TIMEOUT_MS;
+	ph_send(w.ph, &w.call, on_number, &second);
+	ck_assert(hn_wait_until(second != 0, HN_LIMIT_MS));
+	ck_assert_int_eq(second, -1);
+	send_answer(conn, 1);
+	ck_assert(hn_wait_until(first != 0, HN_LIMIT_MS));
+	ck_assert_int_eq(first, 1);
+	hn_sleep(TIMEOUT_MS);
+	ck_assert(!g_socket_condition_check(conn, G_IO_IN));
+	ck_assert(!g_socket_condition_check(w.listener, G_IO_IN));
+	end(&w, conn);
+}
+END_TEST
+
+/* As timeout_resets_the_connection, when no late answer comes either. */
+START_TEST(connection_without_a_late_answer_is_reset)
+{
+	int64_t number = 0;
+	struct fixture w;
+	GSocket *conn;
+
+	start(&w, TIMEOUT_MS);
+	ph_send(w.ph, &w.call, on_number, &number);
+	conn = accept_one(&w);
+	ck_assert(hn_wait_until(number != 0, HN_LIMIT_MS));
+	hn_sleep(2 * TIMEOUT_MS);
+	ck_assert_int_eq(read_to_end(conn), ECONNRESET);
+	end(&w, conn);
+}
+END_TEST
+
+/*
+ * A process that was busy when the answer came took the call for one without an
+ * answer, and sent it again on another connection.
+ */
+START_TEST(answer_that_has_arrived_counts)
+{
+	int64_t number = 0;
+	struct fixture w;
+	GSocket *conn;
+
+	start(&w, LATE_MS);
+	ph_send(w.ph, &w.call, on_number, &number);
+	conn = accept_one(&w);
+	receive_request(conn);
+	send_answer(conn, 1);
+	g_usleep(2 * TIMEOUT_MS * G_TIME_SPAN_MILLISECOND);
+	ck_assert(hn_wait_until(number != 0, HN_LIMIT_MS));
+	ck_assert_int_eq(number, 1);
+	end(&w, conn);
+}
+END_TEST
+
+TEST_MAIN("http", 0, timeout_resets_the_connection,
+    late_answer_frees_the_connection, pending_connection_is_not_used,
+    call_that_was_not_sent_is_dropped,
+    connection_without_a_late_answer_is_reset, answer_that_has_arrived_counts)
