--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -1,12 +1,12 @@
 #include <check.h>
 #include <errno.h>
 #include <gio/gio.h>
+#include <json-c/json.h>
 #include <string.h>
 #include <sys/socket.h>
 
 #include "harness.h"
 #include "platform/http.h"
-#include "platform/json.h"
 #include "runner.h"
 
 #define TIMEOUT_MS 100
@@ -113,9 +113,11 @@
 static void
 on_number(const struct ph_answer *answer, void *ctx)
 {
+	struct json_object *value = NULL;
 	int64_t *number = ctx;
 
-	*number = pj_int(answer->body, "number", -1);
+	json_object_object_get_ex(answer->body, "number", &value);
+	*number = value == NULL ? -1 : json_object_get_int64(value);
 }
 
 /* Waits for a connection, whose request has been sent by then. */
