Check a start again before it is sent under a higher number

A start that the worker refused for its number was sent again under a higher one without the checks of every other start: after its time, on a draining worker, in a domain that is out, or to a worker that answers no call.

Cause: renumber() calls send_start() itself. It does so only if the start may be sent again now; otherwise the start is returned as not started, which it is, since the refused call was its only one.

--- a/src/request/ledger.c
+++ b/src/request/ledger.c
@@ -362,16 +362,22 @@
  * incarnation would carry out the start when the task runs elsewhere.
  */
 static bool
-may_repeat_start(const struct led *led, const struct run *run, int64_t now_ms)
+may_send_again(const struct led *led, const struct run *run, int64_t now_ms)
 {
 	const char *reason;
 
-	return run->start_calls < MAX_START_CALLS && !run->repeat_refused &&
-	       now_ms <= run->start_by_ms &&
+	return now_ms <= run->start_by_ms &&
 	       led->opts.worker_answers(led->opts.ctx) &&
 	       led->opts.may_start(run->session, &reason, led->opts.ctx);
 }
 
+static bool
+may_repeat_start(const struct led *led, const struct run *run, int64_t now_ms)
+{
+	return run->start_calls < MAX_START_CALLS && !run->repeat_refused &&
+	       may_send_again(led, run, now_ms);
+}
+
 static bool
 is_entry_silent(const struct led *led, const struct run *run, int64_t now_ms)
 {
@@ -490,7 +496,8 @@
 		return;
 	}
 	if (answer->verdict == WP_STALE_RUN && run->state == STARTING &&
-	    run->renumbers < MAX_RENUMBERS) {
+	    run->renumbers < MAX_RENUMBERS &&
+	    may_send_again(led, run, now_ms)) {
 		renumber(led, run, now_ms);
 		return;
 	}
