Count the lease of a worker that answers as another incarnation

Cause: a start or a renewal on its way to a worker that crashes is carried out by its next incarnation under the same id, with a lease as long as the worker grants (max_hold_ms), until that has seen the raised fencing token. If it answered once and then fell silent, before it was adopted, its runs were still lost after the shorter lease of the former, 0.6 s earlier.

The longer lease counts from the first answer of another incarnation on, also where a deregistered worker is given up.

One that never answers before it falls silent is not covered (docs/FINDINGS.md).

--- a/src/connection/holder.c
+++ b/src/connection/holder.c
@@ -301,6 +301,13 @@
 	hold->stray_lease_ends_ms = latest_end_ms(hold->granted_ms);
 }
 
+/* Upper bound of the end of any lease that runs may have. */
+static int64_t
+last_lease_end_ms(const struct hold *hold)
+{
+	return MAX(hold->lease_ends_ms, hold->stray_lease_ends_ms);
+}
+
 /* Renews the lease; returns its new end on the worker's clock. */
 static int64_t
 extend_lease(struct hold *hold)
@@ -591,6 +598,7 @@
 {
 	hold->other_born_ms = born_ms;
 	raise_token(hold);
+	record_stray_lease(hold);
 	evt_write("worker", evt_text("instance", hold->instance),
 	    evt_uint("born_ms", born_ms), evt_text("state", "suspected"));
 	update_ready(hold);
@@ -965,7 +973,7 @@
 	int64_t now_ms = clk_now_ms();
 	int64_t leaving_ms = now_ms - hold->leaving_since_ms;
 
-	if (leaving_ms > LEAVE_LIMIT_MS && now_ms > hold->lease_ends_ms)
+	if (leaving_ms > LEAVE_LIMIT_MS && now_ms > last_lease_end_ms(hold))
 		forget_worker(hold);
 	else if (leaving_ms >= LEAVE_CHECK_MS && !hold->extra_in_progress)
 		hold_request_report(hold);
@@ -989,8 +997,9 @@
 				    ? hold->replaced
 				    : current_runs_lost(hold, HOLD_SILENT);
 
-	if (hold->lease_ends_ms == 0 || clk_now_ms() <= hold->lease_ends_ms ||
-	    hold_is_ready(hold) || is_being_cleared(hold))
+	if (hold->lease_ends_ms == 0 ||
+	    clk_now_ms() <= last_lease_end_ms(hold) || hold_is_ready(hold) ||
+	    is_being_cleared(hold))
 		return;
 	hold->phase = CLEARING;
 	raise_token(hold);
