Fuzz the store's answers, the worker's answers and the holder

fuzz_storepage gives pages to the decoder and a mirror, fuzz_answers gives answers to the decoder of the worker's, fuzz_holder gives events to the holder before modelled workers. docs/PROOFS.md has what each one checks.

--- a/Makefile
+++ b/Makefile
@@ -72,6 +72,10 @@
 # libFuzzer needs clang; its objects are built apart.
 FUZZ_SRCS = $(wildcard fuzz/fuzz_*.c)
 FUZZ_TARGETS = $(FUZZ_SRCS:fuzz/%.c=$(B)/%)
+FUZZ_OBJS = $(B)/fuzz/init.o $(B)/fuzz/choices.o
+# These run on simulated time, which replaces the timers and the clock.
+FUZZ_TIMED = $(B)/fuzz_storepage $(B)/fuzz_holder
+FUZZ_TIMED_LDFLAGS = -Wl,--wrap=g_timeout_add -Wl,--wrap=g_source_remove
 FUZZ_MAKE = $(MAKE) B=build-fuzz CC=clang WARNINGS="-Wall -Wextra -Wno-unused-variable" \
     SANFLAGS="-fsanitize=address,undefined,fuzzer-no-link \
     -fno-sanitize-recover=undefined -fno-omit-frame-pointer"
@@ -141,8 +145,14 @@
 	$(CC) $(SANFLAGS) -o $@ $< $(BENCH_SUPPORT_OBJS) $(SUPPORT_LIB) $(LIB) \
 	    $(LIBS)
 
-$(B)/fuzz_%: $(B)/fuzz/fuzz_%.o $(B)/fuzz/init.o $(PLATFORM_LIB) $(LIB)
-	$(CC) $(SANFLAGS) -fsanitize=fuzzer -o $@ $< $(B)/fuzz/init.o \
+$(FUZZ_TIMED): $(B)/fuzz_%: $(B)/fuzz/fuzz_%.o $(FUZZ_OBJS) \
+    $(B)/fuzz/simtime.o $(PLATFORM_LIB) $(LIB)
+	$(CC) $(SANFLAGS) $(FUZZ_TIMED_LDFLAGS) -fsanitize=fuzzer -o $@ $< \
+	    $(FUZZ_OBJS) $(B)/fuzz/simtime.o $(PLATFORM_LIB) $(LIB) $(LIBS)
+
+$(filter-out $(FUZZ_TIMED),$(FUZZ_TARGETS)): $(B)/fuzz_%: $(B)/fuzz/fuzz_%.o \
+    $(FUZZ_OBJS) $(PLATFORM_LIB) $(LIB)
+	$(CC) $(SANFLAGS) -fsanitize=fuzzer -o $@ $< $(FUZZ_OBJS) \
 	    $(PLATFORM_LIB) $(LIB) $(LIBS)
 
 fuzz-targets: $(FUZZ_TARGETS)
