--- a/fuzz/fuzz_holder.c
+++ b/fuzz/fuzz_holder.c
@@ -529,13 +529,26 @@
 	    started_new(w, number - 1));
 }
 
+/* Whether there is room for the calls that the holder makes by itself. */
+static bool
+may_add_stop(const struct world *w)
+{
+	size_t i, n_pending = 0;
+
+	for (i = 0; i < MAX_CALLS; i++) {
+		if (w->calls[i].kind != UNUSED && w->calls[i].is_pending)
+			n_pending++;
+	}
+	return n_pending < MAX_CALLS / 2;
+}
+
 static void
 stop_task(struct world *w, uint8_t byte)
 {
 	int task = byte % N_TASKS;
 	size_t number = w->busy[task];
 
-	if (number != 0 && hold_incarnation(w->hold) != 0)
+	if (number != 0 && hold_incarnation(w->hold) != 0 && may_add_stop(w))
 		hold_stop(w->hold, tasks[task], (int64_t)number, on_stopped,
 		    started_new(w, number - 1));
 }
