Count the patience with a stop from a pause of the callers' thread

When only the thread that serves the callers of an entry was paused, a caller that left meanwhile was noticed after the pause, and the entry stated that time as the one at which it gave the runs up. With stops that are carried out late the runs were still at work when the caller sent its job again 1.3 s after it had left, and the task ran twice.

Cause: the ticks by which an entry knows its pauses are those of the thread that decides. The callers' thread tells its ticks now, every 50 ms, and cancels state the earlier of both. Longer than 600 ms without a tick, the open jobs are given up, as after a pause of the process: a cancel that is sent only at the end of the pause would come too late.

--- a/src/process/jobentry.c
+++ b/src/process/jobentry.c
@@ -16,7 +16,12 @@
 #define JE_TICK_MS 50
 /* A longer gap between ticks means that this process was paused. */
 #define ENTRY_PAUSE_MS 700
-#define JE_MAX_JOBS    20000
+/*
+ * The same for the thread that serves the callers.  With the end of the lease it
+ * is below the time after which a caller sends its job again.
+ */
+#define CLIENTS_PAUSE_MS 600
+#define JE_MAX_JOBS	 20000
 /*
  * Runs of an agent whose connection was lost are taken as stopped when both the
  * worker's lease and the silence limit of jobagent.c have passed, plus a margin
@@ -55,6 +60,7 @@
 	GHashTable *waiters; /* ticket to struct waiter */
 	uint64_t next_ticket;
 	struct pau pause;
+	struct pau clients_pause; /* of the thread that serves the callers */
 	int64_t drain_since_ms;
 	/* In a shutdown: time since which no job is open; 0 while one is. */
 	int64_t idle_since_ms;
@@ -223,8 +229,10 @@
 noticed_ms(void *ctx)
 {
 	struct je *je = ctx;
+	int64_t now_ms = clk_now_ms();
 
-	return pau_noticed_ms(&je->pause, clk_now_ms());
+	return MIN(pau_noticed_ms(&je->pause, now_ms),
+	    pau_noticed_ms(&je->clients_pause, now_ms));
 }
 
 static void
@@ -329,6 +337,21 @@
 	pau_tick(&je->pause, now_ms);
 }
 
+/* The same for a pause of the thread that serves the callers alone. */
+static void
+handle_clients_pause(struct je *je)
+{
+	int64_t paused_ms = clk_now_ms() - je->clients_pause.tick_ms;
+
+	if (je->clients_pause.tick_ms == 0 || paused_ms <= CLIENTS_PAUSE_MS ||
+	    sch_n_jobs(je->sch) == 0)
+		return;
+	evt_write("pause", evt_text("thread", "clients"),
+	    evt_int("paused_ms", paused_ms),
+	    evt_int("jobs", sch_n_jobs(je->sch)));
+	sch_abort_all(je->sch, "callers were not served");
+}
+
 static bool
 accepts_jobs(const struct je *je)
 {
@@ -386,6 +409,7 @@
 	struct je *je = data;
 
 	handle_pause(je);
+	handle_clients_pause(je);
 	agp_tick(je->agents);
 	sch_tick(je->sch, clk_now_ms());
 	*je->open_jobs = sch_n_jobs(je->sch);
@@ -767,6 +791,12 @@
 	g_hash_table_remove(je->waiters, &ticket);
 }
 
+void
+je_clients_tick(struct je *je, int64_t at_ms)
+{
+	pau_tick(&je->clients_pause, at_ms);
+}
+
 void
 je_record_gone(struct je *je, const char *job)
 {
--- a/src/process/jobentry.h
+++ b/src/process/jobentry.h
@@ -80,6 +80,11 @@
     struct wk_job *job, int64_t deadline_ms, je_answer_fn fn, void *ctx);
 /* The caller has disconnected: fn does not run, and the job is cancelled. */
 void je_abandon(struct je *je, uint64_t ticket);
+/*
+ * The thread that serves the callers ran at at_ms.  To be called every 50 ms, if
+ * it is another one than that of the entry.
+ */
+void je_clients_tick(struct je *je, int64_t at_ms);
 /* Records a job whose connection had ended before its request was read. */
 void je_record_gone(struct je *je, const char *job);
 /* Answers JE_RUNNING while the job is open here, else JE_UNKNOWN_JOB. */
--- a/tests/test_leaving.c
+++ b/tests/test_leaving.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 #include <signal.h>
 #include <string.h>
+#include <sys/ptrace.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -13,16 +14,27 @@
 #include "rawhttp.h"
 #include "runner.h"
 
-#define TASK_MS "8000"
+#define TASK_MS "6000"
 #define N_TASKS 2
 /* For the entry to read the bytes, and to notice that they are no request. */
 #define READ_MS 200
 /* Less than the time after which a caller sends its job again. */
 #define STOP_MS 1000
 
-#define JOB                                                                    \
+#define RESEND_MS 1300
+/* Later than the lease of a run. */
+#define LATE_STOP_MS 2500
+/* Tasks that need the lease of every worker. */
+#define OTHER_TASKS "9"
+/* For the second submission of a job to start. */
+#define START_MS 750
+
+/* The estimate is one by which no run is too slow. */
+#define JOB_OF(count)                                                          \
 	"{\"spec\":\"" TASK_MS "\",\"best_effort\":true,\"steps\":["           \
-	"{\"count\":2,\"cpu\":1000,\"mem_mb\":1}]}"
+	"{\"count\":" count ",\"cpu\":1000,\"mem_mb\":1,"                      \
+	"\"estimate_ms\":300000}]}"
+#define JOB JOB_OF("2")
 
 /* What a caller sends after its request, before it closes the connection. */
 struct later_bytes {
@@ -142,13 +154,92 @@
 }
 END_TEST
 
-int
-main(void)
+/* The thread of an entry that serves its callers. */
+static pid_t
+clients_thread(pid_t entry)
+{
+	g_autofree char *tasks = g_strdup_printf("/proc/%d/task", (int)entry);
+	g_autoptr(GDir) dir = g_dir_open(tasks, 0, NULL);
+	const char *name;
+
+	ck_assert_ptr_nonnull(dir);
+	while ((name = g_dir_read_name(dir)) != NULL) {
+		g_autofree char *path =
+		    g_build_filename(tasks, name, "comm", NULL);
+		g_autofree char *comm = NULL;
+
+		if (g_file_get_contents(path, &comm, NULL, NULL) &&
+		    strcmp(comm, "clients\n") == 0)
+			return (pid_t)atoi(name);
+	}
+	ck_abort_msg("no thread of clients");
+	return 0;
+}
+
+/* Stops one thread of a child process; the others go on. */
+static void
+stop_thread(pid_t thread)
 {
-	const TTest *const tests[] = {
-	    job_ends_when_caller_leaves_after_more_bytes,
-	    job_of_caller_that_has_left_is_not_accepted};
+	int status;
 
-	return run_tests(
-	    "leaving", tests, G_N_ELEMENTS(tests), 2 * HN_LIMIT_MS / 1000.0);
+	ck_assert_int_eq(ptrace(PTRACE_SEIZE, thread, NULL, NULL), 0);
+	ck_assert_int_eq(ptrace(PTRACE_INTERRUPT, thread, NULL, NULL), 0);
+	ck_assert_int_eq(waitpid(thread, &status, __WALL), thread);
 }
+
+static void
+continue_thread(pid_t thread)
+{
+	ck_assert_int_eq(ptrace(PTRACE_DETACH, thread, NULL, NULL), 0);
+}
+
+/* Times for which the thread is stopped. */
+static const int pauses_ms[] = {420, 1000};
+
+/*
+ * Only the thread that serves the callers is paused when a caller leaves, and
+ * the stops of the runs are carried out late.  The entry stated the time at
+ * which it heard of it as that at which it gave the runs up, so that they were
+ * still at work when the caller sent the job again.
+ */
+START_TEST(job_ends_when_caller_leaves_a_paused_thread)
+{
+	const unsigned id = 0x300;
+	static const char *const headers[] = {
+	    "Content-Type: application/json", "X-Deadline-Ms: 20000", NULL};
+	struct hn_http *again;
+	struct dpl dpl;
+	pid_t thread;
+	int fd;
+
+	dpl_start(&dpl, &(struct dpl_options){0});
+	thread = clients_thread(hn_pid(dpl.entry[0]));
+	fd = send_job(&dpl, id);
+	ck_assert(
+	    hn_wait_until(count(&dpl, "running") == N_TASKS, HN_LIMIT_MS));
+	hn_http_start("POST", dpl_url(&dpl, 1, hn_str("/q/%016x", id + 1)),
+	    headers, JOB_OF(OTHER_TASKS));
+	hn_sleep(READ_MS); /* until the others run */
+	dpl_control(
+	    &dpl, "GET", hn_str("mode?late_stops=%d", LATE_STOP_MS), NULL);
+	stop_thread(thread);
+	close(fd);
+	hn_sleep(pauses_ms[_i]);
+	continue_thread(thread);
+	hn_sleep(RESEND_MS - pauses_ms[_i]);
+	again = hn_http_start(
+	    "POST", dpl_url(&dpl, 1, hn_str("/q/%016x", id)), headers, JOB);
+	hn_sleep(START_MS);
+	ck_assert_int_eq(count(&dpl, "twice"), 0);
+	ck_assert_int_ge(count(&dpl, "running"), N_TASKS);
+	dpl_control(&dpl, "GET", "mode?late_stops=0", NULL);
+	hn_http_wait(again, HN_LIMIT_MS);
+	ck_assert_int_eq(count(&dpl, "twice"), 0);
+	hn_finish();
+}
+END_TEST
+
+ROWS_MAIN("leaving", 2 * HN_LIMIT_MS / 1000.0, G_N_ELEMENTS(pauses_ms),
+    job_ends_when_caller_leaves_a_paused_thread,
+    job_ends_when_caller_leaves_after_more_bytes,
+    job_of_caller_that_has_left_is_not_accepted)
