--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -9,7 +9,7 @@
 #include "platform/http.h"
 #include "runner.h"
 
-#define TIMEOUT_MS 100
+#define TIMEOUT_MS INT64_C(100)
 #define LATE_MS	   5000
 
 static GSocket *
