--- a/src/connection/httplisten.c
+++ b/src/connection/httplisten.c
@@ -1,4 +1,6 @@
+#include <errno.h>
 #include <poll.h>
+#include <sys/socket.h>
 
 #include "connection/address.h"
 #include "connection/framing.h"
@@ -169,18 +171,34 @@
 	    soup_server_message_get_request_body(msg));
 }
 
+/* Not while unread data precedes the end. */
+static bool
+is_at_end(int fd)
+{
+	char byte;
+	ssize_t n;
+
+	do
+		n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	while (n < 0 && errno == EINTR);
+	return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+/* Not every system reports POLLRDHUP. */
 bool
 hl_client_has_gone(GSocket *socket)
 {
 	struct pollfd end = {
 	    .fd = g_socket_get_fd(socket), .events = POLLRDHUP};
 
-	return poll(&end, 1, 0) > 0;
+	return poll(&end, 1, 0) > 0 || is_at_end(end.fd);
 }
 
 GSource *
-hl_hangup_source(GSocket *socket)
+hl_hangup_source(GSocket *socket, bool or_input)
 {
 	/* GIOCondition has the values of poll(), but no name for this one. */
-	return g_socket_create_source(socket, (GIOCondition)POLLRDHUP, NULL);
+	int condition = POLLRDHUP | (or_input ? G_IO_IN : 0);
+
+	return g_socket_create_source(socket, (GIOCondition)condition, NULL);
 }
--- a/src/connection/httplisten.h
+++ b/src/connection/httplisten.h
@@ -46,9 +46,10 @@
  */
 bool hl_client_has_gone(GSocket *socket);
 /*
- * Returns a source with a GSocketSourceFunc, which is ready as soon as
- * hl_client_has_gone() is true.
+ * Returns a source with a GSocketSourceFunc, which is ready when the client has
+ * closed or reset the connection, and also when there is input if or_input.  The
+ * end of the connection is input too, for systems that report it so alone.
  */
-GSource *hl_hangup_source(GSocket *socket);
+GSource *hl_hangup_source(GSocket *socket, bool or_input);
 
 #endif
