--- a/src/connection/httplisten.c
+++ b/src/connection/httplisten.c
@@ -171,34 +171,38 @@
 	    soup_server_message_get_request_body(msg));
 }
 
-/* Not while unread data precedes the end. */
+/* Whether the client has closed the connection behind unread input. */
 static bool
-is_at_end(int fd)
+ends_after_input(int fd)
 {
-	char byte;
-	ssize_t n;
+	struct pollfd end = {.fd = fd, .events = POLLRDHUP};
 
-	do
-		n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-	while (n < 0 && errno == EINTR);
-	return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+	return poll(&end, 1, 0) > 0;
 }
 
-/* Not every system reports POLLRDHUP. */
 bool
 hl_client_has_gone(GSocket *socket)
 {
-	struct pollfd end = {
-	    .fd = g_socket_get_fd(socket), .events = POLLRDHUP};
+	int fd = g_socket_get_fd(socket);
+	char byte;
+	ssize_t n;
 
-	return poll(&end, 1, 0) > 0 || is_at_end(end.fd);
+	do
+		n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	while (n < 0 && errno == EINTR);
+	if (n > 0)
+		return ends_after_input(fd);
+	return n == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
 GSource *
-hl_hangup_source(GSocket *socket, bool or_input)
+hl_hangup_source(GSocket *socket, bool has_input)
 {
-	/* GIOCondition has the values of poll(), but no name for this one. */
-	int condition = POLLRDHUP | (or_input ? G_IO_IN : 0);
+	/*
+	 * The end of a connection without unread input is input.  GIOCondition
+	 * has the values of poll(), but no name for POLLRDHUP.
+	 */
+	int condition = has_input ? POLLRDHUP : G_IO_IN;
 
 	return g_socket_create_source(socket, (GIOCondition)condition, NULL);
 }
--- a/src/connection/httplisten.h
+++ b/src/connection/httplisten.h
@@ -47,9 +47,9 @@
 bool hl_client_has_gone(GSocket *socket);
 /*
  * Returns a source with a GSocketSourceFunc, which is ready when the client has
- * closed or reset the connection, and also when there is input if or_input.  The
- * end of the connection is input too, for systems that report it so alone.
+ * closed or reset the connection.  Without has_input it is also ready when there
+ * is input; with it, unread input is ignored.
  */
-GSource *hl_hangup_source(GSocket *socket, bool or_input);
+GSource *hl_hangup_source(GSocket *socket, bool has_input);
 
 #endif
