Start no task by an old description of the worker

Cause: an agent took whatever it was told last as the worker's present state, without an age. After a restart that was its key in the store, which an outage had kept it from writing; while heartbeats did not arrive, it was its own memory.

Change: a description holds for two heartbeats, counted on the worker's clock, which its answers tell; hold_is_stated(). The key says nothing of its age, so that it names the worker and no more. Entries remember the last description and the time of the last heartbeat that bore it out, and return both with the opening call, so that an agent that was restarted need not wait for a heartbeat. Recollections count only until the worker itself has called, only for the worker that is followed or if there is none, and after it has answered.

--- a/fuzz/fuzz_holder.c
+++ b/fuzz/fuzz_holder.c
@@ -724,6 +724,7 @@
 	    .wp = &w->wp,
 	    .lease_ms = MAX_LEASE_MS,
 	    .token = 10,
+	    .statement_ms = INT64_MAX,
 	    .lease = on_lease,
 	    .report = on_report,
 	    .runs_lost = on_runs_lost,
--- a/sim/fleet.c
+++ b/sim/fleet.c
@@ -129,6 +129,7 @@
 	    .failure_domain = "zone",
 	    .lease_ms = LEASE_MS,
 	    .drain_ms = DRAIN_MS,
+	    .worker_heartbeat_ms = SWK_HEARTBEAT_MAX_MS,
 	    .drained = ignore,
 	};
 	struct slp_proc *former;
--- a/sim/worker.c
+++ b/sim/worker.c
@@ -14,7 +14,6 @@
 #define LEASE_CHECK_MS	     3
 #define FIRST_CLOCK_MS	     1000
 #define HEARTBEAT_MIN_MS     200
-#define HEARTBEAT_MAX_MS     500
 #define CALL_MAX_MS	     4 /* one way */
 #define STOP_MIN_MS	     1
 #define STOP_MAX_MS	     60
@@ -229,7 +228,7 @@
 	if (slp_now_ms() >= w->silent_until_ms)
 		send_heartbeat(w, random_ms(0, CALL_MAX_MS));
 	slp_at(NULL,
-	    slp_now_ms() + random_ms(HEARTBEAT_MIN_MS, HEARTBEAT_MAX_MS),
+	    slp_now_ms() + random_ms(HEARTBEAT_MIN_MS, SWK_HEARTBEAT_MAX_MS),
 	    on_heartbeat_due, life_event_new(w), g_free);
 }
 
--- a/sim/worker.h
+++ b/sim/worker.h
@@ -18,6 +18,8 @@
 #define SWK_SERVICE "service"
 /* Thousandths of a core. */
 #define SWK_CAPACITY_MILLI 4000
+/* Longest interval of a worker's heartbeats. */
+#define SWK_HEARTBEAT_MAX_MS 500
 
 /* How a crashed worker returns. */
 enum swk_rebirth {
--- a/src/connection/claim.c
+++ b/src/connection/claim.c
@@ -227,3 +227,12 @@
 	if (is_new)
 		ask(claim);
 }
+
+void
+clm_suggest(struct clm *clm, const struct wp_worker *worker)
+{
+	const struct claim *claim = find(clm, worker);
+
+	if (claim == NULL || claim->worker->clock_ms < worker->clock_ms)
+		clm_check(clm, worker);
+}
--- a/src/connection/claim.h
+++ b/src/connection/claim.h
@@ -35,6 +35,11 @@
  * until CLM_LIMIT_MS after the claim's last heartbeat.
  */
 void clm_check(struct clm *clm, const struct wp_worker *worker);
+/*
+ * The same for what someone else remembers of the worker.  It does not take the
+ * place of a claim of a later time.
+ */
+void clm_suggest(struct clm *clm, const struct wp_worker *worker);
 
 /* Upper limit of the time between two heartbeats of a worker. */
 #define CLM_LIMIT_MS 3000
--- a/src/connection/holder.c
+++ b/src/connection/holder.c
@@ -209,6 +209,30 @@
 	       clk_now_ms() - hold->heard_ms <= ANSWERING_MS;
 }
 
+/* Whether a heartbeat of the present incarnation is known. */
+static bool
+is_described(const struct hold *hold)
+{
+	return hold->described_born_ms == hold->born_ms;
+}
+
+int64_t
+hold_stated_ms(const struct hold *hold)
+{
+	return hold->phase != ABSENT && is_described(hold) ? hold->stated_ms
+							   : -1;
+}
+
+bool
+hold_is_stated(const struct hold *hold)
+{
+	int64_t stated_ms = hold_stated_ms(hold);
+	int64_t clock_ms = hold->clock_ms + (clk_now_ms() - hold->clock_at_ms);
+
+	return stated_ms >= 0 &&
+	       clock_ms - stated_ms <= hold->opts.statement_ms;
+}
+
 uint64_t
 hold_incarnation(const struct hold *hold)
 {
@@ -382,13 +406,6 @@
 	    evt_int("runs", report->n_running));
 }
 
-/* Whether a heartbeat of the present incarnation is known. */
-static bool
-is_described(const struct hold *hold)
-{
-	return hold->described_born_ms == hold->born_ms;
-}
-
 /*
  * Whether no run is left on the worker that was replaced.  One at the same
  * address has ended, if both answers and a heartbeat tell so; otherwise its
@@ -898,8 +915,10 @@
 	skip_token(ctx, token);
 }
 
-void
-hold_heartbeat(struct hold *hold, const struct wp_worker *worker)
+/* Processes a statement; check is called for one that needs an answer. */
+static void
+take_statement(struct hold *hold, const struct wp_worker *worker,
+    void (*check)(struct clm *clm, const struct wp_worker *worker))
 {
 	bool current = is_current(hold, worker);
 
@@ -908,7 +927,20 @@
 	if (current && hold->phase != ABSENT && !is_ahead(hold, worker))
 		apply_statement(hold, worker);
 	else
-		clm_check(hold->claims, worker);
+		check(hold->claims, worker);
+}
+
+void
+hold_heartbeat(struct hold *hold, const struct wp_worker *worker)
+{
+	take_statement(hold, worker, clm_check);
+}
+
+void
+hold_suggest(struct hold *hold, const struct wp_worker *worker)
+{
+	if (hold->phase == ABSENT || is_current(hold, worker))
+		take_statement(hold, worker, clm_suggest);
 }
 
 struct hold *
--- a/src/connection/holder.h
+++ b/src/connection/holder.h
@@ -39,6 +39,8 @@
 	const struct wp *wp; /* borrowed */
 	int64_t lease_ms;    /* longest lease that the worker grants */
 	int64_t token; /* fencing token, above that of any earlier agent */
+	int64_t
+	    statement_ms; /* longest age of what the worker says of itself */
 	/*
 	 * What is to be done with the lease.  Polls renew it as long as a run
 	 * needs it; starts do so too unless it is paused or withheld.
@@ -75,6 +77,11 @@
  * incarnation, does not.
  */
 void hold_heartbeat(struct hold *hold, const struct wp_worker *worker);
+/*
+ * Processes what someone else remembers of the worker, unless another one is
+ * followed.  The worker's answers have to bear it out as well.
+ */
+void hold_suggest(struct hold *hold, const struct wp_worker *worker);
 /*
  * Processes a deregistration.  The worker gets no starts until it is settled
  * whether it has ended, which is reported by left(), or whether the
@@ -92,6 +99,14 @@
  * agent process, or reported as lost, is left on it.
  */
 bool hold_is_ready(const struct hold *hold);
+/*
+ * Whether the worker has described itself within statement_ms, by its own clock.
+ * Its capacity, labels, service and state may have changed since an older
+ * description, or since one of unknown age.
+ */
+bool hold_is_stated(const struct hold *hold);
+/* The worker's clock at its last description, -1: unknown. */
+int64_t hold_stated_ms(const struct hold *hold);
 /*
  * Whether starts are to be sent, or sent again, at present.  They are not if a
  * call got no answer and none was answered lately: the worker may have crashed,
--- a/src/connection/run.x
+++ b/src/connection/run.x
@@ -24,10 +24,27 @@
 	int64_t gpus;
 };
 
-/* First call of the entry. */
+/* What a worker has said of itself, as far as the sender knows. */
+struct run_statement {
+	uint64_t incarnation;	/* 0: nothing */
+	run_name instance;
+	run_name address;
+	int64_t stated_ms;	/* the worker's clock at that, -1: unknown */
+	bool draining;
+	run_name service;
+	run_name failure_domain;
+	run_name labels<RUN_LABELS_MAX>;
+	run_size capacity;
+};
+
+/*
+ * First call of the entry.  An agent that was restarted learns from it what the
+ * former process has told last on the connection before.
+ */
 struct run_open_args {
 	run_name entry;
 	uint64_t incarnation;
+	run_statement *worker;	/* NULL: none is known */
 };
 
 struct run_start {
@@ -71,12 +88,8 @@
 
 /* Describes the agent's worker; sent first, and again when it changes. */
 struct run_worker_args {
-	uint64_t incarnation;	/* 0: no worker */
-	bool draining;
-	run_name service;
-	run_name failure_domain;
-	run_name labels<RUN_LABELS_MAX>;
-	run_size capacity;
+	bool shutting_down;	/* the agent takes no more starts */
+	run_statement worker;
 };
 
 enum run_outcome {
@@ -102,6 +115,7 @@
 	uint32_t sessions;	/* entries connected to the agent */
 	uint32_t slowness_permille;	/* run times against nominal, 0: unknown */
 	int64_t clock_ms;	/* of the agent, above 0 */
+	int64_t stated_ms;	/* as in the statement that is now in force */
 };
 
 enum run_crash_state {
@@ -147,4 +161,4 @@
 		void RUN_CRASH(run_crash_args) = 7;
 		void RUN_CANCEL_JOB(run_cancel_job_args) = 8;
 	} = 1;
-} = 0x20005358;
+} = 0x20005359;
--- a/src/connection/run_xdr.c
+++ b/src/connection/run_xdr.c
@@ -29,6 +29,34 @@
 	return TRUE;
 }
 
+bool_t
+xdr_run_statement(XDR *xdrs, run_statement *objp)
+{
+	register int32_t *buf;
+
+	if (!xdr_uint64_t(xdrs, &objp->incarnation))
+		return FALSE;
+	if (!xdr_run_name(xdrs, &objp->instance))
+		return FALSE;
+	if (!xdr_run_name(xdrs, &objp->address))
+		return FALSE;
+	if (!xdr_int64_t(xdrs, &objp->stated_ms))
+		return FALSE;
+	if (!xdr_bool(xdrs, &objp->draining))
+		return FALSE;
+	if (!xdr_run_name(xdrs, &objp->service))
+		return FALSE;
+	if (!xdr_run_name(xdrs, &objp->failure_domain))
+		return FALSE;
+	if (!xdr_array(xdrs, (char **)&objp->labels.labels_val,
+		(u_int *)&objp->labels.labels_len, RUN_LABELS_MAX,
+		sizeof(run_name), (xdrproc_t)xdr_run_name))
+		return FALSE;
+	if (!xdr_run_size(xdrs, &objp->capacity))
+		return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_run_open_args(XDR *xdrs, run_open_args *objp)
 {
@@ -38,6 +66,9 @@
 		return FALSE;
 	if (!xdr_uint64_t(xdrs, &objp->incarnation))
 		return FALSE;
+	if (!xdr_pointer(xdrs, (char **)&objp->worker, sizeof(run_statement),
+		(xdrproc_t)xdr_run_statement))
+		return FALSE;
 	return TRUE;
 }
 
@@ -133,19 +164,9 @@
 {
 	register int32_t *buf;
 
-	if (!xdr_uint64_t(xdrs, &objp->incarnation))
+	if (!xdr_bool(xdrs, &objp->shutting_down))
 		return FALSE;
-	if (!xdr_bool(xdrs, &objp->draining))
-		return FALSE;
-	if (!xdr_run_name(xdrs, &objp->service))
-		return FALSE;
-	if (!xdr_run_name(xdrs, &objp->failure_domain))
-		return FALSE;
-	if (!xdr_array(xdrs, (char **)&objp->labels.labels_val,
-		(u_int *)&objp->labels.labels_len, RUN_LABELS_MAX,
-		sizeof(run_name), (xdrproc_t)xdr_run_name))
-		return FALSE;
-	if (!xdr_run_size(xdrs, &objp->capacity))
+	if (!xdr_run_statement(xdrs, &objp->worker))
 		return FALSE;
 	return TRUE;
 }
@@ -195,6 +216,8 @@
 		return FALSE;
 	if (!xdr_int64_t(xdrs, &objp->clock_ms))
 		return FALSE;
+	if (!xdr_int64_t(xdrs, &objp->stated_ms))
+		return FALSE;
 	return TRUE;
 }
 
--- a/src/connection/run_xdr.h
+++ b/src/connection/run_xdr.h
@@ -29,9 +29,26 @@
 };
 typedef struct run_size run_size;
 
+struct run_statement {
+	uint64_t incarnation;
+	run_name instance;
+	run_name address;
+	int64_t stated_ms;
+	bool_t draining;
+	run_name service;
+	run_name failure_domain;
+	struct {
+		u_int labels_len;
+		run_name *labels_val;
+	} labels;
+	run_size capacity;
+};
+typedef struct run_statement run_statement;
+
 struct run_open_args {
 	run_name entry;
 	uint64_t incarnation;
+	run_statement *worker;
 };
 typedef struct run_open_args run_open_args;
 
@@ -87,15 +104,8 @@
 typedef struct run_heartbeat_args run_heartbeat_args;
 
 struct run_worker_args {
-	uint64_t incarnation;
-	bool_t draining;
-	run_name service;
-	run_name failure_domain;
-	struct {
-		u_int labels_len;
-		run_name *labels_val;
-	} labels;
-	run_size capacity;
+	bool_t shutting_down;
+	run_statement worker;
 };
 typedef struct run_worker_args run_worker_args;
 
@@ -126,6 +136,7 @@
 	uint32_t sessions;
 	uint32_t slowness_permille;
 	int64_t clock_ms;
+	int64_t stated_ms;
 };
 typedef struct run_update_args run_update_args;
 
@@ -160,7 +171,7 @@
 };
 typedef struct run_cancel_job_args run_cancel_job_args;
 
-#define RUN_PROG 0x20005358
+#define RUN_PROG 0x20005359
 #define RUN_V1	 1
 
 #if defined(__STDC__) || defined(__cplusplus)
@@ -225,6 +236,7 @@
 #if defined(__STDC__) || defined(__cplusplus)
 extern bool_t xdr_run_name(XDR *, run_name *);
 extern bool_t xdr_run_size(XDR *, run_size *);
+extern bool_t xdr_run_statement(XDR *, run_statement *);
 extern bool_t xdr_run_open_args(XDR *, run_open_args *);
 extern bool_t xdr_run_start(XDR *, run_start *);
 extern bool_t xdr_run_spec(XDR *, run_spec *);
@@ -243,6 +255,7 @@
 #else /* K&R C */
 extern bool_t xdr_run_name();
 extern bool_t xdr_run_size();
+extern bool_t xdr_run_statement();
 extern bool_t xdr_run_open_args();
 extern bool_t xdr_run_start();
 extern bool_t xdr_run_spec();
--- a/src/connection/sessions.c
+++ b/src/connection/sessions.c
@@ -100,7 +100,8 @@
 		rpc_close(s->conn, ST_INVALID, "malformed opening call");
 	} else {
 		s->identified = true;
-		s->ses->opts.opened(s->id, args.entry, s->ses->opts.ctx);
+		s->ses->opts.opened(
+		    s->id, args.entry, args.worker, s->ses->opts.ctx);
 	}
 	xdr_free((xdrproc_t)xdr_run_open_args, &args);
 }
--- a/src/connection/sessions.h
+++ b/src/connection/sessions.h
@@ -17,7 +17,9 @@
 	const char *listen; /* "ip:port" */
 	/* A session closes when its entry has sent nothing for this long. */
 	int64_t silence_ms;
-	void (*opened)(uint64_t session, const char *entry, void *ctx);
+	/* worker is what the entry remembers of the agent's worker, or NULL. */
+	void (*opened)(uint64_t session, const char *entry,
+	    const struct run_statement *worker, void *ctx);
 	/* The entry sent the last message that has arrived at last_sent_ms. */
 	void (*closed)(uint64_t session, int64_t last_sent_ms,
 	    const struct status *why, void *ctx);
--- a/src/connection/workerport.h
+++ b/src/connection/workerport.h
@@ -120,8 +120,9 @@
 struct wp_worker {
 	const char *instance;
 	uint64_t born_ms; /* start of the incarnation */
-	int64_t clock_ms; /* the worker's clock at this heartbeat, 0: unknown */
-	int64_t seq;	  /* of the heartbeat */
+	int64_t
+	    clock_ms; /* the worker's clock at this heartbeat, -1: unknown */
+	int64_t seq;  /* of the heartbeat */
 	const char *service;
 	const char *address;
 	const char *failure_domain;
--- a/src/connection/worklink.c
+++ b/src/connection/worklink.c
@@ -35,6 +35,8 @@
 	int64_t last_open_ms;
 	int64_t heartbeat_sent_ms; /* last heartbeat sent */
 	struct pcl agent_clock;
+	/* As the agent described it last; incarnation 0: not yet. */
+	run_statement worker;
 	int64_t backoff_ms;
 	GArray *starts;	  /* run_start; strings owned */
 	GPtrArray *specs; /* GBytes, of the starts */
@@ -141,6 +143,15 @@
 	return true;
 }
 
+/* Takes over the contents of statement. */
+static void
+keep_worker(struct wlk *link, run_statement *statement)
+{
+	xdr_free((xdrproc_t)xdr_run_statement, &link->worker);
+	link->worker = *statement;
+	*statement = (run_statement){0};
+}
+
 static void
 on_call(struct rpc_conn *conn, const struct rpc_call *call, void *ctx)
 {
@@ -152,14 +163,16 @@
 
 	link->backoff_ms = 0;
 	if (call->proc == RUN_WORKER &&
-	    xdr_run_worker_args(call->args, &worker))
+	    xdr_run_worker_args(call->args, &worker)) {
 		link->opts.worker(link, &worker, link->opts.ctx);
-	else if (call->proc == RUN_UPDATE &&
-		 xdr_run_update_args(call->args, &update) &&
-		 record_clock(link, update.clock_ms))
+		keep_worker(link, &worker.worker);
+	} else if (call->proc == RUN_UPDATE &&
+		   xdr_run_update_args(call->args, &update) &&
+		   record_clock(link, update.clock_ms)) {
+		link->worker.stated_ms = update.stated_ms;
 		link->opts.update(link, &update, link->opts.ctx);
-	else if (call->proc == RUN_CRASH &&
-		 xdr_run_crash_args(call->args, &crash))
+	} else if (call->proc == RUN_CRASH &&
+		   xdr_run_crash_args(call->args, &crash))
 		link->opts.crash(link, &crash, link->opts.ctx);
 	else if (call->proc == RUN_CANCEL_JOB &&
 		 xdr_run_cancel_job_args(call->args, &cancel))
@@ -217,6 +230,18 @@
 		    evt_text("reason", g_strerror(errno)));
 }
 
+static void
+send_open(struct wlk *link)
+{
+	run_open_args args = {
+	    .entry = (char *)link->opts.name,
+	    .incarnation = link->opts.incarnation,
+	    .worker = link->worker.incarnation == 0 ? NULL : &link->worker,
+	};
+
+	rpc_send(link->conn, RUN_OPEN, (xdrproc_t)xdr_run_open_args, &args);
+}
+
 static void
 on_connected(GObject *source, GAsyncResult *result, gpointer data)
 {
@@ -232,7 +257,6 @@
 	    .on_closed = on_closed,
 	    .ctx = link,
 	};
-	run_open_args args;
 
 	if (g_error_matches(error, G_IO_ERROR, G_IO_ERROR_CANCELLED)) {
 		g_error_free(error);
@@ -248,9 +272,7 @@
 	link->agent_clock = (struct pcl){0};
 	link->conn = rpc_new(&opts);
 	g_object_unref(socket);
-	args.entry = (char *)link->opts.name;
-	args.incarnation = link->opts.incarnation;
-	rpc_send(link->conn, RUN_OPEN, (xdrproc_t)xdr_run_open_args, &args);
+	send_open(link);
 	wlk_send_heartbeat(link);
 }
 
@@ -304,6 +326,7 @@
 	g_array_unref(link->starts);
 	g_ptr_array_unref(link->specs);
 	g_array_unref(link->cancels);
+	xdr_free((xdrproc_t)xdr_run_statement, &link->worker);
 	g_object_unref(link->client);
 	g_object_unref(link->target);
 	g_free(link->address);
--- a/src/process/agentpool.c
+++ b/src/process/agentpool.c
@@ -78,18 +78,19 @@
 {
 	struct agp *pool = ctx;
 	struct agp_agent *agent = find_agent(pool, wlk_address(link));
+	const run_statement *w = &args->worker;
 	struct wks_description d = {
 	    .name = wlk_address(link),
-	    .incarnation = args->incarnation,
-	    .service = args->service,
-	    .failure_domain = args->failure_domain,
-	    .labels = (const char *const *)args->labels.labels_val,
-	    .n_labels = args->labels.labels_len,
-	    .capacity = {args->capacity.cpu_milli, args->capacity.memory_mb,
-		args->capacity.gpus},
-	    .draining = args->draining,
+	    .incarnation = w->incarnation,
+	    .service = w->service,
+	    .failure_domain = w->failure_domain,
+	    .labels = (const char *const *)w->labels.labels_val,
+	    .n_labels = w->labels.labels_len,
+	    .capacity = {w->capacity.cpu_milli, w->capacity.memory_mb,
+		w->capacity.gpus},
+	    .draining = args->shutting_down || w->draining,
 	    .local =
-		g_strcmp0(args->failure_domain, pool->opts.failure_domain) == 0,
+		g_strcmp0(w->failure_domain, pool->opts.failure_domain) == 0,
 	};
 
 	evt_write("agent", evt_text("agent", d.name),
--- a/src/process/enlist.c
+++ b/src/process/enlist.c
@@ -120,6 +120,7 @@
 		struct wp_worker worker = {
 		    .instance = r.instance,
 		    .born_ms = (uint64_t)r.born_ms,
+		    .clock_ms = -1,
 		    .service = r.service,
 		    .address = r.address,
 		    .failure_domain = r.failure_domain,
--- a/src/process/jobagent.c
+++ b/src/process/jobagent.c
@@ -4,6 +4,7 @@
 #include "connection/holder.h"
 #include "connection/sessions.h"
 #include "connection/startspecs.h"
+#include "connection/statement.h"
 #include "process/clock.h"
 #include "process/crashwatch.h"
 #include "process/enlist.h"
@@ -25,6 +26,8 @@
  * calls must not be processed.
  */
 #define ENTRY_SILENCE_MS 800
+/* A description of the worker is too old when this many heartbeats are due. */
+#define MAX_MISSED_HEARTBEATS 2
 /* Results and the worker's description that an entry has yet to be sent. */
 struct outbox {
 	GArray *results; /* run_result, strings owned */
@@ -47,6 +50,8 @@
 	GHashTable *out_domains;  /* failure domains out of service */
 	int64_t out_revision;	  /* store revision of that list */
 	struct wp_worker *worker; /* as it last described itself */
+	bool heard;  /* the worker itself has called: no recollection counts */
+	bool stated; /* hold_is_stated(), as last logged */
 	bool draining;
 	bool drained;
 	bool calls_disabled; /* no calls to the worker */
@@ -57,7 +62,7 @@
 	bool accepting;	       /* as last marked for updates */
 	bool withheld;	       /* the lease, as last logged */
 	int64_t *starts, *done, *failed, *runs_lost, *refused, *stalled;
-	int64_t *sessions_lost, *leases_withheld;
+	int64_t *sessions_lost, *leases_withheld, *unstated;
 	struct {
 		int64_t *queued, *starting, *unanswered;
 		int64_t *running, *stopping, *stopped;
@@ -112,6 +117,8 @@
 		*reason = "worker is draining";
 	else if (!hold_is_ready(ja->hold))
 		*reason = "worker is not ready";
+	else if (!hold_is_stated(ja->hold))
+		*reason = "worker has not described itself lately";
 	else if (led_lease(ja->led, clk_now_ms()) == WP_LEASE_WITHHOLD)
 		*reason = "worker does not carry out stops";
 	else if (g_hash_table_contains(
@@ -125,16 +132,11 @@
 static void
 send_worker(struct ja *ja, uint64_t session)
 {
-	run_worker_args args = {
-	    .incarnation = hold_incarnation(ja->hold),
-	    .draining = ja->draining || ja->worker->draining,
-	    .service = (char *)ja->worker->service,
-	    .failure_domain = (char *)ja->worker->failure_domain,
-	    .labels = {(uint32_t)ja->worker->n_labels,
-		(char **)ja->worker->labels},
-	    .capacity = size_to_wire(&ja->worker->capacity),
-	};
+	run_worker_args args = {.shutting_down = ja->draining};
 
+	stm_to_wire(ja->worker, &args.worker);
+	args.worker.incarnation = hold_incarnation(ja->hold);
+	args.worker.stated_ms = hold_stated_ms(ja->hold);
 	ses_send(ja->ses, session, RUN_WORKER, (xdrproc_t)xdr_run_worker_args,
 	    &args);
 }
@@ -161,6 +163,7 @@
 	    .sessions = g_hash_table_size(ja->outboxes),
 	    .slowness_permille = slw_permille(&ja->slowness, clk_now_ms()),
 	    .clock_ms = clk_now_ms(),
+	    .stated_ms = hold_stated_ms(ja->hold),
 	};
 	ses_send(ja->ses, session, RUN_UPDATE, (xdrproc_t)xdr_run_update_args,
 	    &args);
@@ -212,6 +215,16 @@
 	schedule_updates(ja);
 }
 
+/* Tells the entries if starts are accepted, or no longer. */
+static void
+announce_accepting(struct ja *ja)
+{
+	const char *reason;
+
+	if (is_accepting(ja, &reason) != ja->accepting)
+		plan_updates(ja);
+}
+
 static void
 resend_worker(struct ja *ja)
 {
@@ -225,9 +238,23 @@
 	plan_updates(ja);
 }
 
+/* Serves a worker that an earlier process served, as someone remembers it. */
+static void
+recall_worker(struct ja *ja, const struct wp_worker *worker, const char *from)
+{
+	if (ja->heard)
+		return;
+	evt_write("worker", evt_text("instance", worker->instance),
+	    evt_text("state", "recalled"), evt_text("from", from),
+	    evt_int("stated_ms", worker->clock_ms));
+	hold_suggest(ja->hold, worker);
+}
+
 static void
-on_opened(uint64_t session, const char *entry, void *ctx)
+on_opened(uint64_t session, const char *entry,
+    const struct run_statement *statement, void *ctx)
 {
+	struct wp_worker worker;
 	struct ja *ja = ctx;
 	struct outbox *box = g_new0(struct outbox, 1);
 
@@ -241,6 +268,8 @@
 	crw_send_all(ja->crashwatch, session);
 	upd_open(ja->updates, session, clk_now_ms());
 	schedule_updates(ja);
+	if (statement != NULL && stm_from_wire(statement, &worker))
+		recall_worker(ja, &worker, entry);
 }
 
 static void
@@ -561,6 +590,8 @@
 	enl_update(ja->enlist, worker);
 	if (changed)
 		resend_worker(ja);
+	else
+		announce_accepting(ja);
 	led_start_queued(ja->led, clk_now_ms());
 }
 
@@ -620,6 +651,23 @@
 	plan_updates(ja);
 }
 
+/* What the worker has said of itself becomes too old as time passes. */
+static void
+check_statement(struct ja *ja)
+{
+	bool stated = hold_is_stated(ja->hold);
+
+	if (stated == ja->stated)
+		return;
+	ja->stated = stated;
+	if (!stated)
+		++*ja->unstated;
+	evt_write("worker", evt_text("instance", ja->worker->instance),
+	    evt_bool("stated", stated),
+	    evt_int("stated_ms", hold_stated_ms(ja->hold)));
+	announce_accepting(ja);
+}
+
 static void
 update_gauges(struct ja *ja)
 {
@@ -643,6 +691,7 @@
 	hold_tick(ja->hold);
 	led_tick(ja->led, clk_now_ms());
 	check_lease(ja);
+	check_statement(ja);
 	crw_tick(ja->crashwatch);
 	update_gauges(ja);
 	finish_drain(ja);
@@ -684,6 +733,9 @@
 	ja->leases_withheld = ctr_counter(reg, "sp_leases_withheld_total",
 	    "Times that the worker's lease was left to expire, since a run did "
 	    "not end.");
+	ja->unstated = ctr_counter(reg, "sp_worker_unstated_total",
+	    "Times that the worker's description of itself became too old to "
+	    "start tasks by it.");
 	ja->run_times =
 	    hst_new(reg, "sp_run_ms", "Time from start to end of done runs.");
 	ja->stalled = ctr_counter(reg, "sp_runs_stalled_total",
@@ -711,6 +763,8 @@
 	    .wp = ja->opts.wp,
 	    .lease_ms = ja->opts.lease_ms,
 	    .token = clk_wall_ms(),
+	    .statement_ms =
+		MAX_MISSED_HEARTBEATS * ja->opts.worker_heartbeat_ms,
 	    .lease = decide_lease,
 	    .report = on_report,
 	    .runs_lost = on_runs_lost,
@@ -726,15 +780,10 @@
 	ja->crashwatch = crw_new(&(struct crw_options){ja->led, ja->hold});
 }
 
-/* Serves the worker that this agent's registration in the store names. */
 static void
 on_recalled(const struct wp_worker *worker, void *ctx)
 {
-	struct ja *ja = ctx;
-
-	evt_write("worker", evt_text("instance", worker->instance),
-	    evt_text("state", "recalled"));
-	hold_heartbeat(ja->hold, worker);
+	recall_worker(ctx, worker, "registration");
 }
 
 static void
@@ -822,12 +871,14 @@
 void
 ja_heartbeat(struct ja *ja, const struct wp_worker *worker)
 {
+	ja->heard = true;
 	hold_heartbeat(ja->hold, worker);
 }
 
 void
 ja_worker_left(struct ja *ja, const char *instance)
 {
+	ja->heard = true;
 	if (!hold_worker_left(ja->hold, instance))
 		enl_worker_left(ja->enlist, instance);
 }
--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -101,6 +101,7 @@
     JOB_COMMON,
     {"worker_listen", ADDRESS, REQ, J(worker_listen), NULL, 0, 0, 0},
     {"advertise", ADDRESS, OPT, J(advertise), NULL, 0, 0, 0},
+    {"worker_heartbeat_ms", INT64, OPT, J(worker_heartbeat_ms), NULL, 1500, 100, 60000},
 };
 /* clang-format on */
 
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -79,7 +79,8 @@
 	char *metrics_listen; /* "ip:port" */
 	char *store;	      /* "ip:port" */
 	int64_t lease_ms;     /* longest lease that a worker grants */
-	int64_t drain_ms;     /* longest time of a graceful shutdown */
+	int64_t worker_heartbeat_ms; /* interval of the worker's heartbeats */
+	int64_t drain_ms;	     /* longest time of a graceful shutdown */
 	/*
 	 * Run time assumed outside the preferred rack, where a task's data is,
 	 * in percent of the run time inside it.
--- a/tests/test_holder.c
+++ b/tests/test_holder.c
@@ -8,8 +8,9 @@
 
 /* The commands are listed in tests/cases/holder.txt. */
 
-#define LEASE_MS 1000 /* above HOLD_MAX_LEASE_MS */
-#define MAX_ROWS 8
+#define LEASE_MS     1000 /* above HOLD_MAX_LEASE_MS */
+#define MAX_ROWS     8
+#define STATEMENT_MS 3000
 /* Less than the pause after a request for a report that failed at once. */
 #define SOON_MS 30
 /* Checks differ from other requests for a report by their fixed timeout. */
@@ -206,6 +207,7 @@
 	    .wp = &w->wp,
 	    .lease_ms = LEASE_MS,
 	    .token = 10,
+	    .statement_ms = STATEMENT_MS,
 	    .lease = on_lease,
 	    .report = on_report,
 	    .runs_lost = on_runs_lost,
@@ -282,6 +284,20 @@
 	hold_heartbeat(w->hold, &worker);
 }
 
+/* suggest BORN CLOCK */
+static void
+suggest(struct fixture *w, char **words)
+{
+	struct wp_worker worker = {
+	    .instance = "i",
+	    .address = w->address,
+	    .born_ms = (uint64_t)atoi(words[1]),
+	    .clock_ms = atoi(words[2]),
+	};
+
+	hold_suggest(w->hold, &worker);
+}
+
 /* A heartbeat of a new worker, which answers the check of it. */
 static void
 register_worker(struct fixture *w, char **words)
@@ -393,6 +409,10 @@
 		hold_tick(w->hold);
 	} else if (strcmp(words[0], "heartbeat") == 0)
 		heartbeat(w, words);
+	else if (strcmp(words[0], "suggest") == 0)
+		suggest(w, words);
+	else if (strcmp(words[0], "stated") == 0)
+		append(w, hold_is_stated(w->hold) ? "yes" : "no");
 	else if (strcmp(words[0], "register") == 0)
 		register_worker(w, words);
 	else if (strcmp(words[0], "worker") == 0)
--- a/tests/test_restarted_agent.c
+++ b/tests/test_restarted_agent.c
@@ -7,9 +7,11 @@
 #define OLD_WORD_MS 3500
 /* Room for eight tasks at each worker at first, then for two. */
 #define SMALL_MILLI 2000
-#define N_TASKS	    24
-/* A worker's first heartbeat after this must bring the job to its end. */
+/* Jobs are sent for this long while the worker is not heard. */
 #define REFUSED_MS 2500
+#define JOB                                                                    \
+	"{\"spec\":\"300\",\"best_effort\":true,\"steps\":[{\"count\":24,"     \
+	"\"cpu\":1000,\"mem_mb\":1,\"estimate_ms\":300}]}"
 
 static int64_t
 count(const struct dpl *dpl, const char *name)
@@ -22,41 +24,48 @@
 shrink_during_outage(const struct dpl *dpl)
 {
 	dpl_control(dpl, "GET", "mode?store=down", NULL);
-	dpl_control(
-	    dpl, "GET", hn_str("mode?capacity=%d", SMALL_MILLI), NULL);
+	dpl_control(dpl, "GET", hn_str("mode?capacity=%d", SMALL_MILLI), NULL);
 	hn_sleep(SHRINK_GRACE_MS);
 	dpl_control(dpl, "GET", "mode?beats=0&store=up", NULL);
 }
 
 static void
-restart_agents(const struct dpl *dpl)
+restart(struct hn_proc *const *procs, int n)
 {
 	int i;
 
-	for (i = 0; i < DPL_AGENTS; i++) {
-		hn_kill(dpl->agent[i]);
-		hn_restart(dpl->agent[i]);
+	for (i = 0; i < n; i++) {
+		hn_kill(procs[i]);
+		hn_restart(procs[i]);
 	}
 }
 
+/* The entries hear nothing from the former agents. */
 static void
-restart_entries(const struct dpl *dpl)
+restart_system(const struct dpl *dpl)
 {
 	int i;
 
-	for (i = 0; i < DPL_ENTRIES; i++) {
-		hn_kill(dpl->entry[i]);
-		hn_restart(dpl->entry[i]);
-	}
+	for (i = 0; i < DPL_AGENTS; i++)
+		hn_kill(dpl->agent[i]);
+	restart(dpl->entry, DPL_ENTRIES);
+	restart(dpl->agent, DPL_AGENTS);
 }
 
+/* Sends jobs of 24 tasks, one after the other. */
 static void
-run_jobs(const struct dpl *dpl, int64_t for_ms)
+run_jobs(const struct dpl *dpl)
 {
-	int64_t until_ms = hn_now_ms() + for_ms;
+	static const char *const headers[] = {
+	    "Content-Type: application/json", "X-Deadline-Ms: 1000", NULL};
+	static unsigned id = 0x400;
+	int64_t until_ms = hn_now_ms() + REFUSED_MS;
 
 	while (hn_now_ms() < until_ms) {
-		dpl_count_running(dpl, 0, N_TASKS);
+		hn_http_wait(hn_http_start("POST",
+				 dpl_url(dpl, 0, hn_str("/q/%016x", id++)),
+				 headers, JOB),
+		    HN_LIMIT_MS);
 		hn_sleep(20);
 	}
 }
@@ -71,8 +80,8 @@
 
 	dpl_start(&dpl, &(struct dpl_options){0});
 	shrink_during_outage(&dpl);
-	restart_agents(&dpl);
-	run_jobs(&dpl, REFUSED_MS);
+	restart(dpl.agent, DPL_AGENTS);
+	run_jobs(&dpl);
 	ck_assert_int_eq(count(&dpl, "limit"), 0);
 	dpl_control(&dpl, "GET", "mode?beats=1", NULL);
 	ck_assert(hn_wait_until(dpl_completes_job(&dpl, 0), HN_LIMIT_MS));
@@ -90,9 +99,8 @@
 	dpl_start(&dpl, &(struct dpl_options){0});
 	shrink_during_outage(&dpl);
 	before = count(&dpl, "starts");
-	restart_entries(&dpl);
-	restart_agents(&dpl);
-	run_jobs(&dpl, REFUSED_MS);
+	restart_system(&dpl);
+	run_jobs(&dpl);
 	ck_assert_int_eq(count(&dpl, "limit"), 0);
 	ck_assert_int_eq(count(&dpl, "starts"), before);
 	dpl_control(&dpl, "GET", "mode?beats=1", NULL);
@@ -111,13 +119,13 @@
 	struct dpl dpl;
 
 	dpl_start(&dpl, &(struct dpl_options){0});
-	dpl_control(&dpl, "GET",
-	    hn_str("mode?beats=0&capacity=%d", SMALL_MILLI), NULL);
+	dpl_control(
+	    &dpl, "GET", hn_str("mode?beats=0&capacity=%d", SMALL_MILLI), NULL);
 	hn_sleep(OLD_WORD_MS);
-	run_jobs(&dpl, REFUSED_MS);
+	run_jobs(&dpl);
 	ck_assert_int_eq(count(&dpl, "limit"), 0);
-	restart_agents(&dpl);
-	run_jobs(&dpl, REFUSED_MS);
+	restart(dpl.agent, DPL_AGENTS);
+	run_jobs(&dpl);
 	ck_assert_int_eq(count(&dpl, "limit"), 0);
 	dpl_control(&dpl, "GET", "mode?beats=1", NULL);
 	ck_assert(hn_wait_until(dpl_completes_job(&dpl, 0), HN_LIMIT_MS));
--- a/tests/test_sessions.c
+++ b/tests/test_sessions.c
@@ -19,10 +19,12 @@
 };
 
 static void
-on_opened(uint64_t session, const char *entry, void *ctx)
+on_opened(uint64_t session, const char *entry,
+    const struct run_statement *worker, void *ctx)
 {
 	(void)session;
 	(void)entry;
+	(void)worker;
 	(void)ctx;
 }
 
