Let agents read the domains that are out while no entry knows them

Operators: a zone went on working after its evacuation was acknowledged (EVAC) while no entry reached the store and the agents did.

Cause: an agent took the domains that its entries told as the present state, whether or not the store had confirmed the entries' copies.

Change: an entry's heartbeat says how long ago the store has confirmed its copy.

--- a/sim/fleet.c
+++ b/sim/fleet.c
@@ -127,6 +127,7 @@
 	    .listen = agent->address,
 	    .advertise = agent->address,
 	    .failure_domain = "zone",
+	    .layout = &pcfg_layout,
 	    .lease_ms = LEASE_MS,
 	    .drain_ms = DRAIN_MS,
 	    .worker_heartbeat_ms = SWK_HEARTBEAT_MAX_MS,
--- a/src/connection/run.x
+++ b/src/connection/run.x
@@ -83,6 +83,7 @@
 struct run_heartbeat_args {
 	int64_t agent_ms;	/* 0: no RUN_UPDATE has arrived */
 	int64_t revision;	/* of the configuration, 0: none yet */
+	int64_t age_ms;		/* since the store confirmed it, -1: unknown */
 	run_name out<RUN_DOMAINS_MAX>;
 };
 
--- a/src/connection/run_xdr.c
+++ b/src/connection/run_xdr.c
@@ -152,6 +152,8 @@
 		return FALSE;
 	if (!xdr_int64_t(xdrs, &objp->revision))
 		return FALSE;
+	if (!xdr_int64_t(xdrs, &objp->age_ms))
+		return FALSE;
 	if (!xdr_array(xdrs, (char **)&objp->out.out_val,
 		(u_int *)&objp->out.out_len, RUN_DOMAINS_MAX, sizeof(run_name),
 		(xdrproc_t)xdr_run_name))
--- a/src/connection/run_xdr.h
+++ b/src/connection/run_xdr.h
@@ -96,6 +96,7 @@
 struct run_heartbeat_args {
 	int64_t agent_ms;
 	int64_t revision;
+	int64_t age_ms;
 	struct {
 		u_int out_len;
 		run_name *out_val;
--- a/src/connection/sessions.c
+++ b/src/connection/sessions.c
@@ -163,7 +163,8 @@
 {
 	run_heartbeat_args args = {0};
 
-	if (!xdr_run_heartbeat_args(xdrs, &args))
+	if (!xdr_run_heartbeat_args(xdrs, &args) || args.age_ms < -1 ||
+	    args.age_ms > PCL_MAX_MS)
 		rpc_close(s->conn, ST_INVALID, "malformed heartbeat");
 	else if (args.agent_ms == 0 || !is_held_up(s, args.agent_ms))
 		s->ses->opts.on_heartbeat(s->id, &args, s->ses->opts.ctx);
--- a/src/process/entryconfig.c
+++ b/src/process/entryconfig.c
@@ -1,3 +1,4 @@
+#include "process/clock.h"
 #include "process/entryconfig.h"
 #include "process/events.h"
 #include "version/mirror.h"
@@ -134,3 +135,11 @@
 {
 	return mir_revision(ecf->mirror);
 }
+
+int64_t
+ecf_age_ms(const struct ecf *ecf)
+{
+	if (mir_revision(ecf->mirror) == 0)
+		return -1;
+	return clk_now_ms() - mir_confirmed_ms(ecf->mirror);
+}
--- a/src/process/entryconfig.h
+++ b/src/process/entryconfig.h
@@ -25,6 +25,7 @@
 /* The operators' keys in the store and the functions that parse them. */
 struct ecf_layout {
 	const char *operators_prefix;
+	const char *out_prefix; /* of those that out() reads */
 	/* NULL when the items hold no valid configuration. */
 	struct rts *(*routes)(GHashTable *items, struct status *st);
 	/* Failure domains out of service; freed with g_strfreev(). */
@@ -53,6 +54,8 @@
 char **ecf_out_domains(const struct ecf *ecf);
 /* Revision of the store that the copy shows. */
 int64_t ecf_revision(const struct ecf *ecf);
+/* Time since the store has confirmed the copy; -1: there is none. */
+int64_t ecf_age_ms(const struct ecf *ecf);
 
 /* Logs that the store can be reached again, or why it can't. */
 void ecf_log_store(const char *copy, bool reachable, const struct status *st,
--- a/src/process/jobagent.c
+++ b/src/process/jobagent.c
@@ -11,6 +11,7 @@
 #include "process/events.h"
 #include "process/histogram.h"
 #include "process/jobagent.h"
+#include "process/outdomains.h"
 #include "request/cancelled.h"
 #include "request/ledger.h"
 #include "request/slowness.h"
@@ -47,8 +48,7 @@
 	struct slw slowness;	  /* of the worker */
 	uint64_t slowness_of;	  /* incarnation that it was measured with */
 	struct upd *updates;	  /* when the sessions are sent updates */
-	GHashTable *out_domains;  /* failure domains out of service */
-	int64_t out_revision;	  /* store revision of that list */
+	struct odm *out_domains;  /* failure domains out of service */
 	struct wp_worker *worker; /* as it last described itself */
 	bool heard;  /* the worker itself has called: no recollection counts */
 	bool stated; /* hold_is_stated(), as last logged */
@@ -121,8 +121,9 @@
 		*reason = "worker has not described itself lately";
 	else if (led_lease(ja->led, clk_now_ms()) == WP_LEASE_WITHHOLD)
 		*reason = "worker does not carry out stops";
-	else if (g_hash_table_contains(
-		     ja->out_domains, ja->worker->failure_domain))
+	else if (!odm_is_known(ja->out_domains))
+		*reason = "failure domains that are out are not known";
+	else if (odm_is_out(ja->out_domains, ja->worker->failure_domain))
 		*reason = "failure domain is out";
 	else
 		return true;
@@ -369,22 +370,27 @@
 		send_update(ja, session);
 }
 
-/* Applies the newest list of failure domains that any entry has sent. */
 static void
 on_heartbeat(uint64_t session, const struct run_heartbeat_args *args, void *ctx)
 {
 	struct ja *ja = ctx;
-	uint32_t i;
+	struct odm_news news = {
+	    .revision = args->revision,
+	    .domains = args->out.out_val,
+	    .n_domains = args->out.out_len,
+	};
 
 	answer_heartbeat(ja, session);
-	if (args->revision <= ja->out_revision)
-		return;
-	ja->out_revision = args->revision;
-	g_hash_table_remove_all(ja->out_domains);
-	for (i = 0; i < args->out.out_len; i++)
-		g_hash_table_add(
-		    ja->out_domains, g_strdup(args->out.out_val[i]));
-	plan_updates(ja);
+	if (args->agent_ms != 0 && args->age_ms >= 0)
+		news.confirmed_ms =
+		    MIN(args->agent_ms, clk_now_ms()) - args->age_ms;
+	odm_tell(ja->out_domains, &news);
+}
+
+static void
+on_out_domains_changed(void *ctx)
+{
+	plan_updates(ctx);
 }
 
 static bool
@@ -503,7 +509,7 @@
 	    evt_text("queue", result->queue), evt_int("run", result->run),
 	    evt_int("run_ms", result->run_ms),
 	    evt_text("reason", result->reason),
-	    evt_int("out_revision", ja->out_revision));
+	    evt_int("out_revision", odm_revision(ja->out_domains)));
 }
 
 /* A new incarnation of the worker may run on another machine. */
@@ -665,7 +671,6 @@
 	evt_write("worker", evt_text("instance", ja->worker->instance),
 	    evt_bool("stated", stated),
 	    evt_int("stated_ms", hold_stated_ms(ja->hold)));
-	announce_accepting(ja);
 }
 
 static void
@@ -692,6 +697,8 @@
 	led_tick(ja->led, clk_now_ms());
 	check_lease(ja);
 	check_statement(ja);
+	odm_tick(ja->out_domains);
+	announce_accepting(ja);
 	crw_tick(ja->crashwatch);
 	update_gauges(ja);
 	finish_drain(ja);
@@ -818,13 +825,18 @@
 	    .on_heartbeat = on_heartbeat,
 	    .ctx = ja,
 	};
+	struct odm_options out = {
+	    .ks = opts->ks,
+	    .layout = opts->layout,
+	    .changed = on_out_domains_changed,
+	    .ctx = ja,
+	};
 
 	ja->opts = *opts;
 	ja->worker = wp_worker_copy(&unknown);
 	ja->outboxes = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, g_free, outbox_free);
-	ja->out_domains =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	ja->out_domains = odm_new(&out);
 	ja->updates = upd_new();
 	ja->cancelled = ccl_new();
 	make_counters(ja);
@@ -862,7 +874,7 @@
 	ccl_free(ja->cancelled);
 	g_hash_table_unref(ja->outboxes);
 	upd_free(ja->updates);
-	g_hash_table_unref(ja->out_domains);
+	odm_free(ja->out_domains);
 	wp_worker_free(ja->worker);
 	hst_free(ja->run_times);
 	g_free(ja);
--- a/src/process/jobagent.h
+++ b/src/process/jobagent.h
@@ -6,6 +6,7 @@
 
 #include "connection/workerport.h"
 #include "process/counters.h"
+#include "process/entryconfig.h"
 #include "process/status.h"
 #include "version/keyspace.h"
 
@@ -16,12 +17,13 @@
 struct ja;
 
 struct ja_options {
-	const char *listen;	    /* "ip:port", entries */
-	const char *advertise;	    /* "ip:port" under which entries reach it */
-	const struct ks *ks;	    /* borrowed */
-	const char *failure_domain; /* until the worker reports its own */
-	const struct wp *wp;	    /* borrowed */
-	int64_t lease_ms;	    /* longest lease that the worker grants */
+	const char *listen;    /* "ip:port", entries */
+	const char *advertise; /* "ip:port" under which entries reach it */
+	const struct ks *ks;   /* borrowed */
+	const struct ecf_layout *layout; /* borrowed */
+	const char *failure_domain;	 /* until the worker reports its own */
+	const struct wp *wp;		 /* borrowed */
+	int64_t lease_ms; /* longest lease that the worker grants */
 	int64_t drain_ms; /* longest wait for running tasks at shutdown */
 	int64_t worker_heartbeat_ms;   /* interval of the worker's heartbeats */
 	struct ctr_registry *counters; /* borrowed */
--- a/src/process/jobentry.c
+++ b/src/process/jobentry.c
@@ -214,6 +214,7 @@
 	struct je *je = ctx;
 
 	args->revision = ecf_revision(je->config);
+	args->age_ms = ecf_age_ms(je->config);
 	args->out.out_len = g_strv_length(ecf_out_domains(je->config));
 	args->out.out_val = ecf_out_domains(je->config);
 }
--- a/tests/standin_platform.c
+++ b/tests/standin_platform.c
@@ -1,7 +1,8 @@
 /*
  * Test platform: a key-value store, and workers that run tasks under leases.
  * It counts violations of guarantees: "limit" counts starts beyond a worker's
- * capacity, "twice" starts of a task that is already running.
+ * capacity, "twice" starts of a task that is already running, "evacuated" starts
+ * in a zone that is to get none.
  *
  * The spec of a task is its run time in milliseconds, "fail" for a task that
  * fails at once, or "crash" for one that crashes its worker: the worker is
@@ -56,12 +57,15 @@
 #define RUN_TICK_MS	    5
 #define RUN_STOP_MS	    20 /* from a run-stop call to the run's end */
 /* After a worker has shrunk, starts beyond its capacity count from then on. */
-#define SHRINK_GRACE_MS	    3200
-#define CRASH_MS	    1000
-#define CRASH_AFTER_MS	    10 /* from the start of the task */
-#define DEFERRED_MIN_MS	    300
-#define DEFERRED_MAX_MS	    1500
-#define INSTANCES	    "/sequoiaplank/instances/"
+#define SHRINK_GRACE_MS 3200
+#define CRASH_MS	1000
+#define CRASH_AFTER_MS	10 /* from the start of the task */
+#define DEFERRED_MIN_MS 300
+#define DEFERRED_MAX_MS 1500
+#define INSTANCES	"/sequoiaplank/instances/"
+#define EVACUATE_KEY	"op/evacuate/" /* followed by a zone */
+/* After its evacuation a zone may get starts for this long. */
+#define EVACUATE_MS	    5000
 #define HEARTBEAT_TIMEOUT_S 2
 
 struct run {
@@ -108,7 +112,9 @@
 static SoupSession *session;
 static struct {
 	int starts, done, failed, limit, twice, lapsed, malformed, crashes;
+	int evacuated;
 } counts;
+static GHashTable *evacuations; /* zone to the time, int64_t */
 static struct {
 	int deferred_percent;
 	int late_stops_ms;
@@ -301,6 +307,30 @@
 	return w->back_at_ms == 0 ? "up" : "crashed";
 }
 
+/* Notes that an operator evacuates a zone, or takes that back. */
+static void
+note_evacuation(const char *key, bool begins)
+{
+	const char *zone = key + strlen(EVACUATE_KEY);
+	int64_t now_ms = clk_now_ms();
+
+	if (!g_str_has_prefix(key, EVACUATE_KEY))
+		return;
+	if (begins)
+		g_hash_table_replace(evacuations, g_strdup(zone),
+		    g_memdup2(&now_ms, sizeof(now_ms)));
+	else
+		g_hash_table_remove(evacuations, zone);
+}
+
+static bool
+is_evacuated(const char *zone)
+{
+	const int64_t *since_ms = g_hash_table_lookup(evacuations, zone);
+
+	return since_ms != NULL && clk_now_ms() - *since_ms > EVACUATE_MS;
+}
+
 static void
 add_run(struct worker *w, struct json_object *body)
 {
@@ -329,6 +359,8 @@
 	if ((int)w->runs->len * TASK_MILLI > mode.capacity_milli &&
 	    clk_now_ms() - mode.capacity_since_ms > SHRINK_GRACE_MS)
 		counts.limit++;
+	if (is_evacuated(w->zone))
+		counts.evacuated++;
 }
 
 static void
@@ -736,6 +768,7 @@
 	jrep_add_int(body, "failed", counts.failed);
 	jrep_add_int(body, "limit", counts.limit);
 	jrep_add_int(body, "twice", counts.twice);
+	jrep_add_int(body, "evacuated", counts.evacuated);
 	jrep_add_int(body, "lapsed", counts.lapsed);
 	jrep_add_int(body, "malformed", counts.malformed);
 	jrep_add_int(body, "crashes", counts.crashes);
@@ -788,12 +821,14 @@
 
 	(void)server;
 	(void)data;
-	if (g_str_has_suffix(path, "key"))
+	if (g_str_has_suffix(path, "key")) {
 		kvs_write(jrep_param(query, "key"),
 		    strcmp(method, "DELETE") == 0
 			? NULL
 			: g_bytes_new(body->data, (gsize)body->length));
-	else if (g_str_has_suffix(path, "mode"))
+		note_evacuation(
+		    jrep_param(query, "key"), strcmp(method, "DELETE") != 0);
+	} else if (g_str_has_suffix(path, "mode"))
 		set_mode(query);
 	jrep_send(msg, 200, control_json(path, query));
 }
@@ -868,6 +903,8 @@
 	const struct argp parser = {options, parse_option, 0, 0, 0, 0, 0};
 
 	signal(SIGPIPE, SIG_IGN);
+	evacuations =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	kvs_open();
 	starts_of_jobs = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, free_job_starts);
