Let the soak shrink workers for good, during outages and without heartbeats

Cause: the soak could not find a start by an old capacity. A capacity that it changed was back after 1.5 s at most, and starts beyond it count from 3.2 s on; heartbeats every 200 ms put any old description right at once.

Change: three faults for seeds from 9000 on: a worker shrinks for good; no worker sends heartbeats; a worker shrinks while the store is down, and an agent is restarted as the store returns, before a heartbeat. The stand-in counts the grace from the last time that the capacity fell, no longer from each setting of it, so that repeated faults don't put it off. Earlier seeds draw the same faults.

--- a/tests/soak.h
+++ b/tests/soak.h
@@ -50,6 +50,7 @@
 	bool wide;
 	bool odd_specs;
 	bool late;
+	bool rooms;
 	int version;
 	int64_t start_ms;
 	struct soak_fault faults[SOAK_MAX_FAULTS];
--- a/tests/soakfaults.c
+++ b/tests/soakfaults.c
@@ -8,7 +8,10 @@
 
 #define N_NARROW_FAULTS	  15
 #define N_WIDE_FAULTS	  16
+#define N_LATE_FAULTS	  24
 #define LATE_FAULT_ONE_IN 2
+#define ROOM_FAULT_ONE_IN 4
+#define SMALL_MILLI	  1000
 #define LATE_STOP_STEP_MS 500
 /* Faults whose effect takes longer than a session last this much longer. */
 #define LONG_FAULT_FACTOR    3
@@ -385,6 +388,51 @@
 	return true;
 }
 
+/* Lasts until the next change, so that starts beyond it come to count. */
+static bool
+shrink_for_good(struct soak *soak, int target)
+{
+	(void)target;
+	soak_set_mode(soak, "capacity", SMALL_MILLI);
+	return true;
+}
+
+static void
+restore_heartbeats(struct soak *soak, int target)
+{
+	(void)target;
+	soak_set_mode(soak, "beats", 1);
+}
+
+static bool
+stop_heartbeats(struct soak *soak, int target)
+{
+	(void)target;
+	soak_set_mode(soak, "beats", 0);
+	return true;
+}
+
+/* An agent comes back as the store does, before its worker's heartbeat. */
+static void
+restart_agent_with_store(struct soak *soak, int target)
+{
+	int agent = DPL_ENTRIES + target % DPL_AGENTS;
+
+	soak_set_mode(soak, "beats", 0);
+	if (kill_process(soak, agent)) {
+		restore_store(soak, target);
+		restart_process(soak, agent);
+	}
+	restore_store(soak, target);
+}
+
+static bool
+shrink_during_outage(struct soak *soak, int target)
+{
+	stop_store(soak, target);
+	return shrink_for_good(soak, target);
+}
+
 /*
  * begin() returns false when the fault cannot be injected into the target.
  * end() is NULL for faults without a duration; grow() runs while one lasts.
@@ -423,6 +471,10 @@
 	restore_entry_links, NULL, true},
     {"starts held up", begin_growing_delay, restore_agent_links, grow_delay,
 	true},
+    {"capacity changed for good", shrink_for_good, NULL, NULL, false},
+    {"no heartbeats", stop_heartbeats, restore_heartbeats, NULL, true},
+    {"capacity changed during an outage", shrink_during_outage,
+	restart_agent_with_store, NULL, true},
 };
 
 static size_t
@@ -430,10 +482,14 @@
 {
 	int n_others = soak->wide ? N_WIDE_FAULTS : N_NARROW_FAULTS;
 
+	if (soak->rooms &&
+	    g_rand_int_range(soak->rand, 0, ROOM_FAULT_ONE_IN) == 0)
+		return (size_t)g_rand_int_range(
+		    soak->rand, N_LATE_FAULTS, (int)G_N_ELEMENTS(fault_kinds));
 	if (soak->late &&
 	    g_rand_int_range(soak->rand, 0, LATE_FAULT_ONE_IN) == 0)
 		return (size_t)g_rand_int_range(
-		    soak->rand, N_WIDE_FAULTS, (int)G_N_ELEMENTS(fault_kinds));
+		    soak->rand, N_WIDE_FAULTS, N_LATE_FAULTS);
 	return (size_t)g_rand_int_range(soak->rand, 0, n_others);
 }
 
--- a/tests/standin_platform.c
+++ b/tests/standin_platform.c
@@ -713,7 +713,7 @@
 static void
 set_mode(GHashTable *query)
 {
-	int crash = -1, down = -1;
+	int crash = -1, down = -1, capacity_milli = mode.capacity_milli;
 
 	if (*jrep_param(query, "store") != '\0')
 		kvs_set_down(strcmp(jrep_param(query, "store"), "down") == 0);
@@ -729,9 +729,9 @@
 	set_number(query, "odd", &mode.odd);
 	set_number(query, "beats", &mode.beats);
 	set_number(query, "keep_id", &mode.keep_id);
-	if (*jrep_param(query, "capacity") != '\0')
-		mode.capacity_since_ms = clk_now_ms();
 	set_number(query, "capacity", &mode.capacity_milli);
+	if (mode.capacity_milli < capacity_milli)
+		mode.capacity_since_ms = clk_now_ms();
 	set_number(query, "crash", &crash);
 	if (crash >= 0 && crash < n_workers)
 		reset_worker(&workers[crash]);
--- a/tests/test_soak.c
+++ b/tests/test_soak.c
@@ -33,10 +33,11 @@
 /*
  * Default seeds.  122, 126, 143, 145 and 147 are regression tests: a start sent
  * to a worker was carried out by the worker's next incarnation.  So are 7007 and
- * 7012: a lease outlived the silence of the entry whose runs it was for.
+ * 7012: a lease outlived the silence of the entry whose runs it was for; and
+ * 9008: an agent that was restarted took its worker's capacity from its key.
  */
 static const uint32_t fixed_seeds[] = {
-    1, 2, 3, 122, 126, 143, 145, 147, 1001, 1002, 4001, 4002, 7007, 7012};
+    1, 2, 3, 122, 126, 143, 145, 147, 1001, 1002, 4001, 4002, 7007, 7012, 9008};
 /*
  * From this seed on, some jobs crash their workers and capacities change.
  * Earlier seeds stay as they are, since some are regression tests.
@@ -53,7 +54,12 @@
  * come from others, callers leave and cancel, and some tasks run long enough to
  * be at work when their job is sent again.
  */
-#define LATE_SEED	   7000
+#define LATE_SEED 7000
+/*
+ * And from this one on, capacities change for good, also while an agent can't
+ * write to the store, and heartbeats stop.
+ */
+#define ROOM_SEED	   9000
 #define LONG_RUN_ONE_IN	   2
 #define LONG_RUN_MIN_MS	   1500
 #define LONG_RUN_MAX_MS	   3000
@@ -291,7 +297,8 @@
 	struct soak soak = {.version = 1,
 	    .wide = seed >= WIDE_SEED,
 	    .odd_specs = seed >= ODD_SPEC_SEED,
-	    .late = seed >= LATE_SEED};
+	    .late = seed >= LATE_SEED,
+	    .rooms = seed >= ROOM_SEED};
 	int i;
 
 	printf("soak seed %u\n", seed);
@@ -301,6 +308,7 @@
 	soak_set_mode(&soak, "keep_id", seed >= KEEP_ID_SEED);
 	run_workload(&soak);
 	soak_end_faults(&soak, true);
+	soak_set_mode(&soak, "beats", 1);
 	ck_assert_msg(hn_wait_until(poll_jobs(&soak), SETTLE_MS),
 	    "seed %u: %d jobs without a final answer", seed, soak.n_open_jobs);
 	for (i = 0; i < DPL_ENTRIES; i++)
