Move the worker's lease and clock out of the holder

The lease (its renewal, the upper bound of its end, a stray lease of a former incarnation) and the worker's clock, on which its deadlines and the age of its description are, are a module of their own that holds no sockets and reads no clock.

--- a/src/connection/holder.c
+++ b/src/connection/holder.c
@@ -3,6 +3,7 @@
 
 #include "connection/claim.h"
 #include "connection/holder.h"
+#include "connection/workerlease.h"
 #include "process/clock.h"
 #include "process/events.h"
 #include "request/answertime.h"
@@ -40,12 +41,6 @@
  * LOSSY_POLL_WAIT_MS, so that this is mostly so even if half of them are lost.
  */
 #define ANSWERING_MS 60
-/*
- * Added to the lease to get an upper bound of its end: the worker's clock may
- * be 2% slow, and rounding and killing the tasks take more time.
- */
-#define LEASE_SLACK_PERCENT 3
-#define LEASE_SLACK_MS	    60
 /*
  * A deregistration names its worker by the id alone.  One that was held up on
  * its way may be of a former incarnation, while another one works under the
@@ -75,7 +70,7 @@
 
 struct hold {
 	struct hold_options opts;
-	int64_t granted_ms; /* longest lease that the worker grants */
+	struct wls lease;
 	struct clm *claims; /* heartbeats that are being checked */
 	enum phase phase;
 	char *instance;
@@ -92,19 +87,10 @@
 	int64_t stated_ms;	    /* the worker's clock in that */
 	int64_t token;		    /* fencing token */
 	int64_t last_end;	    /* highest number of a reported end */
-	int64_t clock_ms;	    /* the worker's clock at clock_at_ms */
-	int64_t clock_at_ms;
 	int64_t sent_ms; /* of the last poll if it is open, 0: it is not */
 	uint32_t open_polls;
 	int64_t answered_ms; /* last report of this incarnation */
 	int64_t heard_ms;    /* last answer to any call */
-	int64_t deadline_ms; /* of the lease, on the worker's clock, 0: none */
-	int64_t lease_ends_ms; /* upper bound, 0: no lease was given */
-	/*
-	 * Upper bound of a lease that a call to a former incarnation gave the
-	 * present one, 0: none.
-	 */
-	int64_t stray_lease_ends_ms;
 	/*
 	 * When the first call without an answer was sent, plus its wait; 0:
 	 * none.  Reset by a report of the current incarnation and by any answer
@@ -227,7 +213,7 @@
 hold_is_stated(const struct hold *hold)
 {
 	int64_t stated_ms = hold_stated_ms(hold);
-	int64_t clock_ms = hold->clock_ms + (clk_now_ms() - hold->clock_at_ms);
+	int64_t clock_ms = wls_clock_ms(&hold->lease, clk_now_ms());
 
 	return stated_ms >= 0 &&
 	       clock_ms - stated_ms <= hold->opts.statement_ms;
@@ -306,45 +292,6 @@
 		hold->unanswered_since_ms = sent_ms;
 }
 
-/* Upper bound of the end of a lease that is given now, on this clock. */
-static int64_t
-latest_end_ms(int64_t lease_ms)
-{
-	return clk_now_ms() + lease_ms * (100 + LEASE_SLACK_PERCENT) / 100 +
-	       LEASE_SLACK_MS;
-}
-
-/*
- * The next incarnation under the same id has carried out calls to the former one
- * until it saw the raised fencing token.  Their deadlines were on the clock of
- * the former, so its lease may be as long as the worker grants.
- */
-static void
-record_stray_lease(struct hold *hold)
-{
-	hold->stray_lease_ends_ms = latest_end_ms(hold->granted_ms);
-}
-
-/* Upper bound of the end of any lease that runs may have. */
-static int64_t
-last_lease_end_ms(const struct hold *hold)
-{
-	return MAX(hold->lease_ends_ms, hold->stray_lease_ends_ms);
-}
-
-/* Renews the lease; returns its new end on the worker's clock. */
-static int64_t
-extend_lease(struct hold *hold)
-{
-	int64_t now_ms = clk_now_ms();
-
-	hold->lease_ends_ms =
-	    MAX(latest_end_ms(hold->opts.lease_ms), hold->stray_lease_ends_ms);
-	hold->deadline_ms =
-	    hold->clock_ms + (now_ms - hold->clock_at_ms) + hold->opts.lease_ms;
-	return hold->deadline_ms;
-}
-
 /*
  * Returns the lease deadline to send with a start.  While calls are unanswered,
  * the lease is extended only when at most half of it is left: an unanswered
@@ -360,11 +307,11 @@
 
 	if (hold->phase != READY || hold->leaving_since_ms != 0 ||
 	    lease == WP_LEASE_PAUSE || lease == WP_LEASE_WITHHOLD)
-		return hold->deadline_ms;
+		return hold->lease.deadline_ms;
 	if (hold->unanswered_since_ms != 0 &&
-	    hold->lease_ends_ms - clk_now_ms() > hold->opts.lease_ms / 2)
-		return hold->deadline_ms;
-	return extend_lease(hold);
+	    wls_is_long(&hold->lease, clk_now_ms()))
+		return hold->lease.deadline_ms;
+	return wls_extend(&hold->lease, clk_now_ms());
 }
 
 static gboolean
@@ -416,7 +363,7 @@
 {
 	return hold->replaced.incarnation == 0 ||
 	       (!hold->replaced_elsewhere && is_described(hold)) ||
-	       clk_now_ms() > hold->lease_ends_ms;
+	       clk_now_ms() > hold->lease.ends_ms;
 }
 
 /*
@@ -437,7 +384,7 @@
 {
 	struct hold_lost copy = *lost;
 
-	hold->lease_ends_ms = 0;
+	wls_drop(&hold->lease);
 	hold->replaced.incarnation = 0;
 	hold->replaced_elsewhere = false;
 	hold->opts.runs_lost(&copy, hold->opts.ctx);
@@ -461,16 +408,13 @@
 
 	hold->answered_ms = hold->heard_ms = clk_now_ms();
 	hold->unanswered_since_ms = 0;
-	/* Responses of the worker may overtake each other. */
-	if (report->answer.clock_ms >= hold->clock_ms) {
-		hold->clock_ms = report->answer.clock_ms;
-		hold->clock_at_ms = hold->answered_ms;
-	}
+	wls_read_clock(
+	    &hold->lease, report->answer.clock_ms, hold->answered_ms);
 	for (i = 0; i < report->n_ended; i++)
 		hold->last_end = MAX(hold->last_end, report->ended[i].number);
 	if (hold->phase == CLEARING) {
-		if (hold->stray_lease_ends_ms != 0)
-			record_stray_lease(hold);
+		if (hold->lease.stray_ends_ms != 0)
+			wls_record_stray(&hold->lease, clk_now_ms());
 		clear_runs(hold, report);
 	}
 	/* The present worker knows nothing of runs on the one elsewhere. */
@@ -615,7 +559,7 @@
 {
 	hold->other_born_ms = born_ms;
 	raise_token(hold);
-	record_stray_lease(hold);
+	wls_record_stray(&hold->lease, clk_now_ms());
 	evt_write("worker", evt_text("instance", hold->instance),
 	    evt_uint("born_ms", born_ms), evt_text("state", "suspected"));
 	update_ready(hold);
@@ -752,7 +696,8 @@
 		if (hold->unanswered_since_ms == 0 &&
 		    hold->leaving_since_ms == 0 &&
 		    hold->opts.lease(hold->opts.ctx) == WP_LEASE_RENEW)
-			args.deadline_ms = extend_lease(hold);
+			args.deadline_ms =
+			    wls_extend(&hold->lease, clk_now_ms());
 	}
 	send_hold(hold, &args, POLL);
 	if (polls_overlap(hold))
@@ -813,12 +758,10 @@
 	hold->unanswered_since_ms = 0;
 	hold->leaving_since_ms = 0;
 	hold->extra_in_progress = hold->extra_pending = false;
-	hold->clock_ms = worker->clock_ms;
-	hold->clock_at_ms = hold->answered_ms = clk_now_ms();
-	hold->deadline_ms = 0;
-	hold->stray_lease_ends_ms = 0;
+	hold->answered_ms = clk_now_ms();
+	wls_adopt(&hold->lease, worker->clock_ms, hold->answered_ms);
 	if (has_same_id)
-		record_stray_lease(hold);
+		wls_record_stray(&hold->lease, hold->answered_ms);
 	hold->was_ready = false;
 	g_clear_handle_id(&hold->poll_id, g_source_remove);
 	set_text(&hold->instance, worker->instance);
@@ -864,9 +807,8 @@
 static bool
 is_ahead(const struct hold *hold, const struct wp_worker *worker)
 {
-	int64_t elapsed_ms = clk_now_ms() - hold->clock_at_ms;
-
-	return worker->clock_ms > hold->clock_ms + elapsed_ms + CLOCK_SLACK_MS;
+	return worker->clock_ms >
+	       wls_clock_ms(&hold->lease, clk_now_ms()) + CLOCK_SLACK_MS;
 }
 
 static void
@@ -956,8 +898,8 @@
 	};
 
 	hold->opts = *opts;
-	hold->granted_ms = opts->lease_ms;
-	hold->opts.lease_ms = MIN(opts->lease_ms, HOLD_MAX_LEASE_MS);
+	hold->lease.granted_ms = opts->lease_ms;
+	hold->lease.lease_ms = MIN(opts->lease_ms, HOLD_MAX_LEASE_MS);
 	hold->token = opts->token;
 	hold->claims = clm_new(&claims);
 	return hold;
@@ -1005,7 +947,8 @@
 	int64_t now_ms = clk_now_ms();
 	int64_t leaving_ms = now_ms - hold->leaving_since_ms;
 
-	if (leaving_ms > LEAVE_LIMIT_MS && now_ms > last_lease_end_ms(hold))
+	if (leaving_ms > LEAVE_LIMIT_MS &&
+	    now_ms > wls_last_end_ms(&hold->lease))
 		forget_worker(hold);
 	else if (leaving_ms >= LEAVE_CHECK_MS && !hold->extra_in_progress)
 		hold_request_report(hold);
@@ -1029,9 +972,9 @@
 				    ? hold->replaced
 				    : current_runs_lost(hold, HOLD_SILENT);
 
-	if (hold->lease_ends_ms == 0 ||
-	    clk_now_ms() <= last_lease_end_ms(hold) || hold_is_ready(hold) ||
-	    is_being_cleared(hold))
+	if (hold->lease.ends_ms == 0 ||
+	    clk_now_ms() <= wls_last_end_ms(&hold->lease) ||
+	    hold_is_ready(hold) || is_being_cleared(hold))
 		return;
 	hold->phase = CLEARING;
 	raise_token(hold);
