Let simulated workers shrink, and the store fail

Cause: the model could not play the incident: a worker's capacity never changed and the store never failed.

--- a/sim/fleet.c
+++ b/sim/fleet.c
@@ -33,6 +33,10 @@
 #define MAX_SLOW_PAUSE_MS 500
 #define MAX_SLOW_RUN_MS	  60
 
+/* A worker shrinks to one, two or three of so many parts. */
+#define MAX_SHRINKING	 4
+#define SHRINKING_FACTOR 4
+
 struct entry {
 	uint32_t index;
 	char *name;
@@ -367,6 +371,24 @@
 	    agent, NULL);
 }
 
+static void
+on_shrinking_over(void *data)
+{
+	const struct spl_fault *f = data;
+
+	swk_set_capacity(f->agent, SWK_CAPACITY_MILLI);
+}
+
+/* The worker grows again long after what else happens at that moment. */
+static void
+shrink_worker(const struct spl_fault *f)
+{
+	swk_set_capacity(f->agent,
+	    SWK_CAPACITY_MILLI * (1 + f->variant % 3) / MAX_SHRINKING);
+	slp_at(NULL, slp_now_ms() + f->lasts_ms * SHRINKING_FACTOR,
+	    on_shrinking_over, (void *)f, NULL);
+}
+
 static void
 apply_worker_fault(const struct spl_fault *f)
 {
@@ -439,6 +461,12 @@
 	case SPL_CALLERS_LEAVE:
 		scl_leave(f->entry);
 		return;
+	case SPL_SHRINK_WORKER:
+		shrink_worker(f);
+		return;
+	case SPL_STORE_DOWN:
+		sst_stop(slp_now_ms() + f->lasts_ms);
+		return;
 	default:
 		apply_worker_fault(f);
 	}
--- a/sim/options.h
+++ b/sim/options.h
@@ -1,6 +1,7 @@
 #ifndef SIM_OPTIONS_H
 #define SIM_OPTIONS_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /* Deliberate faults of the model, each of which must make a rule break. */
@@ -23,6 +24,8 @@
 	uint32_t n_callers;
 	int64_t duration_ms;
 	enum sop_mutant mutant;
+	/* Also faults of this kind; the others of a seed are then others. */
+	bool rooms; /* workers shrink, the store is down */
 };
 
 #define SOP_DEFAULTS                                                           \
--- a/sim/plan.c
+++ b/sim/plan.c
@@ -41,6 +41,13 @@
 	return pick(rand, 100) < percent;
 }
 
+/* Without the later kinds seeds mean the same faults as before these existed. */
+static uint32_t
+n_kinds(const struct sop *opts)
+{
+	return opts->rooms ? SPL_N_KINDS : SPL_SHRINK_WORKER;
+}
+
 static struct theme
 make_theme(GRand *rand, const struct sop *opts)
 {
@@ -53,9 +60,9 @@
 	uint32_t i;
 
 	if (happens(rand, MIXED_PERCENT))
-		theme.n_kinds = SPL_N_KINDS;
+		theme.n_kinds = n_kinds(opts);
 	for (i = 0; i < theme.n_kinds; i++)
-		theme.kinds[i] = pick(rand, SPL_N_KINDS);
+		theme.kinds[i] = pick(rand, n_kinds(opts));
 	for (i = 0; i < theme.n_moments; i++)
 		theme.moments_ms[i] = g_rand_int_range(rand, FIRST_FAULT_MS,
 		    (gint32)(opts->duration_ms - LAST_MS));
@@ -132,6 +139,8 @@
 	    [SPL_CRASH_WORKER] = "crash of worker",
 	    [SPL_LATE_HEARTBEAT] = "late heartbeat of worker",
 	    [SPL_CALLERS_LEAVE] = "callers leave entry",
+	    [SPL_SHRINK_WORKER] = "shrinking of worker",
+	    [SPL_STORE_DOWN] = "outage of the store",
 	};
 
 	return g_strdup_printf("%s (entry %u, agent %u, for %d ms, variant %u)",
--- a/sim/plan.h
+++ b/sim/plan.h
@@ -32,6 +32,9 @@
 	SPL_CRASH_WORKER,
 	SPL_LATE_HEARTBEAT,
 	SPL_CALLERS_LEAVE, /* all callers of an entry leave */
+	/* Only with sop.rooms: */
+	SPL_SHRINK_WORKER,
+	SPL_STORE_DOWN,
 	SPL_N_KINDS
 };
 
--- a/sim/spsim.c
+++ b/sim/spsim.c
@@ -33,6 +33,7 @@
 	KEY_CALLERS = 'c',
 	KEY_DURATION = 'd',
 	KEY_MUTANT = 'm',
+	KEY_ROOMS = 'R',
 	KEY_FINDINGS = 'x',
 	KEY_SHORTEST = 'r'
 };
@@ -51,6 +52,8 @@
 	0},
     {"callers", KEY_CALLERS, "N", 0, "callers of a fleet (8)", 0},
     {"duration", KEY_DURATION, "MS", 0, "simulated time of a fleet (12000)", 0},
+    {"rooms", KEY_ROOMS, NULL, 0,
+	"also faults that shrink workers and stop the store", 0},
     {"mutant", KEY_MUTANT, "NAME", 0, "deliberate fault of the model", 0},
     {0},
 };
@@ -162,6 +165,9 @@
 	case KEY_MUTANT:
 		fleet->mutant = parse_mutant(state, arg);
 		return 0;
+	case KEY_ROOMS:
+		fleet->rooms = true;
+		return 0;
 	case ARGP_KEY_ARG:
 		parse_argument(command, arg, state);
 		return 0;
--- a/sim/store.c
+++ b/sim/store.c
@@ -32,6 +32,7 @@
 	ks_write_fn write_fn;
 	void *ctx;
 	bool answered;
+	bool failed; /* the store was down when it arrived */
 	int refs;
 };
 
@@ -39,6 +40,7 @@
 	GPtrArray *items; /* struct item */
 	int64_t revision;
 	GPtrArray *watches; /* struct call that waits for a change */
+	int64_t down_until_ms;
 } store;
 
 static void
@@ -101,6 +103,7 @@
 	g_ptr_array_set_size(store.items, 0);
 	g_ptr_array_set_size(store.watches, 0);
 	store.revision = 0;
+	store.down_until_ms = 0;
 	set_item("op/config", CONFIGURATION, strlen(CONFIGURATION));
 }
 
@@ -110,6 +113,9 @@
 {
 	struct call *call = data;
 	struct status ok = {.code = ST_OK};
+	struct status down = {
+	    .code = ST_UNAVAILABLE, .message = "store is down"};
+	const struct status *st = call->failed ? &down : &ok;
 	g_autoptr(GArray) items =
 	    g_array_new(FALSE, FALSE, sizeof(struct ks_item));
 	struct ks_page page = {.as_of = store.revision};
@@ -120,10 +126,10 @@
 	call->answered = true;
 	g_ptr_array_remove_fast(call->client->calls, call);
 	if (call->write_fn != NULL) {
-		call->write_fn(&ok, call->ctx);
+		call->write_fn(st, call->ctx);
 		return;
 	}
-	for (i = 0; i < store.items->len; i++) {
+	for (i = 0; i < store.items->len && !call->failed; i++) {
 		const struct item *item = store.items->pdata[i];
 		struct ks_item row = {
 		    item->key, item->data, strlen(item->data), item->revision};
@@ -134,7 +140,7 @@
 	}
 	page.items = (const struct ks_item *)items->data;
 	page.n_items = items->len;
-	call->page_fn(&ok, &page, call->ctx);
+	call->page_fn(st, &page, call->ctx);
 }
 
 static void
@@ -155,6 +161,7 @@
 	g_ptr_array_add(client->calls, call_ref(call));
 	call->prefix = g_strdup(prefix);
 	call->ctx = ctx;
+	call->failed = slp_now_ms() < store.down_until_ms;
 	return call;
 }
 
@@ -193,7 +200,7 @@
 
 	call->after = after;
 	call->page_fn = fn;
-	if (has_changed(call)) {
+	if (call->failed || has_changed(call)) {
 		answer_in(call, ANSWER_MS);
 	} else {
 		answer_in(call, wait_ms);
@@ -227,8 +234,10 @@
 	struct call *call = call_new(data, key, ctx);
 
 	call->write_fn = fn;
-	set_item(key, value, len);
-	answer_watches();
+	if (!call->failed) {
+		set_item(key, value, len);
+		answer_watches();
+	}
 	answer_in(call, ANSWER_MS);
 	call_unref(call);
 }
@@ -246,6 +255,12 @@
 	call_unref(call);
 }
 
+void
+sst_stop(int64_t until_ms)
+{
+	store.down_until_ms = MAX(store.down_until_ms, until_ms);
+}
+
 struct ks *
 sst_client_new(struct slp_proc *proc)
 {
--- a/sim/store.h
+++ b/sim/store.h
@@ -7,7 +7,7 @@
 /*
  * The platform's store: the operators' configuration, which does not change,
  * and the keys of the agents.  It answers each call after a few milliseconds,
- * and never fails.
+ * and fails while it is down.
  */
 
 /* Host and path prefix of the only queue. */
@@ -15,6 +15,8 @@
 #define SST_PREFIX "/q/"
 
 void sst_reset(void);
+/* Calls that arrive until then fail and have no effect. */
+void sst_stop(int64_t until_ms);
 /* The store as one process calls it; freed by sst_client_free(). */
 struct ks *sst_client_new(struct slp_proc *proc);
 /* Calls in progress fail; to be called before what made them is freed. */
--- a/sim/worker.c
+++ b/sim/worker.c
@@ -11,9 +11,14 @@
 #define MUTANT_SLOWNESS	   0.2
 #define MUTANT_EXPIRY_MS   500
 /* Time after its lease at which a worker ends the runs. */
-#define LEASE_CHECK_MS	     3
-#define FIRST_CLOCK_MS	     1000
-#define HEARTBEAT_MIN_MS     200
+#define LEASE_CHECK_MS	 3
+#define FIRST_CLOCK_MS	 1000
+#define HEARTBEAT_MIN_MS 200
+/*
+ * After a worker has shrunk, starts beyond its capacity count from then on: a
+ * description holds for two heartbeats, and a start is on its way.
+ */
+#define SHRINK_GRACE_MS	     1500
 #define CALL_MAX_MS	     4 /* one way */
 #define STOP_MIN_MS	     1
 #define STOP_MAX_MS	     60
@@ -60,6 +65,8 @@
 	int late_percent;
 	int64_t lost_until_ms;
 	int64_t silent_until_ms;
+	int64_t capacity_milli, former_milli;
+	int64_t shrunk_ms; /* since when capacity_milli is below former_milli */
 	int64_t slow_stops_until_ms, stop_ms;
 };
 
@@ -275,6 +282,7 @@
 		struct worker *w = g_new0(struct worker, 1);
 
 		w->index = i;
+		w->capacity_milli = w->former_milli = SWK_CAPACITY_MILLI;
 		w->runs = g_ptr_array_new_with_free_func(run_unref);
 		w->ends = g_ptr_array_new_with_free_func(end_free);
 		w->polls = g_ptr_array_new_with_free_func(call_unref);
@@ -319,7 +327,7 @@
 	    .service = SWK_SERVICE,
 	    .address = w->address,
 	    .failure_domain = "zone",
-	    .capacity = {.cpu_milli = SWK_CAPACITY_MILLI, .memory_mb = 1024},
+	    .capacity = {.cpu_milli = w->capacity_milli, .memory_mb = 1024},
 	};
 
 	model.heartbeat(w->index, &worker, delay_ms);
@@ -549,6 +557,15 @@
 	return used;
 }
 
+/* A smaller capacity counts some time after the worker has shrunk. */
+static int64_t
+capacity_in_force(const struct worker *w)
+{
+	return slp_now_ms() - w->shrunk_ms > SHRINK_GRACE_MS
+		   ? w->capacity_milli
+		   : MAX(w->capacity_milli, w->former_milli);
+}
+
 static void
 begin_run(struct worker *w, const struct call *call)
 {
@@ -566,7 +583,8 @@
 	sck_note(run->task, "run %d begins on worker %u (%s), lease to %d",
 	    (int)(run->number % 1000000), w->index, w->instance,
 	    (int)(slp_now_ms() + w->lease_ms - clock_of(w)));
-	sck_run_started(run->task, w->index, used_milli(w), SWK_CAPACITY_MILLI);
+	sck_run_started(
+	    run->task, w->index, used_milli(w), capacity_in_force(w));
 	slp_at(NULL, slp_now_ms() + run->run_ms, on_run_time_over, run_ref(run),
 	    run_unref);
 }
@@ -897,6 +915,18 @@
 	worker_at(index)->silent_until_ms = until_ms;
 }
 
+void
+swk_set_capacity(uint32_t index, int64_t cpu_milli)
+{
+	struct worker *w = worker_at(index);
+
+	if (cpu_milli < w->capacity_milli) {
+		w->former_milli = capacity_in_force(w);
+		w->shrunk_ms = slp_now_ms();
+	}
+	w->capacity_milli = cpu_milli;
+}
+
 void
 swk_slow_stops(uint32_t index, int64_t until_ms, int64_t stop_ms)
 {
--- a/sim/worker.h
+++ b/sim/worker.h
@@ -52,6 +52,8 @@
 void swk_lose_answers(uint32_t index, int64_t until_ms);
 /* Executes no call until then, and heartbeats stop. */
 void swk_silence(uint32_t index, int64_t until_ms);
+/* The capacity from now on. */
+void swk_set_capacity(uint32_t index, int64_t cpu_milli);
 /* Stops take this long. */
 void swk_slow_stops(uint32_t index, int64_t until_ms, int64_t stop_ms);
 /* Repeats the present heartbeat after this time. */
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -18,13 +18,15 @@
 #define PAUSE_MS       420
 #define STOP_MS	       1400
 /* Fleets with a silent worker, for each time that it was away. */
-#define SILENT_LIVES 200
-#define SILENT_MS    1500
-#define MIN_AWAY_MS  250
-#define AWAY_STEP_MS 40
-#define N_AWAY	     5
-#define N_ENTRIES    3
-#define N_AGENTS     4
+#define SILENT_LIVES  200
+#define SILENT_MS     1500
+#define MIN_AWAY_MS   250
+#define AWAY_STEP_MS  40
+#define N_AWAY	      5
+#define SHRINK_AT_MS  3000
+#define SHRUNK_FLEETS 100
+#define N_ENTRIES     3
+#define N_AGENTS      4
 
 static struct srh_options
 search_options(uint64_t n_seeds, enum sop_mutant mutant)
@@ -137,6 +139,34 @@
 }
 END_TEST
 
+/*
+ * Guards against starts by an old capacity: workers shrink while they are
+ * silent, and answer again before their next heartbeat.
+ */
+START_TEST(old_capacity_starts_nothing)
+{
+	g_autoptr(GArray) faults =
+	    g_array_new(FALSE, FALSE, sizeof(struct spl_fault));
+	uint32_t i;
+
+	for (i = 0; i < N_AGENTS; i++)
+		add_fault(faults, (struct spl_fault){
+				      .kind = SPL_SILENT_WORKER,
+				      .at_ms = SHRINK_AT_MS - 200,
+				      .lasts_ms = 1900,
+				      .agent = i,
+				  });
+	for (i = 0; i < N_AGENTS; i++)
+		add_fault(faults, (struct spl_fault){
+				      .kind = SPL_SHRINK_WORKER,
+				      .at_ms = SHRINK_AT_MS,
+				      .lasts_ms = 2500,
+				      .agent = i,
+				  });
+	expect_rules_kept(faults, SHRUNK_FLEETS);
+}
+END_TEST
+
 /* A worker crashes, and is back under its id, but silent. */
 static void
 add_silent_life(GArray *faults, uint32_t agent, int64_t at_ms, int64_t away_ms)
@@ -258,6 +288,7 @@
 	tcase_add_test(tc, finds_nothing_without_a_mutant);
 	tcase_add_test(tc, caller_leaves_a_paused_entry);
 	tcase_add_loop_test(tc, no_start_waits_in_a_silent_life, 0, N_AWAY);
+	tcase_add_test(tc, old_capacity_starts_nothing);
 	tcase_add_test(tc, replays_a_seed_exactly);
 	tcase_add_test(tc, leaves_out_needless_faults);
 	tcase_add_loop_test(
