--- a/src/connection/claim.h
+++ b/src/connection/claim.h
@@ -36,7 +36,7 @@
  */
 void clm_check(struct clm *clm, const struct wp_worker *worker);
 /*
- * The same for what someone else remembers of the worker.  It does not take the
+ * The same for an earlier statement from another source.  It does not take the
  * place of a claim of a later time.
  */
 void clm_suggest(struct clm *clm, const struct wp_worker *worker);
--- a/src/connection/holder.h
+++ b/src/connection/holder.h
@@ -78,7 +78,7 @@
  */
 void hold_heartbeat(struct hold *hold, const struct wp_worker *worker);
 /*
- * Processes what someone else remembers of the worker, unless another one is
+ * Processes an earlier statement from another source, unless another worker is
  * followed.  The worker's answers have to bear it out as well.
  */
 void hold_suggest(struct hold *hold, const struct wp_worker *worker);
--- a/src/process/jobagent.c
+++ b/src/process/jobagent.c
@@ -50,7 +50,7 @@
 	struct upd *updates;	  /* when the sessions are sent updates */
 	struct odm *out_domains;  /* failure domains out of service */
 	struct wp_worker *worker; /* as it last described itself */
-	bool heard;  /* the worker itself has called: no recollection counts */
+	bool heard;  /* the worker itself has called; none is recalled */
 	bool stated; /* hold_is_stated(), as last logged */
 	bool draining;
 	bool drained;
@@ -239,7 +239,10 @@
 	plan_updates(ja);
 }
 
-/* Serves a worker that an earlier process served, as someone remembers it. */
+/*
+ * Serves a worker that an earlier process served, as its registration or an
+ * entry describes it.
+ */
 static void
 recall_worker(struct ja *ja, const struct wp_worker *worker, const char *from)
 {
--- a/tests/deployment.c
+++ b/tests/deployment.c
@@ -106,6 +106,29 @@
 	return job->status == 200 ? (int)most : -1;
 }
 
+int64_t
+dpl_count(const struct dpl *dpl, const char *name)
+{
+	return hn_json_int(dpl_control(dpl, "GET", "counts", NULL), name);
+}
+
+void
+dpl_send_jobs(const struct dpl *dpl, const char *body, int64_t for_ms)
+{
+	static const char *const headers[] = {
+	    "Content-Type: application/json", "X-Deadline-Ms: 1000", NULL};
+	static unsigned id = 0xd0000000U;
+	int64_t until_ms = hn_now_ms() + for_ms;
+
+	while (hn_now_ms() < until_ms) {
+		hn_http_wait(hn_http_start("POST",
+				 dpl_url(dpl, 0, hn_str("/q/%016x", id++)),
+				 headers, body),
+		    HN_LIMIT_MS);
+		hn_sleep(20);
+	}
+}
+
 /* Returns the server's port that a path leads to; 0 if there is none. */
 static uint16_t
 path_target_port(const struct dpl *dpl, enum dpl_path path, int index)
--- a/tests/deployment.h
+++ b/tests/deployment.h
@@ -63,6 +63,10 @@
  * at the same time, or -1 if the job was not completed.
  */
 int dpl_count_running(const struct dpl *dpl, int entry, int n);
+/* A counter of standin_platform, by its name. */
+int64_t dpl_count(const struct dpl *dpl, const char *name);
+/* Sends jobs to entry 0, one after the other, each with a deadline of 1 s. */
+void dpl_send_jobs(const struct dpl *dpl, const char *body, int64_t for_ms);
 /* Sets a fault proxy rule for a path; direction "" means both directions. */
 void dpl_set_fault(const struct dpl *dpl, enum dpl_path path, int index,
     const char *direction, const char *action, int ms);
