Run the linter on one file in each process

The checker compares identifiers by addresses that it keeps in static variables from the first file of a process; in a later file another function's name may lie at that address. Change: xargs gives each process one file, so that no address outlives it. Same checks, same files.

--- a/Makefile
+++ b/Makefile
@@ -196,8 +196,11 @@
 format-check:
 	clang-format --dry-run --Werror $(C_FILES)
 
+# One file a process: the analyzer of clang-tidy 14 keeps the names that it looks
+# for from the first file of a process, and may take other functions for them in
+# the next.
 lint:
-	printf '%s\n' $(filter %.c,$(C_FILES)) | xargs -P 8 -n 4 sh -c \
+	printf '%s\n' $(filter %.c,$(C_FILES)) | xargs -P 8 -n 1 sh -c \
 	    'clang-tidy --quiet "$$@" -- -std=gnu11 -I. -Isrc -Iinclude -Itests \
 	    -D_GNU_SOURCE $(PKG_CFLAGS) 2>/dev/null' lint
 
