Pause before a failed request for a report is repeated

Cause: an extra request for a report that got no answer was sent again from its own callback. Change: an unanswered one is repeated after 4 ms, as polls are; requests that come meanwhile are one with it, and the pause ends with the worker that it is for.

--- a/src/connection/holder.c
+++ b/src/connection/holder.c
@@ -105,8 +105,10 @@
 	struct hold_lost replaced;
 	bool replaced_elsewhere; /* they were on a worker at another address */
 	struct ans answers;
-	bool extra_in_progress; /* call of hold_request_report() */
-	bool extra_pending;	/* requested during that call */
+	/* A call of hold_request_report(), or the pause before its repetition. */
+	bool extra_in_progress;
+	bool extra_pending; /* requested meanwhile */
+	guint extra_id;	    /* the pause */
 	guint poll_id;
 	guint check_id;
 	int64_t check_since_ms; /* first of the present checks, 0: none */
@@ -145,6 +147,13 @@
 static void on_report(const struct wp_report *report, void *ctx);
 static void update_checks(struct hold *hold);
 
+static void
+forget_extra(struct hold *hold)
+{
+	hold->extra_in_progress = hold->extra_pending = false;
+	g_clear_handle_id(&hold->extra_id, g_source_remove);
+}
+
 /* The worker port must not deliver any answer after this. */
 void
 hold_free(struct hold *hold)
@@ -152,6 +161,7 @@
 	if (hold == NULL)
 		return;
 	clm_free(hold->claims);
+	forget_extra(hold);
 	g_clear_handle_id(&hold->poll_id, g_source_remove);
 	g_clear_handle_id(&hold->check_id, g_source_remove);
 	g_free(hold->instance);
@@ -165,6 +175,7 @@
 	hold->generation++;
 	hold->phase = ABSENT;
 	clm_close(hold->claims);
+	forget_extra(hold);
 	g_clear_handle_id(&hold->poll_id, g_source_remove);
 	g_clear_handle_id(&hold->check_id, g_source_remove);
 }
@@ -627,6 +638,33 @@
 		close_poll(hold, call);
 }
 
+static gboolean
+on_extra_due(gpointer data)
+{
+	struct hold *hold = data;
+
+	hold->extra_id = 0;
+	forget_extra(hold);
+	hold_request_report(hold);
+	return G_SOURCE_REMOVE;
+}
+
+/* An unanswered call is repeated after a pause: a refused one fails at once. */
+static void
+repeat_extra(struct hold *hold, bool answered)
+{
+	bool pending = hold->extra_pending;
+
+	hold->extra_pending = false;
+	if (answered && pending) {
+		hold_request_report(hold);
+	} else if (!answered && hold->phase == READY) {
+		hold->extra_in_progress = true;
+		hold->extra_id =
+		    g_timeout_add(POLL_DELAY_MS, on_extra_due, hold);
+	}
+}
+
 static void
 on_report(const struct wp_report *report, void *ctx)
 {
@@ -650,11 +688,8 @@
 	if (report->answer.verdict == WP_FENCED)
 		skip_token(hold, call->token);
 	handle_report(hold, report, call);
-	if (call->kind == EXTRA &&
-	    (hold->extra_pending || report->answer.verdict == WP_NO_ANSWER)) {
-		hold->extra_pending = false;
-		hold_request_report(hold);
-	}
+	if (call->kind == EXTRA)
+		repeat_extra(hold, report->answer.verdict != WP_NO_ANSWER);
 	if (hold->sent_ms == 0 && is_report_of(hold, report))
 		g_clear_handle_id(&hold->poll_id, g_source_remove);
 	schedule_poll(hold, poll_pause_ms(hold, call, report));
@@ -757,7 +792,7 @@
 	hold->open_polls = 0;
 	hold->unanswered_since_ms = 0;
 	hold->leaving_since_ms = 0;
-	hold->extra_in_progress = hold->extra_pending = false;
+	forget_extra(hold);
 	hold->answered_ms = clk_now_ms();
 	wls_adopt(&hold->lease, worker->clock_ms, hold->answered_ms);
 	if (has_same_id)
@@ -931,7 +966,7 @@
 	hold->sent_ms = 0;
 	hold->open_polls = 0;
 	hold->leaving_since_ms = 0;
-	hold->extra_in_progress = hold->extra_pending = false;
+	forget_extra(hold);
 	hold->was_ready = false;
 	g_clear_handle_id(&hold->poll_id, g_source_remove);
 	report_runs_lost(hold, &lost);
--- a/tests/test_holder.c
+++ b/tests/test_holder.c
@@ -346,6 +346,15 @@
 		g_main_context_iteration(NULL, TRUE);
 }
 
+static void
+wait_for_another(GQueue *calls)
+{
+	guint n_calls = g_queue_get_length(calls);
+
+	while (g_queue_get_length(calls) == n_calls)
+		g_main_context_iteration(NULL, TRUE);
+}
+
 static gboolean
 on_expired(gpointer data)
 {
@@ -388,6 +397,8 @@
 		end_calls(&w->checks, &none);
 	else if (strcmp(words[0], "drop") == 0)
 		end_call(&w->reports, &none);
+	else if (strcmp(words[0], "drop_last") == 0)
+		complete(g_queue_pop_tail(&w->reports), &none);
 	else if (strcmp(words[0], "started") == 0)
 		end_call(&w->starts, &done);
 	else if (strcmp(words[0], "fenced_start") == 0)
@@ -425,6 +436,10 @@
 		hold_worker_left(w->hold, "i");
 	else if (strcmp(words[0], "next") == 0)
 		wait_for_call(&w->reports);
+	else if (strcmp(words[0], "another") == 0)
+		wait_for_another(&w->reports);
+	else if (strcmp(words[0], "request") == 0)
+		hold_request_report(w->hold);
 	else if (strcmp(words[0], "soon") == 0)
 		wait_shortly(w);
 	else if (strcmp(words[0], "checks") == 0)
