Count only workers that answer as unstated

Cause: sp_worker_unstated_total and the event beside it looked at the age of the worker's description alone, which grows too while a worker is down or has left. Change: a worker counts from when it answers and its description is too old; the event is named "unstated" and tells the same. What is started or refused does not change. Result: test_restarted_agent, worker_that_is_down_does_not_count_as_unstated, fails before (1 for a worker that is down) and holds the count of a worker without heartbeats at 1. Metrics of an agent are read in deployment.c, for test_late_calls too.

--- a/src/process/jobagent.c
+++ b/src/process/jobagent.c
@@ -50,8 +50,8 @@
 	struct upd *updates;	  /* when the sessions are sent updates */
 	struct odm *out_domains;  /* failure domains out of service */
 	struct wp_worker *worker; /* as it last described itself */
-	bool heard;  /* the worker itself has called; none is recalled */
-	bool stated; /* hold_is_stated(), as last logged */
+	bool heard;    /* the worker itself has called; none is recalled */
+	bool unstated; /* as last logged */
 	bool draining;
 	bool drained;
 	bool calls_disabled; /* no calls to the worker */
@@ -62,7 +62,7 @@
 	bool accepting;	       /* as last marked for updates */
 	bool withheld;	       /* the lease, as last logged */
 	int64_t *starts, *done, *failed, *runs_lost, *refused, *stalled;
-	int64_t *sessions_lost, *leases_withheld, *unstated;
+	int64_t *sessions_lost, *leases_withheld, *unstated_total;
 	struct {
 		int64_t *queued, *starting, *unanswered;
 		int64_t *running, *stopping, *stopped;
@@ -660,19 +660,22 @@
 	plan_updates(ja);
 }
 
-/* What the worker has said of itself becomes too old as time passes. */
+/*
+ * Reports when the description of a worker that answers becomes too old, and
+ * when it is no longer so.
+ */
 static void
 check_statement(struct ja *ja)
 {
-	bool stated = hold_is_stated(ja->hold);
+	bool unstated = hold_is_ready(ja->hold) && !hold_is_stated(ja->hold);
 
-	if (stated == ja->stated)
+	if (unstated == ja->unstated)
 		return;
-	ja->stated = stated;
-	if (!stated)
-		++*ja->unstated;
+	ja->unstated = unstated;
+	if (unstated)
+		++*ja->unstated_total;
 	evt_write("worker", evt_text("instance", ja->worker->instance),
-	    evt_bool("stated", stated),
+	    evt_bool("unstated", unstated),
 	    evt_int("stated_ms", hold_stated_ms(ja->hold)));
 }
 
@@ -743,9 +746,9 @@
 	ja->leases_withheld = ctr_counter(reg, "sp_leases_withheld_total",
 	    "Times that the worker's lease was left to expire, since a run did "
 	    "not end.");
-	ja->unstated = ctr_counter(reg, "sp_worker_unstated_total",
-	    "Times that the worker's description of itself became too old to "
-	    "start tasks by it.");
+	ja->unstated_total = ctr_counter(reg, "sp_worker_unstated_total",
+	    "Times that a worker that answers had no description of itself "
+	    "recent enough to start tasks by it.");
 	ja->run_times =
 	    hst_new(reg, "sp_run_ms", "Time from start to end of done runs.");
 	ja->stalled = ctr_counter(reg, "sp_runs_stalled_total",
--- a/tests/deployment.c
+++ b/tests/deployment.c
@@ -112,6 +112,19 @@
 	return hn_json_int(dpl_control(dpl, "GET", "counts", NULL), name);
 }
 
+int64_t
+dpl_agent_metric(const struct dpl *dpl, const char *name)
+{
+	const char *text = hn_str("\n%s ", name);
+	struct hn_http *metrics = hn_http("GET",
+	    hn_str("http://127.0.0.1:%u/metrics", dpl->agent_metrics_port),
+	    NULL);
+	const char *line = strstr(metrics->body, text);
+
+	ck_assert_ptr_nonnull(line);
+	return g_ascii_strtoll(line + strlen(text), NULL, 10);
+}
+
 void
 dpl_send_jobs(const struct dpl *dpl, const char *body, int64_t for_ms)
 {
--- a/tests/deployment.h
+++ b/tests/deployment.h
@@ -65,6 +65,8 @@
 int dpl_count_running(const struct dpl *dpl, int entry, int n);
 /* A counter of standin_platform, by its name. */
 int64_t dpl_count(const struct dpl *dpl, const char *name);
+/* A metric of agent 0, by its name. */
+int64_t dpl_agent_metric(const struct dpl *dpl, const char *name);
 /* Sends jobs to entry 0, one after the other, each with a deadline of 1 s. */
 void dpl_send_jobs(const struct dpl *dpl, const char *body, int64_t for_ms);
 /* Sets a fault proxy rule for a path; direction "" means both directions. */
--- a/tests/test_late_calls.c
+++ b/tests/test_late_calls.c
@@ -4,7 +4,6 @@
  */
 #include <glib.h>
 #include <signal.h>
-#include <string.h>
 
 #include "deployment.h"
 #include "runner.h"
@@ -310,14 +309,7 @@
 static int64_t
 n_returned(struct dpl *dpl)
 {
-	const char *name = "\nsp_runs_refused_total ";
-	struct hn_http *metrics = hn_http("GET",
-	    hn_str("http://127.0.0.1:%u/metrics", dpl->agent_metrics_port),
-	    NULL);
-	const char *line = strstr(metrics->body, name);
-
-	ck_assert_ptr_nonnull(line);
-	return g_ascii_strtoll(line + strlen(name), NULL, 10);
+	return dpl_agent_metric(dpl, "sp_runs_refused_total");
 }
 
 /* Sends a job that reaches its deadline while its starts are on their way. */
--- a/tests/test_restarted_agent.c
+++ b/tests/test_restarted_agent.c
@@ -110,6 +110,36 @@
 }
 END_TEST
 
+static int64_t
+n_unstated(const struct dpl *dpl)
+{
+	return dpl_agent_metric(dpl, "sp_worker_unstated_total");
+}
+
+/*
+ * A worker that was down for long counted as one that answers, but no longer
+ * describes itself, which operators take for missing heartbeats.
+ */
+START_TEST(worker_that_is_down_does_not_count_as_unstated)
+{
+	struct dpl dpl;
+
+	dpl_start(&dpl, &(struct dpl_options){0});
+	dpl_control(&dpl, "GET",
+	    hn_str("mode?down_ms=%d&down=0", 2 * OLD_DESCRIPTION_MS), NULL);
+	hn_sleep(OLD_DESCRIPTION_MS);
+	ck_assert_int_eq(n_unstated(&dpl), 0);
+	hn_finish();
+
+	dpl_start(&dpl, &(struct dpl_options){0});
+	dpl_control(&dpl, "GET", "mode?beats=0", NULL);
+	hn_sleep(OLD_DESCRIPTION_MS);
+	ck_assert_int_eq(n_unstated(&dpl), 1);
+	hn_finish();
+}
+END_TEST
+
 TEST_MAIN("restarted_agent", 2 * HN_LIMIT_MS / 1000.0,
     capacity_that_shrank_during_an_outage_holds_after_a_restart,
-    restarted_system_waits_for_a_heartbeat, old_description_starts_nothing)
+    restarted_system_waits_for_a_heartbeat, old_description_starts_nothing,
+    worker_that_is_down_does_not_count_as_unstated)
