Split whether a worker answers out of holder.c

holder.c held the times of answered and missed calls, their bounds and the decisions on them beside polls, claims and incarnations. Comparisons and bounds are unchanged.

--- a/src/connection/holder.c
+++ b/src/connection/holder.c
@@ -3,10 +3,10 @@
 
 #include "connection/claim.h"
 #include "connection/holder.h"
+#include "connection/liveness.h"
 #include "connection/workerlease.h"
 #include "process/clock.h"
 #include "process/events.h"
-#include "request/answertime.h"
 
 /*
  * Wait of a long poll.  Each poll renews the lease, so two more renewals can be
@@ -14,11 +14,10 @@
  */
 #define POLL_WAIT_MS 160
 /*
- * Wait of polls in the period after a call got no answer.  If a longer poll is
+ * Wait of polls for some time after a call got no answer.  If a longer poll is
  * lost too, the runs that ended meanwhile are noticed only after its timeout.
  */
-#define SHORT_POLL_WAIT_MS   30
-#define SHORT_POLL_PERIOD_MS 3000
+#define SHORT_POLL_WAIT_MS 30
 /*
  * Where many calls are lost, polls wait for LOSSY_POLL_WAIT_MS and are sent at
  * that interval, without waiting for the timeout of those before.
@@ -28,19 +27,6 @@
 /* Delay before the next poll, so that one poll reports several ended runs. */
 #define POLL_DELAY_MS 4
 #define POLL_RETRY_MS 50
-/*
- * The worker is not ready, and gets no starts, when its last report is older
- * than MAX_ANSWER_AGE_MS (which includes the wait of a poll), or when
- * unanswered_since_ms is more than MAX_UNANSWERED_MS ago.
- */
-#define MAX_ANSWER_AGE_MS 700
-#define MAX_UNANSWERED_MS 250
-/*
- * After a call without an answer, starts are sent only if another call was
- * answered within this time.  Where calls are lost, polls are sent every
- * LOSSY_POLL_WAIT_MS, so that this is mostly so even if half of them are lost.
- */
-#define ANSWERING_MS 60
 /*
  * A deregistration names its worker by the id alone.  One that was held up on
  * its way may be of a former incarnation, while another one works under the
@@ -71,6 +57,7 @@
 struct hold {
 	struct hold_options opts;
 	struct wls lease;
+	struct lvn liveness;
 	struct clm *claims; /* heartbeats that are being checked */
 	enum phase phase;
 	char *instance;
@@ -89,22 +76,12 @@
 	int64_t last_end;	    /* highest number of a reported end */
 	int64_t sent_ms; /* of the last poll if it is open, 0: it is not */
 	uint32_t open_polls;
-	int64_t answered_ms; /* last report of this incarnation */
-	int64_t heard_ms;    /* last answer to any call */
-	/*
-	 * When the first call without an answer was sent, plus its wait; 0:
-	 * none.  Reset by a report of the current incarnation and by any answer
-	 * to a call without a wait, but not by other answers to a long poll.
-	 */
-	int64_t unanswered_since_ms;
 	int64_t leaving_since_ms; /* of its deregistration, 0: none */
 	/* Counts worker changes; answers to earlier calls are ignored. */
 	uint64_t generation;
-	int64_t short_poll_until_ms;
 	/* Runs to be reported as lost after clearing; incarnation 0: none. */
 	struct hold_lost replaced;
 	bool replaced_elsewhere; /* they were on a worker at another address */
-	struct ans answers;
 	/* A call of hold_request_report(), or the pause before its repetition. */
 	bool extra_in_progress;
 	bool extra_pending; /* requested meanwhile */
@@ -180,12 +157,10 @@
 	g_clear_handle_id(&hold->check_id, g_source_remove);
 }
 
-/* Whether no call has been answered for some time.  No starts are sent. */
 static bool
 is_silent(const struct hold *hold)
 {
-	return hold->unanswered_since_ms != 0 &&
-	       clk_now_ms() - hold->unanswered_since_ms > MAX_UNANSWERED_MS;
+	return lvn_is_silent(&hold->liveness, clk_now_ms());
 }
 
 bool
@@ -193,7 +168,7 @@
 {
 	return hold->phase == READY && hold->leaving_since_ms == 0 &&
 	       hold->other_born_ms == 0 &&
-	       clk_now_ms() - hold->answered_ms <= MAX_ANSWER_AGE_MS &&
+	       lvn_has_reported(&hold->liveness, clk_now_ms()) &&
 	       !is_silent(hold);
 }
 
@@ -202,8 +177,7 @@
 {
 	if (hold->phase != READY || hold->replaced.incarnation != 0)
 		return false;
-	return hold->unanswered_since_ms == 0 ||
-	       clk_now_ms() - hold->heard_ms <= ANSWERING_MS;
+	return lvn_is_answering(&hold->liveness, clk_now_ms());
 }
 
 /* Whether a heartbeat of the present incarnation is known. */
@@ -246,7 +220,8 @@
 	hold->was_ready = ready;
 	evt_write("worker", evt_text("instance", hold->instance),
 	    evt_bool("ready", ready),
-	    evt_int("answer_age_ms", clk_now_ms() - hold->answered_ms));
+	    evt_int(
+		"answer_age_ms", clk_now_ms() - hold->liveness.reported_ms));
 	hold->opts.changed(hold->opts.ctx);
 }
 
@@ -257,7 +232,7 @@
 	    .address = hold->address,
 	    .instance = hold->instance,
 	    .token = hold->token,
-	    .timeout_ms = ans_timeout_ms(&hold->answers),
+	    .timeout_ms = ans_timeout_ms(&hold->liveness.answers),
 	};
 }
 
@@ -282,25 +257,13 @@
 		hold->token += FENCED_TOKEN_STEP;
 }
 
-/*
- * Records whether a call was answered.  sent_ms is the earliest time at which
- * the worker could answer: that of sending, plus the wait of a poll.
- */
 static void
 record_answer(struct hold *hold, enum wp_verdict verdict, int64_t sent_ms)
 {
-	int64_t now_ms = clk_now_ms();
-
-	if (verdict != WP_NO_ANSWER) {
-		hold->heard_ms = now_ms;
-		ans_received(&hold->answers, sent_ms, now_ms);
-		hold->unanswered_since_ms = 0;
-		return;
-	}
-	ans_missed(&hold->answers, sent_ms, now_ms);
-	hold->short_poll_until_ms = now_ms + SHORT_POLL_PERIOD_MS;
-	if (hold->unanswered_since_ms == 0)
-		hold->unanswered_since_ms = sent_ms;
+	if (verdict == WP_NO_ANSWER)
+		lvn_missed(&hold->liveness, sent_ms, clk_now_ms());
+	else
+		lvn_answered(&hold->liveness, sent_ms, clk_now_ms());
 }
 
 /*
@@ -319,7 +282,7 @@
 	if (hold->phase != READY || hold->leaving_since_ms != 0 ||
 	    lease == WP_LEASE_PAUSE || lease == WP_LEASE_WITHHOLD)
 		return hold->lease.deadline_ms;
-	if (hold->unanswered_since_ms != 0 &&
+	if (lvn_is_unanswered(&hold->liveness) &&
 	    wls_is_long(&hold->lease, clk_now_ms()))
 		return hold->lease.deadline_ms;
 	return wls_extend(&hold->lease, clk_now_ms());
@@ -407,7 +370,7 @@
 	return (struct hold_lost){
 	    .why = why,
 	    .incarnation = hold->born_ms,
-	    .heard_ms = hold->heard_ms,
+	    .heard_ms = hold->liveness.heard_ms,
 	};
 }
 
@@ -415,12 +378,11 @@
 process_report(
     struct hold *hold, const struct wp_report *report, int64_t sent_ms)
 {
+	int64_t now_ms = clk_now_ms();
 	size_t i;
 
-	hold->answered_ms = hold->heard_ms = clk_now_ms();
-	hold->unanswered_since_ms = 0;
-	wls_read_clock(
-	    &hold->lease, report->answer.clock_ms, hold->answered_ms);
+	lvn_report(&hold->liveness, now_ms);
+	wls_read_clock(&hold->lease, report->answer.clock_ms, now_ms);
 	for (i = 0; i < report->n_ended; i++)
 		hold->last_end = MAX(hold->last_end, report->ended[i].number);
 	if (hold->phase == CLEARING) {
@@ -684,7 +646,7 @@
 		record_answer(hold, report->answer.verdict,
 		    call->sent_ms + call->wait_ms);
 	else if (report->answer.verdict != WP_NO_ANSWER)
-		ans_heard(&hold->answers, clk_now_ms());
+		ans_heard(&hold->liveness.answers, clk_now_ms());
 	if (report->answer.verdict == WP_FENCED)
 		skip_token(hold, call->token);
 	handle_report(hold, report, call);
@@ -698,7 +660,7 @@
 static bool
 polls_overlap(const struct hold *hold)
 {
-	return hold->phase == READY && ans_is_lossy(&hold->answers);
+	return hold->phase == READY && ans_is_lossy(&hold->liveness.answers);
 }
 
 static int64_t
@@ -706,8 +668,9 @@
 {
 	if (polls_overlap(hold))
 		return LOSSY_POLL_WAIT_MS;
-	return clk_now_ms() < hold->short_poll_until_ms ? SHORT_POLL_WAIT_MS
-							: POLL_WAIT_MS;
+	return lvn_misses_calls(&hold->liveness, clk_now_ms())
+		   ? SHORT_POLL_WAIT_MS
+		   : POLL_WAIT_MS;
 }
 
 static bool
@@ -728,7 +691,7 @@
 		return;
 	if (hold->phase == READY && hold->other_born_ms == 0) {
 		args.wait_ms = poll_wait_ms(hold);
-		if (hold->unanswered_since_ms == 0 &&
+		if (!lvn_is_unanswered(&hold->liveness) &&
 		    hold->leaving_since_ms == 0 &&
 		    hold->opts.lease(hold->opts.ctx) == WP_LEASE_RENEW)
 			args.deadline_ms =
@@ -773,6 +736,7 @@
 static void
 adopt_worker(struct hold *hold, const struct wp_worker *worker)
 {
+	int64_t now_ms = clk_now_ms();
 	bool had_worker = hold->phase != ABSENT;
 	bool had_calls = hold->born_ms != 0;
 	bool has_same_id = had_calls &&
@@ -790,13 +754,12 @@
 	hold->last_end = 0;
 	hold->sent_ms = 0;
 	hold->open_polls = 0;
-	hold->unanswered_since_ms = 0;
 	hold->leaving_since_ms = 0;
 	forget_extra(hold);
-	hold->answered_ms = clk_now_ms();
-	wls_adopt(&hold->lease, worker->clock_ms, hold->answered_ms);
+	lvn_adopt(&hold->liveness, now_ms);
+	wls_adopt(&hold->lease, worker->clock_ms, now_ms);
 	if (has_same_id)
-		wls_record_stray(&hold->lease, hold->answered_ms);
+		wls_record_stray(&hold->lease, now_ms);
 	hold->was_ready = false;
 	g_clear_handle_id(&hold->poll_id, g_source_remove);
 	set_text(&hold->instance, worker->instance);
@@ -883,7 +846,7 @@
 	const struct hold *hold = ctx;
 
 	target->token = hold->token;
-	target->timeout_ms = ans_timeout_ms(&hold->answers);
+	target->timeout_ms = ans_timeout_ms(&hold->liveness.answers);
 }
 
 static void
@@ -997,7 +960,7 @@
 is_being_cleared(const struct hold *hold)
 {
 	return hold->replaced.incarnation != 0 &&
-	       clk_now_ms() - hold->answered_ms <= MAX_ANSWER_AGE_MS;
+	       lvn_has_reported(&hold->liveness, clk_now_ms());
 }
 
 static void
