Queue tasks of lost workers in the order of their starts

Cause: the scheduler keeps tasks whose runs may go on in a hash table of pointers, and queued those of one millisecond again in the order of the table, which follows from where the heap lies. A seed from a search could be played otherwise in the replay. Change: they are queued, and their jobs ended if need be, in the order of their starts.

--- a/src/request/sched.c
+++ b/src/request/sched.c
@@ -616,12 +616,23 @@
 	return true;
 }
 
+static gint
+compare_sends(gconstpointer a, gconstpointer b)
+{
+	uint64_t seq_a = ((const struct jt_task *)a)->seq;
+	uint64_t seq_b = ((const struct jt_task *)b)->seq;
+
+	return (seq_a > seq_b) - (seq_a < seq_b);
+}
+
+/* In the order in which they were sent, whatever their addresses are. */
 static void
 resolve_lost(struct sch *sch, int64_t now_ms)
 {
 	g_autoptr(GList) tasks = g_hash_table_get_keys(sch->unresolved);
 	GList *l;
 
+	tasks = g_list_sort(tasks, compare_sends);
 	for (l = tasks; l != NULL; l = l->next) {
 		struct jt_task *task = l->data;
 
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -19,15 +19,19 @@
 #define PAUSE_MS       420
 #define STOP_MS	       1400
 /* Fleets with a silent worker, for each time that it was away. */
-#define SILENT_LIVES  200
-#define SILENT_MS     1500
-#define MIN_AWAY_MS   250
-#define AWAY_STEP_MS  40
-#define N_AWAY	      5
-#define SHRINK_AT_MS  3000
-#define SHRUNK_FLEETS 100
-#define N_ENTRIES     3
-#define N_AGENTS      4
+#define SILENT_LIVES 200
+#define SILENT_MS    1500
+#define MIN_AWAY_MS  250
+#define AWAY_STEP_MS 40
+#define N_AWAY	     5
+#define SHRINK_AT_MS 3000
+/* Two tasks end unresolved in the same millisecond. */
+#define SAME_TIME_SEED	 70
+#define N_HEAPS		 32
+#define BLOCK_STEP_BYTES 1888
+#define SHRUNK_FLEETS	 100
+#define N_ENTRIES	 3
+#define N_AGENTS	 4
 
 static struct srh_options
 search_options(uint64_t n_seeds, enum sop_mutant mutant)
@@ -219,6 +223,30 @@
 }
 END_TEST
 
+/*
+ * Guards against decisions in the order of a hash table of pointers: the seed
+ * was played in one of two ways, by where the heap lay.
+ */
+START_TEST(replay_does_not_depend_on_addresses)
+{
+	struct srh_options opts = search_options(1, SOP_NO_MUTANT);
+	g_autoptr(GPtrArray) blocks = g_ptr_array_new_with_free_func(g_free);
+	uint64_t n_events = 0;
+	int i;
+
+	opts.first_seed = SAME_TIME_SEED;
+	for (i = 0; i < N_HEAPS; i++) {
+		struct srh_result result = srh_search(&opts);
+
+		if (i == 0)
+			n_events = result.n_events;
+		ck_assert_uint_eq(result.n_events, n_events);
+		g_ptr_array_add(
+		    blocks, g_malloc((gsize)(1 + i * BLOCK_STEP_BYTES)));
+	}
+}
+END_TEST
+
 /* Guards against a shorter list of faults that no longer breaks the rule. */
 START_TEST(leaves_out_needless_faults)
 {
@@ -294,6 +322,7 @@
 	tcase_add_loop_test(tc, no_start_waits_in_a_silent_life, 0, N_AWAY);
 	tcase_add_test(tc, old_capacity_starts_nothing);
 	tcase_add_test(tc, replays_a_seed_exactly);
+	tcase_add_test(tc, replay_does_not_depend_on_addresses);
 	tcase_add_test(tc, leaves_out_needless_faults);
 	tcase_add_loop_test(
 	    tc, refuses_bad_arguments, 0, (int)G_N_ELEMENTS(bad_commands));
