--- a/tests/test_late_calls.c
+++ b/tests/test_late_calls.c
@@ -104,6 +104,21 @@
 	ck_assert_int_eq(count(dpl, "twice"), 0);
 }
 
+/* Tells why tasks don't run, once for the report of a failure. */
+static void
+print_logs(struct dpl *dpl)
+{
+	const char *const all[] = {"", NULL};
+	int i;
+
+	printf("%s\n", dpl_control(dpl, "GET", "counts", NULL)->body);
+	for (i = 0; i < DPL_ENTRIES; i++)
+		hn_print_log(dpl->entry[i], all);
+	for (i = 0; i < DPL_AGENTS; i++)
+		hn_print_log(dpl->agent[i], all);
+	fflush(stdout);
+}
+
 /*
  * A job reaches its deadline, and the stops of its runs are carried out late.
  * The agents went on renewing the lease of these runs, so that they were still
@@ -113,6 +128,7 @@
 resend_after_late_stops(int n_other_tasks)
 {
 	struct hn_http *job, *other = NULL;
+	int64_t running;
 	struct dpl dpl;
 
 	dpl_start(&dpl, &(struct dpl_options){0});
@@ -126,7 +142,10 @@
 	hn_sleep(RESEND_MS);
 	job = post_job(&dpl, 1, 0xd0, 6, JOB_DEADLINE_MS);
 	hn_sleep(JOB_DEADLINE_MS / 2);
-	ck_assert_int_ge(count(&dpl, "running"), 6);
+	running = count(&dpl, "running");
+	if (running < 6)
+		print_logs(&dpl);
+	ck_assert_int_ge(running, 6);
 	ck_assert_int_eq(count(&dpl, "twice"), 0);
 	dpl_control(&dpl, "GET", "mode?late_stops=0", NULL);
 	hn_http_wait(job, HN_LIMIT_MS);
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -242,7 +242,7 @@
 			n_events = result.n_events;
 		ck_assert_uint_eq(result.n_events, n_events);
 		g_ptr_array_add(
-		    blocks, g_malloc((gsize)(1 + i * BLOCK_STEP_BYTES)));
+		    blocks, g_malloc(1 + (gsize)i * BLOCK_STEP_BYTES));
 	}
 }
 END_TEST
