Let odd heartbeats tell the worker's capacity

Change: odd heartbeats tell the present capacity of the worker. The soak's check is as it was. Which fields they leave out or exaggerate is unchanged.

--- a/tests/standin_platform.c
+++ b/tests/standin_platform.c
@@ -786,6 +786,7 @@
 	jrep_add_int(body, "born", w->born_ms);
 	jrep_add_int(body, "seq", w->seq);
 	jrep_add_int(body, "clock_ms", worker_clock(w));
+	jrep_add_int(body, "capacity_milli", mode.capacity_milli);
 	jrep_add_int(body, "fenced_ms", w->fenced_ms);
 	jrep_add_int(body, "kept_start", w->late_start != NULL);
 	return body;
--- a/tests/test_restarted_agent.c
+++ b/tests/test_restarted_agent.c
@@ -1,4 +1,5 @@
 #include "deployment.h"
+#include "oddheartbeat.h"
 #include "runner.h"
 
 /* From a change of capacity on, starts beyond it are allowed for this long. */
@@ -9,6 +10,8 @@
 #define SMALL_MILLI 2000
 /* Jobs are sent for this long while the worker is not heard. */
 #define REFUSED_MS 2500
+/* And after each odd heartbeat. */
+#define ODD_HEARTBEAT_MS 300
 #define JOB                                                                    \
 	"{\"spec\":\"300\",\"best_effort\":true,\"steps\":[{\"count\":24,"     \
 	"\"cpu\":1000,\"mem_mb\":1,\"estimate_ms\":300}]}"
@@ -110,6 +113,28 @@
 }
 END_TEST
 
+/*
+ * Odd heartbeats claimed the former capacity under the worker's own id, so that
+ * the soak counted starts beyond the present one that no agent could tell.
+ */
+START_TEST(odd_heartbeats_tell_the_present_capacity)
+{
+	struct dpl dpl;
+	int i;
+
+	dpl_start(&dpl, &(struct dpl_options){0});
+	shrink_during_outage(&dpl);
+	restart(dpl.agent, DPL_AGENTS);
+	for (i = 0; i < ohb_n_rows; i++) {
+		hn_http_wait(
+		    ohb_send(&dpl, DPL_AGENTS - 1, &ohb_rows[i]), HN_LIMIT_MS);
+		dpl_send_jobs(&dpl, JOB, ODD_HEARTBEAT_MS);
+	}
+	ck_assert_int_eq(dpl_count(&dpl, "limit"), 0);
+	hn_finish();
+}
+END_TEST
+
 static int64_t
 n_unstated(const struct dpl *dpl)
 {
@@ -142,4 +167,5 @@
 TEST_MAIN("restarted_agent", 2 * HN_LIMIT_MS / 1000.0,
     capacity_that_shrank_during_an_outage_holds_after_a_restart,
     restarted_system_waits_for_a_heartbeat, old_description_starts_nothing,
+    odd_heartbeats_tell_the_present_capacity,
     worker_that_is_down_does_not_count_as_unstated)
