Place by objective across priorities, and wait for faster kinds

Cause: in bursts beyond the capacity of the fleet, late jobs of a high priority made timely ones of the others late; long tasks were sent to slow kinds of worker, where they could only end late, while short ones took the fast workers.

Change: the module objective gives the turn of a job in a placement pass, and kinds the kinds of worker that a task may take now; placing and choice use them when order_by_objective and wait_for_faster are set.

--- a/src/process/jobentry.c
+++ b/src/process/jobentry.c
@@ -59,6 +59,7 @@
 	int64_t *refused, *accepted, *gone;
 	int64_t *tasks_done, *tasks_failed, *tasks_lost;
 	int64_t *open_jobs, *confined_queues;
+	int64_t *tasks_held, *jobs_overtaken;
 	struct hst *job_times;
 };
 
@@ -271,6 +272,20 @@
 	    evt_int("crashes_permille", (int64_t)(caused * 1000)));
 }
 
+static void
+on_delayed(const char *job, enum plg_delay why, uint32_t n_tasks, void *ctx)
+{
+	struct je *je = ctx;
+
+	if (why == PLG_HELD)
+		*je->tasks_held += n_tasks;
+	else
+		++*je->jobs_overtaken;
+	evt_write("delayed", evt_text("job", job),
+	    evt_text("why", why == PLG_HELD ? "held" : "overtaken"),
+	    evt_uint("tasks", n_tasks));
+}
+
 static void
 on_update(const struct run_update_args *args, void *ctx)
 {
@@ -390,6 +405,10 @@
 	    "Requests dropped since their connection had ended.");
 	je->confined_queues = ctr_gauge(reg, "sp_queues_confined",
 	    "Queues kept to few workers since their tasks crash workers.");
+	je->tasks_held = ctr_counter(reg, "sp_tasks_held_total",
+	    "Tasks that waited for a faster kind of worker.");
+	je->jobs_overtaken = ctr_counter(reg, "sp_jobs_overtaken_total",
+	    "Late jobs that others after them were placed before.");
 	je->open_jobs = ctr_gauge(reg, "sp_jobs_open", "Jobs in progress.");
 	je->job_times = hst_new(
 	    reg, "sp_job_ms", "Time from a job's arrival to its completion.");
@@ -477,6 +496,7 @@
 		    .cross_rack_factor = opts->cross_rack_factor,
 		    .scan_offset = g_random_int(),
 		},
+	    .policy = opts->policy,
 	    .lost_run_timeout_ms =
 		MAX(opts->lease_ms, ENTRY_SILENCE_MS) + STOP_MARGIN_MS,
 	    .max_jobs = JE_MAX_JOBS,
@@ -486,6 +506,7 @@
 	    .start_failed = on_start_failed,
 	    .ended = on_job_ended,
 	    .confined = on_confined,
+	    .delayed = on_delayed,
 	    .ctx = je,
 	};
 
--- a/src/process/jobentry.h
+++ b/src/process/jobentry.h
@@ -7,6 +7,7 @@
 #include "process/counters.h"
 #include "process/entryconfig.h"
 #include "process/status.h"
+#include "request/sched.h"
 #include "request/work.h"
 #include "version/keyspace.h"
 #include "version/routes.h"
@@ -53,6 +54,7 @@
 	double cross_rack_factor;
 	/* Agents that the entry connects to at least, if there are as many. */
 	uint32_t agent_connections;
+	struct sch_policy policy;
 	int64_t lease_ms;	       /* longest lease that a worker grants */
 	int64_t drain_ms;	       /* longest time of a graceful shutdown */
 	struct ctr_registry *counters; /* borrowed */
--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -10,7 +10,18 @@
 #define HOUR_MS	  3600000LL
 #define MAX_PEERS 64
 
-enum kind { NAME, ADDRESS, URL, SECRET, LEVEL, INT64, UINT32, UINT64, SEEDS };
+enum kind {
+	NAME,
+	ADDRESS,
+	URL,
+	SECRET,
+	LEVEL,
+	INT64,
+	UINT32,
+	UINT64,
+	SEEDS,
+	BOOL
+};
 
 /* A setting: its key, type, member of the struct, default and range. */
 struct field {
@@ -95,6 +106,8 @@
     {"ready_listen", ADDRESS, REQ, J(ready_listen), NULL, 0, 0, 0},
     {"cross_rack_percent", INT64, OPT, J(cross_rack_percent), NULL, 150, 100, 10000},
     {"agent_connections", UINT32, OPT, J(agent_connections), NULL, 64, 1, 4096},
+    {"order_by_objective", BOOL, OPT, J(order_by_objective), NULL, 0, 0, 0},
+    {"wait_for_faster", BOOL, OPT, J(wait_for_faster), NULL, 0, 0, 0},
 };
 
 static const struct field job_agent_fields[] = {
@@ -219,6 +232,14 @@
 	return true;
 }
 
+static bool
+read_bool(const struct jsonc_node *root, const struct field *field, bool *out,
+    struct status *st)
+{
+	*out = field->default_int != 0;
+	return jsonc_bool(root, field->key, field->need, out, st);
+}
+
 static bool
 read_fields(const struct jsonc_node *root, const struct field *fields, size_t n,
     void *set, struct status *st)
@@ -235,6 +256,8 @@
 
 		if (fields[i].kind == SEEDS)
 			ok = read_seeds(root, &fields[i], out, st);
+		else if (fields[i].kind == BOOL)
+			ok = read_bool(root, &fields[i], out, st);
 		else if (fields[i].kind >= INT64)
 			ok = read_int(root, &fields[i], out, st);
 		else
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -87,6 +87,9 @@
 	 */
 	int64_t cross_rack_percent;
 	uint32_t agent_connections;
+	/* Placement by objective, see docs/platform.md. */
+	bool order_by_objective;
+	bool wait_for_faster;
 	uint32_t log_lines_per_s; /* of each event type */
 };
 
--- a/src/request/choice.c
+++ b/src/request/choice.c
@@ -2,6 +2,7 @@
 #include <math.h>
 
 #include "request/choice.h"
+#include "request/kinds.h"
 
 /* Workers whose costs differ by less are held to be equally good. */
 #define SIMILAR_COST 1.08
@@ -14,12 +15,24 @@
 struct candidate {
 	struct wks_worker *w;
 	double cost;
+	bool spare; /* takes it in time, and fast workers are scarce */
 };
 
 struct chc {
 	struct chc_options opts;
 	const struct wks *workers;
 	GArray *candidates; /* struct candidate, of the last choice */
+	struct knd kinds;
+	bool kinds_known; /* in this pass */
+};
+
+/* The task being placed. */
+struct choice {
+	const struct jt_task *task;
+	int64_t now_ms;
+	bool no_side;
+	struct knd_plan plan;
+	bool excluded; /* a worker that is too slow could take it */
 };
 
 struct chc *
@@ -148,36 +161,142 @@
 		   : (double)w->room.cpu_milli / (double)w->capacity.cpu_milli;
 }
 
+void
+chc_begin_pass(struct chc *chc)
+{
+	chc->kinds_known = false;
+}
+
 /*
- * Chooses the worker that is expected to finish the task first.  Among those
- * with similar expectations it is the one with the largest free share: other
- * entries choose from the same reports, and would all take the same worker.
+ * An ejected worker is left out: it gets one task at a time, so that the others
+ * must not wait for it.
  */
-struct wks_worker *
-chc_choose(struct chc *chc, const struct jt_task *task, int64_t now_ms)
+static void
+find_kinds(struct chc *chc)
+{
+	size_t i;
+
+	knd_clear(&chc->kinds);
+	for (i = 0; i < wks_count(chc->workers); i++) {
+		struct wks_worker *w = wks_get(chc->workers, i);
+
+		w->speed_class = KND_NONE;
+		if (w->service != NULL && !hlt_is_ejected(&w->health) &&
+		    w->use == WKS_ALL &&
+		    wks_is_usable(chc->workers, w, w->service))
+			w->speed_class = knd_add(&chc->kinds, w->service,
+			    w->kind, &w->capacity, &w->room);
+	}
+	chc->kinds_known = true;
+}
+
+/* The classes that have a worker with the step's label. */
+static uint32_t
+labelled_classes(const struct chc *chc, const struct wk_step *step)
+{
+	uint32_t set = 0;
+	size_t i;
+
+	if (step->required_label == NULL)
+		return UINT32_MAX;
+	for (i = 0; i < wks_count(chc->workers); i++) {
+		const struct wks_worker *w = wks_get(chc->workers, i);
+
+		if (w->speed_class != KND_NONE &&
+		    wks_has_label(w, step->required_label))
+			set |= 1U << w->speed_class;
+	}
+	return set;
+}
+
+static struct knd_task
+kinds_task(const struct chc *chc, const struct jt_task *task, int64_t now_ms)
+{
+	const struct wk_step *step = jt_step_of(task);
+
+	return (struct knd_task){
+	    .service = task->job->service,
+	    .size = step->size,
+	    .may_run = labelled_classes(chc, step),
+	    .average_run_ms =
+		spd_average_ms(task->job->speed, step->estimate_ms),
+	    .left_ms = (double)(task->job->objective_by_ms - now_ms),
+	};
+}
+
+/*
+ * Only for jobs of one step: how much time the first step may take of several
+ * is not known.  Confined tasks have few workers anyway.
+ */
+static bool
+is_by_kind(const struct chc *chc, const struct jt_task *task)
+{
+	return chc->opts.by_kind && task->job->spec->n_steps == 1 &&
+	       task->confinement == JT_FREE && !task->alone;
+}
+
+static bool
+is_in(uint32_t set, const struct wks_worker *w)
+{
+	return w->speed_class != KND_NONE && (set >> w->speed_class & 1) != 0;
+}
+
+/* Whether the worker is of a kind that is too slow for the task. */
+static bool
+is_too_slow(const struct choice *choice, const struct wks_worker *w)
+{
+	return choice->plan.allowed != UINT32_MAX &&
+	       w->speed_class != KND_NONE && !is_in(choice->plan.allowed, w);
+}
+
+static void
+find_candidates(struct chc *chc, struct choice *choice)
 {
-	struct wks_worker *best = NULL;
-	double best_cost = INFINITY, best_share = -1;
 	size_t i, n = wks_count(chc->workers);
-	bool no_side = has_no_side(chc, task);
 
 	g_array_set_size(chc->candidates, 0);
 	for (i = 0; i < n; i++) {
 		struct candidate c = {.w = wks_get(chc->workers,
 					  (chc->opts.scan_offset + i) % n)};
 
-		if (!can_take(chc, c.w, task, now_ms) ||
-		    !may_place(c.w, task, no_side))
+		if (!can_take(chc, c.w, choice->task, choice->now_ms) ||
+		    !may_place(c.w, choice->task, choice->no_side))
+			continue;
+		if (is_too_slow(choice, c.w)) {
+			choice->excluded = true;
 			continue;
-		c.cost = cost_of(chc, c.w, task, now_ms);
-		best_cost = MIN(best_cost, c.cost);
+		}
+		c.cost = cost_of(chc, c.w, choice->task, choice->now_ms);
+		c.spare = is_in(choice->plan.spare, c.w) &&
+			  c.cost <= choice->plan.max_spare_ms;
 		g_array_append_val(chc->candidates, c);
 	}
+}
+
+/*
+ * Chooses the worker that is expected to finish the task first.  Among those
+ * with similar expectations it is the one with the largest free share: other
+ * entries choose from the same reports, and would all take the same worker.
+ */
+static struct wks_worker *
+best_candidate(const struct chc *chc, bool spare)
+{
+	struct wks_worker *best = NULL;
+	double best_cost = INFINITY, best_share = -1;
+	guint i;
+
+	for (i = 0; i < chc->candidates->len; i++) {
+		const struct candidate *c =
+		    &g_array_index(chc->candidates, struct candidate, i);
+
+		if (c->spare == spare)
+			best_cost = MIN(best_cost, c->cost);
+	}
 	for (i = 0; i < chc->candidates->len; i++) {
 		const struct candidate *c =
 		    &g_array_index(chc->candidates, struct candidate, i);
 
-		if (c->cost > best_cost * SIMILAR_COST ||
+		if (c->spare != spare || c->cost > best_cost * SIMILAR_COST ||
 		    free_share(c->w) <= best_share)
 			continue;
 		best = c->w;
@@ -186,6 +305,75 @@
 	return best;
 }
 
+/*
+ * Tells the later tasks of the pass that this one waits for a faster worker.
+ * Limits per worker and labels are left out, since they say nothing of others.
+ */
+static void
+record_held(struct chc *chc, const struct choice *choice,
+    const struct knd_task *kinds_of)
+{
+	const struct wk_step *step = jt_step_of(choice->task);
+
+	knd_record_held(&chc->kinds, &choice->plan, kinds_of,
+	    choice->task->job->n_in_state[JT_READY]);
+	if (step->required_label == NULL && step->max_per_worker == 0)
+		knd_record_blocked(&chc->kinds, &choice->plan, &step->size);
+}
+
+static struct wks_worker *
+choose_by_kind(struct chc *chc, struct choice *choice, bool *held)
+{
+	struct knd_task kinds_of;
+	struct wks_worker *w;
+
+	if (!chc->kinds_known)
+		find_kinds(chc);
+	kinds_of = kinds_task(chc, choice->task, choice->now_ms);
+	choice->plan = knd_plan_of(&chc->kinds, &kinds_of);
+	if (knd_is_blocked(&chc->kinds, &choice->plan, &kinds_of.size)) {
+		*held = true;
+		knd_record_held(&chc->kinds, &choice->plan, &kinds_of,
+		    choice->task->job->n_in_state[JT_READY]);
+		return NULL;
+	}
+	find_candidates(chc, choice);
+	w = best_candidate(chc, true);
+	if (w == NULL)
+		w = best_candidate(chc, false);
+	*held = w == NULL && choice->excluded;
+	if (*held)
+		record_held(chc, choice, &kinds_of);
+	return w;
+}
+
+struct wks_worker *
+chc_choose(
+    struct chc *chc, const struct jt_task *task, int64_t now_ms, bool *held)
+{
+	struct choice choice = {
+	    .task = task,
+	    .now_ms = now_ms,
+	    .no_side = has_no_side(chc, task),
+	    .plan = KND_ANY,
+	};
+
+	*held = false;
+	if (is_by_kind(chc, task))
+		return choose_by_kind(chc, &choice, held);
+	find_candidates(chc, &choice);
+	return best_candidate(chc, false);
+}
+
+void
+chc_record_sent(
+    struct chc *chc, const struct jt_task *task, const struct wks_worker *w)
+{
+	if (chc->kinds_known)
+		knd_record_sent(
+		    &chc->kinds, w->speed_class, &jt_step_of(task)->size);
+}
+
 /*
  * Run time expected on the worker.  Estimates are often far off: a task that
  * was stopped once as too slow is probably a long one, so its projected run
--- a/src/request/jobtask.c
+++ b/src/request/jobtask.c
@@ -31,6 +31,10 @@
 
 	job->n_in_state[task->state]--;
 	job->n_in_state[state]++;
+	if (task->state == JT_READY)
+		job->steps[task->step].n_ready--;
+	if (state == JT_READY)
+		job->steps[task->step].n_ready++;
 	task->state = state;
 	if (state == JT_READY)
 		job->first_ready =
@@ -56,6 +60,41 @@
 	return i;
 }
 
+/* A step comes after those that it waits for. */
+void
+jt_set_run_times(struct jt_job *job, double ratio)
+{
+	uint32_t i, j;
+
+	for (i = job->spec->n_steps; i-- > 0;) {
+		const struct wk_step *step = &job->spec->steps[i];
+		int64_t tail_ms = job->steps[i].tail_ms + step->estimate_ms;
+
+		job->steps[i].tail_ms = tail_ms;
+		for (j = 0; j < step->n_after; j++) {
+			struct jt_step *former = &job->steps[step->after[j]];
+
+			former->tail_ms = MAX(former->tail_ms, tail_ms);
+		}
+	}
+	for (i = 0; i < job->spec->n_steps; i++)
+		job->steps[i].tail_ms =
+		    (int64_t)((double)job->steps[i].tail_ms * ratio);
+}
+
+int64_t
+jt_remaining_ms(const struct jt_job *job)
+{
+	int64_t longest_ms = 0;
+	uint32_t i;
+
+	for (i = 0; i < job->spec->n_steps; i++) {
+		if (job->steps[i].n_ready > 0)
+			longest_ms = MAX(longest_ms, job->steps[i].tail_ms);
+	}
+	return longest_ms;
+}
+
 static void
 make_ready(struct jt_job *job, uint32_t step)
 {
--- a/src/request/jobtask.h
+++ b/src/request/jobtask.h
@@ -57,6 +57,9 @@
 	uint32_t first_task; /* its tasks are next to each other */
 	uint32_t n_left;     /* tasks not done */
 	uint32_t n_blocking; /* steps that must be done first */
+	uint32_t n_ready;    /* tasks that wait for a worker */
+	/* Expected time from a start of its tasks to the end of the job. */
+	int64_t tail_ms;
 };
 
 struct jt_job {
@@ -68,6 +71,7 @@
 	int64_t arrived_ms;
 	int64_t deadline_ms;
 	int64_t start_by_ms;	 /* objective is missed if sent later */
+	int64_t objective_by_ms; /* it should have ended by then */
 	int64_t useful_until_ms; /* an answer is of no use later */
 	void *waiter;
 	struct jt_step *steps;
@@ -80,6 +84,8 @@
 	GHashTable *failed_on; /* set of struct wks_worker */
 	bool sent;	       /* a task was sent and may have run */
 	bool suspected;	       /* of crashing workers */
+	bool held;	       /* a task has waited for a faster worker */
+	bool overtaken;	       /* since it was late */
 	struct spd_queue *speed;
 	struct cfn_queue *confinement; /* of the job's queue */
 	GList link;		       /* in the list of its priority */
@@ -96,6 +102,11 @@
  */
 uint32_t jt_next_ready(struct jt_job *job, uint32_t from);
 
+/* ratio: expected run time of its tasks over their estimates. */
+void jt_set_run_times(struct jt_job *job, double ratio);
+/* Expected time until the job's end if all its ready tasks start now. */
+int64_t jt_remaining_ms(const struct jt_job *job);
+
 void jt_set_state(struct jt_task *task, enum jt_state state);
 /* Marks a task as done; returns true when it was the last of its job. */
 bool jt_mark_done(struct jt_task *task);
--- a/src/request/placing.c
+++ b/src/request/placing.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "request/objective.h"
 #include "request/placing.h"
 
 /* A pass stops after this many tasks that found no worker. */
@@ -28,6 +29,12 @@
 	const struct plg_options *opts;
 	int64_t now_ms;
 	struct lane lanes[2]; /* the second: confined tasks */
+	enum obj_turn turn;
+	bool unplaced; /* a task in an earlier turn */
+	bool held;     /* a task waits for a faster worker */
+	/* The last one, by priority and arrival, of which a task was sent. */
+	bool has_last;
+	struct obj_rank last;
 };
 
 static struct lane *
@@ -77,6 +84,32 @@
 		lane->smallest = task;
 }
 
+static struct obj_rank
+rank_of(const struct jt_job *job)
+{
+	return (struct obj_rank){job->priority, job->arrived_ms};
+}
+
+static void
+record_sent(struct pass *pass, const struct jt_job *job)
+{
+	struct obj_rank rank = rank_of(job);
+
+	if (pass->has_last && !obj_precedes(&pass->last, &rank))
+		return;
+	pass->has_last = true;
+	pass->last = rank;
+}
+
+/* Whether a job after it, by priority and arrival, was placed before it. */
+static bool
+was_overtaken(const struct pass *pass, const struct jt_job *job)
+{
+	struct obj_rank rank = rank_of(job);
+
+	return pass->has_last && obj_precedes(&rank, &pass->last);
+}
+
 /* Decides which workers the task may use in this pass. */
 static void
 confine(struct jt_task *task, enum blm_status status, int64_t now_ms)
@@ -90,32 +123,65 @@
 		      now_ms - task->lost_ms < MAX_WAIT_FOR_IDLE_MS;
 }
 
+/* Whether it was sent. */
+static bool
+try_workers(struct pass *pass, struct jt_task *task, bool *held)
+{
+	struct chc *choice = pass->opts->choice;
+	struct wks_worker *w;
+
+	/*
+	 * A worker to which a start can't be sent is skipped until its next
+	 * report.
+	 */
+	while ((w = chc_choose(choice, task, pass->now_ms, held)) != NULL) {
+		if (pass->opts->send(task, w, pass->now_ms, pass->opts->ctx)) {
+			chc_record_sent(choice, task, w);
+			return true;
+		}
+		w->accepting = false;
+	}
+	return false;
+}
+
 static void
+report_delay(struct pass *pass, struct jt_job *job, enum plg_delay why)
+{
+	bool *reported = why == PLG_HELD ? &job->held : &job->overtaken;
+
+	if (*reported)
+		return;
+	*reported = true;
+	if (pass->opts->delayed != NULL)
+		pass->opts->delayed(job, why, pass->opts->ctx);
+}
+
+/* Returns false when the job's other tasks would find no worker either. */
+static bool
 place_task(struct pass *pass, struct jt_task *task)
 {
 	enum blm_status status =
 	    jt_blame_status(task, pass->opts->blame, pass->now_ms);
-	struct wks_worker *w = NULL;
 	struct lane *lane;
+	bool held = false;
 
 	confine(task, status, pass->now_ms);
 	if (status == BLM_PENDING || status == BLM_POISON)
-		return;
+		return true;
 	lane = lane_of(pass, task);
 	if (is_full(lane) || has_no_worker(lane, task)) {
 		lane->n_unplaced++;
-		return;
+		return true;
 	}
-	/*
-	 * A worker to which a start can't be sent is skipped until its next
-	 * report.
-	 */
-	while (
-	    (w = chc_choose(pass->opts->choice, task, pass->now_ms)) != NULL &&
-	    !pass->opts->send(task, w, pass->now_ms, pass->opts->ctx))
-		w->accepting = false;
-	if (w == NULL)
+	if (try_workers(pass, task, &held))
+		record_sent(pass, task->job);
+	else if (held)
+		pass->held = true;
+	else
 		record_unplaced(lane, task);
+	if (held)
+		report_delay(pass, task->job, PLG_HELD);
+	return !held;
 }
 
 static void
@@ -123,35 +189,42 @@
 {
 	uint32_t i;
 
+	if (pass->opts->by_objective && pass->turn != OBJ_TIMELY &&
+	    was_overtaken(pass, job))
+		report_delay(pass, job, PLG_OVERTAKEN);
 	for (i = jt_next_ready(job, 0); i < job->n_tasks && !is_over(pass);
-	     i = jt_next_ready(job, i + 1))
-		place_task(pass, &job->tasks[i]);
+	     i = jt_next_ready(job, i + 1)) {
+		if (!place_task(pass, &job->tasks[i]))
+			return;
+	}
 }
 
-/* Order in which the jobs of one priority are placed. */
-enum turn {
-	PREFERRED, /* a task was already sent, or it can meet its objective */
-	LATE,
-	SUSPECTED /* it may crash the worker, and so comes last */
-};
-
-static enum turn
-turn_of(const struct jt_job *job, int64_t now_ms)
+static enum obj_turn
+turn_of(const struct pass *pass, const struct jt_job *job)
 {
-	if (job->suspected)
-		return SUSPECTED;
-	return job->sent || now_ms <= job->start_by_ms ? PREFERRED : LATE;
+	struct obj_job objective = {
+	    .suspected = job->suspected,
+	    .sent = job->sent,
+	    .start_by_ms = job->start_by_ms,
+	    .objective_by_ms = job->objective_by_ms,
+	};
+
+	if (!pass->opts->by_objective)
+		return obj_turn_in_priority(&objective, pass->now_ms);
+	objective.remaining_ms = jt_remaining_ms(job);
+	return obj_turn_of(&objective, pass->now_ms);
 }
 
 static void
-place_jobs(struct pass *pass, const GQueue *list, enum turn turn)
+place_jobs(struct pass *pass, const GQueue *list)
 {
 	GList *l;
 
 	for (l = list->head; l != NULL && !is_over(pass); l = l->next) {
 		struct jt_job *job = l->data;
 
-		if (turn_of(job, pass->now_ms) == turn)
+		if (job->n_in_state[JT_READY] > 0 &&
+		    turn_of(pass, job) == pass->turn)
 			place_job(pass, job);
 	}
 }
@@ -161,23 +234,60 @@
  * Late jobs go last, so that the others still meet their objective.
  */
 static gboolean
-place_list(gpointer key, gpointer value, gpointer data)
+place_priority(gpointer key, gpointer value, gpointer data)
+{
+	struct pass *pass = data;
+
+	(void)key;
+	for (pass->turn = 0; pass->turn < OBJ_N_TURNS; pass->turn++)
+		place_jobs(pass, value);
+	return is_over(pass);
+}
+
+static gboolean
+place_turn(gpointer key, gpointer value, gpointer data)
 {
 	struct pass *pass = data;
 
 	(void)key;
-	place_jobs(pass, value, PREFERRED);
-	place_jobs(pass, value, LATE);
-	place_jobs(pass, value, SUSPECTED);
+	place_jobs(pass, value);
 	return is_over(pass);
 }
 
+/*
+ * Each turn has its own limit of unplaced tasks, so that many timely ones that
+ * fit nowhere do not keep late ones from capacity that these can use.
+ */
+static void
+begin_turn(struct pass *pass)
+{
+	int i;
+
+	for (i = 0; i < 2; i++) {
+		pass->unplaced |= pass->lanes[i].n_unplaced > 0;
+		pass->lanes[i].n_unplaced = 0;
+	}
+}
+
+static void
+place_by_objective(struct pass *pass, GTree *jobs_by_priority)
+{
+	for (pass->turn = 0; pass->turn < OBJ_N_TURNS; pass->turn++) {
+		begin_turn(pass);
+		g_tree_foreach(jobs_by_priority, place_turn, pass);
+	}
+}
+
 bool
 plg_run(const struct plg_options *opts, GTree *jobs_by_priority, int64_t now_ms)
 {
 	struct pass pass = {.opts = opts, .now_ms = now_ms};
 
-	g_tree_foreach(jobs_by_priority, place_list, &pass);
-	return pass.lanes[false].n_unplaced > 0 ||
+	chc_begin_pass(opts->choice);
+	if (opts->by_objective)
+		place_by_objective(&pass, jobs_by_priority);
+	else
+		g_tree_foreach(jobs_by_priority, place_priority, &pass);
+	return pass.held || pass.unplaced || pass.lanes[false].n_unplaced > 0 ||
 	       pass.lanes[true].n_unplaced > 0;
 }
--- a/src/request/placing.h
+++ b/src/request/placing.h
@@ -13,17 +13,32 @@
  * One pass over the ready tasks of an entry's open jobs: the order in which
  * they are offered to the workers.
  */
+
+/* Why a job waits although there is free capacity. */
+enum plg_delay {
+	PLG_HELD,     /* its tasks wait for a faster kind of worker */
+	PLG_OVERTAKEN /* it is late, and a job after it was placed before it */
+};
+
 struct plg_options {
 	struct chc *choice;
 	struct blm *blame;
+	/*
+	 * Jobs that can meet their objective come before late ones of all
+	 * priorities, rather than of their own.
+	 */
+	bool by_objective;
 	/* Returns false when nothing was sent. */
 	bool (*send)(struct jt_task *task, struct wks_worker *worker,
 	    int64_t now_ms, void *ctx);
+	/* The first time that the job is delayed so; may be NULL. */
+	void (*delayed)(
+	    const struct jt_job *job, enum plg_delay why, void *ctx);
 	void *ctx;
 };
 
 /*
- * Places tasks by priority.  jobs_by_priority maps a priority to a GQueue of
+ * Places tasks by priority, and by objective if opts say so.  jobs_by_priority maps a priority to a GQueue of
  * struct jt_job in the order of their arrival.  Returns whether a task found no
  * worker.
  */
--- a/src/request/sched.c
+++ b/src/request/sched.c
@@ -6,7 +6,6 @@
 #include "request/choice.h"
 #include "request/confine.h"
 #include "request/jobtask.h"
-#include "request/placing.h"
 #include "request/sched.h"
 
 /*
@@ -87,6 +86,7 @@
 	struct sch *sch = g_new0(struct sch, 1);
 
 	sch->opts = *opts;
+	sch->opts.choice.by_kind = opts->policy.wait_for_faster;
 	sch->workers = wks_new();
 	sch->blame = blm_new();
 	sch->confinement = make_confinement(sch);
@@ -96,7 +96,7 @@
 	sch->unresolved = g_hash_table_new(NULL, NULL);
 	sch->queue_speeds =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	sch->choice = chc_new(sch->workers, &opts->choice);
+	sch->choice = chc_new(sch->workers, &sch->opts.choice);
 	sch->jobs_by_priority =
 	    g_tree_new_full(compare_priorities, NULL, NULL, list_free);
 	return sch;
@@ -270,6 +270,16 @@
 	return true;
 }
 
+static void
+on_delayed(const struct jt_job *job, enum plg_delay why, void *ctx)
+{
+	struct sch *sch = ctx;
+
+	if (sch->opts.delayed != NULL)
+		sch->opts.delayed(job->spec->id, why, job->n_in_state[JT_READY],
+		    sch->opts.ctx);
+}
+
 bool
 sch_has_waiting_tasks(const struct sch *sch)
 {
@@ -282,7 +292,9 @@
 	struct plg_options opts = {
 	    .choice = sch->choice,
 	    .blame = sch->blame,
+	    .by_objective = sch->opts.policy.order_by_objective,
 	    .send = send,
+	    .delayed = on_delayed,
 	    .ctx = sch,
 	};
 	size_t i;
@@ -558,6 +570,8 @@
 	job->arrived_ms = now_ms;
 	job->deadline_ms = request->deadline_ms;
 	job->start_by_ms = now_ms + limits.start_ms;
+	job->objective_by_ms = job->start_by_ms + limits.critical_path_ms;
+	jt_set_run_times(job, spd_queue_ratio(speed));
 	job->useful_until_ms = request->deadline_ms;
 	if (limits.critical_path_ms > 0)
 		job->useful_until_ms =
--- a/src/request/sched.h
+++ b/src/request/sched.h
@@ -7,6 +7,7 @@
 
 #include "request/choice.h"
 #include "request/crashlog.h"
+#include "request/placing.h"
 #include "request/work.h"
 #include "request/workerset.h"
 #include "version/routes.h"
@@ -74,8 +75,17 @@
 	int64_t sent_ms;
 };
 
+/* What the scheduler decides by; all false: by priority and arrival only. */
+struct sch_policy {
+	/* Jobs that can meet their objective come first in all priorities. */
+	bool order_by_objective;
+	/* Tasks wait for a faster worker if they would be late on the others. */
+	bool wait_for_faster;
+};
+
 struct sch_options {
 	struct chc_options choice;
+	struct sch_policy policy;
 	/* Time in which an agent that lost its connection ends its runs. */
 	int64_t lost_run_timeout_ms;
 	uint32_t max_jobs;
@@ -89,6 +99,9 @@
 	/* The job has ended; waiter is the one of struct sch_request. */
 	void (*ended)(void *waiter, const char *job, enum sch_job_end end,
 	    const char *reason, void *ctx);
+	/* A job waits although there is free capacity; may be NULL. */
+	void (*delayed)(
+	    const char *job, enum plg_delay why, uint32_t n_tasks, void *ctx);
 	/* A queue was confined to few workers, or released. */
 	void (*confined)(
 	    const char *queue, bool confined, double caused, void *ctx);
--- a/src/request/speed.c
+++ b/src/request/speed.c
@@ -105,6 +105,18 @@
 	return exp(queue->log_ratio.value);
 }
 
+double
+spd_kind_slowness(const struct spd_worker *kind)
+{
+	return exp(kind->log_slowness.value);
+}
+
+double
+spd_average_ms(const struct spd_queue *queue, int64_t estimate_ms)
+{
+	return estimate_or_default_ms(estimate_ms) * spd_queue_ratio(queue);
+}
+
 double
 spd_nominal_ms(const struct spd_queue *queue, const struct spd_worker *kind,
     int64_t estimate_ms)
--- a/src/request/speed.h
+++ b/src/request/speed.h
@@ -32,6 +32,10 @@
     struct spd_worker *kind, int64_t run_ms, int64_t estimate_ms);
 /* Expected run time over estimate, on a worker of average speed. */
 double spd_queue_ratio(const struct spd_queue *queue);
+/* Run time on a worker of the kind over that on one of average speed. */
+double spd_kind_slowness(const struct spd_worker *kind);
+/* Expected run time on a worker of average speed. */
+double spd_average_ms(const struct spd_queue *queue, int64_t estimate_ms);
 /* Expected run time on any worker of the kind. */
 double spd_nominal_ms(const struct spd_queue *queue,
     const struct spd_worker *kind, int64_t estimate_ms);
--- a/src/request/workerset.h
+++ b/src/request/workerset.h
@@ -54,6 +54,7 @@
 	int64_t last_usable_ms; /* last report of taking starts, 0: never */
 	struct spd_worker speed;
 	struct spd_worker *kind;
+	uint32_t speed_class; /* in the current placement pass, see kinds.h */
 	uint32_t open; /* tasks sent that have no outcome */
 	struct hlt health;
 };
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -1,4 +1,5 @@
 #include <glib.h>
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -105,11 +106,18 @@
 	g_free(link);
 }
 
-static void *
-start(void)
+static void
+on_delayed(const char *job, enum plg_delay why, uint32_t n_tasks, void *ctx)
+{
+	emit(ctx, "%s:%s%u", job, why == PLG_HELD ? "held" : "overtaken",
+	    n_tasks);
+}
+
+static struct sch *
+make_sch(struct trace *t, const struct sch_policy *policy)
 {
-	struct trace *t = g_new0(struct trace, 1);
 	struct sch_options opts = {
+	    .policy = *policy,
 	    .choice = {.cross_rack_factor = 1.5},
 	    .lost_run_timeout_ms = LOST_RUN_TIMEOUT_MS,
 	    .max_jobs = 8,
@@ -118,19 +126,44 @@
 	    .cancel = on_cancel,
 	    .start_failed = on_start_failed,
 	    .ended = on_ended,
+	    .delayed = on_delayed,
 	    .ctx = t,
 	};
+	struct sch *sch = sch_new(&opts);
+
+	sch_tick(sch, 1);
+	wks_set_out_check(sch_workers(sch), is_out, t);
+	return sch;
+}
+
+static void *
+start(void)
+{
+	struct trace *t = g_new0(struct trace, 1);
 
 	t->now_ms = CASE_START_MS;
-	t->sch = sch_new(&opts);
-	sch_tick(t->sch, 1);
+	t->sch = make_sch(t, &(struct sch_policy){0});
 	t->links =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, link_free);
 	t->out = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	wks_set_out_check(sch_workers(t->sch), is_out, t);
 	return t;
 }
 
+/* policy NAME...: as the first command of a case. */
+static void
+set_policy(struct trace *t, char **w)
+{
+	struct sch_policy policy = {
+	    .order_by_objective =
+		g_strv_contains((const char *const *)w, "order"),
+	    .wait_for_faster =
+		g_strv_contains((const char *const *)w, "faster"),
+	};
+
+	sch_free(t->sch);
+	t->sch = make_sch(t, &policy);
+}
+
 static void
 end(void *ctx)
 {
@@ -294,7 +327,12 @@
 	struct trace *t = ctx;
 
 	t->actual = actual;
-	if (strcmp(w[0], "at") == 0) {
+	if (strcmp(w[0], "policy") == 0)
+		set_policy(t, w);
+	else if (strcmp(w[0], "pace") == 0)
+		find(t, w[1])->worker->kind->log_slowness = (struct spd_mean){
+		    .value = log((double)number(w[2]) / 100), .samples = 1000};
+	else if (strcmp(w[0], "at") == 0) {
 		t->now_ms = CASE_START_MS + number(w[1]);
 		sch_tick(t->sch, t->now_ms);
 	} else if (strcmp(w[0], "worker") == 0)
