Learn run times of a queue as a distribution

Cause: run times were learned as one mean for each queue, so that an inherently long task made its worker look slow, and was stopped as too slow at three times the mean.

Change: the module runtimes keeps a histogram of each queue; speed expects its median and limits how far one run moves a worker; the expected time that a start names is raised to a third of the 0.995 quantile, which is where the agent stops a run.

--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -108,6 +108,7 @@
     {"agent_connections", UINT32, OPT, J(agent_connections), NULL, 64, 1, 4096},
     {"order_by_objective", BOOL, OPT, J(order_by_objective), NULL, 0, 0, 0},
     {"wait_for_faster", BOOL, OPT, J(wait_for_faster), NULL, 0, 0, 0},
+    {"learn_distributions", BOOL, OPT, J(learn_distributions), NULL, 0, 0, 0},
 };
 
 static const struct field job_agent_fields[] = {
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -90,6 +90,7 @@
 	/* Placement by objective, see docs/platform.md. */
 	bool order_by_objective;
 	bool wait_for_faster;
+	bool learn_distributions;
 	uint32_t log_lines_per_s; /* of each event type */
 };
 
--- a/src/request/choice.c
+++ b/src/request/choice.c
@@ -3,6 +3,7 @@
 
 #include "request/choice.h"
 #include "request/kinds.h"
+#include "request/progress.h"
 
 /* Workers whose costs differ by less are held to be equally good. */
 #define SIMILAR_COST 1.08
@@ -377,7 +378,10 @@
 /*
  * Run time expected on the worker.  Estimates are often far off: a task that
  * was stopped once as too slow is probably a long one, so its projected run
- * time is expected on every worker; otherwise each would stop it again.
+ * time is expected on every worker; otherwise each would stop it again.  Where
+ * some of the queue's tasks are known to need more than PGR_SLOW_FACTOR times as
+ * long as most, the time is raised, so that none is stopped for being one of
+ * these.
  */
 int64_t
 chc_expected_ms(const struct jt_task *task, const struct wks_worker *w)
@@ -386,6 +390,8 @@
 	double run_ms =
 	    spd_run_ms(task->job->speed, &w->speed, w->kind, step->estimate_ms);
 
+	run_ms *=
+	    MAX(1, spd_explained_factor(task->job->speed) / PGR_SLOW_FACTOR);
 	return MAX((int64_t)run_ms, task->projected_ms);
 }
 
--- a/src/request/choice.h
+++ b/src/request/choice.h
@@ -43,7 +43,10 @@
 /* The task was sent to the worker. */
 void chc_record_sent(struct chc *chc, const struct jt_task *task,
     const struct wks_worker *worker);
-/* Run time expected on the worker. */
+/*
+ * Run time expected on the worker; the agent stops a run that needs
+ * PGR_SLOW_FACTOR times as long.
+ */
 int64_t chc_expected_ms(const struct jt_task *task, const struct wks_worker *w);
 /* Run time that any worker of this one's kind should need. */
 int64_t chc_nominal_ms(const struct chc *chc, const struct jt_task *task,
--- a/src/request/progress.c
+++ b/src/request/progress.c
@@ -13,12 +13,11 @@
 #define STALL_EXPECTED_SHARE 0.06
 #define STALL_UNKNOWN_MS     10000
 /*
- * A run whose projected run time is more than SLOW_FACTOR times the expected
+ * A run whose projected run time is more than PGR_SLOW_FACTOR times the expected
  * one and at least SLOW_MIN_MS longer is too slow, so that another worker can
  * still finish the task in time.  The projection needs SLOW_MIN_PERCENT of
  * progress.
  */
-#define SLOW_FACTOR	 3
 #define SLOW_MIN_MS	 200
 #define SLOW_MIN_PERCENT 3
 
@@ -49,7 +48,7 @@
 	if (pgr->expected_ms == 0 || gained < SLOW_MIN_PERCENT)
 		return false;
 	pgr->projected_ms = (clock_ms - pgr->first_ms) * 100 / gained;
-	return pgr->projected_ms > pgr->expected_ms * SLOW_FACTOR &&
+	return pgr->projected_ms > pgr->expected_ms * PGR_SLOW_FACTOR &&
 	       pgr->projected_ms > pgr->expected_ms + SLOW_MIN_MS;
 }
 
--- a/src/request/progress.h
+++ b/src/request/progress.h
@@ -23,6 +23,12 @@
 	PGR_TOO_SLOW, /* by projected_ms */
 };
 
+/*
+ * A run whose projected run time is more than this many times the expected one
+ * is too slow.
+ */
+#define PGR_SLOW_FACTOR 3
+
 void pgr_init(struct pgr *pgr, int64_t expected_ms);
 /* A report that is older than the last change is ignored. */
 enum pgr_verdict pgr_report(struct pgr *pgr, int64_t percent, int64_t clock_ms);
--- a/src/request/sched.c
+++ b/src/request/sched.c
@@ -148,6 +148,7 @@
 
 	if (speed == NULL) {
 		speed = g_new0(struct spd_queue, 1);
+		speed->by_distribution = sch->opts.policy.learn_distributions;
 		g_hash_table_insert(sch->queue_speeds, g_strdup(name), speed);
 	}
 	return speed;
--- a/src/request/sched.h
+++ b/src/request/sched.h
@@ -57,7 +57,7 @@
 	const char *queue;
 	struct wk_size size;
 	uint32_t priority;
-	int64_t expected_ms; /* run time on this worker */
+	int64_t expected_ms; /* run time on this worker, see chc_expected_ms() */
 	int64_t nominal_ms;  /* run time on any worker of its kind */
 	int64_t start_within_ms;
 };
@@ -81,6 +81,8 @@
 	bool order_by_objective;
 	/* Tasks wait for a faster worker if they would be late on the others. */
 	bool wait_for_faster;
+	/* Run times of a queue are learned as a distribution. */
+	bool learn_distributions;
 };
 
 struct sch_options {
--- a/src/request/speed.c
+++ b/src/request/speed.c
@@ -21,14 +21,16 @@
 /* With this many samples a worker's own speed gets half the weight. */
 #define SPEED_PRIOR_SAMPLES 4.0
 
+/* A sample counts as max_step away from the mean if it is further away. */
 static void
-add_sample(struct spd_mean *mean, double value, double min_weight)
+add_sample(
+    struct spd_mean *mean, double value, double min_weight, double max_step)
 {
-	double weight;
+	double weight, step = value - mean->value;
 
 	mean->samples++;
 	weight = fmax(1.0 / mean->samples, min_weight);
-	mean->value += weight * (value - mean->value);
+	mean->value += weight * fmax(fmin(step, max_step), -max_step);
 }
 
 /* Removes a difference that may be noise of the run times. */
@@ -78,6 +80,14 @@
 	return estimate_ms > 0 ? (double)estimate_ms : DEFAULT_RUN_MS;
 }
 
+static double
+log_queue_ratio(const struct spd_queue *queue)
+{
+	return queue->by_distribution && rtm_is_known(&queue->times)
+		   ? queue->times.median
+		   : queue->log_ratio.value;
+}
+
 /* Learns from a measured run time, or from a projected one of a stopped run. */
 void
 spd_measure(struct spd_queue *queue, struct spd_worker *worker,
@@ -85,24 +95,34 @@
 {
 	double ratio = log((run_ms > 1 ? (double)run_ms : 1) /
 			   estimate_or_default_ms(estimate_ms));
-	double slowness;
-
-	add_sample(&queue->log_ratio, ratio - log_slowness(worker, kind),
-	    QUEUE_WEIGHT);
+	double average = ratio - log_slowness(worker, kind);
+	double slowness, max_step = INFINITY;
+
+	add_sample(&queue->log_ratio, average, QUEUE_WEIGHT, INFINITY);
+	if (queue->by_distribution) {
+		rtm_add(&queue->times, average);
+		max_step = rtm_usual_deviation(&queue->times);
+	}
 	/*
-	 * Uses the updated mean of the queue, so that a deviation of the whole
+	 * Uses the updated ratio of the queue, so that a deviation of the whole
 	 * queue does not count as slowness of the worker, not even in the first
 	 * sample.
 	 */
-	slowness = ratio - queue->log_ratio.value;
-	add_sample(&worker->log_slowness, slowness, WORKER_WEIGHT);
-	add_sample(&kind->log_slowness, slowness, KIND_WEIGHT);
+	slowness = ratio - log_queue_ratio(queue);
+	add_sample(&worker->log_slowness, slowness, WORKER_WEIGHT, max_step);
+	add_sample(&kind->log_slowness, slowness, KIND_WEIGHT, max_step);
 }
 
 double
 spd_queue_ratio(const struct spd_queue *queue)
 {
-	return exp(queue->log_ratio.value);
+	return exp(log_queue_ratio(queue));
+}
+
+double
+spd_explained_factor(const struct spd_queue *queue)
+{
+	return queue->by_distribution ? rtm_explained_factor(&queue->times) : 1;
 }
 
 double
@@ -122,7 +142,7 @@
     int64_t estimate_ms)
 {
 	return estimate_or_default_ms(estimate_ms) *
-	       exp(queue->log_ratio.value + kind->log_slowness.value);
+	       exp(log_queue_ratio(queue) + kind->log_slowness.value);
 }
 
 /* Expected run time of a task on a worker. */
@@ -131,5 +151,5 @@
     const struct spd_worker *kind, int64_t estimate_ms)
 {
 	return estimate_or_default_ms(estimate_ms) *
-	       exp(queue->log_ratio.value + log_slowness(worker, kind));
+	       exp(log_queue_ratio(queue) + log_slowness(worker, kind));
 }
--- a/src/request/speed.h
+++ b/src/request/speed.h
@@ -1,8 +1,11 @@
 #ifndef SP_SPEED_H
 #define SP_SPEED_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
+#include "request/runtimes.h"
+
 /*
  * Run times learned from outcomes: how far the tasks of a queue are from their
  * estimates, and how slow each worker is.  Means are of logarithms of ratios,
@@ -16,6 +19,12 @@
 /* Of a queue: run time over estimate, on a worker of average speed. */
 struct spd_queue {
 	struct spd_mean log_ratio;
+	/*
+	 * Learned as a distribution: its median is expected, and a run that is
+	 * further off than usual does not count in full for its worker.
+	 */
+	bool by_distribution;
+	struct rtm times;
 };
 
 /* Of a worker, or of a kind: all workers that have the same first label. */
@@ -39,6 +48,11 @@
 /* Expected run time on any worker of the kind. */
 double spd_nominal_ms(const struct spd_queue *queue,
     const struct spd_worker *kind, int64_t estimate_ms);
+/*
+ * How many times the expected run time a task of the queue may need; 1 while
+ * this is unknown.
+ */
+double spd_explained_factor(const struct spd_queue *queue);
 double spd_run_ms(const struct spd_queue *queue,
     const struct spd_worker *worker, const struct spd_worker *kind,
     int64_t estimate_ms);
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -23,6 +23,7 @@
 	GString *actual;
 	int64_t now_ms;
 	int64_t expected_ms; /* of the last start */
+	uint64_t seq;	     /* likewise */
 };
 
 static const char *const ends[] = {
@@ -54,6 +55,7 @@
 	emit(ctx, "%s<%s.%u.%u#%d", link->name, s->job, s->step, s->index,
 	    (int)s->seq);
 	((struct trace *)ctx)->expected_ms = s->expected_ms;
+	((struct trace *)ctx)->seq = s->seq;
 	return true;
 }
 
@@ -158,6 +160,8 @@
 		g_strv_contains((const char *const *)w, "order"),
 	    .wait_for_faster =
 		g_strv_contains((const char *const *)w, "faster"),
+	    .learn_distributions =
+		g_strv_contains((const char *const *)w, "distributions"),
 	};
 
 	sch_free(t->sch);
@@ -321,6 +325,30 @@
 	}
 }
 
+/*
+ * many COUNT RUN_MS EVERY LONG_MS: jobs of one task of 60 ms, one after the
+ * other, of which each EVERY-th runs for LONG_MS.
+ */
+static void
+many(struct trace *t, char **w)
+{
+	char *words[] = {(char *)"job", (char *)"m", (char *)"0",
+	    (char *)"5000", (char *)"1", (char *)"1x5x60", NULL};
+	int64_t i;
+
+	for (i = 1; i <= number(w[1]); i++) {
+		bool is_long = i % number(w[3]) == 0;
+
+		job(t, words);
+		sch_place_tasks(t->sch, t->now_ms);
+		sch_result(t->sch, t->seq, SCH_DONE, number(w[is_long ? 4 : 2]),
+		    "", t->now_ms);
+		wks_set_room(find(t, "a")->worker,
+		    &find(t, "a")->worker->capacity, true, t->now_ms);
+	}
+	g_string_truncate(t->actual, 0);
+}
+
 static void
 step(void *ctx, char **w, GString *actual)
 {
@@ -357,6 +385,8 @@
 		    (uint32_t)number(w[2]);
 	else if (strcmp(w[0], "job") == 0)
 		job(t, w);
+	else if (strcmp(w[0], "many") == 0)
+		many(t, w);
 	else if (strcmp(w[0], "crash") == 0)
 		crash(t, w);
 	else if (strcmp(w[0], "run") == 0)
