Refuse by predicted wait, spread Retry-After, wait at the start of an entry

Cause: a job was refused by the age of the oldest job of its queue, which says little once late jobs stay behind timely ones; Retry-After was 1 s for every refusal, so that refused callers came back together; after a return of power, jobs were refused before any worker could be reached.

Change: drainrate measures the work placed while tasks wait, backlog predicts a new job's wait from it (refuse_by_wait); retryafter spreads Retry-After over the time to drain the backlog; reach, moved out of sched.c, accepts jobs for known workers in the first startup_wait_ms, until their deadline. A counter, a field of the line "refusal", docs.

--- a/src/process/jobentry.c
+++ b/src/process/jobentry.c
@@ -59,7 +59,7 @@
 	int64_t *refused, *accepted, *gone;
 	int64_t *tasks_done, *tasks_failed, *tasks_lost;
 	int64_t *open_jobs, *confined_queues;
-	int64_t *tasks_held, *jobs_overtaken;
+	int64_t *tasks_held, *jobs_overtaken, *refused_by_wait;
 	struct hst *job_times;
 };
 
@@ -193,10 +193,11 @@
 	struct je_answer a = {
 	    .result = je_result_of(end),
 	    .reason = reason,
-	    .retry_ms = RETRY_AFTER_MIN_MS,
 	};
 
 	++*je->ended_counters[end];
+	if (end == SCH_NOT_RUN)
+		a.retry_ms = sch_retry_ms(je->sch, clk_now_ms());
 	if (end == SCH_COMPLETED)
 		hst_add(je->job_times, clk_now_ms() - waiter->submitted_ms);
 	evt_write(end == SCH_COMPLETED ? "job" : "job_unserved",
@@ -409,6 +410,8 @@
 	    "Tasks that waited for a faster kind of worker.");
 	je->jobs_overtaken = ctr_counter(reg, "sp_jobs_overtaken_total",
 	    "Late jobs that others after them were placed before.");
+	je->refused_by_wait = ctr_counter(reg, "sp_jobs_refused_by_wait_total",
+	    "Jobs refused since their predicted wait was too long.");
 	je->open_jobs = ctr_gauge(reg, "sp_jobs_open", "Jobs in progress.");
 	je->job_times = hst_new(
 	    reg, "sp_job_ms", "Time from a job's arrival to its completion.");
@@ -602,6 +605,16 @@
 	return queue;
 }
 
+/* Without a prediction: as long as the first job of the queue has waited. */
+static int64_t
+retry_ms(struct je *je, const struct sch_request *request,
+    enum sch_submit_result verdict)
+{
+	if (je->opts.policy.refuse_by_wait && verdict != SCH_CONFINED)
+		return sch_retry_ms(je->sch, clk_now_ms());
+	return MAX(RETRY_AFTER_MIN_MS, request->wait_ms);
+}
+
 static void
 refuse(struct je *je, const struct sch_request *request,
     enum sch_submit_result verdict, je_answer_fn fn, void *ctx)
@@ -617,14 +630,16 @@
 			  verdict == SCH_CONFINED;
 
 	++*je->refused;
+	*je->refused_by_wait += request->by_prediction;
 	evt_write("refusal", evt_text("job", request->job->id),
 	    evt_text("queue", request->queue->name),
 	    evt_text("reason", reasons[verdict]),
 	    evt_int("wait_ms", request->wait_ms),
+	    evt_bool("predicted", request->by_prediction),
 	    evt_int("jobs", sch_n_jobs(je->sch)),
 	    evt_int("config", rts_version(ecf_routes(je->config))));
 	answer_now(fn, ctx, overloaded ? JE_OVERLOADED : JE_REFUSED,
-	    reasons[verdict], MAX(RETRY_AFTER_MIN_MS, request->wait_ms));
+	    reasons[verdict], retry_ms(je, request, verdict));
 }
 
 static void
--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -109,6 +109,8 @@
     {"order_by_objective", BOOL, OPT, J(order_by_objective), NULL, 0, 0, 0},
     {"wait_for_faster", BOOL, OPT, J(wait_for_faster), NULL, 0, 0, 0},
     {"learn_distributions", BOOL, OPT, J(learn_distributions), NULL, 0, 0, 0},
+    {"refuse_by_wait", BOOL, OPT, J(refuse_by_wait), NULL, 0, 0, 0},
+    {"startup_wait_ms", INT64, OPT, J(startup_wait_ms), NULL, 0, 0, 60000},
 };
 
 static const struct field job_agent_fields[] = {
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -91,6 +91,8 @@
 	bool order_by_objective;
 	bool wait_for_faster;
 	bool learn_distributions;
+	bool refuse_by_wait;
+	int64_t startup_wait_ms;
 	uint32_t log_lines_per_s; /* of each event type */
 };
 
--- a/src/request/backlog.c
+++ b/src/request/backlog.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <string.h>
 
 #include "request/backlog.h"
@@ -80,3 +81,79 @@
 	       waits.oldest_ms + limits->critical_path_ms > limits->useful_ms &&
 	       waits.in_time_ms > limits->start_ms / 2;
 }
+
+/* The walk over the waiting tasks of all open jobs. */
+struct walk {
+	const struct wk_job *new_job;
+	const struct rts_queue *queue; /* NULL: all jobs count */
+	int64_t now_ms;
+	struct bkl_ahead ahead;
+};
+
+static bool
+is_before(const struct walk *walk, const struct jt_job *job)
+{
+	return walk->queue == NULL ||
+	       (strcmp(job->service, walk->queue->service) == 0 &&
+		   needs_as_much(job->spec, walk->new_job));
+}
+
+static gboolean
+add_list(gpointer key, gpointer value, gpointer data)
+{
+	struct walk *walk = data;
+	const GQueue *jobs = value;
+	GList *l;
+
+	if (walk->queue != NULL &&
+	    GPOINTER_TO_UINT(key) > walk->queue->priority)
+		return TRUE;
+	for (l = jobs->head; l != NULL; l = l->next) {
+		const struct jt_job *job = l->data;
+		double work;
+
+		if (job->n_in_state[JT_READY] == 0 || !is_before(walk, job))
+			continue;
+		work = jt_waiting_work(job);
+		walk->ahead.all += work;
+		if (walk->now_ms + jt_remaining_ms(job) <= job->objective_by_ms)
+			walk->ahead.timely += work;
+	}
+	return FALSE;
+}
+
+struct bkl_ahead
+bkl_ahead_of(GTree *jobs_by_priority, const struct wk_job *job,
+    const struct rts_queue *queue, int64_t now_ms)
+{
+	struct walk walk = {.new_job = job, .queue = queue, .now_ms = now_ms};
+
+	g_tree_foreach(jobs_by_priority, add_list, &walk);
+	return walk.ahead;
+}
+
+double
+bkl_work(GTree *jobs_by_priority)
+{
+	struct walk walk = {0};
+
+	g_tree_foreach(jobs_by_priority, add_list, &walk);
+	return walk.ahead.all;
+}
+
+/*
+ * A job that does not start in time waits for the late ones before it, too.
+ * Those that arrive after it come on top, so that it may wait longer.
+ */
+bool
+bkl_is_hopeless(const struct bkl_ahead *ahead, double rate,
+    const struct bkl_limits *limits, int64_t *wait_ms)
+{
+	double timely_ms = ahead->timely / rate;
+	double late_ms = ahead->all / rate;
+	bool in_time = timely_ms <= (double)limits->start_ms / 2;
+
+	*wait_ms = (int64_t)fmin(in_time ? timely_ms : late_ms, INT32_MAX);
+	return limits->critical_path_ms > 0 && !in_time &&
+	       *wait_ms + limits->critical_path_ms > limits->useful_ms;
+}
--- a/src/request/jobtask.c
+++ b/src/request/jobtask.c
@@ -62,8 +62,9 @@
 
 /* A step comes after those that it waits for. */
 void
-jt_set_run_times(struct jt_job *job, double ratio)
+jt_set_run_times(struct jt_job *job)
 {
+	double ratio = spd_queue_ratio(job->speed);
 	uint32_t i, j;
 
 	for (i = job->spec->n_steps; i-- > 0;) {
@@ -71,6 +72,9 @@
 		int64_t tail_ms = job->steps[i].tail_ms + step->estimate_ms;
 
 		job->steps[i].tail_ms = tail_ms;
+		job->steps[i].task_work =
+		    (double)step->size.cpu_milli *
+		    spd_average_ms(job->speed, step->estimate_ms);
 		for (j = 0; j < step->n_after; j++) {
 			struct jt_step *former = &job->steps[step->after[j]];
 
@@ -95,6 +99,17 @@
 	return longest_ms;
 }
 
+double
+jt_waiting_work(const struct jt_job *job)
+{
+	double work = 0;
+	uint32_t i;
+
+	for (i = 0; i < job->spec->n_steps; i++)
+		work += job->steps[i].n_ready * job->steps[i].task_work;
+	return work;
+}
+
 static void
 make_ready(struct jt_job *job, uint32_t step)
 {
@@ -280,3 +295,34 @@
 	name = wk_task_name(task->job->spec->id, task->step, task->index);
 	return blm_status_of(blame, name, now_ms);
 }
+
+enum blm_status
+jt_recall_crashes(struct jt_job *job, struct blm *blame, int64_t now_ms)
+{
+	enum blm_status worst = BLM_CLEAR;
+	uint32_t i;
+
+	for (i = 0; i < job->n_tasks && blm_is_needed(blame); i++) {
+		struct jt_task *task = &job->tasks[i];
+		enum blm_status status;
+
+		task->was_lost = true;
+		status = jt_blame_status(task, blame, now_ms);
+		task->was_lost = status != BLM_CLEAR;
+		worst = MAX(worst, status);
+	}
+	return worst;
+}
+
+enum blm_status
+jt_worst_status(struct jt_job *job, struct blm *blame, int64_t now_ms)
+{
+	enum blm_status worst = BLM_CLEAR;
+	uint32_t i;
+
+	for (i = jt_next_ready(job, 0); i < job->n_tasks;
+	     i = jt_next_ready(job, i + 1))
+		worst =
+		    MAX(worst, jt_blame_status(&job->tasks[i], blame, now_ms));
+	return worst;
+}
--- a/src/request/jobtask.h
+++ b/src/request/jobtask.h
@@ -7,6 +7,7 @@
 
 #include "request/blame.h"
 #include "request/confine.h"
+#include "request/drainrate.h"
 #include "request/speed.h"
 #include "request/work.h"
 #include "request/workerset.h"
@@ -60,6 +61,7 @@
 	uint32_t n_ready;    /* tasks that wait for a worker */
 	/* Expected time from a start of its tasks to the end of the job. */
 	int64_t tail_ms;
+	double task_work; /* expected of one task, see drainrate.h */
 };
 
 struct jt_job {
@@ -87,6 +89,7 @@
 	bool held;	       /* a task has waited for a faster worker */
 	bool overtaken;	       /* since it was late */
 	struct spd_queue *speed;
+	struct drt *drain;	       /* of its service */
 	struct cfn_queue *confinement; /* of the job's queue */
 	GList link;		       /* in the list of its priority */
 };
@@ -102,8 +105,10 @@
  */
 uint32_t jt_next_ready(struct jt_job *job, uint32_t from);
 
-/* ratio: expected run time of its tasks over their estimates. */
-void jt_set_run_times(struct jt_job *job, double ratio);
+/* By what is now known of the run times of its queue. */
+void jt_set_run_times(struct jt_job *job);
+/* The work of its tasks that wait for a worker. */
+double jt_waiting_work(const struct jt_job *job);
 /* Expected time until the job's end if all its ready tasks start now. */
 int64_t jt_remaining_ms(const struct jt_job *job);
 
@@ -123,6 +128,15 @@
 /* Drops all references to a worker that is about to be freed. */
 void jt_forget_worker(struct jt_job *job, const struct wks_worker *worker);
 
+/*
+ * Marks the tasks of a new job under which workers have crashed: its caller may
+ * have sent it to another entry before.  Returns the worst status of them.
+ */
+enum blm_status jt_recall_crashes(
+    struct jt_job *job, struct blm *blame, int64_t now_ms);
+/* The worst status of the tasks of the job that wait for a worker. */
+enum blm_status jt_worst_status(
+    struct jt_job *job, struct blm *blame, int64_t now_ms);
 /* What may be done with the task, by the crashes under it. */
 enum blm_status jt_blame_status(
     const struct jt_task *task, struct blm *blame, int64_t now_ms);
--- a/src/request/placing.c
+++ b/src/request/placing.c
@@ -72,10 +72,12 @@
 }
 
 static void
-record_unplaced(struct lane *lane, const struct jt_task *task)
+record_unplaced(
+    struct pass *pass, struct lane *lane, const struct jt_task *task)
 {
 	const struct wk_step *step = jt_step_of(task);
 
+	pass->opts->unplaced(task->job, pass->opts->ctx);
 	lane->n_unplaced++;
 	if (step->required_label == NULL && step->max_per_worker == 0 &&
 	    !task->alone &&
@@ -178,7 +180,7 @@
 	else if (held)
 		pass->held = true;
 	else
-		record_unplaced(lane, task);
+		record_unplaced(pass, lane, task);
 	if (held)
 		report_delay(pass, task->job, PLG_HELD);
 	return !held;
--- a/src/request/placing.h
+++ b/src/request/placing.h
@@ -34,6 +34,8 @@
 	/* The first time that the job is delayed so; may be NULL. */
 	void (*delayed)(
 	    const struct jt_job *job, enum plg_delay why, void *ctx);
+	/* A task of the job found no worker. */
+	void (*unplaced)(const struct jt_job *job, void *ctx);
 	void *ctx;
 };
 
--- a/src/request/sched.c
+++ b/src/request/sched.c
@@ -1,41 +1,12 @@
-#include <glib.h>
 #include <string.h>
 
-#include "request/backlog.h"
-#include "request/blame.h"
-#include "request/choice.h"
-#include "request/confine.h"
-#include "request/jobtask.h"
-#include "request/sched.h"
+#include "request/sched_private.h"
 
 /*
  * Limit of starts per task, whatever their outcomes.  The job ends then, so
  * that a task that is lost or refused every time is not sent for ever.
  */
 #define MAX_STARTS_PER_TASK 12
-/*
- * For this long after the start of the process, a job is accepted although no
- * worker of its service has been described yet.
- */
-#define STARTUP_GRACE_MS 3000
-/* Expected time until a worker returns that a confined queue may use. */
-#define CONFINED_WAIT_MS 2000
-struct sch {
-	struct sch_options opts;
-	struct wks *workers;
-	GHashTable *jobs;	  /* id to struct jt_job */
-	GHashTable *sent;	  /* seq to struct jt_task */
-	GHashTable *unresolved;	  /* set of struct jt_task */
-	GHashTable *queue_speeds; /* queue name to struct spd_queue */
-	GTree *jobs_by_priority;  /* priority to GQueue of struct jt_job */
-	struct chc *choice;
-	struct blm *blame;
-	struct cfn *confinement;
-	uint64_t next_seq;
-	int64_t first_ms; /* of the first call; taken as the process start */
-	bool waiting;	  /* a task may be ready to be sent */
-};
-
 static gint
 compare_priorities(gconstpointer a, gconstpointer b, gpointer data)
 {
@@ -96,6 +67,9 @@
 	sch->unresolved = g_hash_table_new(NULL, NULL);
 	sch->queue_speeds =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	sch->drains =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	sch->retry_after.phase = opts->choice.scan_offset;
 	sch->choice = chc_new(sch->workers, &sch->opts.choice);
 	sch->jobs_by_priority =
 	    g_tree_new_full(compare_priorities, NULL, NULL, list_free);
@@ -117,6 +91,7 @@
 	blm_free(sch->blame);
 	wks_free(sch->workers);
 	g_hash_table_unref(sch->queue_speeds);
+	g_hash_table_unref(sch->drains);
 	g_free(sch);
 }
 
@@ -126,8 +101,8 @@
 	return sch->workers;
 }
 
-static GQueue *
-list_of(struct sch *sch, uint32_t priority)
+GQueue *
+sch_list_of(struct sch *sch, uint32_t priority)
 {
 	GQueue *list =
 	    g_tree_lookup(sch->jobs_by_priority, GUINT_TO_POINTER(priority));
@@ -141,19 +116,6 @@
 	return list;
 }
 
-static struct spd_queue *
-queue_speed(struct sch *sch, const char *name)
-{
-	struct spd_queue *speed = g_hash_table_lookup(sch->queue_speeds, name);
-
-	if (speed == NULL) {
-		speed = g_new0(struct spd_queue, 1);
-		speed->by_distribution = sch->opts.policy.learn_distributions;
-		g_hash_table_insert(sch->queue_speeds, g_strdup(name), speed);
-	}
-	return speed;
-}
-
 static void
 forget_start(struct sch *sch, struct jt_task *task)
 {
@@ -176,7 +138,7 @@
 			    task->worker->link, task->seq, sch->opts.ctx);
 		forget_start(sch, task);
 	}
-	g_queue_unlink(list_of(sch, job->priority), &job->link);
+	g_queue_unlink(sch_list_of(sch, job->priority), &job->link);
 	g_hash_table_remove(sch->jobs, job->spec->id);
 }
 
@@ -258,6 +220,7 @@
 
 	if (!sch->opts.start(w->link, &start, sch->opts.ctx))
 		return false;
+	drt_record_sent(job->drain, job->steps[task->step].task_work);
 	wk_subtract(&w->room, &step->size);
 	w->unflushed = true;
 	jt_set_state(task, JT_SENT);
@@ -271,6 +234,24 @@
 	return true;
 }
 
+static void
+on_unplaced(const struct jt_job *job, void *ctx)
+{
+	(void)ctx;
+	drt_record_unplaced(job->drain);
+}
+
+static void
+end_pass(struct sch *sch, int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer drain;
+
+	g_hash_table_iter_init(&iter, sch->drains);
+	while (g_hash_table_iter_next(&iter, NULL, &drain))
+		drt_end_pass(drain, now_ms);
+}
+
 static void
 on_delayed(const struct jt_job *job, enum plg_delay why, void *ctx)
 {
@@ -296,11 +277,13 @@
 	    .by_objective = sch->opts.policy.order_by_objective,
 	    .send = send,
 	    .delayed = on_delayed,
+	    .unplaced = on_unplaced,
 	    .ctx = sch,
 	};
 	size_t i;
 
 	sch->waiting = plg_run(&opts, sch->jobs_by_priority, now_ms);
+	end_pass(sch, now_ms);
 	for (i = 0; i < wks_count(sch->workers); i++) {
 		struct wks_worker *w = wks_get(sch->workers, i);
 
@@ -428,57 +411,8 @@
 	requeue_task(sch, task, reason);
 }
 
-/*
- * Whether workers with the label that the step requires are about to be
- * connected.
- */
-static bool
-is_label_expected(const struct sch *sch, const struct sch_request *request,
-    const struct wk_step *step)
-{
-	size_t i;
-
-	if (step->required_label == NULL || !request->workers_known)
-		return false;
-	for (i = 0; i < wks_count(sch->workers); i++) {
-		if (wks_has_label(
-			wks_get(sch->workers, i), step->required_label))
-			return false;
-	}
-	return true;
-}
-
-/* Checks that the service has a worker for each step. */
-static enum sch_submit_result
-check_workers(
-    const struct sch *sch, const struct sch_request *request, int64_t now_ms)
-{
-	bool starting = now_ms - sch->first_ms < STARTUP_GRACE_MS;
-	const struct wk_job *spec = request->job;
-	uint32_t i;
-
-	for (i = 0; i < spec->n_steps; i++) {
-		if (is_label_expected(sch, request, &spec->steps[i]))
-			continue;
-		switch (wks_check(sch->workers, request->queue->service,
-		    &spec->steps[i], now_ms)) {
-		case WKS_USABLE:
-			break;
-		case WKS_TOO_LARGE:
-			return SCH_TOO_LARGE;
-		case WKS_UNKNOWN:
-			if (!starting)
-				return SCH_NO_WORKERS;
-			break;
-		case WKS_NOT_USABLE:
-			return SCH_NO_WORKERS;
-		}
-	}
-	return SCH_ACCEPTED;
-}
-
-static void
-record_first_time(struct sch *sch, int64_t now_ms)
+void
+sch_record_first_time(struct sch *sch, int64_t now_ms)
 {
 	if (sch->first_ms == 0)
 		sch->first_ms = now_ms;
@@ -493,96 +427,6 @@
 	sch->waiting = true;
 }
 
-static double
-work_of(const struct wk_job *job)
-{
-	double work = 0;
-	uint32_t i;
-
-	for (i = 0; i < job->n_steps; i++)
-		work += (double)job->steps[i].count *
-			(double)MAX(job->steps[i].size.cpu_milli, 1) *
-			(double)MAX(job->steps[i].estimate_ms, 1) / 1000;
-	return work;
-}
-
-/*
- * Marks the tasks of a new job under which workers have crashed: its caller may
- * have sent it to another entry before.  Returns the worst status of them.
- */
-static enum blm_status
-recall_crashes(struct sch *sch, struct jt_job *job, int64_t now_ms)
-{
-	enum blm_status worst = BLM_CLEAR;
-	uint32_t i;
-
-	for (i = 0; i < job->n_tasks && blm_is_needed(sch->blame); i++) {
-		struct jt_task *task = &job->tasks[i];
-		enum blm_status status;
-
-		task->was_lost = true;
-		status = jt_blame_status(task, sch->blame, now_ms);
-		task->was_lost = status != BLM_CLEAR;
-		worst = MAX(worst, status);
-	}
-	return worst;
-}
-
-enum sch_submit_result
-sch_submit(struct sch *sch, struct sch_request *request, int64_t now_ms)
-{
-	struct spd_queue *speed;
-	struct bkl_limits limits;
-	enum sch_submit_result verdict;
-	struct cfn_queue *confinement;
-	struct jt_job *job;
-
-	if (request->queue->external_placement)
-		return SCH_UNSUPPORTED;
-	record_first_time(sch, now_ms);
-	confinement = cfn_find(
-	    sch->confinement, request->queue->service, request->queue->name);
-	cfn_count_work(confinement, work_of(request->job), now_ms);
-	verdict = check_workers(sch, request, now_ms);
-	if (verdict != SCH_ACCEPTED)
-		return verdict;
-	if (cfn_is_cut_off(sch->confinement, confinement)) {
-		request->wait_ms = CONFINED_WAIT_MS;
-		return SCH_CONFINED;
-	}
-	if (g_hash_table_size(sch->jobs) >= sch->opts.max_jobs)
-		return SCH_OVERLOADED;
-	speed = queue_speed(sch, request->queue->name);
-	limits =
-	    bkl_limits_of(request->job, request->queue, spd_queue_ratio(speed));
-	if (bkl_is_too_late(list_of(sch, request->queue->priority),
-		request->job, request->queue->name, &limits, now_ms,
-		&request->wait_ms))
-		return SCH_BACKLOG;
-	job = jt_new(request->job, request->queue);
-	if (recall_crashes(sch, job, now_ms) == BLM_POISON) {
-		job->spec = NULL; /* stays with the caller */
-		jt_free(job);
-		return SCH_CRASHING;
-	}
-	job->confinement = confinement;
-	job->speed = speed;
-	job->waiter = request->waiter;
-	job->arrived_ms = now_ms;
-	job->deadline_ms = request->deadline_ms;
-	job->start_by_ms = now_ms + limits.start_ms;
-	job->objective_by_ms = job->start_by_ms + limits.critical_path_ms;
-	jt_set_run_times(job, spd_queue_ratio(speed));
-	job->useful_until_ms = request->deadline_ms;
-	if (limits.critical_path_ms > 0)
-		job->useful_until_ms =
-		    MIN(request->deadline_ms, now_ms + limits.useful_ms);
-	g_hash_table_insert(sch->jobs, job->spec->id, job);
-	g_queue_push_tail_link(list_of(sch, job->priority), &job->link);
-	sch->waiting = true;
-	return SCH_ACCEPTED;
-}
-
 void *
 sch_replace_waiter(struct sch *sch, const char *id, void *waiter)
 {
@@ -677,20 +521,6 @@
 	}
 }
 
-/* The worst status of the tasks of the job that wait for a worker. */
-static enum blm_status
-worst_status(struct sch *sch, struct jt_job *job, int64_t now_ms)
-{
-	enum blm_status worst = BLM_CLEAR;
-	uint32_t i;
-
-	for (i = jt_next_ready(job, 0); i < job->n_tasks;
-	     i = jt_next_ready(job, i + 1))
-		worst = MAX(
-		    worst, jt_blame_status(&job->tasks[i], sch->blame, now_ms));
-	return worst;
-}
-
 static void
 end_poison_jobs(struct sch *sch, int64_t now_ms)
 {
@@ -699,7 +529,8 @@
 
 	for (l = jobs; l != NULL; l = l->next) {
 		struct jt_job *job = l->data;
-		enum blm_status status = worst_status(sch, job, now_ms);
+		enum blm_status status =
+		    jt_worst_status(job, sch->blame, now_ms);
 
 		job->suspected = status != BLM_CLEAR;
 		if (status == BLM_POISON)
@@ -711,7 +542,7 @@
 void
 sch_tick(struct sch *sch, int64_t now_ms)
 {
-	record_first_time(sch, now_ms);
+	sch_record_first_time(sch, now_ms);
 	if (blm_is_needed(sch->blame)) {
 		cfn_update(sch->confinement, now_ms);
 		end_poison_jobs(sch, now_ms);
--- a/src/request/sched.h
+++ b/src/request/sched.h
@@ -57,8 +57,9 @@
 	const char *queue;
 	struct wk_size size;
 	uint32_t priority;
-	int64_t expected_ms; /* run time on this worker, see chc_expected_ms() */
-	int64_t nominal_ms;  /* run time on any worker of its kind */
+	int64_t
+	    expected_ms;    /* run time on this worker, see chc_expected_ms() */
+	int64_t nominal_ms; /* run time on any worker of its kind */
 	int64_t start_within_ms;
 };
 
@@ -83,6 +84,13 @@
 	bool wait_for_faster;
 	/* Run times of a queue are learned as a distribution. */
 	bool learn_distributions;
+	/* A new job is refused by the work before it and the rate of starts. */
+	bool refuse_by_wait;
+	/*
+	 * So long after the start of the process, jobs wait until their
+	 * deadline for workers that are known, but not usable yet; 0: never.
+	 */
+	int64_t startup_wait_ms;
 };
 
 struct sch_options {
@@ -120,7 +128,8 @@
 	 * may be connected yet.
 	 */
 	bool workers_known;
-	int64_t wait_ms; /* output: expected time until the first start */
+	int64_t wait_ms;    /* output: expected time until the first start */
+	bool by_prediction; /* output: refused by refuse_by_wait */
 };
 
 /* Task counts of an open job, by state. */
@@ -156,6 +165,8 @@
 
 enum sch_submit_result sch_submit(
     struct sch *sch, struct sch_request *request, int64_t now_ms);
+/* When a caller that is refused now should come back; whole seconds. */
+int64_t sch_retry_ms(struct sch *sch, int64_t now_ms);
 /* Replaces the waiter of a known job; returns the former one. */
 void *sch_replace_waiter(struct sch *sch, const char *job, void *waiter);
 bool sch_has_job(const struct sch *sch, const char *job);
--- a/src/request/work.c
+++ b/src/request/work.c
@@ -65,6 +65,19 @@
 	return n;
 }
 
+double
+wk_job_work(const struct wk_job *job)
+{
+	double work = 0;
+	uint32_t i;
+
+	for (i = 0; i < job->n_steps; i++)
+		work += (double)job->steps[i].count *
+			(double)MAX(job->steps[i].size.cpu_milli, 1) *
+			(double)MAX(job->steps[i].estimate_ms, 1) / 1000;
+	return work;
+}
+
 int64_t
 wk_job_critical_path_ms(const struct wk_job *job)
 {
--- a/src/request/work.h
+++ b/src/request/work.h
@@ -43,6 +43,8 @@
 bool wk_same_job(const char *task, const char *other);
 
 uint32_t wk_job_n_tasks(const struct wk_job *job);
+/* Estimated run time of all tasks, in milliseconds of a core. */
+double wk_job_work(const struct wk_job *job);
 /* Sum of the estimates along the longest chain of dependent steps. */
 int64_t wk_job_critical_path_ms(const struct wk_job *job);
 /* Frees the contents and the struct; NULL is allowed. */
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -9,6 +9,8 @@
 #define LOST_RUN_TIMEOUT_MS 1300
 /* Cases start after STARTUP_GRACE_MS; "at" counts from their start. */
 #define CASE_START_MS 100000
+/* With the policy "startup" the process starts with the case. */
+#define STARTUP_WAIT_MS 3000
 
 struct link {
 	char *name;
@@ -116,7 +118,7 @@
 }
 
 static struct sch *
-make_sch(struct trace *t, const struct sch_policy *policy)
+make_sch(struct trace *t, const struct sch_policy *policy, int64_t start_ms)
 {
 	struct sch_options opts = {
 	    .policy = *policy,
@@ -133,7 +135,7 @@
 	};
 	struct sch *sch = sch_new(&opts);
 
-	sch_tick(sch, 1);
+	sch_tick(sch, start_ms);
 	wks_set_out_check(sch_workers(sch), is_out, t);
 	return sch;
 }
@@ -144,13 +146,29 @@
 	struct trace *t = g_new0(struct trace, 1);
 
 	t->now_ms = CASE_START_MS;
-	t->sch = make_sch(t, &(struct sch_policy){0});
+	t->sch = make_sch(t, &(struct sch_policy){0}, 1);
 	t->links =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, link_free);
 	t->out = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return t;
 }
 
+static int64_t
+number(const char *word)
+{
+	return word == NULL ? 0 : strtoll(word, NULL, 10);
+}
+
+/* retry COUNT: so many callers are refused. */
+static void
+retry(struct trace *t, char **w)
+{
+	int64_t i;
+
+	for (i = 0; i < number(w[1]); i++)
+		emit(t, "%d", (int)(sch_retry_ms(t->sch, t->now_ms) / 1000));
+}
+
 /* policy NAME...: as the first command of a case. */
 static void
 set_policy(struct trace *t, char **w)
@@ -162,10 +180,16 @@
 		g_strv_contains((const char *const *)w, "faster"),
 	    .learn_distributions =
 		g_strv_contains((const char *const *)w, "distributions"),
+	    .refuse_by_wait = g_strv_contains((const char *const *)w, "refuse"),
+	    .startup_wait_ms =
+		g_strv_contains((const char *const *)w, "startup")
+		    ? STARTUP_WAIT_MS
+		    : 0,
 	};
 
 	sch_free(t->sch);
-	t->sch = make_sch(t, &policy);
+	t->sch = make_sch(
+	    t, &policy, policy.startup_wait_ms > 0 ? CASE_START_MS : 1);
 }
 
 static void
@@ -179,12 +203,6 @@
 	g_free(t);
 }
 
-static int64_t
-number(const char *word)
-{
-	return word == NULL ? 0 : strtoll(word, NULL, 10);
-}
-
 /* Jobs whose id begins with o are of another queue. */
 static char *
 queue_of(const char *id)
@@ -385,6 +403,8 @@
 		    (uint32_t)number(w[2]);
 	else if (strcmp(w[0], "job") == 0)
 		job(t, w);
+	else if (strcmp(w[0], "retry") == 0)
+		retry(t, w);
 	else if (strcmp(w[0], "many") == 0)
 		many(t, w);
 	else if (strcmp(w[0], "crash") == 0)
