--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -87,6 +87,12 @@
 	 */
 	int64_t cross_rack_percent;
 	uint32_t agent_connections;
+	/* Placement by objective, see docs/platform.md. */
+	bool order_by_objective;
+	bool wait_for_faster;
+	bool learn_distributions;
+	bool refuse_by_wait;
+	int64_t startup_wait_ms;
 	uint32_t log_lines_per_s; /* of each event type */
 };
 
--- a/src/request/jobtask.c
+++ b/src/request/jobtask.c
@@ -31,6 +31,10 @@
 
 	job->n_in_state[task->state]--;
 	job->n_in_state[state]++;
+	if (task->state == JT_READY)
+		job->steps[task->step].n_ready--;
+	if (state == JT_READY)
+		job->steps[task->step].n_ready++;
 	task->state = state;
 	if (state == JT_READY)
 		job->first_ready =
@@ -56,6 +60,56 @@
 	return i;
 }
 
+/* A step comes after those that it waits for. */
+void
+jt_set_run_times(struct jt_job *job)
+{
+	double ratio = spd_queue_ratio(job->speed);
+	uint32_t i, j;
+
+	for (i = job->spec->n_steps; i-- > 0;) {
+		const struct wk_step *step = &job->spec->steps[i];
+		int64_t tail_ms = job->steps[i].tail_ms + step->estimate_ms;
+
+		job->steps[i].tail_ms = tail_ms;
+		job->steps[i].task_work =
+		    (double)step->size.cpu_milli *
+		    spd_average_ms(job->speed, step->estimate_ms);
+		for (j = 0; j < step->n_after; j++) {
+			struct jt_step *former = &job->steps[step->after[j]];
+
+			former->tail_ms = MAX(former->tail_ms, tail_ms);
+		}
+	}
+	for (i = 0; i < job->spec->n_steps; i++)
+		job->steps[i].tail_ms =
+		    (int64_t)((double)job->steps[i].tail_ms * ratio);
+}
+
+int64_t
+jt_remaining_ms(const struct jt_job *job)
+{
+	int64_t longest_ms = 0;
+	uint32_t i;
+
+	for (i = 0; i < job->spec->n_steps; i++) {
+		if (job->steps[i].n_ready > 0)
+			longest_ms = MAX(longest_ms, job->steps[i].tail_ms);
+	}
+	return longest_ms;
+}
+
+double
+jt_waiting_work(const struct jt_job *job)
+{
+	double work = 0;
+	uint32_t i;
+
+	for (i = 0; i < job->spec->n_steps; i++)
+		work += job->steps[i].n_ready * job->steps[i].task_work;
+	return work;
+}
+
 static void
 make_ready(struct jt_job *job, uint32_t step)
 {
@@ -241,3 +295,34 @@
 	name = wk_task_name(task->job->spec->id, task->step, task->index);
 	return blm_status_of(blame, name, now_ms);
 }
+
+enum blm_status
+jt_recall_crashes(struct jt_job *job, struct blm *blame, int64_t now_ms)
+{
+	enum blm_status worst = BLM_CLEAR;
+	uint32_t i;
+
+	for (i = 0; i < job->n_tasks && blm_is_needed(blame); i++) {
+		struct jt_task *task = &job->tasks[i];
+		enum blm_status status;
+
+		task->was_lost = true;
+		status = jt_blame_status(task, blame, now_ms);
+		task->was_lost = status != BLM_CLEAR;
+		worst = MAX(worst, status);
+	}
+	return worst;
+}
+
+enum blm_status
+jt_worst_status(struct jt_job *job, struct blm *blame, int64_t now_ms)
+{
+	enum blm_status worst = BLM_CLEAR;
+	uint32_t i;
+
+	for (i = jt_next_ready(job, 0); i < job->n_tasks;
+	     i = jt_next_ready(job, i + 1))
+		worst =
+		    MAX(worst, jt_blame_status(&job->tasks[i], blame, now_ms));
+	return worst;
+}
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -1,4 +1,5 @@
 #include <glib.h>
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -8,6 +9,8 @@
 #define LOST_RUN_TIMEOUT_MS 1300
 /* Cases start after STARTUP_GRACE_MS; "at" counts from their start. */
 #define CASE_START_MS 100000
+/* With the policy "startup" the process starts with the case. */
+#define STARTUP_WAIT_MS 3000
 
 struct link {
 	char *name;
@@ -22,6 +25,7 @@
 	GString *actual;
 	int64_t now_ms;
 	int64_t expected_ms; /* of the last start */
+	uint64_t seq;	     /* likewise */
 };
 
 static const char *const ends[] = {
@@ -53,6 +57,7 @@
 	emit(ctx, "%s<%s.%u.%u#%d", link->name, s->job, s->step, s->index,
 	    (int)s->seq);
 	((struct trace *)ctx)->expected_ms = s->expected_ms;
+	((struct trace *)ctx)->seq = s->seq;
 	return true;
 }
 
@@ -105,11 +110,18 @@
 	g_free(link);
 }
 
-static void *
-start(void)
+static void
+on_delayed(const char *job, enum plg_delay why, uint32_t n_tasks, void *ctx)
+{
+	emit(ctx, "%s:%s%u", job, why == PLG_HELD ? "held" : "overtaken",
+	    n_tasks);
+}
+
+static struct sch *
+make_sch(struct trace *t, const struct sch_policy *policy, int64_t start_ms)
 {
-	struct trace *t = g_new0(struct trace, 1);
 	struct sch_options opts = {
+	    .policy = *policy,
 	    .choice = {.cross_rack_factor = 1.5},
 	    .lost_run_timeout_ms = LOST_RUN_TIMEOUT_MS,
 	    .max_jobs = 8,
@@ -118,19 +130,68 @@
 	    .cancel = on_cancel,
 	    .start_failed = on_start_failed,
 	    .ended = on_ended,
+	    .delayed = on_delayed,
 	    .ctx = t,
 	};
+	struct sch *sch = sch_new(&opts);
+
+	sch_tick(sch, start_ms);
+	wks_set_out_check(sch_workers(sch), is_out, t);
+	return sch;
+}
+
+static void *
+start(void)
+{
+	struct trace *t = g_new0(struct trace, 1);
 
 	t->now_ms = CASE_START_MS;
-	t->sch = sch_new(&opts);
-	sch_tick(t->sch, 1);
+	t->sch = make_sch(t, &(struct sch_policy){0}, 1);
 	t->links =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, link_free);
 	t->out = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	wks_set_out_check(sch_workers(t->sch), is_out, t);
 	return t;
 }
 
+static int64_t
+number(const char *word)
+{
+	return word == NULL ? 0 : strtoll(word, NULL, 10);
+}
+
+/* retry COUNT: so many callers are refused. */
+static void
+retry(struct trace *t, char **w)
+{
+	int64_t i;
+
+	for (i = 0; i < number(w[1]); i++)
+		emit(t, "%d", (int)(sch_retry_ms(t->sch, t->now_ms) / 1000));
+}
+
+/* policy NAME...: as the first command of a case. */
+static void
+set_policy(struct trace *t, char **w)
+{
+	struct sch_policy policy = {
+	    .order_by_objective =
+		g_strv_contains((const char *const *)w, "order"),
+	    .wait_for_faster =
+		g_strv_contains((const char *const *)w, "faster"),
+	    .learn_distributions =
+		g_strv_contains((const char *const *)w, "distributions"),
+	    .refuse_by_wait = g_strv_contains((const char *const *)w, "refuse"),
+	    .startup_wait_ms =
+		g_strv_contains((const char *const *)w, "startup")
+		    ? STARTUP_WAIT_MS
+		    : 0,
+	};
+
+	sch_free(t->sch);
+	t->sch = make_sch(
+	    t, &policy, policy.startup_wait_ms > 0 ? CASE_START_MS : 1);
+}
+
 static void
 end(void *ctx)
 {
@@ -142,12 +203,6 @@
 	g_free(t);
 }
 
-static int64_t
-number(const char *word)
-{
-	return word == NULL ? 0 : strtoll(word, NULL, 10);
-}
-
 /* Jobs whose id begins with o are of another queue. */
 static char *
 queue_of(const char *id)
@@ -288,13 +343,42 @@
 	}
 }
 
+/*
+ * many COUNT RUN_MS EVERY LONG_MS: jobs of one task of 60 ms, one after the
+ * other, of which each EVERY-th runs for LONG_MS.
+ */
+static void
+many(struct trace *t, char **w)
+{
+	char *words[] = {(char *)"job", (char *)"m", (char *)"0",
+	    (char *)"5000", (char *)"1", (char *)"1x5x60", NULL};
+	int64_t i, every = MAX(number(w[3]), 1);
+
+	for (i = 1; i <= number(w[1]); i++) {
+		bool is_long = i % every == 0;
+
+		job(t, words);
+		sch_place_tasks(t->sch, t->now_ms);
+		sch_result(t->sch, t->seq, SCH_DONE, number(w[is_long ? 4 : 2]),
+		    "", t->now_ms);
+		wks_set_room(find(t, "a")->worker,
+		    &find(t, "a")->worker->capacity, true, t->now_ms);
+	}
+	g_string_truncate(t->actual, 0);
+}
+
 static void
 step(void *ctx, char **w, GString *actual)
 {
 	struct trace *t = ctx;
 
 	t->actual = actual;
-	if (strcmp(w[0], "at") == 0) {
+	if (strcmp(w[0], "policy") == 0)
+		set_policy(t, w);
+	else if (strcmp(w[0], "pace") == 0)
+		find(t, w[1])->worker->kind->log_slowness = (struct spd_mean){
+		    .value = log((double)number(w[2]) / 100), .samples = 1000};
+	else if (strcmp(w[0], "at") == 0) {
 		t->now_ms = CASE_START_MS + number(w[1]);
 		sch_tick(t->sch, t->now_ms);
 	} else if (strcmp(w[0], "worker") == 0)
@@ -319,6 +403,10 @@
 		    (uint32_t)number(w[2]);
 	else if (strcmp(w[0], "job") == 0)
 		job(t, w);
+	else if (strcmp(w[0], "retry") == 0)
+		retry(t, w);
+	else if (strcmp(w[0], "many") == 0)
+		many(t, w);
 	else if (strcmp(w[0], "crash") == 0)
 		crash(t, w);
 	else if (strcmp(w[0], "run") == 0)
