--- a/src/request/kinds.c
+++ b/src/request/kinds.c
@@ -5,9 +5,8 @@
 #include "request/kinds.h"
 
 /*
- * Kinds count as equally fast up to this ratio of their run times.  Learned
- * speeds of equal kinds differ by some percent; in a trial with 1.3 the share
- * of jobs within their objective rose on two fleets.
+ * Kinds count as equally fast up to this ratio of their run times: learned
+ * speeds of equal kinds differ by up to some 20%.
  */
 #define DIFFERENT_KINDS 1.3
 /* Fast capacity is scarce when less than this share of it is free. */
--- a/src/request/objective.c
+++ b/src/request/objective.c
@@ -5,9 +5,9 @@
 {
 	if (job->suspected)
 		return OBJ_SUSPECTED;
-	if (now_ms + job->remaining_ms <= job->objective_by_ms)
+	if (job->sent || now_ms + job->remaining_ms <= job->objective_by_ms)
 		return OBJ_TIMELY;
-	return job->sent ? OBJ_LATE_BEGUN : OBJ_LATE;
+	return OBJ_LATE;
 }
 
 enum obj_turn
--- a/src/request/objective.h
+++ b/src/request/objective.h
@@ -21,8 +21,11 @@
 
 /* In the order in which jobs are placed. */
 enum obj_turn {
-	OBJ_TIMELY,	/* it can meet its objective */
-	OBJ_LATE_BEGUN, /* it can't, but a task was sent */
+	/*
+	 * It can meet its objective, or a task of it was sent: the work on that
+	 * is lost if the others do not follow before the deadline.
+	 */
+	OBJ_TIMELY,
 	OBJ_LATE,
 	OBJ_SUSPECTED, /* it may crash the worker, and so comes last */
 	OBJ_N_TURNS
@@ -30,8 +33,8 @@
 
 enum obj_turn obj_turn_of(const struct obj_job *job, int64_t now_ms);
 /*
- * The same for the order within one priority: a job of which a task was sent
- * never counts as late.
+ * The same for the order within one priority, where a job is late when it has
+ * not begun by start_by_ms.
  */
 enum obj_turn obj_turn_in_priority(const struct obj_job *job, int64_t now_ms);
 
