Estimate which queues slow each other on a worker

Cause: tasks of some queues may slow each other when they run on one worker, which was neither measured nor considered in placement.

Change: an agent with the setting "interference" counts the concurrent runs of each queue during a run, estimates the effect of each ordered pair of queues, and exchanges the estimates with its entries (RUN_INTERFERENCE, number 9). An entry with the setting merges them, one vote an agent, and multiplies its expected run time on a worker by the factor that the worker's agent reports in UPDATE. Off by default. Program 0x2000535A.

--- a/src/connection/run.x
+++ b/src/connection/run.x
@@ -15,6 +15,8 @@
 const RUN_BATCH_MAX = 4096;
 const RUN_LABELS_MAX = 64;
 const RUN_DOMAINS_MAX = 1024;
+const RUN_SLOWED_MAX = 16;
+const RUN_PAIRS_MAX = 64;
 
 typedef string run_name<RUN_NAME_MAX>;
 
@@ -108,6 +110,12 @@
 	run_name reason;
 };
 
+/* A queue whose runs are slowed by those that the worker has now. */
+struct run_slowed {
+	run_name queue;
+	uint32_t permille;	/* expected run time over the usual one */
+};
+
 /* Results, and the free capacity of the worker after them. */
 struct run_update_args {
 	run_result results<RUN_BATCH_MAX>;
@@ -117,6 +125,7 @@
 	uint32_t slowness_permille;	/* run times against nominal, 0: unknown */
 	int64_t clock_ms;	/* of the agent, above 0 */
 	int64_t stated_ms;	/* as in the statement that is now in force */
+	run_slowed slowed<RUN_SLOWED_MAX>;
 };
 
 enum run_crash_state {
@@ -151,6 +160,27 @@
 	run_name job;
 };
 
+/*
+ * How far the runs of a queue are slowed by each doubling of 1 + the concurrent
+ * runs of another queue on the same worker.
+ */
+struct run_pair {
+	run_name queue;
+	run_name other;
+	uint32_t weight;	/* number of runs behind it */
+	int32_t mean_micro;	/* natural log of the factor, in millionths */
+	uint32_t variance_micro;	/* of that, likewise */
+	int64_t age_ms;		/* of the last run */
+};
+
+/*
+ * From an agent: its own estimates.  From an entry: those of its agents, merged.
+ * At most one call a second and connection.
+ */
+struct run_interference_args {
+	run_pair pairs<RUN_PAIRS_MAX>;
+};
+
 program RUN_PROG {
 	version RUN_V1 {
 		void RUN_OPEN(run_open_args) = 1;
@@ -161,5 +191,6 @@
 		void RUN_UPDATE(run_update_args) = 6;
 		void RUN_CRASH(run_crash_args) = 7;
 		void RUN_CANCEL_JOB(run_cancel_job_args) = 8;
+		void RUN_INTERFERENCE(run_interference_args) = 9;
 	} = 1;
-} = 0x20005359;
+} = 0x2000535A;
--- a/src/connection/run_xdr.c
+++ b/src/connection/run_xdr.c
@@ -199,6 +199,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_run_slowed(XDR *xdrs, run_slowed *objp)
+{
+	register int32_t *buf;
+
+	if (!xdr_run_name(xdrs, &objp->queue))
+		return FALSE;
+	if (!xdr_uint32_t(xdrs, &objp->permille))
+		return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_run_update_args(XDR *xdrs, run_update_args *objp)
 {
@@ -220,6 +232,10 @@
 		return FALSE;
 	if (!xdr_int64_t(xdrs, &objp->stated_ms))
 		return FALSE;
+	if (!xdr_array(xdrs, (char **)&objp->slowed.slowed_val,
+		(u_int *)&objp->slowed.slowed_len, RUN_SLOWED_MAX,
+		sizeof(run_slowed), (xdrproc_t)xdr_run_slowed))
+		return FALSE;
 	return TRUE;
 }
 
@@ -276,3 +292,35 @@
 		return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_run_pair(XDR *xdrs, run_pair *objp)
+{
+	register int32_t *buf;
+
+	if (!xdr_run_name(xdrs, &objp->queue))
+		return FALSE;
+	if (!xdr_run_name(xdrs, &objp->other))
+		return FALSE;
+	if (!xdr_uint32_t(xdrs, &objp->weight))
+		return FALSE;
+	if (!xdr_int32_t(xdrs, &objp->mean_micro))
+		return FALSE;
+	if (!xdr_uint32_t(xdrs, &objp->variance_micro))
+		return FALSE;
+	if (!xdr_int64_t(xdrs, &objp->age_ms))
+		return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_run_interference_args(XDR *xdrs, run_interference_args *objp)
+{
+	register int32_t *buf;
+
+	if (!xdr_array(xdrs, (char **)&objp->pairs.pairs_val,
+		(u_int *)&objp->pairs.pairs_len, RUN_PAIRS_MAX,
+		sizeof(run_pair), (xdrproc_t)xdr_run_pair))
+		return FALSE;
+	return TRUE;
+}
--- a/src/connection/run_xdr.h
+++ b/src/connection/run_xdr.h
@@ -19,6 +19,8 @@
 #define RUN_BATCH_MAX	4096
 #define RUN_LABELS_MAX	64
 #define RUN_DOMAINS_MAX 1024
+#define RUN_SLOWED_MAX	16
+#define RUN_PAIRS_MAX	64
 
 typedef char *run_name;
 
@@ -127,6 +129,12 @@
 };
 typedef struct run_result run_result;
 
+struct run_slowed {
+	run_name queue;
+	uint32_t permille;
+};
+typedef struct run_slowed run_slowed;
+
 struct run_update_args {
 	struct {
 		u_int results_len;
@@ -138,6 +146,10 @@
 	uint32_t slowness_permille;
 	int64_t clock_ms;
 	int64_t stated_ms;
+	struct {
+		u_int slowed_len;
+		run_slowed *slowed_val;
+	} slowed;
 };
 typedef struct run_update_args run_update_args;
 
@@ -172,7 +184,25 @@
 };
 typedef struct run_cancel_job_args run_cancel_job_args;
 
-#define RUN_PROG 0x20005359
+struct run_pair {
+	run_name queue;
+	run_name other;
+	uint32_t weight;
+	int32_t mean_micro;
+	uint32_t variance_micro;
+	int64_t age_ms;
+};
+typedef struct run_pair run_pair;
+
+struct run_interference_args {
+	struct {
+		u_int pairs_len;
+		run_pair *pairs_val;
+	} pairs;
+};
+typedef struct run_interference_args run_interference_args;
+
+#define RUN_PROG 0x2000535A
 #define RUN_V1	 1
 
 #if defined(__STDC__) || defined(__cplusplus)
@@ -202,33 +232,41 @@
 extern enum clnt_stat run_cancel_job_1(run_cancel_job_args *, void *, CLIENT *);
 extern bool_t run_cancel_job_1_svc(
     run_cancel_job_args *, void *, struct svc_req *);
+#define RUN_INTERFERENCE 9
+extern enum clnt_stat run_interference_1(
+    run_interference_args *, void *, CLIENT *);
+extern bool_t run_interference_1_svc(
+    run_interference_args *, void *, struct svc_req *);
 extern int run_prog_1_freeresult(SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
-#define RUN_OPEN       1
+#define RUN_OPEN	 1
 extern enum clnt_stat run_open_1();
 extern bool_t run_open_1_svc();
-#define RUN_START      2
+#define RUN_START	 2
 extern enum clnt_stat run_start_1();
 extern bool_t run_start_1_svc();
-#define RUN_CANCEL     3
+#define RUN_CANCEL	 3
 extern enum clnt_stat run_cancel_1();
 extern bool_t run_cancel_1_svc();
-#define RUN_HEARTBEAT  4
+#define RUN_HEARTBEAT	 4
 extern enum clnt_stat run_heartbeat_1();
 extern bool_t run_heartbeat_1_svc();
-#define RUN_WORKER     5
+#define RUN_WORKER	 5
 extern enum clnt_stat run_worker_1();
 extern bool_t run_worker_1_svc();
-#define RUN_UPDATE     6
+#define RUN_UPDATE	 6
 extern enum clnt_stat run_update_1();
 extern bool_t run_update_1_svc();
-#define RUN_CRASH      7
+#define RUN_CRASH	 7
 extern enum clnt_stat run_crash_1();
 extern bool_t run_crash_1_svc();
-#define RUN_CANCEL_JOB 8
+#define RUN_CANCEL_JOB	 8
 extern enum clnt_stat run_cancel_job_1();
 extern bool_t run_cancel_job_1_svc();
+#define RUN_INTERFERENCE 9
+extern enum clnt_stat run_interference_1();
+extern bool_t run_interference_1_svc();
 extern int run_prog_1_freeresult();
 #endif /* K&R C */
 
@@ -247,11 +285,14 @@
 extern bool_t xdr_run_worker_args(XDR *, run_worker_args *);
 extern bool_t xdr_run_outcome(XDR *, run_outcome *);
 extern bool_t xdr_run_result(XDR *, run_result *);
+extern bool_t xdr_run_slowed(XDR *, run_slowed *);
 extern bool_t xdr_run_update_args(XDR *, run_update_args *);
 extern bool_t xdr_run_crash_state(XDR *, run_crash_state *);
 extern bool_t xdr_run_suspect(XDR *, run_suspect *);
 extern bool_t xdr_run_crash_args(XDR *, run_crash_args *);
 extern bool_t xdr_run_cancel_job_args(XDR *, run_cancel_job_args *);
+extern bool_t xdr_run_pair(XDR *, run_pair *);
+extern bool_t xdr_run_interference_args(XDR *, run_interference_args *);
 
 #else /* K&R C */
 extern bool_t xdr_run_name();
@@ -266,11 +307,14 @@
 extern bool_t xdr_run_worker_args();
 extern bool_t xdr_run_outcome();
 extern bool_t xdr_run_result();
+extern bool_t xdr_run_slowed();
 extern bool_t xdr_run_update_args();
 extern bool_t xdr_run_crash_state();
 extern bool_t xdr_run_suspect();
 extern bool_t xdr_run_crash_args();
 extern bool_t xdr_run_cancel_job_args();
+extern bool_t xdr_run_pair();
+extern bool_t xdr_run_interference_args();
 
 #endif /* K&R C */
 
--- a/src/connection/sessions.c
+++ b/src/connection/sessions.c
@@ -171,6 +171,18 @@
 	xdr_free((xdrproc_t)xdr_run_heartbeat_args, &args);
 }
 
+static void
+handle_interference(struct session *s, XDR *xdrs)
+{
+	run_interference_args args = {0};
+
+	if (!xdr_run_interference_args(xdrs, &args))
+		rpc_close(s->conn, ST_INVALID, "malformed interference");
+	else if (s->ses->opts.interference != NULL)
+		s->ses->opts.interference(s->id, &args, s->ses->opts.ctx);
+	xdr_free((xdrproc_t)xdr_run_interference_args, &args);
+}
+
 /*
  * Whether input comes after a gap in which the entry may have given up the
  * session.  Calls that were buffered while this process was suspended or the
@@ -215,6 +227,9 @@
 	case RUN_CANCEL_JOB:
 		handle_cancel_job(s, call->args);
 		break;
+	case RUN_INTERFERENCE:
+		handle_interference(s, call->args);
+		break;
 	default:
 		rpc_close(conn, ST_INVALID, "unknown procedure");
 	}
--- a/src/connection/sessions.h
+++ b/src/connection/sessions.h
@@ -29,6 +29,9 @@
 	    uint64_t session, const struct run_cancel_args *args, void *ctx);
 	/* A job was cancelled at the entry, which does not have it. */
 	void (*cancel_job)(uint64_t session, const char *job, void *ctx);
+	/* NULL: not of interest. */
+	void (*interference)(uint64_t session,
+	    const struct run_interference_args *args, void *ctx);
 	void (*on_heartbeat)(
 	    uint64_t session, const struct run_heartbeat_args *args, void *ctx);
 	void *ctx;
--- a/src/connection/worklink.c
+++ b/src/connection/worklink.c
@@ -152,6 +152,13 @@
 	*statement = (run_statement){0};
 }
 
+static void
+receive_interference(struct wlk *link, const struct run_interference_args *args)
+{
+	if (link->opts.interference != NULL)
+		link->opts.interference(link, args, link->opts.ctx);
+}
+
 static void
 on_call(struct rpc_conn *conn, const struct rpc_call *call, void *ctx)
 {
@@ -160,6 +167,7 @@
 	run_update_args update = {0};
 	run_crash_args crash = {0};
 	run_cancel_job_args cancel = {0};
+	run_interference_args pairs = {0};
 
 	link->backoff_ms = 0;
 	if (call->proc == RUN_WORKER &&
@@ -177,12 +185,16 @@
 	else if (call->proc == RUN_CANCEL_JOB &&
 		 xdr_run_cancel_job_args(call->args, &cancel))
 		link->opts.cancelled(cancel.job, link->opts.ctx);
+	else if (call->proc == RUN_INTERFERENCE &&
+		 xdr_run_interference_args(call->args, &pairs))
+		receive_interference(link, &pairs);
 	else
 		rpc_close(conn, ST_INVALID, "malformed call of an agent");
 	xdr_free((xdrproc_t)xdr_run_worker_args, &worker);
 	xdr_free((xdrproc_t)xdr_run_update_args, &update);
 	xdr_free((xdrproc_t)xdr_run_crash_args, &crash);
 	xdr_free((xdrproc_t)xdr_run_cancel_job_args, &cancel);
+	xdr_free((xdrproc_t)xdr_run_interference_args, &pairs);
 }
 
 void
@@ -410,6 +422,15 @@
 		    (xdrproc_t)xdr_run_cancel_job_args, &args);
 }
 
+void
+wlk_send_interference(
+    struct wlk *link, const struct run_interference_args *args)
+{
+	if (link->conn != NULL)
+		rpc_send(link->conn, RUN_INTERFERENCE,
+		    (xdrproc_t)xdr_run_interference_args, (void *)args);
+}
+
 static void
 send_cancels(struct wlk *link)
 {
--- a/src/connection/worklink.h
+++ b/src/connection/worklink.h
@@ -32,6 +32,9 @@
 	    struct wlk *link, const struct run_crash_args *args, void *ctx);
 	/* A job was cancelled at another entry. */
 	void (*cancelled)(const char *job, void *ctx);
+	/* NULL: not of interest. */
+	void (*interference)(struct wlk *link,
+	    const struct run_interference_args *args, void *ctx);
 	void (*closed)(struct wlk *link, const struct status *why, void *ctx);
 	void *ctx;
 };
@@ -52,6 +55,8 @@
 void wlk_cancel(struct wlk *link, uint64_t seq);
 /* Tells the agent's other entries that a job was cancelled here. */
 void wlk_cancel_job(struct wlk *link, const char *job);
+void wlk_send_interference(
+    struct wlk *link, const struct run_interference_args *args);
 /* Sends the queued starts and cancels. */
 void wlk_flush(struct wlk *link);
 /* Sends a heartbeat at once, because its content has changed. */
--- a/src/process/agentpool.c
+++ b/src/process/agentpool.c
@@ -6,6 +6,7 @@
 #include "process/clock.h"
 #include "process/enlist.h"
 #include "process/events.h"
+#include "process/interpool.h"
 #include "request/subset.h"
 #include "version/mirror.h"
 
@@ -46,16 +47,17 @@
 	bool was_connected;
 	uint32_t sessions;
 	int64_t surplus_since_ms; /* 0: chosen */
+	struct pwr_pace pace;	  /* of what the agent is sent */
 };
 
 struct agp {
 	struct agp_options opts;
 	struct mir *mirror;
 	struct sub *sub;
-	GHashTable *agents;    /* address to struct agp_agent */
-	GHashTable *revisions; /* address to the revision that was parsed */
-	int64_t choose_at_ms;
-	int64_t adapt_at_ms;
+	struct itp *interference; /* NULL: not used */
+	GHashTable *agents;	  /* address to struct agp_agent */
+	GHashTable *revisions;	  /* address to the revision that was parsed */
+	int64_t choose_at_ms, adapt_at_ms;
 	int64_t *n_registered, *n_linked;
 	int64_t *malformed; /* counts registrations, also under such keys */
 };
@@ -112,6 +114,7 @@
 
 	agent->sessions = args->sessions;
 	agent->worker->speed.reported_permille = args->slowness_permille;
+	itp_update(pool->interference, agent->worker, args);
 	wks_set_room(agent->worker, &room, args->accepting, clk_now_ms());
 	pool->opts.update(args, pool->opts.ctx);
 }
@@ -151,6 +154,15 @@
 	pool->opts.cancelled(job, pool->opts.ctx);
 }
 
+static void
+on_interference(
+    struct wlk *link, const struct run_interference_args *args, void *ctx)
+{
+	struct agp *pool = ctx;
+
+	itp_receive(pool->interference, wlk_address(link), args);
+}
+
 static void
 on_link_closed(struct wlk *link, const struct status *why, void *ctx)
 {
@@ -205,6 +217,7 @@
 	    .update = on_update,
 	    .crash = on_crash,
 	    .cancelled = on_cancelled,
+	    .interference = on_interference,
 	    .closed = on_link_closed,
 	    .ctx = pool,
 	};
@@ -449,6 +462,7 @@
 	    opts->counters, "sp_agents_registered", "Agents in the store.");
 	pool->n_linked = ctr_gauge(opts->counters, "sp_agents_chosen",
 	    "Agents that this entry has a link to.");
+	pool->interference = itp_new(opts->interference, opts->counters);
 	pool->sub = sub_new(&sub);
 	pool->agents =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, agent_free);
@@ -467,6 +481,7 @@
 	g_hash_table_unref(pool->revisions);
 	mir_free(pool->mirror);
 	sub_free(pool->sub);
+	itp_free(pool->interference);
 	g_free(pool);
 }
 
@@ -497,15 +512,20 @@
 {
 	int64_t now_ms = clk_now_ms();
 	GHashTableIter iter;
-	gpointer agent;
+	gpointer value;
 
 	if (now_ms >= pool->adapt_at_ms)
 		adapt(pool);
 	if (now_ms >= pool->choose_at_ms)
 		choose_agents(pool);
+	itp_tick(pool->interference);
 	g_hash_table_iter_init(&iter, pool->agents);
-	while (g_hash_table_iter_next(&iter, NULL, &agent))
-		wlk_tick(((struct agp_agent *)agent)->link);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct agp_agent *agent = value;
+
+		wlk_tick(agent->link);
+		itp_send(pool->interference, agent->link, &agent->pace);
+	}
 }
 
 void
--- a/src/process/agentpool.h
+++ b/src/process/agentpool.h
@@ -24,7 +24,8 @@
 	struct sch *sch;	       /* borrowed */
 	/* Agents of a service that are chosen at least. */
 	uint32_t n_chosen;
-	int64_t watch_ms; /* longest wait of a watch at the store */
+	bool interference; /* whether to use what agents measure of it */
+	int64_t watch_ms;  /* longest wait of a watch at the store */
 	/* Whether a failure domain is out of service. */
 	bool (*is_out)(const char *failure_domain, void *ctx);
 	void (*fill_heartbeat)(struct run_heartbeat_args *args, void *ctx);
--- a/src/process/jobagent.c
+++ b/src/process/jobagent.c
@@ -10,6 +10,7 @@
 #include "process/enlist.h"
 #include "process/events.h"
 #include "process/histogram.h"
+#include "process/interwatch.h"
 #include "process/jobagent.h"
 #include "process/outdomains.h"
 #include "request/cancelled.h"
@@ -43,6 +44,7 @@
 	struct ses *ses;
 	struct enl *enlist;
 	struct crw *crashwatch;
+	struct itw *interference; /* NULL: not measured */
 	struct ccl *cancelled;	  /* jobs, at entries that did not have them */
 	GHashTable *outboxes;	  /* session to struct outbox */
 	struct slw slowness;	  /* of the worker */
@@ -166,6 +168,7 @@
 	    .clock_ms = clk_now_ms(),
 	    .stated_ms = hold_stated_ms(ja->hold),
 	};
+	itw_fill_update(ja->interference, &args);
 	ses_send(ja->ses, session, RUN_UPDATE, (xdrproc_t)xdr_run_update_args,
 	    &args);
 	g_array_set_size(box->results, 0);
@@ -373,6 +376,15 @@
 		send_update(ja, session);
 }
 
+static void
+on_interference(
+    uint64_t session, const struct run_interference_args *args, void *ctx)
+{
+	struct ja *ja = ctx;
+
+	itw_receive(ja->interference, session, args);
+}
+
 static void
 on_heartbeat(uint64_t session, const struct run_heartbeat_args *args, void *ctx)
 {
@@ -467,6 +479,7 @@
 		return;
 	++*ja->starts;
 	evt_write("run", evt_text("task", task), evt_int("run", run));
+	itw_started(ja->interference, task, led_queue_of(ja->led, run));
 	hold_start(ja->hold, task, spec, run, on_started, run_context(ja, run));
 }
 
@@ -548,6 +561,7 @@
 
 	count_result(ja, result);
 	measure_worker(ja, result);
+	itw_ended(ja->interference, result);
 	if (box != NULL) {
 		message.reason = g_strdup(result->reason);
 		g_array_append_val(box->results, message);
@@ -706,6 +720,7 @@
 	odm_tick(ja->out_domains);
 	announce_accepting(ja);
 	crw_tick(ja->crashwatch);
+	itw_tick(ja->interference);
 	update_gauges(ja);
 	finish_drain(ja);
 	return G_SOURCE_CONTINUE;
@@ -828,6 +843,7 @@
 	    .start = on_start,
 	    .cancel = on_cancel,
 	    .cancel_job = on_cancel_job,
+	    .interference = on_interference,
 	    .on_heartbeat = on_heartbeat,
 	    .ctx = ja,
 	};
@@ -846,6 +862,7 @@
 	ja->updates = upd_new();
 	ja->cancelled = ccl_new();
 	make_counters(ja);
+	ja->interference = itw_new(opts->interference, opts->counters);
 	make_run_state(ja);
 	ja->ses = ses_new(&ses, st);
 	if (ja->ses == NULL) {
@@ -853,6 +870,7 @@
 		return NULL;
 	}
 	crw_set_sessions(ja->crashwatch, ja->ses);
+	itw_set_sessions(ja->interference, ja->ses);
 	ja->tick_id = g_timeout_add(JA_TICK_MS, on_tick, ja);
 	register_agent(ja);
 	return ja;
@@ -877,6 +895,7 @@
 	hold_free(ja->hold);
 	led_free(ja->led);
 	crw_free(ja->crashwatch);
+	itw_free(ja->interference);
 	ccl_free(ja->cancelled);
 	g_hash_table_unref(ja->outboxes);
 	upd_free(ja->updates);
--- a/src/process/jobagent.h
+++ b/src/process/jobagent.h
@@ -25,7 +25,8 @@
 	const struct wp *wp;		 /* borrowed */
 	int64_t lease_ms; /* longest lease that the worker grants */
 	int64_t drain_ms; /* longest wait for running tasks at shutdown */
-	int64_t worker_heartbeat_ms;   /* interval of the worker's heartbeats */
+	int64_t worker_heartbeat_ms; /* interval of the worker's heartbeats */
+	bool interference;	     /* whether to measure it between queues */
 	struct ctr_registry *counters; /* borrowed */
 	/* Runs once, when the shutdown begun by ja_drain() is complete. */
 	void (*drained)(void *ctx);
--- a/src/process/jobentry.c
+++ b/src/process/jobentry.c
@@ -454,6 +454,7 @@
 	    .counters = je->opts.counters,
 	    .sch = je->sch,
 	    .n_chosen = je->opts.agent_connections,
+	    .interference = je->opts.interference,
 	    .watch_ms = ECF_STORE_WATCH_MS,
 	    .is_out = is_domain_out,
 	    .fill_heartbeat = fill_heartbeat,
--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -88,6 +88,7 @@
     {"store", ADDRESS, REQ, J(store), NULL, 0, 0, 0}, \
     {"lease_ms", INT64, OPT, J(lease_ms), NULL, 1000, 100, 60000}, \
     {"drain_ms", INT64, OPT, J(drain_ms), NULL, 4500, 0, HOUR_MS}, \
+    {"interference", UINT32, OPT, J(interference), NULL, 0, 0, 1}, \
     {"log_lines_per_s", UINT32, OPT, J(log_lines_per_s), NULL, 20, 0, 100000}
 
 static const struct field job_entry_fields[] = {
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -87,6 +87,7 @@
 	 */
 	int64_t cross_rack_percent;
 	uint32_t agent_connections;
+	uint32_t interference;	  /* between queues on a worker; 0: ignored */
 	uint32_t log_lines_per_s; /* of each event type */
 };
 
--- a/src/request/choice.c
+++ b/src/request/choice.c
@@ -52,8 +52,8 @@
 }
 
 /*
- * Expected run time of the task on the worker, raised by its failure rate and
- * by an earlier failure of the task there.
+ * Expected run time of the task on the worker beside what runs there, raised by
+ * its failure rate and by an earlier failure of the task there.
  */
 static double
 cost_of(const struct chc *chc, const struct wks_worker *w,
@@ -64,6 +64,7 @@
 	    spd_run_ms(task->job->speed, &w->speed, w->kind, step->estimate_ms);
 
 	cost *= rack_factor(chc, w, step);
+	cost *= sld_factor(&w->slowed, task->job->queue);
 	cost *= 1 + FAILURE_COST_RUNS * hlt_failure_rate(&w->health, now_ms);
 	if (jt_has_failed_on(task, w))
 		cost *= 1 + FAILURE_COST_RUNS;
--- a/src/request/ledger.c
+++ b/src/request/ledger.c
@@ -792,6 +792,14 @@
 		count_state(value, states);
 }
 
+const char *
+led_queue_of(const struct led *led, int64_t number)
+{
+	const struct run *run = find_run(led, number);
+
+	return run == NULL ? NULL : run->queue;
+}
+
 void
 led_each_active(const struct led *led,
     void (*fn)(const struct led_active_run *run, void *ctx), void *ctx)
--- a/src/request/ledger.h
+++ b/src/request/ledger.h
@@ -145,6 +145,8 @@
 /* Number of runs that hold capacity. */
 uint32_t led_active(const struct led *led);
 void led_count_states(const struct led *led, struct led_states *states);
+/* The queue of an active run, NULL if there is none with the number. */
+const char *led_queue_of(const struct led *led, int64_t number);
 /* Calls fn for each active run, in no order. */
 void led_each_active(const struct led *led,
     void (*fn)(const struct led_active_run *run, void *ctx), void *ctx);
--- a/src/request/workerset.c
+++ b/src/request/workerset.c
@@ -22,6 +22,7 @@
 	g_free(w->service);
 	g_free(w->failure_domain);
 	g_strfreev(w->labels);
+	sld_clear(&w->slowed);
 	g_free(w);
 }
 
--- a/src/request/workerset.h
+++ b/src/request/workerset.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "request/health.h"
+#include "request/slowed.h"
 #include "request/speed.h"
 #include "request/work.h"
 
@@ -54,7 +55,8 @@
 	int64_t last_usable_ms; /* last report of taking starts, 0: never */
 	struct spd_worker speed;
 	struct spd_worker *kind;
-	uint32_t open; /* tasks sent that have no outcome */
+	struct sld slowed; /* queues slowed there, as last reported */
+	uint32_t open;	   /* tasks sent that have no outcome */
 	struct hlt health;
 };
 
