--- a/src/request/interference.c
+++ b/src/request/interference.c
@@ -19,28 +19,50 @@
 /* A queue whose concurrency has varied less is left out. */
 #define MIN_SQUARES 0.5
 /* Least runs behind an estimate. */
-#define MIN_RUNS 20.0
+#define MIN_RUNS 40.0
 /* An estimate with a larger standard deviation says nothing. */
 #define MAX_DEVIATION 0.4
 
+/*
+ * Half-life of the worker's level, and the number of runs with which it counts
+ * half.
+ */
+#define LEVEL_MS	 1000.0
+#define LEVEL_PRIOR_RUNS 1.0
+/* The regression has a column for each queue and one for the worker's level. */
+#define N_COLUMNS (ITF_QUEUES + 1)
+#define LEVEL	  ITF_QUEUES
+
+/*
+ * How slow the latest runs of a queue were beyond what is known of its pairs.
+ * The mean over the other queues is a column of a queue's regression: a worker
+ * that turns slow also has more concurrent runs then, which would be blamed.
+ */
+struct level {
+	double sum;
+	double runs;
+	int64_t at_ms;
+};
+
 /* Weighted sums over the runs of one queue; all but runs are of differences. */
 struct sums {
 	double runs;
-	double x_x[ITF_QUEUES][ITF_QUEUES]; /* lower triangle */
-	double x_y[ITF_QUEUES];
+	double x_x[N_COLUMNS][N_COLUMNS]; /* lower triangle */
+	double x_y[N_COLUMNS];
 	double y_y;
 	double samples; /* since the last reset, for the recent means */
-	double recent_x[ITF_QUEUES];
+	double recent_x[N_COLUMNS];
 	double recent_y;
 	int64_t at_ms; /* the sums are decayed until then */
 	int64_t last_run_ms;
 	bool stale; /* the estimates are older than the sums */
-	double mean[ITF_QUEUES];
-	double variance[ITF_QUEUES]; /* 0: none */
+	double mean[N_COLUMNS];
+	double variance[N_COLUMNS]; /* 0: none */
 };
 
 struct itf {
 	struct sums queues[ITF_QUEUES];
+	struct level levels[ITF_QUEUES];
 };
 
 struct itf *
@@ -56,13 +78,15 @@
 }
 
 /*
- * Logarithmic, since the effect of several runs is not known: it may be that of
- * one, or grow with their number.
+ * The effect of several runs may be that of one, or grow with their number.  This
+ * is between the two.
  */
 double
-itf_exposure(double n)
+itf_exposure(uint32_t n)
 {
-	return log2(1 + fmax(n, 0));
+	static const double exposures[] = {0, 1, 1.3, 1.5};
+
+	return exposures[MIN(n, 3)];
 }
 
 double
@@ -78,7 +102,7 @@
 
 	s->runs *= factor;
 	s->y_y *= factor;
-	for (i = 0; i < ITF_QUEUES; i++) {
+	for (i = 0; i < N_COLUMNS; i++) {
 		s->x_y[i] *= factor;
 		for (j = 0; j <= i; j++)
 			s->x_x[i][j] *= factor;
@@ -95,22 +119,57 @@
 	s->at_ms = now_ms;
 }
 
+static void
+decay_level(struct level *level, int64_t now_ms)
+{
+	double factor = exp2(-(double)(now_ms - level->at_ms) / LEVEL_MS);
+
+	level->sum *= factor;
+	level->runs *= factor;
+	level->at_ms = now_ms;
+}
+
+static double
+level_of_others(struct itf *itf, uint32_t queue, int64_t now_ms)
+{
+	double sum = 0, runs = LEVEL_PRIOR_RUNS;
+	uint32_t q;
+
+	for (q = 0; q < ITF_QUEUES; q++) {
+		if (q == queue || itf->levels[q].runs <= 0)
+			continue;
+		decay_level(&itf->levels[q], now_ms);
+		sum += itf->levels[q].sum;
+		runs += itf->levels[q].runs;
+	}
+	return sum / runs;
+}
+
 static double
 clamp_abs(double value, double limit)
 {
 	return fmax(fmin(value, limit), -limit);
 }
 
-/* Difference from the recent mean, as far as it is no outlier. */
+/* What the first n columns explain of the difference from the recent mean. */
 static double
-limited_y(const struct sums *s, const double *x, double y)
+explained_y(const struct sums *s, const double *x, uint32_t n)
 {
-	double expected = 0;
+	double y = 0;
 	uint32_t i;
 
-	for (i = 0; i < ITF_QUEUES; i++)
-		expected += s->mean[i] * x[i];
-	return expected + clamp_abs(y - s->recent_y - expected, MAX_RESIDUAL);
+	for (i = 0; i < n; i++)
+		y += s->mean[i] * x[i];
+	return y;
+}
+
+/* A difference from the recent mean, as far as it is no outlier. */
+static double
+limited_y(const struct sums *s, const double *x, double y)
+{
+	double expected = explained_y(s, x, N_COLUMNS);
+
+	return expected + clamp_abs(y - expected, MAX_RESIDUAL);
 }
 
 static void
@@ -121,35 +180,56 @@
 	decay(s, exp2(-weight / ITF_HALF_LIFE_RUNS));
 	s->runs += weight;
 	s->y_y += weight * y * y;
-	for (i = 0; i < ITF_QUEUES; i++) {
+	for (i = 0; i < N_COLUMNS; i++) {
 		s->x_y[i] += weight * x[i] * y;
 		for (j = 0; j <= i; j++)
 			s->x_x[i][j] += weight * x[i] * x[j];
 	}
 }
 
+static void
+add_to_level(struct level *level, double y, double weight, int64_t now_ms)
+{
+	decay_level(level, now_ms);
+	level->sum += weight * y;
+	level->runs += weight;
+}
+
+static void
+update_recent(struct sums *s, const double *x, double y, double weight)
+{
+	double share;
+	uint32_t i;
+
+	s->samples += weight;
+	share = weight / fmin(s->samples, RECENT_RUNS);
+	for (i = 0; i < N_COLUMNS; i++)
+		s->recent_x[i] += share * x[i];
+	s->recent_y += share * y;
+}
+
 void
 itf_add(struct itf *itf, const struct itf_run *run, int64_t now_ms)
 {
 	struct sums *s = &itf->queues[run->queue];
-	double x[ITF_QUEUES], y, share;
+	double x[N_COLUMNS], y;
 	uint32_t i;
 
 	if (run->run_ms <= 0 || run->nominal_ms <= 0 || run->weight <= 0)
 		return;
 	decay_until(s, now_ms);
-	y = log((double)run->run_ms / (double)run->nominal_ms);
 	for (i = 0; i < ITF_QUEUES; i++)
-		x[i] = itf_exposure(run->others[i]) - s->recent_x[i];
+		x[i] = run->exposure[i] - s->recent_x[i];
+	x[LEVEL] =
+	    level_of_others(itf, run->queue, now_ms) - s->recent_x[LEVEL];
+	y = log((double)run->run_ms / (double)run->nominal_ms) - s->recent_y;
 	if (s->samples > 0) {
 		y = limited_y(s, x, y);
 		add_differences(s, x, y, run->weight);
+		add_to_level(&itf->levels[run->queue],
+		    y - explained_y(s, x, ITF_QUEUES), run->weight, now_ms);
 	}
-	s->samples += run->weight;
-	share = run->weight / fmin(s->samples, RECENT_RUNS);
-	for (i = 0; i < ITF_QUEUES; i++)
-		s->recent_x[i] += share * x[i];
-	s->recent_y += share * y;
+	update_recent(s, x, y, run->weight);
 	s->last_run_ms = now_ms;
 	s->stale = true;
 }
@@ -161,10 +241,11 @@
 	uint32_t i, q;
 
 	itf->queues[queue] = (struct sums){0};
+	itf->levels[queue] = (struct level){0};
 	for (q = 0; q < ITF_QUEUES; q++) {
 		struct sums *s = &itf->queues[q];
 
-		for (i = 0; i < ITF_QUEUES; i++)
+		for (i = 0; i < N_COLUMNS; i++)
 			s->x_x[MAX(i, queue)][MIN(i, queue)] = 0;
 		s->x_y[queue] = s->recent_x[queue] = 0;
 		s->mean[queue] = s->variance[queue] = 0;
@@ -174,9 +255,9 @@
 /* The sums of the queues whose concurrency has varied. */
 struct system {
 	uint32_t n;
-	uint32_t queue[ITF_QUEUES];
-	double root[ITF_QUEUES][ITF_QUEUES]; /* lower triangle */
-	double inverse_root[ITF_QUEUES][ITF_QUEUES];
+	uint32_t queue[N_COLUMNS];
+	double root[N_COLUMNS][N_COLUMNS]; /* lower triangle */
+	double inverse_root[N_COLUMNS][N_COLUMNS];
 };
 
 static void
@@ -185,7 +266,7 @@
 	uint32_t i;
 
 	system->n = 0;
-	for (i = 0; i < ITF_QUEUES; i++) {
+	for (i = 0; i < N_COLUMNS; i++) {
 		if (s->x_x[i][i] >= MIN_SQUARES)
 			system->queue[system->n++] = i;
 	}
--- a/src/request/interference.h
+++ b/src/request/interference.h
@@ -35,15 +35,19 @@
 	const char *queue;
 	const char *other;
 	uint32_t weight; /* runs behind it */
-	/* log of the factor for each doubling of 1 + the other's runs */
-	double mean;
+	double mean;	 /* natural log of the factor, for an exposure of 1 */
 	double variance;
 	int64_t age_ms;
 };
 
 struct itf_run {
 	uint32_t queue;
-	double others[ITF_QUEUES]; /* mean number of concurrent runs */
+	/*
+	 * Mean of itf_exposure() over the run, for each queue; 0 for its own.
+	 * The function of the mean would grow with the run time, since the mean
+	 * over a longer time varies less.
+	 */
+	double exposure[ITF_QUEUES];
 	int64_t run_ms;
 	int64_t nominal_ms;
 	/* 1, or less for a run that shares the error of its estimate. */
@@ -68,8 +72,8 @@
 bool itf_estimate(const struct itf *itf, uint32_t queue, uint32_t other,
     int64_t now_ms, struct itf_row *row);
 
-/* The part of the log of a run's factor that comes with n concurrent runs. */
-double itf_exposure(double n);
+/* What n concurrent runs of another queue count: 0 for none, 1 for one. */
+double itf_exposure(uint32_t n);
 /* Distance of the mean from ITF_MIN_FACTOR in standard deviations. */
 double itf_sigma(double mean, double variance);
 
--- a/src/request/overlap.c
+++ b/src/request/overlap.c
@@ -18,8 +18,8 @@
 struct queue {
 	char *name; /* NULL: the number is free */
 	uint32_t active;
-	double run_ms; /* sum of the run times of all its runs so far */
-	int64_t at_ms; /* time of that sum */
+	double exposure_ms; /* integral of itf_exposure(active) over time */
+	int64_t at_ms;	    /* until then */
 	struct recent_job jobs[RECENT_JOBS];
 	uint32_t next_job;
 };
@@ -28,7 +28,7 @@
 	uint32_t queue;
 	int64_t started_ms;
 	bool repeated;
-	double run_ms[ITF_QUEUES]; /* of each queue at the start */
+	double exposure_ms[ITF_QUEUES]; /* of each queue at the start */
 };
 
 struct ovl {
@@ -71,7 +71,8 @@
 
 		if (q->active == 0)
 			continue;
-		q->run_ms += (double)q->active * (double)(now_ms - q->at_ms);
+		q->exposure_ms +=
+		    itf_exposure(q->active) * (double)(now_ms - q->at_ms);
 		q->at_ms = now_ms;
 	}
 }
@@ -117,7 +118,8 @@
 	if (q->name != NULL)
 		ovl->opts.renumbered((uint32_t)best, ovl->opts.ctx);
 	g_free(q->name);
-	*q = (struct queue){.name = g_strdup(name), .run_ms = q->run_ms};
+	*q = (struct queue){
+	    .name = g_strdup(name), .exposure_ms = q->exposure_ms};
 	return best;
 }
 
@@ -141,7 +143,7 @@
 	run->queue = (uint32_t)i;
 	run->started_ms = now_ms;
 	for (k = 0; k < ITF_QUEUES; k++)
-		run->run_ms[k] = ovl->queues[k].run_ms;
+		run->exposure_ms[k] = ovl->queues[k].exposure_ms;
 	ovl->queues[i].active++;
 	ovl->queues[i].at_ms = now_ms;
 	g_hash_table_insert(ovl->runs, g_strdup(task), run);
@@ -198,12 +200,12 @@
 	known = !run->repeated && ms > 0;
 	*out = (struct itf_run){.queue = run->queue};
 	for (k = 0; known && k < ITF_QUEUES; k++)
-		out->others[k] = (ovl->queues[k].run_ms - run->run_ms[k]) / ms;
-	if (known) {
-		/* Without the run itself. */
-		out->others[run->queue] -= 1;
+		out->exposure[k] =
+		    (ovl->queues[k].exposure_ms - run->exposure_ms[k]) / ms;
+	/* A longer run meets fewer of the runs that its job began with. */
+	out->exposure[run->queue] = 0;
+	if (known)
 		out->weight = weight_of(&ovl->queues[run->queue], task);
-	}
 	ovl->queues[run->queue].active--;
 	g_hash_table_remove(ovl->runs, task);
 	return known;
