--- a/src/request/pairvotes.c
+++ b/src/request/pairvotes.c
@@ -9,7 +9,7 @@
  * Variance of a pair's effect between workers.  It also bounds the weight that
  * an agent gets by stating a small variance.
  */
-#define BETWEEN_WORKERS 0.0625
+#define BETWEEN_WORKERS 0.0225
 /* A vote counts as this far from the median at most. */
 #define MAX_FROM_MEDIAN 0.3
 /*
