Keep a run when another start of its task was never sent

Cause: a start waits in the agent's queue while an earlier one of the same task is active. When it was returned from the queue, its result ended the earlier run for the measurement, whose queue then counted one active run too few.

Change: a result without a run number, which is of a start that was never sent, is ignored.

--- a/src/process/interwatch.c
+++ b/src/process/interwatch.c
@@ -104,14 +104,19 @@
 		ovl_start(itw->overlap, task, queue, clk_now_ms());
 }
 
-/* As for the slowness of the worker, a stopped run has a projected run time. */
+/*
+ * As for the slowness of the worker, a stopped run has a projected run time.  A
+ * start without a run number was never sent, but an earlier start of the same
+ * task may still be active.
+ */
 void
 itw_ended(struct itw *itw, const struct led_result *result)
 {
 	int64_t now_ms = clk_now_ms();
 	struct itf_run run;
 
-	if (itw == NULL || !ovl_end(itw->overlap, result->task, now_ms, &run))
+	if (itw == NULL || result->run == 0 ||
+	    !ovl_end(itw->overlap, result->task, now_ms, &run))
 		return;
 	if (result->outcome != LED_DONE && result->outcome != LED_STALLED)
 		return;
--- a/tests/test_interwatch.c
+++ b/tests/test_interwatch.c
@@ -162,10 +162,13 @@
 	for (i = 0; i < N_RUNS; i++) {
 		g_autofree char *task = g_strdup_printf("j%d.0.0.0", i);
 		struct led_result run = {.outcome = LED_DONE,
+		    .run = (int64_t)2 * i + 1,
 		    .run_ms = i % 2 == 0 ? 100 : 200,
 		    .nominal_ms = 100,
 		    .task = task};
-		struct led_result other = {.task = "o.0.0.0"};
+		struct led_result other = {.outcome = LED_LOST,
+		    .run = (int64_t)2 * i + 2,
+		    .task = "o.0.0.0"};
 
 		if (i % 2 != 0)
 			itw_started(pair->agent, other.task, "other");
@@ -186,13 +189,16 @@
 }
 
 /*
- * Guards against messages without rows, and against rows that are lost between
- * the agent that measures and the entry that places.
+ * Guards against messages without rows, against rows that are lost between the
+ * agent that measures and the entry that places, and against a run that counts
+ * as ended because another start of its task was never sent.
  */
 START_TEST(rows_reach_the_entry_and_return)
 {
 	struct pair pair = {0};
 	run_update_args update = {0};
+	struct led_result unsent = {
+	    .outcome = LED_NOT_STARTED, .task = "o.0.0.0"};
 
 	open_pair(&pair);
 	hn_sleep(100);
@@ -206,6 +212,10 @@
 	ck_assert(hn_wait_until(
 	    (tick(&pair), sld_factor(&pair.worker->slowed, "queue") > 1.5),
 	    HN_LIMIT_MS));
+	/* A second start of a task that runs was returned from the queue. */
+	itw_ended(pair.agent, &unsent);
+	itw_fill_update(pair.agent, &update);
+	ck_assert_uint_eq(update.slowed.slowed_len, 1);
 	/* With the setting off. */
 	update = (run_update_args){0};
 	itw_fill_update(itw_new(false, NULL), &update);
