Repeat lists of several messages before agents drop their rows

Cause: a message of an unchanged number of rows was repeated every 5 s. Of more than 192 merged rows, four messages, each row so came every 20 s, but agents drop a row after 15 s: pairs were forgotten and found again.

Change: a full message is followed by the next one after 2 s.

Measured: the new checks of test_pairwire fail before the change; test_pairwire and test_interwatch pass with it (one run each).

--- a/src/connection/pairwire.c
+++ b/src/connection/pairwire.c
@@ -12,6 +12,11 @@
  * slowly, and an agent has up to some 24 connections.
  */
 #define REPEAT_MS 5000
+/*
+ * The same when there may be more rows than a message holds: 256 rows take four
+ * messages, and agents drop a row that they have not got again after 15 s.
+ */
+#define REPEAT_FULL_MS 2000
 
 void
 pwr_to_wire(const struct itf_row *row, run_pair *to)
@@ -48,9 +53,11 @@
 bool
 pwr_is_due(const struct pwr_pace *pace, size_t n_rows, int64_t now_ms)
 {
+	int64_t repeat_ms = n_rows < RUN_PAIRS_MAX ? REPEAT_MS : REPEAT_FULL_MS;
+
 	if (n_rows == 0)
 		return false;
-	return n_rows != pace->n_rows || now_ms - pace->sent_ms >= REPEAT_MS;
+	return n_rows != pace->n_rows || now_ms - pace->sent_ms >= repeat_ms;
 }
 
 void
--- a/tests/test_pairwire.c
+++ b/tests/test_pairwire.c
@@ -36,7 +36,11 @@
 }
 END_TEST
 
-/* Guards against messages without rows, and against more than are needed. */
+/*
+ * Guards against messages without rows, against more than are needed, and
+ * against rows of a list of several messages that agents drop (after 15 s)
+ * before they are sent again.
+ */
 START_TEST(messages_are_paced)
 {
 	struct pwr_pace pace = {0};
@@ -47,6 +51,9 @@
 	ck_assert(!pwr_is_due(&pace, 1, 101000));
 	ck_assert(pwr_is_due(&pace, 2, 101000));
 	ck_assert(pwr_is_due(&pace, 1, 105000));
+	pwr_record_sent(&pace, RUN_PAIRS_MAX, 105000);
+	ck_assert(!pwr_is_due(&pace, RUN_PAIRS_MAX, 106000));
+	ck_assert(pwr_is_due(&pace, RUN_PAIRS_MAX, 107000));
 }
 END_TEST
 
