Send merged estimates at once on every new connection

Cause: whether a link was closed was looked at once a second, but a closed link is retried after 25 ms. An agent that restarted within a second got the merged rows up to 5 s later, while docs/design/interference.md states one second.

Change: the pace of a link begins anew when the link closes.

No test fails before the change: the agent pool is only run as part of whole processes.

--- a/src/process/agentpool.c
+++ b/src/process/agentpool.c
@@ -174,6 +174,7 @@
 	evt_write("agent", evt_text("agent", wlk_address(link)),
 	    evt_text("state", "lost"), evt_text("reason", why->message));
 	agent->connected = false;
+	agent->pace = (struct pwr_pace){0};
 	sch_disconnect(pool->opts.sch, agent->worker, clk_now_ms());
 }
 
--- a/src/process/interpool.c
+++ b/src/process/interpool.c
@@ -92,12 +92,8 @@
 	size_t next = pace->next, i, n;
 	int64_t now_ms = clk_now_ms();
 
-	if (itp == NULL || !itp->sending)
+	if (itp == NULL || !itp->sending || !wlk_is_open(link))
 		return;
-	if (!wlk_is_open(link)) {
-		*pace = (struct pwr_pace){0};
-		return;
-	}
 	n = pvt_rows(itp->votes, &next, rows, RUN_PAIRS_MAX, now_ms);
 	if (!pwr_is_due(pace, n, now_ms))
 		return;
--- a/src/process/interpool.h
+++ b/src/process/interpool.h
@@ -26,7 +26,10 @@
 /* Estimates of the agent with this address. */
 void itp_receive(struct itp *itp, const char *agent,
     const struct run_interference_args *args);
-/* To be called several times a second, and then itp_send() for each link. */
+/*
+ * To be called several times a second, and then itp_send() for each link, with
+ * a pace that is zero for each new connection.
+ */
 void itp_tick(struct itp *itp);
 void itp_send(struct itp *itp, struct wlk *link, struct pwr_pace *pace);
 
