Use plain terms in comments and tests of interference

Cause: some comments and test names used figurative words, which a newcomer has to guess at.

Measured: test_interference, test_pairs, test_pairvotes and test_pairwire pass.

--- a/src/connection/pairwire.c
+++ b/src/connection/pairwire.c
@@ -4,7 +4,7 @@
 #include "connection/pairwire.h"
 
 #define MICRO 1e6
-/* A larger variance says nothing. */
+/* An estimate with a larger variance carries no information. */
 #define MAX_VARIANCE 4.0
 #define MAX_AGE_MS   3600000
 /*
--- a/src/request/interference.c
+++ b/src/request/interference.c
@@ -20,7 +20,7 @@
 #define MIN_SQUARES 0.5
 /* Least runs behind an estimate. */
 #define MIN_RUNS 40.0
-/* An estimate with a larger standard deviation says nothing. */
+/* An estimate with a larger standard deviation is not reported. */
 #define MAX_DEVIATION 0.4
 
 /*
@@ -36,7 +36,7 @@
 /*
  * How slow the latest runs of a queue were beyond what is known of its pairs.
  * The mean over the other queues is a column of a queue's regression: a worker
- * that turns slow also has more concurrent runs then, which would be blamed.
+ * that turns slow also has more concurrent runs then, which would be implicated.
  */
 struct level {
 	double sum;
--- a/src/request/interference.h
+++ b/src/request/interference.h
@@ -8,7 +8,7 @@
  * How far the runs of each queue are slowed on one worker by concurrent runs of
  * each other queue.  Queues are numbered from 0.  For each queue a regression
  * of log(run time / nominal time) on the concurrency of all queues together, so
- * that a queue that often runs beside the cause is not blamed for it.  Both
+ * that a queue that often runs beside the cause is not implicated.  Both
  * sides are differences from the recent mean on this worker, so that a worker
  * that is slow, or becomes slow, is not attributed to a pair.  Run times have a
  * long tail, so residuals are limited.  Plain data; reads no clock.
--- a/src/request/pairvotes.h
+++ b/src/request/pairvotes.h
@@ -24,7 +24,7 @@
 /* Adds or replaces the vote of an agent. */
 void pvt_add(struct pvt *pvt, const char *voter, const struct itf_row *row,
     int64_t now_ms);
-/* Drops votes that say nothing any more, and pairs without votes. */
+/* Drops votes that have become too uncertain, and pairs without votes. */
 void pvt_expire(struct pvt *pvt, int64_t now_ms);
 size_t pvt_count(const struct pvt *pvt);
 /*
--- a/tests/test_interference.c
+++ b/tests/test_interference.c
@@ -35,9 +35,9 @@
 	double mutual; /* factor of A by B, and of B by A */
 	double slow;   /* factor of the worker from slow_ms on */
 	int64_t slow_ms;
-	double estimates; /* spread of their errors, which a job shares */
-	int n_tasks;	  /* of a job */
-	double escorted;  /* share of the jobs of B that bring one of C */
+	double estimates;   /* spread of their errors, which a job shares */
+	int n_tasks;	    /* of a job */
+	double accompanied; /* share of the jobs of B that bring one of C */
 	uint32_t n_runs[N_QUEUES];
 	bool found[N_QUEUES][N_QUEUES]; /* at any time */
 	uint32_t n_jobs;
@@ -120,7 +120,7 @@
 		if (g_rand_double(w->rand) >= JOB_CHANCE)
 			continue;
 		start_job(w, i);
-		if (i == B && g_rand_double(w->rand) < w->escorted)
+		if (i == B && g_rand_double(w->rand) < w->accompanied)
 			start_job(w, C);
 	}
 	for (i = 0; i < MAX_RUNS; i++) {
@@ -194,9 +194,9 @@
 }
 
 /*
- * Guards against interference that goes unnoticed, against blame of a queue that
- * merely ran on the same worker, and against an effect that is held after it has
- * ended.
+ * Guards against interference that is not detected, against a queue being
+ * implicated that only ran on the same worker, and against a pair that is kept
+ * after the effect has ended.
  */
 START_TEST(finds_the_pair_and_forgets_it)
 {
@@ -217,10 +217,10 @@
 END_TEST
 
 /*
- * Guards against blaming queues for a worker that is slow, or turns slow, where
- * the tasks of a job share a wrong estimate.
+ * Guards against attributing to queues that the worker is slow, or turns slow,
+ * where the tasks of a job share a wrong estimate.
  */
-START_TEST(blames_nobody_for_a_slow_worker)
+START_TEST(finds_no_pair_on_a_slow_worker)
 {
 	struct world w;
 	int64_t since_ms;
@@ -240,14 +240,14 @@
 }
 END_TEST
 
-/* Guards against blame of a queue for being there when the cause is. */
-START_TEST(blames_nobody_for_company)
+/* Guards against implicating a queue that often runs beside the cause. */
+START_TEST(finds_no_pair_for_concurrent_bystander)
 {
 	struct world w;
 
 	world_open(&w, (guint32)_i);
 	w.mutual = 2;
-	w.escorted = 0.7;
+	w.accompanied = 0.7;
 	run_all(&w, 1000);
 	ck_assert_msg(w.found[A][B] && w.found[B][A], "seed %d", _i);
 	ck_assert_msg(!is_c_implicated(&w), "seed %d", _i);
@@ -281,9 +281,9 @@
 	TCase *tc = tcase_create("interference");
 
 	tcase_add_loop_test(tc, finds_the_pair_and_forgets_it, 1, N_SEEDS + 1);
+	tcase_add_loop_test(tc, finds_no_pair_on_a_slow_worker, 1, N_SEEDS + 1);
 	tcase_add_loop_test(
-	    tc, blames_nobody_for_a_slow_worker, 1, N_SEEDS + 1);
-	tcase_add_loop_test(tc, blames_nobody_for_company, 1, N_SEEDS + 1);
+	    tc, finds_no_pair_for_concurrent_bystander, 1, N_SEEDS + 1);
 	tcase_add_test(tc, forgets_with_time_and_number);
 	return run_tcase("interference", tc, 60);
 }
--- a/tests/test_pairs.c
+++ b/tests/test_pairs.c
@@ -78,7 +78,7 @@
 	prs_measure(agent, &row, f->now_ms);
 }
 
-/* A second of messages: the agents tell the entry, which tells the agents. */
+/* A second of messages: from the agents to the entry, then back to the agents. */
 static void
 exchange(struct fleet *f)
 {
@@ -149,7 +149,7 @@
 }
 END_TEST
 
-/* Guards against factors of queues that do not run, or that have parted. */
+/* Guards against factors of queues that do not run, or that no longer run together. */
 START_TEST(slowed_while_the_other_runs)
 {
 	struct prs_slowed slowed[2];
@@ -165,7 +165,7 @@
 	ck_assert_uint_eq(slowed[0].permille, 2000);
 	f.active = 0;
 	ck_assert_uint_eq(prs_slowed(f.agents[0], slowed, 2), 0);
-	/* A weaker effect is kept until it is hardly one. */
+	/* A weaker effect is kept until it is close to none. */
 	measure(&f, f.agents[0], "queue", 0.3, 0.1);
 	prs_refresh(f.agents[0], 0);
 	ck_assert_uint_eq(prs_n_found(f.agents[0]), 1);
@@ -174,7 +174,7 @@
 	ck_assert_uint_eq(prs_n_found(f.agents[0]), 0);
 	ck_assert_int_eq(f.n_found, 1);
 	ck_assert_int_eq(f.n_forgotten, 1);
-	/* Without news of any kind the pair itself is dropped. */
+	/* Without a new estimate the pair itself is dropped. */
 	prs_refresh(f.agents[0], (int64_t)20 * SECOND_MS);
 	ck_assert_uint_eq(prs_count(f.agents[0]), 0);
 	fleet_close(&f);
--- a/tests/test_pairvotes.c
+++ b/tests/test_pairvotes.c
@@ -95,7 +95,7 @@
 		vote(pvt, 0, queue, 0.7, 0.2, 0);
 	}
 	ck_assert_uint_eq(pvt_count(pvt), PVT_PAIRS);
-	/* Four messages tell all pairs. */
+	/* Four messages contain all pairs. */
 	while (total < PVT_PAIRS) {
 		n = pvt_rows(pvt, &next, rows, MAX_ROWS, 100);
 		ck_assert_uint_eq(n, MAX_ROWS);
