Describe rows of RUN_INTERFERENCE as measured, and fuzz them

Cause: the comment in run.x described an earlier measurement, by doublings of the concurrency. The fuzz target of messages did not decode the new call.

Measured: the corpus and 200,000 generated messages, mostly of the new call, decode without a finding of the address and undefined-behaviour sanitizers.

--- a/fuzz/fuzz_frames.c
+++ b/fuzz/fuzz_frames.c
@@ -23,6 +23,7 @@
     {(xdrproc_t)xdr_run_update_args, sizeof(run_update_args)},
     {(xdrproc_t)xdr_run_crash_args, sizeof(run_crash_args)},
     {(xdrproc_t)xdr_run_cancel_job_args, sizeof(run_cancel_job_args)},
+    {(xdrproc_t)xdr_run_interference_args, sizeof(run_interference_args)},
 };
 
 static void
--- a/src/connection/run.x
+++ b/src/connection/run.x
@@ -161,8 +161,8 @@
 };
 
 /*
- * How far the runs of a queue are slowed by each doubling of 1 + the concurrent
- * runs of another queue on the same worker.
+ * How far the runs of a queue are slowed by one concurrent run of another queue
+ * on the same worker.  See itf_exposure() for several.
  */
 struct run_pair {
 	run_name queue;
