Look at each found pair once for an update

Cause: a queue that is slowed by several others, none of which runs, was evaluated anew for each of its pairs. An agent sends up to 300 updates a second.

Change: queues that were evaluated are remembered, also those without a factor.

Measured: the new test fails before the change (225 in place of 15 looks at a queue); test_pairs passes with it.

--- a/src/request/pairs.c
+++ b/src/request/pairs.c
@@ -300,12 +300,12 @@
 }
 
 static bool
-is_listed(const struct prs_slowed *slowed, size_t n, const char *queue)
+contains(const char *const *names, size_t n, const char *name)
 {
 	size_t i;
 
 	for (i = 0; i < n; i++) {
-		if (strcmp(slowed[i].queue, queue) == 0)
+		if (strcmp(names[i], name) == 0)
 			return true;
 	}
 	return false;
@@ -314,7 +314,8 @@
 size_t
 prs_slowed(const struct prs *prs, struct prs_slowed *slowed, size_t max)
 {
-	size_t n = 0;
+	const char *seen[PRS_PAIRS];
+	size_t n = 0, n_seen = 0;
 	guint i;
 
 	if (prs->n_found == 0)
@@ -323,8 +324,9 @@
 		const struct pair *pair = prs->pairs->pdata[i];
 		double permille;
 
-		if (!pair->found || is_listed(slowed, n, pair->queue))
+		if (!pair->found || contains(seen, n_seen, pair->queue))
 			continue;
+		seen[n_seen++] = pair->queue;
 		permille = PERMILLE * exp(log_factor(prs, pair->queue));
 		if (permille <= PERMILLE * ITF_MIN_FACTOR)
 			continue;
--- a/tests/test_pairs.c
+++ b/tests/test_pairs.c
@@ -9,6 +9,7 @@
 #define N_AGENTS  5
 #define MAX_ROWS  64
 #define SECOND_MS 1000
+#define N_OTHERS  15
 
 /* Agents that exchange rows with one entry, all in one process. */
 struct fleet {
@@ -17,6 +18,7 @@
 	int64_t now_ms;
 	uint32_t active; /* runs of the other queue */
 	int n_found, n_forgotten;
+	int n_counts; /* calls of count_active() */
 };
 
 static void
@@ -33,6 +35,7 @@
 {
 	struct fleet *f = ctx;
 
+	f->n_counts++;
 	return strcmp(queue, "other") == 0 ? f->active : 0;
 }
 
@@ -201,5 +204,35 @@
 }
 END_TEST
 
+/*
+ * Guards against work for each update that grows with the square of the number
+ * of queues that slow one queue.
+ */
+START_TEST(each_found_pair_is_looked_at_once)
+{
+	struct prs_slowed slowed[2];
+	struct fleet f;
+	int i;
+
+	fleet_open(&f);
+	for (i = 0; i < N_OTHERS; i++) {
+		g_autofree char *other = g_strdup_printf("o%d", i);
+		struct itf_row row = {.queue = "queue",
+		    .other = other,
+		    .weight = 100,
+		    .mean = 0.7,
+		    .variance = 0.01};
+
+		prs_measure(f.agents[0], &row, 0);
+	}
+	prs_refresh(f.agents[0], 0);
+	ck_assert_uint_eq(prs_n_found(f.agents[0]), N_OTHERS);
+	ck_assert_uint_eq(prs_slowed(f.agents[0], slowed, 2), 0);
+	ck_assert_int_eq(f.n_counts, N_OTHERS);
+	fleet_close(&f);
+}
+END_TEST
+
 TEST_MAIN("pairs", 0, restarted_processes_relearn, wrong_rows_are_outvoted,
-    slowed_while_the_other_runs, pairs_are_bounded)
+    slowed_while_the_other_runs, pairs_are_bounded,
+    each_found_pair_is_looked_at_once)
