Drop pairs that are in use last

Cause: an agent with 16 queues holds 240 pairs of its own, most without an effect. With more than 16 merged pairs of other queues the table is full, and a found pair with an uncertain estimate was dropped, added and found again every second, with two log lines each time.

Change: pairs that are not found are dropped before those that are.

Measured: the new test fails before the change; test_pairs and test_interwatch pass with it.

--- a/src/request/pairs.c
+++ b/src/request/pairs.c
@@ -148,6 +148,13 @@
 	g_ptr_array_remove_index_fast(prs->pairs, i);
 }
 
+/* Pairs that are not found come first: those that are found are in use. */
+static bool
+is_dropped_before(const struct pair *a, const struct pair *b)
+{
+	return a->found == b->found ? a->variance > b->variance : b->found;
+}
+
 static void
 drop_least_certain(struct prs *prs)
 {
@@ -157,7 +164,7 @@
 		const struct pair *pair = prs->pairs->pdata[i];
 		const struct pair *worst = prs->pairs->pdata[least];
 
-		if (pair->variance > worst->variance)
+		if (is_dropped_before(pair, worst))
 			least = i;
 	}
 	drop_pair(prs, least);
--- a/src/request/pairs.h
+++ b/src/request/pairs.h
@@ -10,7 +10,8 @@
 /*
  * The pairs of queues that an agent knows to slow each other, from its own
  * estimates and from those that entries have merged.  Holds at most PRS_PAIRS
- * pairs; the least certain is dropped first.  Reads no clock.
+ * pairs; the least certain of those that are not found is dropped first.  Reads
+ * no clock.
  */
 #define PRS_PAIRS 256
 
--- a/tests/test_pairs.c
+++ b/tests/test_pairs.c
@@ -204,6 +204,32 @@
 }
 END_TEST
 
+/*
+ * Guards against a pair that is found and forgotten every second while there are
+ * more pairs than are held: the agent measures up to 240 itself.
+ */
+START_TEST(found_pairs_are_dropped_last)
+{
+	struct fleet f;
+	int i;
+
+	fleet_open(&f);
+	measure(&f, f.agents[0], "found", 1.2, 0.3);
+	prs_refresh(f.agents[0], 0);
+	ck_assert_uint_eq(prs_n_found(f.agents[0]), 1);
+	for (i = 0; i < PRS_PAIRS + 50; i++) {
+		g_autofree char *queue = g_strdup_printf("q%d", i);
+
+		measure(&f, f.agents[0], queue, 0, 0.2);
+	}
+	prs_refresh(f.agents[0], 0);
+	ck_assert_uint_eq(prs_count(f.agents[0]), PRS_PAIRS);
+	ck_assert_uint_eq(prs_n_found(f.agents[0]), 1);
+	ck_assert_int_eq(f.n_forgotten, 0);
+	fleet_close(&f);
+}
+END_TEST
+
 /*
  * Guards against work for each update that grows with the square of the number
  * of queues that slow one queue.
@@ -235,4 +261,4 @@
 
 TEST_MAIN("pairs", 0, restarted_processes_relearn, wrong_rows_are_outvoted,
     slowed_while_the_other_runs, pairs_are_bounded,
-    each_found_pair_is_looked_at_once)
+    found_pairs_are_dropped_last, each_found_pair_is_looked_at_once)
