--- a/src/process/jobentry.h
+++ b/src/process/jobentry.h
@@ -55,6 +55,8 @@
 	/* Agents that the entry connects to at least, if there are as many. */
 	uint32_t agent_connections;
 	struct sch_policy policy;
+	/* Whether to place by the interference that agents measure. */
+	bool interference;
 	int64_t lease_ms;	       /* longest lease that a worker grants */
 	int64_t drain_ms;	       /* longest time of a graceful shutdown */
 	struct ctr_registry *counters; /* borrowed */
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -93,6 +93,7 @@
 	bool learn_distributions;
 	bool refuse_by_wait;
 	int64_t startup_wait_ms;
+	bool interference;	  /* between queues on a worker: measure, use */
 	uint32_t log_lines_per_s; /* of each event type */
 };
 
--- a/src/request/workerset.h
+++ b/src/request/workerset.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "request/health.h"
+#include "request/slowed.h"
 #include "request/speed.h"
 #include "request/work.h"
 
@@ -55,6 +56,7 @@
 	struct spd_worker speed;
 	struct spd_worker *kind;
 	uint32_t speed_class; /* in the current placement pass, see kinds.h */
+	struct sld slowed;    /* queues slowed there, as last reported */
 	uint32_t open;	      /* tasks sent that have no outcome */
 	struct hlt health;
 };
