Group an agent's runs by job with a hash in the crash log

crl_sample(), called every 200 ms, compared all pairs of active runs, and crl_add() went over all runs for each of them: with 2,000 runs an agent did little else. A crash with more than 4,096 suspects could not be encoded and was dropped. Runs are grouped by job once, 512 suspects are kept, and queues that were not active for long are forgotten.

--- a/src/request/crashlog.c
+++ b/src/request/crashlog.c
@@ -7,6 +7,10 @@
 
 /* More crashes of one worker are not kept; the oldest are forgotten first. */
 #define MAX_CRASHES 32
+/* Suspects of a crash that are kept, those that rank first. */
+#define MAX_SUSPECTS 512
+/* A queue's mean below this says the same as none. */
+#define NEGLIGIBLE_MEAN 0.001
 /* Weight of a new sample in the mean of a queue's weights. */
 #define SAMPLE_WEIGHT 0.02
 /* Weight, beside the samples, of what the crash itself shows as usual. */
@@ -87,25 +91,6 @@
 	return llabs((long long)(run->sent_ms - heard_ms));
 }
 
-/*
- * The distance of the closest run of the same job: tasks of a job are alike,
- * and often only one of them is listed close to the crash.
- */
-static int64_t
-job_distance_ms(const struct crl_run *runs, size_t n_runs,
-    const struct crl_run *run, int64_t heard_ms)
-{
-	int64_t closest_ms = distance_ms(run, heard_ms);
-	size_t i;
-
-	for (i = 0; i < n_runs; i++) {
-		if (wk_same_job(runs[i].task, run->task))
-			closest_ms =
-			    MIN(closest_ms, distance_ms(&runs[i], heard_ms));
-	}
-	return closest_ms;
-}
-
 /*
  * Halves the weight from each moment of starts to the one next to it, whatever
  * the number of jobs that were started at that moment.
@@ -134,18 +119,55 @@
 		ranked[i].weight /= sum;
 }
 
+static guint
+hash_job(gconstpointer task)
+{
+	return wk_job_hash(task);
+}
+
+static gboolean
+equal_jobs(gconstpointer task, gconstpointer other)
+{
+	return wk_same_job(task, other);
+}
+
+/*
+ * The run of each job, found by any of its tasks, that is closest to the given
+ * time: tasks of a job are alike, and often only one of them is listed close to
+ * the crash.
+ */
+static GHashTable *
+closest_of_jobs(const struct crl_run *runs, size_t n_runs, int64_t heard_ms)
+{
+	GHashTable *closest = g_hash_table_new(hash_job, equal_jobs);
+	size_t i;
+
+	for (i = 0; i < n_runs; i++) {
+		const struct crl_run *best =
+		    g_hash_table_lookup(closest, runs[i].task);
+
+		if (best == NULL || distance_ms(&runs[i], heard_ms) <
+					distance_ms(best, heard_ms))
+			g_hash_table_insert(closest, (gpointer)runs[i].task,
+			    (gpointer)&runs[i]);
+	}
+	return closest;
+}
+
 /* Orders the runs by how likely they caused a crash at the given time. */
 static struct ranked *
 rank_runs(const struct crl_run *runs, size_t n_runs, int64_t heard_ms)
 {
 	struct ranked *ranked = g_new0(struct ranked, n_runs);
+	GHashTable *closest = closest_of_jobs(runs, n_runs, heard_ms);
 	size_t i;
 
 	for (i = 0; i < n_runs; i++) {
 		ranked[i].run = &runs[i];
-		ranked[i].distance_ms =
-		    job_distance_ms(runs, n_runs, &runs[i], heard_ms);
+		ranked[i].distance_ms = distance_ms(
+		    g_hash_table_lookup(closest, runs[i].task), heard_ms);
 	}
+	g_hash_table_unref(closest);
 	qsort(ranked, n_runs, sizeof(*ranked), compare_ranked);
 	weigh(ranked, n_runs);
 	return ranked;
@@ -175,8 +197,11 @@
 	if (n_runs == 0)
 		return;
 	g_hash_table_iter_init(&iter, crl->means);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		*(double *)value *= 1 - SAMPLE_WEIGHT;
+		if (*(double *)value < NEGLIGIBLE_MEAN)
+			g_hash_table_iter_remove(&iter);
+	}
 	ranked = rank_runs(runs, n_runs, now_ms);
 	for (i = 0; i < n_runs; i++) {
 		if (ranked[i].first_of_job)
@@ -198,20 +223,32 @@
 	return sum;
 }
 
-/* Share of the active jobs that are of the queue. */
-static double
-share_of_jobs(const struct ranked *ranked, size_t n, const char *queue)
+/* What is usual for the queues of the active runs. */
+struct usual {
+	GHashTable *n_jobs; /* queue to the number of its active jobs */
+	uint32_t n_all;
+	double sum; /* of all means */
+};
+
+static void
+count_jobs(struct usual *usual, const struct crl *crl,
+    const struct ranked *ranked, size_t n)
 {
-	uint32_t n_jobs = 0, n_queue = 0;
 	size_t i;
 
+	usual->n_jobs = g_hash_table_new(g_str_hash, g_str_equal);
+	usual->sum = sum_of_means(crl);
 	for (i = 0; i < n; i++) {
+		gpointer key = (gpointer)ranked[i].run->queue;
+		guint n_queue =
+		    GPOINTER_TO_UINT(g_hash_table_lookup(usual->n_jobs, key));
+
 		if (!ranked[i].first_of_job)
 			continue;
-		n_jobs++;
-		n_queue += strcmp(ranked[i].run->queue, queue) == 0;
+		usual->n_all++;
+		g_hash_table_insert(
+		    usual->n_jobs, key, GUINT_TO_POINTER(n_queue + 1));
 	}
-	return (double)n_queue / (double)MAX(n_jobs, 1);
 }
 
 /*
@@ -220,23 +257,29 @@
  */
 static double
 usual_weight(
-    struct crl *crl, const struct ranked *ranked, size_t n, const char *queue)
+    const struct usual *usual, const struct crl *crl, const char *queue)
 {
-	double mean = *mean_of(crl, queue) +
-		      PRIOR_WEIGHT * share_of_jobs(ranked, n, queue);
-
-	return MAX(mean / (sum_of_means(crl) + PRIOR_WEIGHT), MIN_MEAN);
+	const double *mean = g_hash_table_lookup(crl->means, queue);
+	guint n_queue =
+	    GPOINTER_TO_UINT(g_hash_table_lookup(usual->n_jobs, queue));
+	double share = (double)n_queue / (double)MAX(usual->n_all, 1);
+
+	return MAX(((mean == NULL ? 0 : *mean) + PRIOR_WEIGHT * share) /
+		       (usual->sum + PRIOR_WEIGHT),
+	    MIN_MEAN);
 }
 
 static void
-add_suspects(struct crl *crl, struct crl_crash *crash,
+add_suspects(const struct crl *crl, struct crl_crash *crash,
     const struct ranked *ranked, size_t n)
 {
+	struct usual usual = {0};
 	size_t i;
 
-	crash->suspects = g_new0(struct crl_suspect, n);
-	crash->n_suspects = n;
-	for (i = 0; i < n; i++) {
+	count_jobs(&usual, crl, ranked, n);
+	crash->n_suspects = MIN(n, MAX_SUSPECTS);
+	crash->suspects = g_new0(struct crl_suspect, crash->n_suspects);
+	for (i = 0; i < crash->n_suspects; i++) {
 		struct crl_suspect *suspect = &crash->suspects[i];
 
 		suspect->task = g_strdup(ranked[i].run->task);
@@ -244,8 +287,9 @@
 		suspect->started = ranked[i].run->started;
 		suspect->weight_permille = (uint32_t)MAX(
 		    1, 1000 * ranked[i].weight /
-			   usual_weight(crl, ranked, n, ranked[i].run->queue));
+			   usual_weight(&usual, crl, ranked[i].run->queue));
 	}
+	g_hash_table_unref(usual.n_jobs);
 }
 
 const struct crl_crash *
--- a/src/request/work.c
+++ b/src/request/work.c
@@ -55,6 +55,17 @@
 	       strncmp(task, other, length) == 0;
 }
 
+uint32_t
+wk_job_hash(const char *task)
+{
+	size_t i, length = job_id_length(task);
+	uint32_t hash = 5381;
+
+	for (i = 0; i < length; i++)
+		hash = hash * 33 + (unsigned char)task[i];
+	return hash;
+}
+
 uint32_t
 wk_job_n_tasks(const struct wk_job *job)
 {
--- a/src/request/work.h
+++ b/src/request/work.h
@@ -41,6 +41,8 @@
 char *wk_task_name(const char *job, uint32_t step, uint32_t index);
 /* Whether two tasks, given by their names, belong to the same job. */
 bool wk_same_job(const char *task, const char *other);
+/* A hash that is equal for the tasks of one job. */
+uint32_t wk_job_hash(const char *task);
 
 uint32_t wk_job_n_tasks(const struct wk_job *job);
 /* Sum of the estimates along the longest chain of dependent steps. */
--- a/tests/test_crashlog.c
+++ b/tests/test_crashlog.c
@@ -105,8 +105,38 @@
 		ck_abort_msg("unknown command %s", w[0]);
 }
 
+#define MANY_RUNS 100000
+
+/*
+ * Guards against a pass over the runs that takes time with the square of their
+ * number, minutes here, and against a report that names more than a message
+ * holds.
+ */
+START_TEST(many_runs)
+{
+	struct crl_run *runs = g_new0(struct crl_run, MANY_RUNS);
+	struct crl *crl = crl_new(0);
+	const struct crl_crash *crash;
+	int i;
+
+	for (i = 0; i < MANY_RUNS; i++)
+		runs[i] = (struct crl_run){
+		    .task = g_strdup_printf("j%d.0.0.%d", i / 2, i % 2),
+		    .queue = "q",
+		    .sent_ms = i};
+	crl_sample(crl, MANY_RUNS, runs, MANY_RUNS);
+	crash = crl_add(crl, 1, MANY_RUNS, runs, MANY_RUNS);
+	ck_assert_uint_le(crash->n_suspects, 4096);
+	ck_assert_str_eq(crash->suspects[0].task, runs[MANY_RUNS - 2].task);
+	for (i = 0; i < MANY_RUNS; i++)
+		g_free((char *)runs[i].task);
+	g_free(runs);
+	crl_free(crl);
+}
+END_TEST
+
 /*
  * Guards against blaming a crash on runs that cannot have caused it, and
  * against taking a worker that was cut off for one that crashed.
  */
-REPLAY_MAIN("crashlog", 0, start, end, step)
+REPLAY_MAIN("crashlog", 0, start, end, step, many_runs)
