Spread the stops and polls of a worker with many runs

An agent that takes up a worker sent a stop for each run left there at once; now 64 for each report. A report lists all runs, so the next poll comes 1 ms later for each 16 of them, 4 to 40 ms; up to 79 runs nothing changes.

--- a/src/connection/holder.c
+++ b/src/connection/holder.c
@@ -27,6 +27,11 @@
 /* Delay before the next poll, so that one poll reports several ended runs. */
 #define POLL_DELAY_MS 4
 #define POLL_RETRY_MS 50
+/* A report lists all runs: with many of them the next poll comes later. */
+#define RUNS_PER_POLL_DELAY_MS 16
+#define MAX_POLL_DELAY_MS      40
+/* Stops of runs left on the worker that are sent for one report. */
+#define MAX_CLEARING_STOPS 64
 /*
  * A deregistration names its worker by the id alone.  One that was held up on
  * its way may be of a former incarnation, while another one works under the
@@ -312,14 +317,17 @@
 	(void)ctx;
 }
 
-/* Stops all runs left on the worker, since their resource use is unknown. */
+/*
+ * Stops the runs left on the worker, since their resource use is unknown; those
+ * beyond MAX_CLEARING_STOPS with the next report.
+ */
 static void
-stop_all(struct hold *hold, const struct wp_report *report)
+stop_left_runs(struct hold *hold, const struct wp_report *report)
 {
 	struct wp_target target = current_target(hold);
 	size_t i;
 
-	for (i = 0; i < report->n_running; i++)
+	for (i = 0; i < MIN(report->n_running, MAX_CLEARING_STOPS); i++)
 		hold->opts.wp->stop(hold->opts.wp->port, &target,
 		    report->running[i].task, report->running[i].run,
 		    ignore_answer, NULL);
@@ -348,7 +356,7 @@
 clear_runs(struct hold *hold, const struct wp_report *report)
 {
 	if (report->n_running > 0)
-		stop_all(hold, report);
+		stop_left_runs(hold, report);
 	else if (has_replaced_ended(hold) && is_described(hold))
 		hold->phase = READY;
 }
@@ -433,7 +441,10 @@
 			 open_ms >= call->wait_ms + call->timeout_ms / 2;
 	bool usual = is_report_of(hold, report) && is_described(hold);
 
-	return timed_out || usual ? POLL_DELAY_MS : POLL_RETRY_MS;
+	if (!timed_out && !usual)
+		return POLL_RETRY_MS;
+	return CLAMP((guint)report->n_running / RUNS_PER_POLL_DELAY_MS,
+	    POLL_DELAY_MS, MAX_POLL_DELAY_MS);
 }
 
 static void
