Take no capacity from a heartbeat with another service

A heartbeat of another writer with the worker's id, start, address and clock, and a service without a route, raised the capacity by which an agent started what waited there. When the service changes, the queue is returned, since its starts were sent for the former one, and the smaller of the two capacities holds until the next heartbeat.

--- a/src/process/jobagent.c
+++ b/src/process/jobagent.c
@@ -15,6 +15,7 @@
 #include "request/cancelled.h"
 #include "request/ledger.h"
 #include "request/slowness.h"
+#include "request/statedroom.h"
 #include "request/updates.h"
 
 #define JA_TICK_MS	  50
@@ -49,6 +50,7 @@
 	uint64_t slowness_of;	  /* incarnation that it was measured with */
 	struct upd *updates;	  /* when the sessions are sent updates */
 	struct odm *out_domains;  /* failure domains out of service */
+	struct srm stated_room;	  /* capacity by its descriptions */
 	struct wp_worker *worker; /* as it last described itself */
 	bool heard;    /* the worker itself has called; none is recalled */
 	bool unstated; /* as last logged */
@@ -587,6 +589,26 @@
 	led_worker_lost(ja->led, reasons[lost->why], clk_now_ms());
 }
 
+/*
+ * A heartbeat of another writer may name a service of its own: the starts in the
+ * queue were not sent for that one.
+ */
+static void
+apply_capacity(struct ja *ja, const struct wp_worker *worker)
+{
+	struct wk_size capacity;
+
+	if (srm_describe(&ja->stated_room, worker->service, &worker->capacity,
+		&capacity)) {
+		evt_write("worker", evt_text("instance", worker->instance),
+		    evt_text("state", "other service"),
+		    evt_text("service", worker->service));
+		led_return_queue(
+		    ja->led, "worker serves another service", clk_now_ms());
+	}
+	led_set_capacity(ja->led, &capacity, clk_now_ms());
+}
+
 static void
 on_described(const struct wp_worker *worker, void *ctx)
 {
@@ -595,7 +617,7 @@
 
 	wp_worker_free(ja->worker);
 	ja->worker = wp_worker_copy(worker);
-	led_set_capacity(ja->led, &worker->capacity, clk_now_ms());
+	apply_capacity(ja, worker);
 	enl_update(ja->enlist, worker);
 	if (changed)
 		resend_worker(ja);
@@ -874,6 +896,7 @@
 	g_clear_handle_id(&ja->update_id, g_source_remove);
 	ses_free(ja->ses);
 	enl_free(ja->enlist);
+	srm_clear(&ja->stated_room);
 	hold_free(ja->hold);
 	led_free(ja->led);
 	crw_free(ja->crashwatch);
--- a/tests/oddheartbeat.c
+++ b/tests/oddheartbeat.c
@@ -11,23 +11,23 @@
 
 const struct ohb_row ohb_rows[] = {
     {"start beyond 64 bits and port out of range", "x", "99999999999999999999",
-	0, "127.0.0.1:99999", NULL, NULL, REST},
+	0, "127.0.0.1:99999", NULL, NULL, REST, NULL, 0},
     {"start beyond 64 bits", "x", "99999999999999999999", 0, NULL, NULL, NULL,
-	REST},
+	REST, NULL, 0},
     {"address that no port listens on", "x", "1999999999999", 0, "127.0.0.1:1",
-	NULL, NULL, REST},
+	NULL, NULL, REST, NULL, 0},
     {"unknown id at the worker's address", "x", NULL, 1000, NULL, NULL, NULL,
-	REST},
+	REST, NULL, 0},
     {"later start under the worker's id", NULL, NULL, 1000, NULL, NULL, NULL,
-	REST},
+	REST, NULL, 0},
     {"worker's id at another address", NULL, NULL, OWN, "127.0.0.1:1", HIGH,
-	NULL, REST},
+	NULL, REST, NULL, 0},
     {"high number without further fields", NULL, NULL, OWN, NULL, HIGH, NULL,
-	""},
-    {"high number", NULL, NULL, OWN, NULL, HIGH, NULL, REST},
-    {"high number and time", NULL, NULL, OWN, NULL, HIGH, HIGH, REST},
+	"", NULL, 0},
+    {"high number", NULL, NULL, OWN, NULL, HIGH, NULL, REST, NULL, 0},
+    {"high number and time", NULL, NULL, OWN, NULL, HIGH, HIGH, REST, NULL, 0},
     {"number beyond 64 bits", NULL, NULL, OWN, NULL, "99999999999999999999",
-	NULL, REST},
+	NULL, REST, NULL, 0},
 };
 
 const int ohb_n_rows = G_N_ELEMENTS(ohb_rows);
@@ -57,13 +57,16 @@
 		dpl->control_port[worker],
 		text_or(row->id, hn_json_str(own, "id"))),
 	    NULL,
-	    hn_str("{\"service\":\"desk\",\"address\":\"%s\","
+	    hn_str("{\"service\":\"%s\",\"address\":\"%s\","
 		   "\"zone\":\"z%d\",\"state\":\"ready\","
 		   "\"cold_remaining_ms\":0,\"capacity\":{\"cpu\":%d,"
 		   "\"mem_mb\":4096,\"gpu\":0},\"clock_ms\":%s,\"seq\":%s,"
 		   "\"born\":%s%s}",
-		text_or(row->address, address), worker,
-		(int)hn_json_int(own, "capacity_milli"),
+		text_or(row->service, "desk"), text_or(row->address, address),
+		worker,
+		row->capacity_milli == OWN
+		    ? (int)hn_json_int(own, "capacity_milli")
+		    : row->capacity_milli,
 		text_or(row->clock_ms, clock_ms), text_or(row->seq, seq),
 		text_or(row->born, born), row->rest));
 }
--- a/tests/oddheartbeat.h
+++ b/tests/oddheartbeat.h
@@ -19,6 +19,8 @@
 	const char *seq;       /* NULL: above the worker's */
 	const char *clock_ms;  /* NULL: the worker's */
 	const char *rest;      /* further fields */
+	const char *service;   /* NULL: that of the worker */
+	int capacity_milli;    /* 0: that of the worker */
 };
 
 extern const struct ohb_row ohb_rows[];
--- a/tests/test_odd_heartbeats.c
+++ b/tests/test_odd_heartbeats.c
@@ -13,6 +13,7 @@
 /* Two heartbeats of the stand-in's workers, and news of them to the entries. */
 #define HEARTBEATS_MS 700
 #define N_TASKS	      24
+#define N_ODD	      8
 #define N_OTHERS      16 /* tasks that fit on the other workers */
 
 static int
@@ -59,6 +60,51 @@
 }
 END_TEST
 
+static bool
+has_queue(const struct dpl *dpl)
+{
+	return dpl_agent_metric(dpl, "sp_runs{state=\"queued\"}") > 0;
+}
+
+/*
+ * Guards against starts beyond the worker's capacity: a heartbeat of another
+ * writer that named a service without a route and a larger capacity started what
+ * waited at the agent.
+ */
+START_TEST(odd_service_raises_no_capacity)
+{
+	static const struct ohb_row odd = {"odd service", NULL, NULL, 0, NULL,
+	    NULL, NULL, ",\"version\":\"v1\",\"slots\":8,\"labels\":[\"a\"]",
+	    "unnamed", 64000};
+	static const char *const headers[] = {
+	    "Content-Type: application/json", "X-Deadline-Ms: 60000", NULL};
+	struct hn_http *jobs[DPL_ENTRIES];
+	struct dpl dpl;
+	int i;
+
+	dpl_start(&dpl, &(struct dpl_options){0});
+	for (i = 0; i < DPL_ENTRIES; i++)
+		jobs[i] = hn_http_start("POST",
+		    dpl_url(&dpl, i, hn_str("/q/%016x", 0xab00U + (unsigned)i)),
+		    headers,
+		    "{\"spec\":\"300\",\"best_effort\":true,\"steps\":[{"
+		    "\"count\":300,\"cpu\":1000,\"mem_mb\":1,"
+		    "\"estimate_ms\":300}]}");
+	/* Both entries see the same free places, so that starts wait there. */
+	for (i = 0; i < N_ODD && !jobs[0]->done && !jobs[1]->done; i++) {
+		hn_wait_until(has_queue(&dpl) || jobs[0]->done, HN_LIMIT_MS);
+		ck_assert_int_eq(
+		    hn_http_wait(ohb_send(&dpl, 0, &odd), HN_LIMIT_MS)->status,
+		    200);
+	}
+	for (i = 0; i < DPL_ENTRIES; i++)
+		ck_assert_int_eq(
+		    hn_http_wait(jobs[i], 2 * HN_LIMIT_MS)->status, 200);
+	ck_assert_int_eq(dpl_count(&dpl, "limit"), 0);
+	hn_finish();
+}
+END_TEST
+
 /* Bodies that are no heartbeat must be refused, and end no process. */
 START_TEST(no_heartbeat)
 {
@@ -106,7 +152,8 @@
 int
 main(void)
 {
-	const TTest *const tests[] = {no_heartbeat, odd_answers_are_ignored};
+	const TTest *const tests[] = {no_heartbeat, odd_answers_are_ignored,
+	    odd_service_raises_no_capacity};
 	int red = run_table("odd_heartbeats", odd_heartbeat_displaces_nobody,
 	    ohb_n_rows, 2 * HN_LIMIT_MS / 1000.0);
 
