Refuse jobs that are too large at once

A job whose steps, by their estimates, need more than four times the time until the deadline on all known workers, more than max_open_tasks (100,000) open tasks, and a queue or service name above 256 bytes are refused with 503 at arrival. Before, such a job held places until its deadline, and starts with a longer name were dropped without a word, so that the caller waited for its deadline.

--- a/src/process/jobagent.h
+++ b/src/process/jobagent.h
@@ -26,6 +26,8 @@
 	int64_t lease_ms; /* longest lease that the worker grants */
 	int64_t drain_ms; /* longest wait for running tasks at shutdown */
 	int64_t worker_heartbeat_ms;   /* interval of the worker's heartbeats */
+	uint32_t max_runs;	       /* at a time; 0: 512 */
+	uint32_t max_queued_starts;    /* of all entries; 0: 1,024 */
 	struct ctr_registry *counters; /* borrowed */
 	/* Runs once, when the shutdown begun by ja_drain() is complete. */
 	void (*drained)(void *ctx);
--- a/src/process/jobentry.c
+++ b/src/process/jobentry.c
@@ -12,6 +12,7 @@
 #include "process/jobentry.h"
 #include "process/pause.h"
 #include "request/cancelled.h"
+#include "request/jobsize.h"
 #include "request/sched.h"
 
 #define JE_TICK_MS 50
@@ -53,10 +54,11 @@
 	struct pau pause;
 	struct pau clients_pause; /* of the thread that serves the callers */
 	struct drn drain;
+	struct jsz_options sizes;
 	guint tick_id;
 	guint placement_id;
 	int64_t *ended_counters[SCH_BROKEN + 1];
-	int64_t *refused, *accepted, *gone;
+	int64_t *refused, *too_large, *accepted, *gone;
 	int64_t *tasks_done, *tasks_failed, *tasks_lost;
 	int64_t *open_jobs, *confined_queues;
 	struct hst *job_times;
@@ -386,6 +388,8 @@
 	    ctr_counter(reg, "sp_jobs_accepted_total", "Jobs accepted.");
 	je->refused =
 	    ctr_counter(reg, "sp_jobs_refused_total", "Jobs refused.");
+	je->too_large = ctr_counter(reg, "sp_jobs_too_large_total",
+	    "Jobs refused for their size, or for their queue's name.");
 	je->gone = ctr_counter(reg, "sp_requests_gone_total",
 	    "Requests dropped since their connection had ended.");
 	je->confined_queues = ctr_gauge(reg, "sp_queues_confined",
@@ -491,6 +495,7 @@
 
 	je->opts = *opts;
 	je->drain.limit_ms = opts->drain_ms;
+	je->sizes = jsz_options(opts->max_open_tasks, opts->max_runs);
 	if (getrandom(&je->incarnation, sizeof(je->incarnation), 0) < 0)
 		je->incarnation = (uint64_t)clk_now_ns();
 	je->sch = sch_new(&sch);
@@ -607,11 +612,9 @@
 }
 
 static void
-refuse_draining(
-    struct je *je, const struct wk_job *job, je_answer_fn fn, void *ctx)
+refuse_early(struct je *je, const struct wk_job *job, const char *reason,
+    je_answer_fn fn, void *ctx)
 {
-	static const char reason[] = "entry is shutting down";
-
 	++*je->refused;
 	evt_write("refusal", evt_text("job", job->id),
 	    evt_text("reason", reason), evt_int("jobs", sch_n_jobs(je->sch)));
@@ -671,6 +674,7 @@
 	const struct rts_queue *queue;
 	struct sch_request request = {.job = job, .deadline_ms = deadline_ms};
 	enum sch_submit_result verdict;
+	const char *too_large;
 	struct waiter *waiter;
 	uint64_t ticket = 0;
 
@@ -683,7 +687,7 @@
 	if (je->drain.active &&
 	    !drn_accepts(
 		&je->drain, wk_job_critical_path_ms(job), clk_now_ms())) {
-		refuse_draining(je, job, fn, ctx);
+		refuse_early(je, job, "entry is shutting down", fn, ctx);
 		wk_job_free(job);
 		return 0;
 	}
@@ -697,6 +701,15 @@
 		wk_job_free(job);
 		return ticket;
 	}
+	too_large =
+	    jsz_reason_to_refuse(&je->sizes, queue, job, sch_workers(je->sch),
+		sch_n_tasks(je->sch), deadline_ms - clk_now_ms());
+	if (too_large != NULL) {
+		++*je->too_large;
+		refuse_early(je, job, too_large, fn, ctx);
+		wk_job_free(job);
+		return 0;
+	}
 	waiter = add_waiter(je, job->id, fn, ctx);
 	request.queue = queue;
 	request.waiter = waiter;
--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -95,6 +95,8 @@
     {"ready_listen", ADDRESS, REQ, J(ready_listen), NULL, 0, 0, 0},
     {"cross_rack_percent", INT64, OPT, J(cross_rack_percent), NULL, 150, 100, 10000},
     {"agent_connections", UINT32, OPT, J(agent_connections), NULL, 64, 1, 4096},
+    {"max_open_tasks", UINT32, OPT, J(max_open_tasks), NULL, 100000, 1000, 10000000},
+    {"max_runs", UINT32, OPT, J(max_runs), NULL, 512, 16, 4096},
 };
 
 static const struct field job_agent_fields[] = {
@@ -102,6 +104,8 @@
     {"worker_listen", ADDRESS, REQ, J(worker_listen), NULL, 0, 0, 0},
     {"advertise", ADDRESS, OPT, J(advertise), NULL, 0, 0, 0},
     {"worker_heartbeat_ms", INT64, OPT, J(worker_heartbeat_ms), NULL, 1500, 100, 60000},
+    {"max_runs", UINT32, OPT, J(max_runs), NULL, 512, 16, 4096},
+    {"max_queued_starts", UINT32, OPT, J(max_queued_starts), NULL, 1024, 16, 4096},
 };
 /* clang-format on */
 
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -87,7 +87,10 @@
 	 */
 	int64_t cross_rack_percent;
 	uint32_t agent_connections;
-	uint32_t log_lines_per_s; /* of each event type */
+	uint32_t max_open_tasks;    /* entry: of all open jobs */
+	uint32_t max_runs;	    /* of an agent at a time */
+	uint32_t max_queued_starts; /* agent: of all entries */
+	uint32_t log_lines_per_s;   /* of each event type */
 };
 
 /* NULL on error; st names the file, line, key and the expected value. */
--- a/src/request/sched.c
+++ b/src/request/sched.c
@@ -33,6 +33,7 @@
 	struct blm *blame;
 	struct cfn *confinement;
 	uint64_t next_seq;
+	uint64_t n_tasks; /* of all open jobs */
 	int64_t first_ms; /* of the first call; taken as the process start */
 	bool waiting;	  /* a task may be ready to be sent */
 };
@@ -175,6 +176,7 @@
 			    task->worker->link, task->seq, sch->opts.ctx);
 		forget_start(sch, task);
 	}
+	sch->n_tasks -= job->n_tasks;
 	g_queue_unlink(list_of(sch, job->priority), &job->link);
 	g_hash_table_remove(sch->jobs, job->spec->id);
 }
@@ -562,6 +564,7 @@
 	if (limits.critical_path_ms > 0)
 		job->useful_until_ms =
 		    MIN(request->deadline_ms, now_ms + limits.useful_ms);
+	sch->n_tasks += job->n_tasks;
 	g_hash_table_insert(sch->jobs, job->spec->id, job);
 	g_queue_push_tail_link(list_of(sch, job->priority), &job->link);
 	sch->waiting = true;
@@ -725,6 +728,12 @@
 	return g_hash_table_size(sch->jobs);
 }
 
+uint64_t
+sch_n_tasks(const struct sch *sch)
+{
+	return sch->n_tasks;
+}
+
 uint32_t
 sch_n_unsent_jobs(const struct sch *sch, const char *queue)
 {
--- a/src/request/sched.h
+++ b/src/request/sched.h
@@ -163,6 +163,8 @@
 void sch_abort_all(struct sch *sch, const char *reason);
 
 uint32_t sch_n_jobs(const struct sch *sch);
+/* Number of tasks of all open jobs. */
+uint64_t sch_n_tasks(const struct sch *sch);
 /* Number of a queue's jobs without any sent task. */
 uint32_t sch_n_unsent_jobs(const struct sch *sch, const char *queue);
 
