Bound the runs, calls and queued starts of an agent

Jobs of 12,000 tasks of 0.002 cores took agents above 128 MB: each start that fitted the capacity was a call with a handle of its own, 4,000 at a time, and so were the stops. Small jobs of another caller waited for them.

An agent now has at most max_runs (512) runs, of which one session takes two thirds, 16 starts and 16 stops open at the worker, and max_queued_starts (1,024) starts in its queue. UPDATE tells how many starts the entry may have sent (RPC program 0x2000535A); above it an entry looks for another worker. An entry splits its batches at 512 KB, and resets the connection for one that can't be sent, in place of dropping it. An agent sends at most 1,024 results in an update, takes records of up to 2 MB and queues 4 MB of output for a session. Reports are indexed. The ledger's runs and the limits are modules of their own.

--- a/fuzz/fuzz_ledger.c
+++ b/fuzz/fuzz_ledger.c
@@ -264,7 +264,7 @@
 	};
 
 	if (w->n_runs < MAX_RUNS)
-		led_submit(w->led, &start, w->now_ms);
+		led_submit(w->led, &start, 1, w->now_ms);
 }
 
 /* The queue of a run is the number of its session. */
@@ -363,7 +363,7 @@
 	    .sessions = {1, 2, 3},
 	};
 	struct led_options opts = {
-	    .max_queue = 8,
+	    .limits = {4, UINT32_MAX, 8, 8},
 	    .may_start = may_start,
 	    .worker_answers = worker_answers,
 	    .last_sent_ms = last_sent_ms,
--- a/src/connection/run.x
+++ b/src/connection/run.x
@@ -117,6 +117,8 @@
 	uint32_t slowness_permille;	/* run times against nominal, 0: unknown */
 	int64_t clock_ms;	/* of the agent, above 0 */
 	int64_t stated_ms;	/* as in the statement that is now in force */
+	/* Starts that the entry may have sent over the connection in all. */
+	uint64_t start_limit;
 };
 
 enum run_crash_state {
@@ -162,4 +164,4 @@
 		void RUN_CRASH(run_crash_args) = 7;
 		void RUN_CANCEL_JOB(run_cancel_job_args) = 8;
 	} = 1;
-} = 0x20005359;
+} = 0x2000535A;
--- a/src/connection/run_xdr.c
+++ b/src/connection/run_xdr.c
@@ -220,6 +220,8 @@
 		return FALSE;
 	if (!xdr_int64_t(xdrs, &objp->stated_ms))
 		return FALSE;
+	if (!xdr_uint64_t(xdrs, &objp->start_limit))
+		return FALSE;
 	return TRUE;
 }
 
--- a/src/connection/run_xdr.h
+++ b/src/connection/run_xdr.h
@@ -138,6 +138,7 @@
 	uint32_t slowness_permille;
 	int64_t clock_ms;
 	int64_t stated_ms;
+	uint64_t start_limit;
 };
 typedef struct run_update_args run_update_args;
 
@@ -172,7 +173,7 @@
 };
 typedef struct run_cancel_job_args run_cancel_job_args;
 
-#define RUN_PROG 0x20005359
+#define RUN_PROG 0x2000535A
 #define RUN_V1	 1
 
 #if defined(__STDC__) || defined(__cplusplus)
--- a/src/connection/sessions.c
+++ b/src/connection/sessions.c
@@ -7,6 +7,12 @@
 #include "process/clock.h"
 
 #define ENTRY_BACKLOG 256
+/*
+ * Limits on what a session may hold.  Batches of starts have up to 512 KB; the
+ * crashes that an agent remembers, sent at once, some 3 MB.
+ */
+#define MAX_RECORD_BYTES (2 * 1024 * 1024)
+#define MAX_OUTPUT_BYTES (4 * 1024 * 1024)
 /*
  * A message may take so long, there and back.  With a longer way an entry would
  * be found silent between two heartbeats.
@@ -229,6 +235,8 @@
 	struct rpc_options opts = {
 	    .socket = socket,
 	    .prog = RUN_PROG,
+	    .max_record_bytes = MAX_RECORD_BYTES,
+	    .max_queue_bytes = MAX_OUTPUT_BYTES,
 	    .silence_ms = ses->opts.silence_ms,
 	    .on_call = on_call,
 	    .on_closed = on_closed,
--- a/src/connection/worklink.c
+++ b/src/connection/worklink.c
@@ -8,7 +8,7 @@
 #include "connection/address.h"
 #include "connection/peerclock.h"
 #include "connection/rpc.h"
-#include "connection/startspecs.h"
+#include "connection/startbatch.h"
 #include "connection/worklink.h"
 #include "process/clock.h"
 #include "process/events.h"
@@ -38,25 +38,14 @@
 	/* As the agent described it last; incarnation 0: not yet. */
 	run_statement worker;
 	int64_t backoff_ms;
-	GArray *starts;	  /* run_start; strings owned */
-	GPtrArray *specs; /* GBytes, of the starts */
-	GArray *cancels;  /* seqs */
+	struct sbt *starts; /* to be sent */
+	GArray *cancels;    /* seqs */
 	guint retry_id;
 	guint flush_id;
 };
 
 static void connect_link(struct wlk *link);
 
-static void
-start_clear(gpointer data)
-{
-	run_start *start = data;
-
-	g_free(start->task);
-	g_free(start->service);
-	g_free(start->queue);
-}
-
 static gboolean
 on_retry(gpointer data)
 {
@@ -83,8 +72,7 @@
 static void
 discard_unsent(struct wlk *link)
 {
-	g_array_set_size(link->starts, 0);
-	g_ptr_array_set_size(link->specs, 0);
+	sbt_reset(link->starts);
 	g_array_set_size(link->cancels, 0);
 	g_clear_handle_id(&link->flush_id, g_source_remove);
 }
@@ -170,6 +158,7 @@
 		   xdr_run_update_args(call->args, &update) &&
 		   record_clock(link, update.clock_ms)) {
 		link->worker.stated_ms = update.stated_ms;
+		sbt_set_limit(link->starts, update.start_limit);
 		link->opts.update(link, &update, link->opts.ctx);
 	} else if (call->proc == RUN_CRASH &&
 		   xdr_run_crash_args(call->args, &crash))
@@ -302,9 +291,7 @@
 	g_socket_client_set_enable_proxy(link->client, FALSE);
 	g_socket_client_set_timeout(link->client, CONNECT_TIMEOUT_S);
 	link->last_open_ms = clk_now_ms();
-	link->starts = g_array_new(FALSE, FALSE, sizeof(run_start));
-	g_array_set_clear_func(link->starts, start_clear);
-	link->specs = ssp_new();
+	link->starts = sbt_new();
 	link->cancels = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	connect_link(link);
 	return link;
@@ -323,8 +310,7 @@
 		g_object_unref(link->connecting);
 	}
 	drop_conn(link, &why);
-	g_array_unref(link->starts);
-	g_ptr_array_unref(link->specs);
+	sbt_free(link->starts);
 	g_array_unref(link->cancels);
 	xdr_free((xdrproc_t)xdr_run_statement, &link->worker);
 	g_object_unref(link->client);
@@ -363,20 +349,45 @@
 	schedule_reconnect(link);
 }
 
+/*
+ * A batch that can't be sent must not be dropped in silence: its tasks would
+ * wait for their deadline.  Without the connection their outcome is unknown, as
+ * that of other starts on it.
+ */
+static void
+send_starts(struct wlk *link)
+{
+	g_autofree run_spec *specs = NULL;
+	run_start_args args = {
+	    .agent_ms = pcl_estimate_ms(&link->agent_clock, clk_now_ms()),
+	};
+	bool sent;
+
+	sbt_to_wire(link->starts, &args, &specs);
+	sent = rpc_send(
+	    link->conn, RUN_START, (xdrproc_t)xdr_run_start_args, &args);
+	sbt_clear(link->starts);
+	if (sent || !rpc_is_open(link->conn))
+		return;
+	evt_write("agent", evt_text("agent", link->address),
+	    evt_text("state", "starts can't be sent"),
+	    evt_uint("starts", args.starts.starts_len));
+	rpc_close(link->conn, ST_LIMIT, "starts can't be sent");
+}
+
 bool
 wlk_start(struct wlk *link, const run_start *start, GBytes *spec)
 {
-	run_start copy = *start;
+	enum sbt_verdict verdict;
 
-	if (link->conn == NULL || was_suspended(link) ||
-	    link->starts->len >= RUN_BATCH_MAX)
+	if (link->conn == NULL || was_suspended(link))
 		return false;
-	copy.task = g_strdup(start->task);
-	copy.service = g_strdup(start->service);
-	copy.queue = g_strdup(start->queue);
-	copy.spec = ssp_add(link->specs, spec);
-	g_array_append_val(link->starts, copy);
-	return true;
+	verdict = sbt_add(link->starts, start, spec);
+	if (verdict == SBT_BATCH_FULL) {
+		send_starts(link);
+		verdict = sbt_add(link->starts, start, spec);
+	}
+	return verdict == SBT_ADDED;
 }
 
 static gboolean
@@ -426,29 +437,14 @@
 	g_array_remove_range(link->cancels, 0, args.seqs.seqs_len);
 }
 
-static void
-send_starts(struct wlk *link)
-{
-	g_autofree run_spec *specs = ssp_to_wire(link->specs);
-	run_start_args args = {
-	    .agent_ms = pcl_estimate_ms(&link->agent_clock, clk_now_ms()),
-	    .specs = {link->specs->len, specs},
-	    .starts = {link->starts->len, (run_start *)link->starts->data},
-	};
-
-	rpc_send(link->conn, RUN_START, (xdrproc_t)xdr_run_start_args, &args);
-}
-
 /* Starts go first, so that a cancel never arrives before its start. */
 void
 wlk_flush(struct wlk *link)
 {
 	if (link->conn == NULL)
 		return;
-	if (link->starts->len > 0)
+	if (sbt_count(link->starts) > 0)
 		send_starts(link);
-	g_array_set_size(link->starts, 0);
-	g_ptr_array_set_size(link->specs, 0);
 	while (link->conn != NULL && link->cancels->len > 0)
 		send_cancels(link);
 }
--- a/src/connection/worklink.h
+++ b/src/connection/worklink.h
@@ -46,7 +46,8 @@
 int64_t wlk_last_open_ms(const struct wlk *link);
 /*
  * Queues a start until wlk_flush().  False when the link is not open, this
- * process was suspended for longer than the agent waits, or the batch is full.
+ * process was suspended for longer than the agent waits, or the agent takes no
+ * more starts before its next update.
  */
 bool wlk_start(struct wlk *link, const run_start *start, GBytes *spec);
 void wlk_cancel(struct wlk *link, uint64_t seq);
--- a/src/process/jobagent.c
+++ b/src/process/jobagent.c
@@ -18,8 +18,7 @@
 #include "request/statedroom.h"
 #include "request/updates.h"
 
-#define JA_TICK_MS	  50
-#define MAX_QUEUED_STARTS 4096
+#define JA_TICK_MS 50
 /* A heartbeat is answered if the last update was sent longer ago than this. */
 #define HEARTBEAT_REPLY_MS 200
 /*
@@ -28,6 +27,8 @@
  * calls must not be processed.
  */
 #define ENTRY_SILENCE_MS 800
+/* Results of an update; more follow in another one. */
+#define MAX_UPDATE_RESULTS 1024
 /* A description of the worker is too old when this many heartbeats are due. */
 #define MAX_MISSED_HEARTBEATS 2
 /* Results and the worker's description that an entry has yet to be sent. */
@@ -144,33 +145,46 @@
 	    &args);
 }
 
+/* Sends an update with the results that it may hold, and removes those. */
 static void
-send_update(struct ja *ja, uint64_t session)
+send_results(struct ja *ja, uint64_t session, struct outbox *box)
 {
-	struct outbox *box = g_hash_table_lookup(ja->outboxes, &session);
+	uint32_t n_sessions = g_hash_table_size(ja->outboxes);
+	uint32_t n_results = MIN(box->results->len, MAX_UPDATE_RESULTS);
 	const char *reason = NULL;
 	struct wk_size room;
 	run_update_args args;
 
-	if (box == NULL)
-		return;
-	if (box->worker_due)
-		send_worker(ja, session);
-	box->worker_due = false;
-	box->near = ses_is_near(ja->ses, session);
 	led_room(ja->led, &room);
 	args = (run_update_args){
-	    .results = {box->results->len, (run_result *)box->results->data},
+	    .results = {n_results, (run_result *)box->results->data},
 	    .free = size_to_wire(&room),
 	    .accepting = box->near && is_accepting(ja, &reason),
-	    .sessions = g_hash_table_size(ja->outboxes),
+	    .sessions = n_sessions,
 	    .slowness_permille = slw_permille(&ja->slowness, clk_now_ms()),
 	    .clock_ms = clk_now_ms(),
 	    .stated_ms = hold_stated_ms(ja->hold),
+	    .start_limit = led_start_limit(ja->led, session, n_sessions),
 	};
 	ses_send(ja->ses, session, RUN_UPDATE, (xdrproc_t)xdr_run_update_args,
 	    &args);
-	g_array_set_size(box->results, 0);
+	g_array_remove_range(box->results, 0, n_results);
+}
+
+static void
+send_update(struct ja *ja, uint64_t session)
+{
+	struct outbox *box = g_hash_table_lookup(ja->outboxes, &session);
+
+	if (box == NULL)
+		return;
+	if (box->worker_due)
+		send_worker(ja, session);
+	box->worker_due = false;
+	box->near = ses_is_near(ja->ses, session);
+	do {
+		send_results(ja, session, box);
+	} while (box->results->len > 0);
 	upd_record_sent(ja->updates, session, clk_now_ms());
 }
 
@@ -293,34 +307,41 @@
 	plan_updates(ja);
 }
 
+static struct led_start
+start_from_wire(const run_start *s, const GPtrArray *specs)
+{
+	return (struct led_start){
+	    .seq = s->seq,
+	    .task = s->task,
+	    .queue = s->queue,
+	    .spec = s->spec < specs->len ? specs->pdata[s->spec] : NULL,
+	    .size = size_from_wire(&s->size),
+	    .priority = s->priority,
+	    .expected_ms = s->expected_ms,
+	    .nominal_ms = s->nominal_ms,
+	};
+}
+
 static void
 on_start(uint64_t session, const struct run_start_args *args, void *ctx)
 {
 	struct ja *ja = ctx;
 	g_autoptr(GPtrArray) specs = ssp_from_wire(args);
+	uint32_t i, n = args->starts.starts_len;
+	g_autofree struct led_start *starts = g_new0(struct led_start, n);
 	int64_t now_ms = clk_now_ms();
 	int64_t sent_ms = MIN(args->agent_ms, now_ms);
-	uint32_t i;
 
-	for (i = 0; i < args->starts.starts_len; i++) {
+	for (i = 0; i < n; i++) {
 		const run_start *s = &args->starts.starts_val[i];
-		struct led_start start = {
-		    .session = session,
-		    .seq = s->seq,
-		    .task = s->task,
-		    .queue = s->queue,
-		    .spec = s->spec < specs->len ? specs->pdata[s->spec] : NULL,
-		    .size = size_from_wire(&s->size),
-		    .priority = s->priority,
-		    .expected_ms = s->expected_ms,
-		    .nominal_ms = s->nominal_ms,
-		    .start_by_ms = sent_ms + s->start_within_ms,
-		};
 
+		starts[i] = start_from_wire(s, specs);
+		starts[i].session = session;
+		starts[i].start_by_ms = sent_ms + s->start_within_ms;
 		if (g_strcmp0(s->service, ja->worker->service) != 0)
-			start.start_by_ms = now_ms - 1;
-		led_submit(ja->led, &start, now_ms);
+			starts[i].start_by_ms = now_ms - 1;
 	}
+	led_submit(ja->led, starts, n, now_ms);
 	plan_updates(ja);
 }
 
@@ -446,8 +467,13 @@
 on_started(const struct wp_answer *answer, void *ctx)
 {
 	struct run_context *call = ctx;
+	struct ja *ja = call->ja;
+	uint32_t n_queued = led_queued(ja->led);
 
-	led_started(call->ja->led, call->run, answer, clk_now_ms());
+	led_started(ja->led, call->run, answer, clk_now_ms());
+	/* The entries may send more starts when the queue is shorter. */
+	if (led_queued(ja->led) != n_queued)
+		plan_updates(ja);
 	g_free(call);
 }
 
@@ -551,7 +577,7 @@
 	count_result(ja, result);
 	measure_worker(ja, result);
 	if (box != NULL) {
-		message.reason = g_strdup(result->reason);
+		message.reason = g_strndup(result->reason, RUN_NAME_MAX);
 		g_array_append_val(box->results, message);
 		upd_mark_urgent(ja->updates, result->session, clk_now_ms());
 	}
@@ -784,7 +810,8 @@
 make_run_state(struct ja *ja)
 {
 	struct led_options led = {
-	    .max_queue = MAX_QUEUED_STARTS,
+	    .limits =
+		rlm_defaults(ja->opts.max_runs, ja->opts.max_queued_starts),
 	    .may_start = may_start,
 	    .worker_answers = worker_answers,
 	    .last_sent_ms = last_sent_ms,
--- a/src/request/ledger.c
+++ b/src/request/ledger.c
@@ -1,8 +1,8 @@
 #include <glib.h>
 #include <string.h>
 
-#include "request/ledger.h"
-#include "request/progress.h"
+#include "request/ledgerrun.h"
+#include "request/reportindex.h"
 
 /*
  * A stop that the worker has not confirmed is sent again after this time.  The
@@ -33,45 +33,9 @@
  */
 #define MAX_START_CALLS 5
 
-enum state {
-	QUEUED,
-	STARTING,
-	RUNNING,
-	STOPPING, /* a stop was sent for a running or an unanswered start */
-};
-
-struct run {
-	enum state state;
-	uint64_t session;
-	uint64_t seq;
-	char *task;
-	char *queue;
-	GBytes *spec;
-	struct wk_size size;
-	uint32_t priority;
-	uint64_t order; /* number of the start in order of arrival */
-	int64_t start_by_ms;
-	int64_t number;	       /* run number given to the worker */
-	int64_t sent_ms;       /* when the start was last sent */
-	int64_t first_sent_ms; /* with this run number */
-	uint32_t start_calls;  /* likewise */
-	int64_t no_answer_ms;  /* when the start timed out, 0: it did not */
-	bool repeat_refused;   /* the worker refused a repeated start */
-	int64_t stop_sent_ms;  /* when a stop was last sent, 0: never */
-	uint32_t stop_calls;
-	int64_t stop_confirmed_ms; /* when the stop was confirmed, 0: not yet */
-	bool given_up;		   /* by its entry, at given_up_ms */
-	int64_t given_up_ms;
-	uint32_t renumbers;
-	bool started;		 /* the worker has confirmed the start */
-	const char *stop_reason; /* why the run is being stopped */
-	int64_t nominal_ms;
-	struct pgr progress;
-	bool stalled;
-};
-
 struct led {
 	struct led_options opts;
+	struct rlm *limits;
 	struct wk_size capacity;
 	struct wk_size used; /* by active runs */
 	struct wk_size queued;
@@ -83,32 +47,13 @@
 	bool starting_queued;
 };
 
-static int
-compare_priorities(gconstpointer left, gconstpointer right, gpointer data)
-{
-	const struct run *a = left, *b = right;
-
-	(void)data;
-	if (a->priority != b->priority)
-		return a->priority < b->priority ? -1 : 1;
-	return (a->order > b->order) - (a->order < b->order);
-}
-
-static void
-run_free(struct run *run)
-{
-	g_free(run->task);
-	g_free(run->queue);
-	g_clear_pointer(&run->spec, g_bytes_unref);
-	g_free(run);
-}
-
 struct led *
 led_new(const struct led_options *opts)
 {
 	struct led *led = g_new0(struct led, 1);
 
 	led->opts = *opts;
+	led->limits = rlm_new(&opts->limits);
 	led->queue = g_sequence_new(NULL);
 	led->active = g_hash_table_new(g_int64_hash, g_int64_equal);
 	led->by_task = g_hash_table_new(g_str_hash, g_str_equal);
@@ -127,13 +72,14 @@
 		return;
 	for (it = g_sequence_get_begin_iter(led->queue);
 	     !g_sequence_iter_is_end(it); it = g_sequence_iter_next(it))
-		run_free(g_sequence_get(it));
+		lrn_free(g_sequence_get(it));
 	g_sequence_free(led->queue);
 	g_hash_table_iter_init(&iter, led->active);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		run_free(value);
+		lrn_free(value);
 	g_hash_table_unref(led->by_task);
 	g_hash_table_unref(led->active);
+	rlm_free(led->limits);
 	g_free(led);
 }
 
@@ -167,9 +113,10 @@
 release(struct led *led, struct run *run)
 {
 	wk_subtract(&led->used, &run->size);
+	rlm_end_run(led->limits, run->session);
 	g_hash_table_remove(led->active, &run->number);
 	g_hash_table_remove(led->by_task, run->task);
-	run_free(run);
+	lrn_free(run);
 }
 
 static void
@@ -192,48 +139,48 @@
 
 	g_sequence_remove(it);
 	wk_subtract(&led->queued, &run->size);
+	rlm_unqueue(led->limits, run->session);
 	report_result(led, run, LED_NOT_STARTED, 0, reason);
-	run_free(run);
+	lrn_free(run);
 }
 
 /* Returns why a new start can't be queued, or NULL if it can. */
 static const char *
-reason_to_refuse(const struct led *led, const struct run *run)
+reason_to_refuse(struct led *led, const struct run *run)
 {
-	uint32_t queued = (uint32_t)g_sequence_get_length(led->queue);
+	bool has_room = rlm_receive(led->limits, run->session);
 
 	if (run->spec == NULL)
 		return "without its spec";
 	if (!wk_fits(&run->size, &led->capacity))
 		return "larger than the worker";
-	return queued >= led->opts.max_queue ? "queue full" : NULL;
+	return has_room ? NULL : "queue full";
 }
 
-void
-led_submit(struct led *led, const struct led_start *start, int64_t now_ms)
+static void
+queue_start(struct led *led, const struct led_start *start)
 {
-	struct run *run = g_new0(struct run, 1);
-	const char *reason;
+	struct run *run = lrn_new(start, led->next_order++);
+	const char *reason = reason_to_refuse(led, run);
 
-	run->session = start->session;
-	run->seq = start->seq;
-	run->task = g_strdup(start->task);
-	run->queue = g_strdup(start->queue);
-	run->spec = start->spec == NULL ? NULL : g_bytes_ref(start->spec);
-	run->size = start->size;
-	run->priority = start->priority;
-	run->order = led->next_order++;
-	run->start_by_ms = start->start_by_ms;
-	run->nominal_ms = start->nominal_ms;
-	pgr_init(&run->progress, start->expected_ms);
-	reason = reason_to_refuse(led, run);
 	if (reason != NULL) {
 		report_result(led, run, LED_NOT_STARTED, 0, reason);
-		run_free(run);
+		lrn_free(run);
 		return;
 	}
 	wk_add(&led->queued, &run->size);
-	g_sequence_insert_sorted(led->queue, run, compare_priorities, NULL);
+	rlm_queue(led->limits, run->session);
+	g_sequence_insert_sorted(led->queue, run, lrn_compare, NULL);
+}
+
+void
+led_submit(struct led *led, const struct led_start *starts, size_t n_starts,
+    int64_t now_ms)
+{
+	size_t i;
+
+	for (i = 0; i < n_starts; i++)
+		queue_start(led, &starts[i]);
 	led_start_queued(led, now_ms);
 }
 
@@ -242,6 +189,7 @@
 {
 	run->stop_sent_ms = now_ms;
 	run->stop_calls++;
+	rlm_stop_called(led->limits);
 	led->opts.stop(run->task, run->number, led->opts.ctx);
 }
 
@@ -253,7 +201,25 @@
 		return;
 	run->state = STOPPING;
 	run->stop_reason = stop_reason;
-	send_stop(led, run, now_ms);
+	if (rlm_may_call_stop(led->limits))
+		send_stop(led, run, now_ms);
+}
+
+/* Sends the first stops of runs that waited for a call. */
+static void
+send_waiting_stops(struct led *led, int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, led->active);
+	while (rlm_may_call_stop(led->limits) &&
+	       g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct run *run = value;
+
+		if (run->state == STOPPING && run->stop_calls == 0)
+			send_stop(led, run, now_ms);
+	}
 }
 
 /*
@@ -309,6 +275,7 @@
 {
 	refuse_matching(led, session, 0, "session ended");
 	stop_matching(led, session, 0, "session ended", given_up_ms, now_ms);
+	rlm_end_session(led->limits, session);
 }
 
 void
@@ -341,6 +308,7 @@
 {
 	run->sent_ms = now_ms;
 	run->start_calls++;
+	rlm_start_called(led->limits);
 	led->opts.start(run->task, run->spec, run->number, led->opts.ctx);
 }
 
@@ -386,14 +354,57 @@
 	return now_ms - sent_ms >= SILENT_ENTRY_MS;
 }
 
+/* What the queued starts of one session have in common during a pass. */
+struct session_check {
+	uint64_t session;
+	bool known;
+	const char *reason; /* why they are to be returned, or NULL */
+};
+
+/* The answer takes a pass over the runs, and neighbours in the queue share it. */
+static const char *
+check_session(struct session_check *check, const struct led *led,
+    const struct run *run, int64_t now_ms)
+{
+	const char *reason = "not accepting";
+
+	if (check->known && check->session == run->session)
+		return check->reason;
+	check->session = run->session;
+	check->known = true;
+	if (is_entry_silent(led, run, now_ms))
+		check->reason = "entry is silent";
+	else if (led->opts.may_start(run->session, &reason, led->opts.ctx))
+		check->reason = NULL;
+	else
+		check->reason = reason;
+	return check->reason;
+}
+
+static void
+start_first_time(struct led *led, GSequenceIter *it, int64_t now_ms)
+{
+	struct run *run = g_sequence_get(it);
+
+	g_sequence_remove(it);
+	wk_subtract(&led->queued, &run->size);
+	wk_add(&led->used, &run->size);
+	rlm_begin_run(led->limits, run->session);
+	rlm_unqueue(led->limits, run->session);
+	send_start(led, run, now_ms);
+}
+
 /*
  * Strict order of priority: the first start that does not fit the free capacity
- * holds back those behind it.  A task that still has an active run is skipped.
- * All wait while the worker answers no call, as repeated starts do.
+ * holds back those behind it, and so does one that finds no place or no call
+ * left.  A task that still has an active run is skipped, and so is a start
+ * whose session has its share of the places.  All wait while the worker answers
+ * no call, as repeated starts do.
  */
 void
 led_start_queued(struct led *led, int64_t now_ms)
 {
+	struct session_check check = {0};
 	GSequenceIter *it;
 
 	if (led->starting_queued)
@@ -404,24 +415,23 @@
 		GSequenceIter *next = g_sequence_iter_next(it);
 		struct run *run = g_sequence_get(it);
 		struct wk_size room = led->capacity;
-		const char *reason = "not accepting";
+		const char *reason =
+		    now_ms > run->start_by_ms
+			? "not started in time"
+			: check_session(&check, led, run, now_ms);
 
 		wk_subtract(&room, &led->used);
-		if (now_ms > run->start_by_ms) {
-			refuse_queued(led, it, "not started in time");
-		} else if (is_entry_silent(led, run, now_ms)) {
-			refuse_queued(led, it, "entry is silent");
-		} else if (!led->opts.may_start(
-			       run->session, &reason, led->opts.ctx)) {
+		if (reason != NULL) {
 			refuse_queued(led, it, reason);
 		} else if (led->opts.worker_answers(led->opts.ctx) &&
 			   !g_hash_table_contains(led->by_task, run->task)) {
-			if (!wk_fits(&run->size, &room))
+			enum rlm_verdict verdict =
+			    rlm_check_start(led->limits, run->session);
+
+			if (verdict == RLM_FULL || !wk_fits(&run->size, &room))
 				break;
-			g_sequence_remove(it);
-			wk_subtract(&led->queued, &run->size);
-			wk_add(&led->used, &run->size);
-			send_start(led, run, now_ms);
+			if (verdict == RLM_MAY_START)
+				start_first_time(led, it, now_ms);
 		}
 		it = next;
 	}
@@ -431,14 +441,17 @@
 void
 led_tick(struct led *led, int64_t now_ms)
 {
-	g_autoptr(GList) runs = g_hash_table_get_values(led->active);
+	g_autoptr(GList) runs = NULL;
 	GList *l;
 
+	send_waiting_stops(led, now_ms);
+	runs = g_hash_table_get_values(led->active);
 	for (l = runs; l != NULL; l = l->next) {
 		struct run *run = l->data;
 
 		if (run->state == STOPPING && run->stop_confirmed_ms == 0 &&
-		    now_ms - run->stop_sent_ms >= STOP_REPEAT_MS)
+		    now_ms - run->stop_sent_ms >= STOP_REPEAT_MS &&
+		    rlm_may_call_stop(led->limits))
 			send_stop(led, run, now_ms);
 	}
 	led_start_queued(led, now_ms);
@@ -507,17 +520,13 @@
 	led_start_queued(led, now_ms);
 }
 
-void
-led_started(struct led *led, int64_t number, const struct wp_answer *answer,
+static void
+settle_start(struct led *led, struct run *run, const struct wp_answer *answer,
     int64_t now_ms)
 {
-	struct run *run = find_run(led, number);
-
-	if (run == NULL)
-		return;
 	switch (answer->verdict) {
 	case WP_DONE:
-		run->started = true;
+		lrn_set_started(run);
 		if (run->state == STARTING)
 			run->state = RUNNING;
 		return;
@@ -536,13 +545,20 @@
 }
 
 void
-led_stopped(
-    struct led *led, int64_t number, enum wp_verdict verdict, int64_t now_ms)
+led_started(struct led *led, int64_t number, const struct wp_answer *answer,
+    int64_t now_ms)
 {
 	struct run *run = find_run(led, number);
 
-	if (run == NULL || run->state != STOPPING)
-		return;
+	rlm_start_answered(led->limits);
+	if (run != NULL)
+		settle_start(led, run, answer, now_ms);
+	led_start_queued(led, now_ms);
+}
+static void
+settle_stop(
+    struct led *led, struct run *run, enum wp_verdict verdict, int64_t now_ms)
+{
 	if (verdict == WP_NO_ANSWER) {
 		if (run->stop_calls < MAX_PROMPT_STOPS)
 			send_stop(led, run, now_ms);
@@ -554,6 +570,18 @@
 	led->opts.request_report(led->opts.ctx);
 }
 
+void
+led_stopped(
+    struct led *led, int64_t number, enum wp_verdict verdict, int64_t now_ms)
+{
+	struct run *run = find_run(led, number);
+
+	rlm_stop_answered(led->limits);
+	if (run != NULL && run->state == STOPPING)
+		settle_stop(led, run, verdict, now_ms);
+	send_waiting_stops(led, now_ms);
+}
+
 static void
 record_end(struct led *led, const struct wp_ended *end, int64_t now_ms)
 {
@@ -611,26 +639,13 @@
 	}
 }
 
-static bool
-report_lists(const struct wp_report *report, const struct run *run)
-{
-	size_t i;
-
-	for (i = 0; i < report->n_running; i++) {
-		if (report->running[i].run == run->number &&
-		    strcmp(report->running[i].task, run->task) == 0)
-			return true;
-	}
-	return false;
-}
-
 /*
  * A run whose stop was confirmed will never run when a report requested after
  * that does not list it.
  */
 static void
-release_stopped(struct led *led, const struct wp_report *report,
-    int64_t sent_ms, int64_t now_ms)
+release_stopped(
+    struct led *led, const struct rpi *rows, int64_t sent_ms, int64_t now_ms)
 {
 	g_autoptr(GList) runs = g_hash_table_get_values(led->active);
 	GList *l;
@@ -640,16 +655,19 @@
 
 		if (run->state == STOPPING && run->stop_confirmed_ms != 0 &&
 		    run->stop_confirmed_ms <= sent_ms &&
-		    !report_lists(report, run))
+		    !rpi_lists(rows, run->task, run->number))
 			finish(led, run, run->stalled ? LED_STALLED : LED_LOST,
 			    run->stop_reason, now_ms);
 	}
 }
 
+/* Without a call left, the start waits for the next report. */
 static void
 settle_unlisted(struct led *led, struct run *run, int64_t now_ms)
 {
 	if (may_repeat_start(led, run, now_ms)) {
+		if (!rlm_may_call_start(led->limits))
+			return;
 		run->no_answer_ms = 0;
 		call_start(led, run, now_ms);
 	} else {
@@ -663,8 +681,8 @@
  * again, or a stop is sent, after which the worker refuses its run number.
  */
 static void
-settle_unanswered(struct led *led, const struct wp_report *report,
-    int64_t sent_ms, int64_t now_ms)
+settle_unanswered(
+    struct led *led, const struct rpi *rows, int64_t sent_ms, int64_t now_ms)
 {
 	g_autoptr(GList) runs = g_hash_table_get_values(led->active);
 	GList *l;
@@ -675,11 +693,12 @@
 		if (run->state != STARTING || run->no_answer_ms == 0 ||
 		    run->no_answer_ms > sent_ms)
 			continue;
-		run->started = report_lists(report, run);
-		if (run->started)
+		if (rpi_lists(rows, run->task, run->number)) {
+			lrn_set_started(run);
 			run->state = RUNNING;
-		else
+		} else {
 			settle_unlisted(led, run, now_ms);
+		}
 	}
 }
 
@@ -687,6 +706,7 @@
 led_report(struct led *led, const struct wp_report *report, int64_t sent_ms,
     int64_t now_ms)
 {
+	struct rpi *rows = rpi_new(report);
 	size_t i;
 
 	for (i = 0; i < report->n_ended; i++)
@@ -694,8 +714,9 @@
 	for (i = 0; i < report->n_running; i++)
 		record_progress(
 		    led, &report->running[i], report->answer.clock_ms, now_ms);
-	settle_unanswered(led, report, sent_ms, now_ms);
-	release_stopped(led, report, sent_ms, now_ms);
+	settle_unanswered(led, rows, sent_ms, now_ms);
+	release_stopped(led, rows, sent_ms, now_ms);
+	rpi_free(rows);
 	led_start_queued(led, now_ms);
 }
 
@@ -744,6 +765,12 @@
 	wk_subtract(room, &led->queued);
 }
 
+uint64_t
+led_start_limit(const struct led *led, uint64_t session, uint32_t n_sessions)
+{
+	return rlm_start_limit(led->limits, session, n_sessions);
+}
+
 uint32_t
 led_queued(const struct led *led)
 {
@@ -756,30 +783,6 @@
 	return g_hash_table_size(led->active);
 }
 
-static void
-count_state(const struct run *run, struct led_states *states)
-{
-	switch (run->state) {
-	case QUEUED:
-		break;
-	case STARTING:
-		if (run->no_answer_ms == 0)
-			states->starting++;
-		else
-			states->unanswered++;
-		break;
-	case RUNNING:
-		states->running++;
-		break;
-	case STOPPING:
-		if (run->stop_confirmed_ms == 0)
-			states->stopping++;
-		else
-			states->stopped++;
-		break;
-	}
-}
-
 void
 led_count_states(const struct led *led, struct led_states *states)
 {
@@ -789,7 +792,7 @@
 	*states = (struct led_states){.queued = led_queued(led)};
 	g_hash_table_iter_init(&iter, led->active);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		count_state(value, states);
+		lrn_count_state(value, states);
 }
 
 void
--- a/src/request/ledger.h
+++ b/src/request/ledger.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "connection/workerport.h"
+#include "request/runlimits.h"
 #include "request/work.h"
 
 /*
@@ -70,7 +71,7 @@
 };
 
 struct led_options {
-	uint32_t max_queue;
+	struct rlm_options limits;
 	/* Whether a start may be sent now; sets reason when it may not. */
 	bool (*may_start)(uint64_t session, const char **reason, void *ctx);
 	/* Whether the worker has answered calls lately; if not, no start is sent. */
@@ -78,8 +79,8 @@
 	/* When the session's entry sent the last message that has arrived. */
 	int64_t (*last_sent_ms)(uint64_t session, void *ctx);
 	/*
-	 * Calls to the worker.  Their answers go to led_started() and
-	 * led_stopped().
+	 * Calls to the worker.  The answer to each goes to led_started() or
+	 * led_stopped(), also when there is none in time.
 	 */
 	void (*start)(const char *task, GBytes *spec, int64_t run, void *ctx);
 	void (*stop)(const char *task, int64_t run, void *ctx);
@@ -97,8 +98,15 @@
 void led_set_capacity(
     struct led *led, const struct wk_size *capacity, int64_t now_ms);
 
-/* Queues a start.  A refused one gets its result during the call. */
-void led_submit(struct led *led, const struct led_start *start, int64_t now_ms);
+/* Queues starts.  A refused one gets its result during the call. */
+void led_submit(struct led *led, const struct led_start *starts,
+    size_t n_starts, int64_t now_ms);
+/*
+ * How many starts the session's entry may have sent in all, if n_sessions share
+ * the queue; see rlm_start_limit().
+ */
+uint64_t led_start_limit(
+    const struct led *led, uint64_t session, uint32_t n_sessions);
 /*
  * given_up_ms is the earliest time at which the entry may have given up the
  * start: its job may be sent again 1.3 s later.
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -5,12 +5,14 @@
 #include "request/ledger.h"
 #include "runner.h"
 
+#define MAX_RUNS    64
 #define MAX_QUEUE   4
 #define MAX_ROWS    8
 #define EXPECTED_MS 1000
 #define N_SESSIONS  4
 
 struct trace {
+	struct led_options led_options;
 	struct led *led;
 	GString *actual;
 	int64_t now_ms;
@@ -112,7 +114,7 @@
 {
 	struct trace *t = g_new0(struct trace, 1);
 	struct led_options opts = {
-	    .max_queue = MAX_QUEUE,
+	    .limits = {MAX_RUNS, MAX_RUNS, MAX_QUEUE, MAX_QUEUE},
 	    .may_start = may_start,
 	    .worker_answers = worker_answers,
 	    .last_sent_ms = last_sent_ms,
@@ -125,10 +127,23 @@
 
 	t->accepting = true;
 	t->answering = true;
+	t->led_options = opts;
 	t->led = led_new(&opts);
 	return t;
 }
 
+/* limits RUNS CALLS: replaces the ledger. */
+static void
+set_limits(struct trace *t, char **w)
+{
+	struct led_options opts = t->led_options;
+
+	opts.limits.max_runs = (uint32_t)atoi(w[1]);
+	opts.limits.max_calls = (uint32_t)atoi(w[2]);
+	led_free(t->led);
+	t->led = led_new(&opts);
+}
+
 static void
 end(void *ctx)
 {
@@ -162,7 +177,7 @@
 			   (w[6] == NULL || !has_spec ? 1000000 : number(w[6])),
 	};
 
-	led_submit(t->led, &s, t->now_ms);
+	led_submit(t->led, &s, 1, t->now_ms);
 }
 
 /* report SENT[/CLOCK] (TASK.RUN | TASK.RUN@PERCENT | TASK.RUN=HOW)... */
@@ -288,7 +303,9 @@
 	else if (strcmp(w[0], "room") == 0) {
 		led_room(t->led, &size);
 		emit(t, "%d", (int)size.cpu_milli);
-	} else if (strcmp(w[0], "states") == 0)
+	} else if (strcmp(w[0], "limits") == 0)
+		set_limits(t, w);
+	else if (strcmp(w[0], "states") == 0)
 		show_states(t);
 	else
 		ck_abort_msg("unknown command %s", w[0]);
