--- a/src/process/jobagent.c
+++ b/src/process/jobagent.c
@@ -12,6 +12,7 @@
 #include "process/histogram.h"
 #include "process/jobagent.h"
 #include "process/outdomains.h"
+#include "process/runstates.h"
 #include "request/cancelled.h"
 #include "request/ledger.h"
 #include "request/slowness.h"
@@ -66,10 +67,7 @@
 	bool withheld;	       /* the lease, as last logged */
 	int64_t *starts, *done, *failed, *runs_lost, *refused, *stalled;
 	int64_t *sessions_lost, *leases_withheld, *unstated_total;
-	struct {
-		int64_t *queued, *starting, *unanswered;
-		int64_t *running, *stopping, *stopped;
-	} states; /* number of starts in each */
+	struct rst *states;
 	struct hst *run_times;
 };
 
@@ -727,20 +725,6 @@
 	    evt_int("stated_ms", hold_stated_ms(ja->hold)));
 }
 
-static void
-update_gauges(struct ja *ja)
-{
-	struct led_states states;
-
-	led_count_states(ja->led, &states);
-	*ja->states.queued = states.queued;
-	*ja->states.starting = states.starting;
-	*ja->states.unanswered = states.unanswered;
-	*ja->states.running = states.running;
-	*ja->states.stopping = states.stopping;
-	*ja->states.stopped = states.stopped;
-}
-
 static gboolean
 on_tick(gpointer data)
 {
@@ -754,31 +738,11 @@
 	odm_tick(ja->out_domains);
 	announce_accepting(ja);
 	crw_tick(ja->crashwatch);
-	update_gauges(ja);
+	rst_tick(ja->states, ja->led);
 	finish_drain(ja);
 	return G_SOURCE_CONTINUE;
 }
 
-static int64_t *
-state_gauge(struct ja *ja, const char *state)
-{
-	g_autofree char *name = g_strdup_printf("sp_runs{state=\"%s\"}", state);
-
-	return ctr_gauge(ja->opts.counters, name,
-	    "Starts in each state; all but queued ones hold capacity.");
-}
-
-static void
-make_state_gauges(struct ja *ja)
-{
-	ja->states.queued = state_gauge(ja, "queued");
-	ja->states.starting = state_gauge(ja, "starting");
-	ja->states.unanswered = state_gauge(ja, "unanswered");
-	ja->states.running = state_gauge(ja, "running");
-	ja->states.stopping = state_gauge(ja, "stopping");
-	ja->states.stopped = state_gauge(ja, "stopped");
-}
-
 static void
 make_counters(struct ja *ja)
 {
@@ -803,7 +767,7 @@
 	    "Runs stopped since they made no progress.");
 	ja->refused = ctr_counter(
 	    reg, "sp_runs_refused_total", "Starts returned as not started.");
-	make_state_gauges(ja);
+	ja->states = rst_new(reg);
 }
 
 static void
@@ -933,6 +897,7 @@
 	odm_free(ja->out_domains);
 	wp_worker_free(ja->worker);
 	hst_free(ja->run_times);
+	rst_free(ja->states);
 	g_free(ja);
 }
 
--- a/src/request/ledger.c
+++ b/src/request/ledger.c
@@ -45,6 +45,7 @@
 	GHashTable *active;  /* run number to struct run */
 	GHashTable *by_task; /* task to active struct run */
 	bool starting_queued;
+	bool waits_for_place; /* a queued start, in the last pass */
 };
 
 struct led *
@@ -410,6 +411,7 @@
 	if (led->starting_queued)
 		return;
 	led->starting_queued = true;
+	led->waits_for_place = false;
 	it = g_sequence_get_begin_iter(led->queue);
 	while (!g_sequence_iter_is_end(it)) {
 		GSequenceIter *next = g_sequence_iter_next(it);
@@ -428,6 +430,8 @@
 			enum rlm_verdict verdict =
 			    rlm_check_start(led->limits, run->session);
 
+			led->waits_for_place |=
+			    rlm_lacks_place(led->limits, run->session);
 			if (verdict == RLM_FULL || !wk_fits(&run->size, &room))
 				break;
 			if (verdict == RLM_MAY_START)
@@ -777,6 +781,12 @@
 	return (uint32_t)g_sequence_get_length(led->queue);
 }
 
+bool
+led_waits_for_place(const struct led *led)
+{
+	return led->waits_for_place;
+}
+
 uint32_t
 led_active(const struct led *led)
 {
--- a/src/request/ledger.h
+++ b/src/request/ledger.h
@@ -150,6 +150,8 @@
 /* Capacity less that of active runs and queued starts; may be negative. */
 void led_room(const struct led *led, struct wk_size *room);
 uint32_t led_queued(const struct led *led);
+/* Whether a queued start waits although the capacity would do. */
+bool led_waits_for_place(const struct led *led);
 /* Number of runs that hold capacity. */
 uint32_t led_active(const struct led *led);
 void led_count_states(const struct led *led, struct led_states *states);
--- a/src/request/runlimits.c
+++ b/src/request/runlimits.c
@@ -148,18 +148,24 @@
 	forget_if_over(rlm, s);
 }
 
-enum rlm_verdict
-rlm_check_start(const struct rlm *rlm, uint64_t session)
+bool
+rlm_lacks_place(const struct rlm *rlm, uint64_t session)
 {
 	const struct session *s = find(rlm, session);
 	uint32_t free_places;
 
+	if (rlm->runs >= rlm->opts.max_runs)
+		return true;
+	free_places = rlm->opts.max_runs - rlm->runs;
+	return s != NULL && s->runs >= RUNS_PER_FREE_PLACE * free_places;
+}
+
+enum rlm_verdict
+rlm_check_start(const struct rlm *rlm, uint64_t session)
+{
 	if (rlm->runs >= rlm->opts.max_runs || !rlm_may_call_start(rlm))
 		return RLM_FULL;
-	free_places = rlm->opts.max_runs - rlm->runs;
-	return s != NULL && s->runs >= RUNS_PER_FREE_PLACE * free_places
-		   ? RLM_SESSION_FULL
-		   : RLM_MAY_START;
+	return rlm_lacks_place(rlm, session) ? RLM_SESSION_FULL : RLM_MAY_START;
 }
 
 uint64_t
--- a/src/request/runlimits.h
+++ b/src/request/runlimits.h
@@ -43,6 +43,8 @@
 
 /* Whether a queued start of the session may become a run now. */
 enum rlm_verdict rlm_check_start(const struct rlm *rlm, uint64_t session);
+/* Whether all places, or those of the session, are taken. */
+bool rlm_lacks_place(const struct rlm *rlm, uint64_t session);
 /*
  * How many starts the session's entry may have sent in all, if n_sessions share
  * the queue.
