--- a/src/connection/sessions.c
+++ b/src/connection/sessions.c
@@ -9,10 +9,10 @@
 #define ENTRY_BACKLOG 256
 /*
  * Limits on what a session may hold.  Batches of starts have up to 512 KB; the
- * crashes that an agent remembers, sent at once, some 3 MB.
+ * crashes that an agent remembers, sent at once with the longest names, 9 MB.
  */
-#define MAX_RECORD_BYTES (2 * 1024 * 1024)
-#define MAX_OUTPUT_BYTES (4 * 1024 * 1024)
+#define MAX_RECORD_BYTES (1024 * 1024)
+#define MAX_OUTPUT_BYTES (10 * 1024 * 1024)
 /*
  * A message may take so long, there and back.  With a longer way an entry would
  * be found silent between two heartbeats.
--- a/src/connection/startbatch.c
+++ b/src/connection/startbatch.c
@@ -4,7 +4,7 @@
 #include "connection/startspecs.h"
 
 /*
- * Encoded bytes of a batch.  Agents take records of up to 2 MB; a start of the
+ * Encoded bytes of a batch.  Agents take records of up to 1 MB; a start of the
  * longest names and the largest spec has 67 KB.
  */
 #define MAX_BATCH_BYTES (512 * 1024)
--- a/src/request/ledger.c
+++ b/src/request/ledger.c
@@ -559,6 +559,7 @@
 		settle_start(led, run, answer, now_ms);
 	led_start_queued(led, now_ms);
 }
+
 static void
 settle_stop(
     struct led *led, struct run *run, enum wp_verdict verdict, int64_t now_ms)
