--- a/src/connection/startbatch.c
+++ b/src/connection/startbatch.c
@@ -7,7 +7,7 @@
  * Encoded bytes of a batch.  Agents take records of up to 1 MB; a start of the
  * longest names and the largest spec has 67 KB.
  */
-#define MAX_BATCH_BYTES (512 * 1024)
+#define MAX_BATCH_BYTES 524288
 /* Of a start beside its texts, and of a spec beside its bytes. */
 #define START_BYTES 96
 #define SPEC_BYTES  8
--- a/src/process/jobagent.c
+++ b/src/process/jobagent.c
@@ -326,7 +326,7 @@
 	struct ja *ja = ctx;
 	g_autoptr(GPtrArray) specs = ssp_from_wire(args);
 	uint32_t i, n = args->starts.starts_len;
-	g_autofree struct led_start *starts = g_new0(struct led_start, n);
+	struct led_start *starts = g_new0(struct led_start, n);
 	int64_t now_ms = clk_now_ms();
 	int64_t sent_ms = MIN(args->agent_ms, now_ms);
 
@@ -340,6 +340,7 @@
 			starts[i].start_by_ms = now_ms - 1;
 	}
 	led_submit(ja->led, starts, n, now_ms);
+	g_free(starts);
 	plan_updates(ja);
 }
 
--- a/tests/test_many_tasks.c
+++ b/tests/test_many_tasks.c
@@ -11,12 +11,12 @@
 #define N_TASKS	     12000
 #define N_SMALL_JOBS 60
 /* Half of the memory of an agent's machine. */
-#define MAX_AGENT_KB (64 * 1024)
+#define MAX_AGENT_KB 65536L
 /* The sanitizers keep freed memory and add to each block. */
 #ifdef __SANITIZE_ADDRESS__
-#define MEMORY_FACTOR 4
+#define MEMORY_FACTOR 4L
 #else
-#define MEMORY_FACTOR 1
+#define MEMORY_FACTOR 1L
 #endif
 
 /* Anonymous memory of a process; files that it maps are shared. */
