--- a/tests/test_many_tasks.c
+++ b/tests/test_many_tasks.c
@@ -99,4 +99,49 @@
 }
 END_TEST
 
-TEST_MAIN("many_tasks", 4 * HN_LIMIT_MS / 1000.0, many_small_tasks)
+/* Guards against tasks that are sent to nobody and wait for their deadline. */
+START_TEST(what_cannot_be_sent_is_refused)
+{
+	g_autofree char *name = g_strnfill(300, 'q');
+	struct hn_http *job;
+	struct dpl dpl;
+
+	dpl_start(&dpl, &(struct dpl_options){0});
+	dpl_control(&dpl, "PUT", "key?key=op/config",
+	    hn_str("{\"version\":9,\"routes\":[{\"name\":\"%s\",\"host\":"
+		   "\"127.0.0.1\",\"prefix\":\"/long/\",\"service\":\"desk\","
+		   "\"priority\":0,\"max_attempts\":4,\"stretch\":1.5,"
+		   "\"target_completion_ms\":60}],\"services\":[],"
+		   "\"limits\":{}}",
+		name));
+	ck_assert(hn_wait_until(
+	    hn_http("GET", dpl_url(&dpl, 0, "/long/"), NULL)->status == 200,
+	    HN_LIMIT_MS));
+	job = hn_http("POST", dpl_url(&dpl, 0, "/long/000000000000c200"),
+	    "{\"spec\":\"1\",\"best_effort\":true,\"steps\":[{\"count\":1,"
+	    "\"cpu\":1,\"mem_mb\":1,\"estimate_ms\":1}]}");
+	ck_assert_msg(job->status == 503, "%d %s", job->status, job->body);
+	hn_finish();
+}
+END_TEST
+
+/* Guards against jobs that hold places until their deadline, for nothing. */
+START_TEST(job_beyond_the_workers_is_refused)
+{
+	struct hn_http *job;
+	struct dpl dpl;
+
+	dpl_start(&dpl, &(struct dpl_options){0});
+	job = hn_http_wait(
+	    post(&dpl, 0, 0xc300,
+		"{\"spec\":\"60000\",\"best_effort\":true,\"steps\":"
+		"[{\"count\":20000,\"cpu\":1000,\"mem_mb\":1,"
+		"\"estimate_ms\":60000}]}"),
+	    HN_LIMIT_MS);
+	ck_assert_msg(job->status == 503, "%d %s", job->status, job->body);
+	hn_finish();
+}
+END_TEST
+
+TEST_MAIN("many_tasks", 4 * HN_LIMIT_MS / 1000.0, many_small_tasks,
+    what_cannot_be_sent_is_refused, job_beyond_the_workers_is_refused)
