--- a/src/connection/run.x
+++ b/src/connection/run.x
@@ -126,6 +126,8 @@
 	int64_t clock_ms;	/* of the agent, above 0 */
 	int64_t stated_ms;	/* as in the statement that is now in force */
 	run_slowed slowed<RUN_SLOWED_MAX>;
+	/* Starts that the entry may have sent over the connection in all. */
+	uint64_t start_limit;
 };
 
 enum run_crash_state {
--- a/src/connection/run_xdr.c
+++ b/src/connection/run_xdr.c
@@ -236,6 +236,8 @@
 		(u_int *)&objp->slowed.slowed_len, RUN_SLOWED_MAX,
 		sizeof(run_slowed), (xdrproc_t)xdr_run_slowed))
 		return FALSE;
+	if (!xdr_uint64_t(xdrs, &objp->start_limit))
+		return FALSE;
 	return TRUE;
 }
 
--- a/src/connection/run_xdr.h
+++ b/src/connection/run_xdr.h
@@ -150,6 +150,7 @@
 		u_int slowed_len;
 		run_slowed *slowed_val;
 	} slowed;
+	uint64_t start_limit;
 };
 typedef struct run_update_args run_update_args;
 
--- a/src/process/jobagent.c
+++ b/src/process/jobagent.c
@@ -13,13 +13,14 @@
 #include "process/interwatch.h"
 #include "process/jobagent.h"
 #include "process/outdomains.h"
+#include "process/runstates.h"
 #include "request/cancelled.h"
 #include "request/ledger.h"
 #include "request/slowness.h"
+#include "request/statedroom.h"
 #include "request/updates.h"
 
-#define JA_TICK_MS	  50
-#define MAX_QUEUED_STARTS 4096
+#define JA_TICK_MS 50
 /* A heartbeat is answered if the last update was sent longer ago than this. */
 #define HEARTBEAT_REPLY_MS 200
 /*
@@ -28,6 +29,8 @@
  * calls must not be processed.
  */
 #define ENTRY_SILENCE_MS 800
+/* Results of an update; more follow in another one. */
+#define MAX_UPDATE_RESULTS 1024
 /* A description of the worker is too old when this many heartbeats are due. */
 #define MAX_MISSED_HEARTBEATS 2
 /* Results and the worker's description that an entry has yet to be sent. */
@@ -51,6 +54,7 @@
 	uint64_t slowness_of;	  /* incarnation that it was measured with */
 	struct upd *updates;	  /* when the sessions are sent updates */
 	struct odm *out_domains;  /* failure domains out of service */
+	struct srm stated_room;	  /* capacity by its descriptions */
 	struct wp_worker *worker; /* as it last described itself */
 	bool heard;    /* the worker itself has called; none is recalled */
 	bool unstated; /* as last logged */
@@ -65,10 +69,7 @@
 	bool withheld;	       /* the lease, as last logged */
 	int64_t *starts, *done, *failed, *runs_lost, *refused, *stalled;
 	int64_t *sessions_lost, *leases_withheld, *unstated_total;
-	struct {
-		int64_t *queued, *starting, *unanswered;
-		int64_t *running, *stopping, *stopped;
-	} states; /* number of starts in each */
+	struct rst *states;
 	struct hst *run_times;
 };
 
@@ -144,34 +145,47 @@
 	    &args);
 }
 
+/* Sends an update with the results that it may hold, and removes those. */
 static void
-send_update(struct ja *ja, uint64_t session)
+send_results(struct ja *ja, uint64_t session, struct outbox *box)
 {
-	struct outbox *box = g_hash_table_lookup(ja->outboxes, &session);
+	uint32_t n_sessions = g_hash_table_size(ja->outboxes);
+	uint32_t n_results = MIN(box->results->len, MAX_UPDATE_RESULTS);
 	const char *reason = NULL;
 	struct wk_size room;
 	run_update_args args;
 
-	if (box == NULL)
-		return;
-	if (box->worker_due)
-		send_worker(ja, session);
-	box->worker_due = false;
-	box->near = ses_is_near(ja->ses, session);
 	led_room(ja->led, &room);
 	args = (run_update_args){
-	    .results = {box->results->len, (run_result *)box->results->data},
+	    .results = {n_results, (run_result *)box->results->data},
 	    .free = size_to_wire(&room),
 	    .accepting = box->near && is_accepting(ja, &reason),
-	    .sessions = g_hash_table_size(ja->outboxes),
+	    .sessions = n_sessions,
 	    .slowness_permille = slw_permille(&ja->slowness, clk_now_ms()),
 	    .clock_ms = clk_now_ms(),
 	    .stated_ms = hold_stated_ms(ja->hold),
+	    .start_limit = led_start_limit(ja->led, session, n_sessions),
 	};
 	itw_fill_update(ja->interference, &args);
 	ses_send(ja->ses, session, RUN_UPDATE, (xdrproc_t)xdr_run_update_args,
 	    &args);
-	g_array_set_size(box->results, 0);
+	g_array_remove_range(box->results, 0, n_results);
+}
+
+static void
+send_update(struct ja *ja, uint64_t session)
+{
+	struct outbox *box = g_hash_table_lookup(ja->outboxes, &session);
+
+	if (box == NULL)
+		return;
+	if (box->worker_due)
+		send_worker(ja, session);
+	box->worker_due = false;
+	box->near = ses_is_near(ja->ses, session);
+	do {
+		send_results(ja, session, box);
+	} while (box->results->len > 0);
 	upd_record_sent(ja->updates, session, clk_now_ms());
 }
 
@@ -294,34 +308,42 @@
 	plan_updates(ja);
 }
 
+static struct led_start
+start_from_wire(const run_start *s, const GPtrArray *specs)
+{
+	return (struct led_start){
+	    .seq = s->seq,
+	    .task = s->task,
+	    .queue = s->queue,
+	    .spec = s->spec < specs->len ? specs->pdata[s->spec] : NULL,
+	    .size = size_from_wire(&s->size),
+	    .priority = s->priority,
+	    .expected_ms = s->expected_ms,
+	    .nominal_ms = s->nominal_ms,
+	};
+}
+
 static void
 on_start(uint64_t session, const struct run_start_args *args, void *ctx)
 {
 	struct ja *ja = ctx;
 	g_autoptr(GPtrArray) specs = ssp_from_wire(args);
+	uint32_t i, n = args->starts.starts_len;
+	struct led_start *starts = g_new0(struct led_start, n);
 	int64_t now_ms = clk_now_ms();
 	int64_t sent_ms = MIN(args->agent_ms, now_ms);
-	uint32_t i;
 
-	for (i = 0; i < args->starts.starts_len; i++) {
+	for (i = 0; i < n; i++) {
 		const run_start *s = &args->starts.starts_val[i];
-		struct led_start start = {
-		    .session = session,
-		    .seq = s->seq,
-		    .task = s->task,
-		    .queue = s->queue,
-		    .spec = s->spec < specs->len ? specs->pdata[s->spec] : NULL,
-		    .size = size_from_wire(&s->size),
-		    .priority = s->priority,
-		    .expected_ms = s->expected_ms,
-		    .nominal_ms = s->nominal_ms,
-		    .start_by_ms = sent_ms + s->start_within_ms,
-		};
 
+		starts[i] = start_from_wire(s, specs);
+		starts[i].session = session;
+		starts[i].start_by_ms = sent_ms + s->start_within_ms;
 		if (g_strcmp0(s->service, ja->worker->service) != 0)
-			start.start_by_ms = now_ms - 1;
-		led_submit(ja->led, &start, now_ms);
+			starts[i].start_by_ms = now_ms - 1;
 	}
+	led_submit(ja->led, starts, n, now_ms);
+	g_free(starts);
 	plan_updates(ja);
 }
 
@@ -456,8 +478,13 @@
 on_started(const struct wp_answer *answer, void *ctx)
 {
 	struct run_context *call = ctx;
+	struct ja *ja = call->ja;
+	uint32_t n_queued = led_queued(ja->led);
 
-	led_started(call->ja->led, call->run, answer, clk_now_ms());
+	led_started(ja->led, call->run, answer, clk_now_ms());
+	/* The entries may send more starts when the queue is shorter. */
+	if (led_queued(ja->led) != n_queued)
+		plan_updates(ja);
 	g_free(call);
 }
 
@@ -563,7 +590,7 @@
 	measure_worker(ja, result);
 	itw_ended(ja->interference, result);
 	if (box != NULL) {
-		message.reason = g_strdup(result->reason);
+		message.reason = g_strndup(result->reason, RUN_NAME_MAX);
 		g_array_append_val(box->results, message);
 		upd_mark_urgent(ja->updates, result->session, clk_now_ms());
 	}
@@ -601,6 +628,26 @@
 	led_worker_lost(ja->led, reasons[lost->why], clk_now_ms());
 }
 
+/*
+ * A heartbeat of another writer may name a service of its own: the starts in the
+ * queue were not sent for that one.
+ */
+static void
+apply_capacity(struct ja *ja, const struct wp_worker *worker)
+{
+	struct wk_size capacity;
+
+	if (srm_describe(&ja->stated_room, worker->service, &worker->capacity,
+		&capacity)) {
+		evt_write("worker", evt_text("instance", worker->instance),
+		    evt_text("state", "other service"),
+		    evt_text("service", worker->service));
+		led_return_queue(
+		    ja->led, "worker serves another service", clk_now_ms());
+	}
+	led_set_capacity(ja->led, &capacity, clk_now_ms());
+}
+
 static void
 on_described(const struct wp_worker *worker, void *ctx)
 {
@@ -609,7 +656,7 @@
 
 	wp_worker_free(ja->worker);
 	ja->worker = wp_worker_copy(worker);
-	led_set_capacity(ja->led, &worker->capacity, clk_now_ms());
+	apply_capacity(ja, worker);
 	enl_update(ja->enlist, worker);
 	if (changed)
 		resend_worker(ja);
@@ -693,20 +740,6 @@
 	    evt_int("stated_ms", hold_stated_ms(ja->hold)));
 }
 
-static void
-update_gauges(struct ja *ja)
-{
-	struct led_states states;
-
-	led_count_states(ja->led, &states);
-	*ja->states.queued = states.queued;
-	*ja->states.starting = states.starting;
-	*ja->states.unanswered = states.unanswered;
-	*ja->states.running = states.running;
-	*ja->states.stopping = states.stopping;
-	*ja->states.stopped = states.stopped;
-}
-
 static gboolean
 on_tick(gpointer data)
 {
@@ -721,31 +754,11 @@
 	announce_accepting(ja);
 	crw_tick(ja->crashwatch);
 	itw_tick(ja->interference);
-	update_gauges(ja);
+	rst_tick(ja->states, ja->led);
 	finish_drain(ja);
 	return G_SOURCE_CONTINUE;
 }
 
-static int64_t *
-state_gauge(struct ja *ja, const char *state)
-{
-	g_autofree char *name = g_strdup_printf("sp_runs{state=\"%s\"}", state);
-
-	return ctr_gauge(ja->opts.counters, name,
-	    "Starts in each state; all but queued ones hold capacity.");
-}
-
-static void
-make_state_gauges(struct ja *ja)
-{
-	ja->states.queued = state_gauge(ja, "queued");
-	ja->states.starting = state_gauge(ja, "starting");
-	ja->states.unanswered = state_gauge(ja, "unanswered");
-	ja->states.running = state_gauge(ja, "running");
-	ja->states.stopping = state_gauge(ja, "stopping");
-	ja->states.stopped = state_gauge(ja, "stopped");
-}
-
 static void
 make_counters(struct ja *ja)
 {
@@ -770,14 +783,15 @@
 	    "Runs stopped since they made no progress.");
 	ja->refused = ctr_counter(
 	    reg, "sp_runs_refused_total", "Starts returned as not started.");
-	make_state_gauges(ja);
+	ja->states = rst_new(reg);
 }
 
 static void
 make_run_state(struct ja *ja)
 {
 	struct led_options led = {
-	    .max_queue = MAX_QUEUED_STARTS,
+	    .limits =
+		rlm_defaults(ja->opts.max_runs, ja->opts.max_queued_starts),
 	    .may_start = may_start,
 	    .worker_answers = worker_answers,
 	    .last_sent_ms = last_sent_ms,
@@ -892,6 +906,7 @@
 	g_clear_handle_id(&ja->update_id, g_source_remove);
 	ses_free(ja->ses);
 	enl_free(ja->enlist);
+	srm_clear(&ja->stated_room);
 	hold_free(ja->hold);
 	led_free(ja->led);
 	crw_free(ja->crashwatch);
@@ -902,6 +917,7 @@
 	odm_free(ja->out_domains);
 	wp_worker_free(ja->worker);
 	hst_free(ja->run_times);
+	rst_free(ja->states);
 	g_free(ja);
 }
 
--- a/src/process/jobentry.h
+++ b/src/process/jobentry.h
@@ -57,6 +57,8 @@
 	struct sch_policy policy;
 	/* Whether to place by the interference that agents measure. */
 	bool interference;
+	uint32_t max_open_tasks;       /* of all open jobs; 0: 100,000 */
+	uint32_t max_runs;	       /* of an agent at a time; 0: 512 */
 	int64_t lease_ms;	       /* longest lease that a worker grants */
 	int64_t drain_ms;	       /* longest time of a graceful shutdown */
 	struct ctr_registry *counters; /* borrowed */
--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -112,6 +112,8 @@
     {"learn_distributions", BOOL, OPT, J(learn_distributions), NULL, 0, 0, 0},
     {"refuse_by_wait", BOOL, OPT, J(refuse_by_wait), NULL, 0, 0, 0},
     {"startup_wait_ms", INT64, OPT, J(startup_wait_ms), NULL, 0, 0, 60000},
+    {"max_open_tasks", UINT32, OPT, J(max_open_tasks), NULL, 100000, 1000, 10000000},
+    {"max_runs", UINT32, OPT, J(max_runs), NULL, 512, 16, 4096},
 };
 
 static const struct field job_agent_fields[] = {
@@ -119,6 +121,8 @@
     {"worker_listen", ADDRESS, REQ, J(worker_listen), NULL, 0, 0, 0},
     {"advertise", ADDRESS, OPT, J(advertise), NULL, 0, 0, 0},
     {"worker_heartbeat_ms", INT64, OPT, J(worker_heartbeat_ms), NULL, 1500, 100, 60000},
+    {"max_runs", UINT32, OPT, J(max_runs), NULL, 512, 16, 4096},
+    {"max_queued_starts", UINT32, OPT, J(max_queued_starts), NULL, 1024, 16, 4096},
 };
 /* clang-format on */
 
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -93,8 +93,11 @@
 	bool learn_distributions;
 	bool refuse_by_wait;
 	int64_t startup_wait_ms;
-	bool interference;	  /* between queues on a worker: measure, use */
-	uint32_t log_lines_per_s; /* of each event type */
+	bool interference;	 /* between queues on a worker: measure, use */
+	uint32_t max_open_tasks; /* entry: of all open jobs */
+	uint32_t max_runs;	 /* of an agent at a time */
+	uint32_t max_queued_starts; /* agent: of all entries */
+	uint32_t log_lines_per_s;   /* of each event type */
 };
 
 /* NULL on error; st names the file, line, key and the expected value. */
--- a/src/request/sched.c
+++ b/src/request/sched.c
@@ -138,6 +138,7 @@
 			    task->worker->link, task->seq, sch->opts.ctx);
 		forget_start(sch, task);
 	}
+	sch->n_tasks -= job->n_tasks;
 	g_queue_unlink(sch_list_of(sch, job->priority), &job->link);
 	g_hash_table_remove(sch->jobs, job->spec->id);
 }
@@ -571,6 +572,12 @@
 	return g_hash_table_size(sch->jobs);
 }
 
+uint64_t
+sch_n_tasks(const struct sch *sch)
+{
+	return sch->n_tasks;
+}
+
 uint32_t
 sch_n_unsent_jobs(const struct sch *sch, const char *queue)
 {
--- a/src/request/sched_private.h
+++ b/src/request/sched_private.h
@@ -21,6 +21,7 @@
 	struct blm *blame;
 	struct cfn *confinement;
 	uint64_t next_seq;
+	uint64_t n_tasks;   /* of all open jobs */
 	int64_t first_ms;   /* of the first call; taken as the process start */
 	bool waiting;	    /* a task may be ready to be sent */
 	GHashTable *drains; /* service to struct drt */
--- a/src/request/sched_submit.c
+++ b/src/request/sched_submit.c
@@ -87,6 +87,7 @@
 static void
 add_job(struct sch *sch, struct jt_job *job)
 {
+	sch->n_tasks += job->n_tasks;
 	g_hash_table_insert(sch->jobs, job->spec->id, job);
 	g_queue_push_tail_link(sch_list_of(sch, job->priority), &job->link);
 	sch->waiting = true;
