Add cancels to the simulation

A cancel was only tried by tests with real processes. The new rule UNASKED counts starts later than 3 s after an acknowledgement when nothing was disturbed for 3 s.

--- a/sim/callers.c
+++ b/sim/callers.c
@@ -3,6 +3,7 @@
 
 #include "process/clock.h"
 #include "sim/callers.h"
+#include "sim/cancels.h"
 #include "sim/check.h"
 #include "sim/store.h"
 #include "sim/worker.h"
@@ -15,8 +16,12 @@
 #define MIN_DEADLINE_MS	 2000
 #define MAX_DEADLINE_MS	 8000
 #define MAX_TASKS	 4
-#define MIN_CPU_MILLI	 100
-#define MIN_RUN_MS	 50
+/* With cancels, jobs of several steps that take longer. */
+#define MAX_STEPS	      12
+#define MAX_CHAIN_RUN_MS      1000
+#define MAX_CHAIN_DEADLINE_MS 16000
+#define MIN_CPU_MILLI	      100
+#define MIN_RUN_MS	      50
 /* Upper limits of these are drawn for each run of a fleet. */
 #define MAX_CPU_MILLI	   2500
 #define MAX_RUN_MS	   6000
@@ -35,6 +40,7 @@
 	char job[32];
 	uint32_t n_submissions;
 	uint32_t n_tasks;
+	uint32_t n_steps;
 	int64_t run_ms;
 	int64_t cpu_milli;
 	struct attempt *attempt; /* that waits for an answer */
@@ -116,6 +122,11 @@
 	caller->n_tasks = (uint32_t)random_ms(1, MAX_TASKS);
 	caller->run_ms = random_ms(MIN_RUN_MS, calls.max_run_ms);
 	caller->cpu_milli = random_ms(MIN_CPU_MILLI, calls.max_cpu_milli);
+	caller->n_steps = 1;
+	if (calls.opts.cancels) {
+		caller->n_steps = (uint32_t)random_ms(1, MAX_STEPS);
+		caller->run_ms = MIN(caller->run_ms, MAX_CHAIN_RUN_MS);
+	}
 	submit(caller);
 }
 
@@ -176,6 +187,8 @@
 		   attempt->result == JE_JOB_FAILED) {
 		calls.n_completed++;
 		finish_job(caller);
+	} else if (attempt->result == JE_UNKNOWN_JOB) {
+		finish_job(caller);
 	} else {
 		send_again(caller);
 	}
@@ -198,14 +211,22 @@
 {
 	struct wk_job *job = g_new0(struct wk_job, 1);
 	char *spec = swk_spec(caller->run_ms, caller->cpu_milli);
+	uint32_t i;
 
 	job->id = g_strdup(caller->job);
 	job->spec = g_bytes_new_take(spec, strlen(spec));
-	job->n_steps = 1;
-	job->steps = g_new0(struct wk_step, 1);
-	job->steps[0].count = caller->n_tasks;
-	job->steps[0].size.cpu_milli = caller->cpu_milli;
-	job->steps[0].estimate_ms = caller->run_ms;
+	job->n_steps = caller->n_steps;
+	job->steps = g_new0(struct wk_step, job->n_steps);
+	for (i = 0; i < job->n_steps; i++) {
+		job->steps[i].count = caller->n_tasks;
+		job->steps[i].size.cpu_milli = caller->cpu_milli;
+		job->steps[i].estimate_ms = caller->run_ms;
+		if (i == 0)
+			continue;
+		job->steps[i].after = g_new(uint32_t, 1);
+		job->steps[i].after[0] = i - 1;
+		job->steps[i].n_after = 1;
+	}
 	return job;
 }
 
@@ -292,10 +313,12 @@
 	attempt->caller = caller;
 	attempt->entry =
 	    (uint32_t)g_random_int_range(0, (gint32)calls.opts.n_entries);
-	attempt->deadline_ms = random_ms(MIN_DEADLINE_MS, MAX_DEADLINE_MS);
+	attempt->deadline_ms = random_ms(MIN_DEADLINE_MS,
+	    calls.opts.cancels ? MAX_CHAIN_DEADLINE_MS : MAX_DEADLINE_MS);
 	g_ptr_array_add(calls.attempts, attempt);
 	caller->attempt = attempt;
-	caller->n_submissions++;
+	if (caller->n_submissions++ == 0)
+		scn_submitted(caller->job, attempt->entry);
 	sck_submitted(caller->job);
 	door = &calls.doors[attempt->entry];
 	if (door->proc == NULL) {
--- a/sim/check.c
+++ b/sim/check.c
@@ -14,6 +14,7 @@
 	uint32_t n_submitted;
 	uint32_t n_refused;
 	bool started;
+	int64_t cancelled_ms; /* acknowledged first, 0: not */
 };
 
 static struct {
@@ -21,6 +22,7 @@
 	GPtrArray *notes;  /* struct note */
 	GHashTable *jobs;  /* id to struct job */
 	GHashTable *tasks; /* name of a running task to its number of runs */
+	int64_t disturbed_until_ms;
 	struct sck_violation violation;
 } check;
 
@@ -48,6 +50,7 @@
 	g_hash_table_remove_all(check.jobs);
 	g_hash_table_remove_all(check.tasks);
 	check.recording = recording;
+	check.disturbed_until_ms = 0;
 	memset(&check.violation, 0, sizeof(check.violation));
 }
 
@@ -57,7 +60,8 @@
 	static const char *const names[] = {[SCK_KEPT] = "none",
 	    [SCK_TWICE] = "TWICE",
 	    [SCK_LIMIT] = "LIMIT",
-	    [SCK_REFUSED] = "REFUSED"};
+	    [SCK_REFUSED] = "REFUSED",
+	    [SCK_UNASKED] = "UNASKED"};
 
 	return names[rule];
 }
@@ -165,6 +169,33 @@
 	find_job(name)->n_refused++;
 }
 
+void
+sck_cancel_acknowledged(const char *name)
+{
+	struct job *job = find_job(name);
+
+	if (job->cancelled_ms == 0)
+		job->cancelled_ms = slp_now_ms();
+}
+
+void
+sck_disturbed(int64_t until_ms)
+{
+	check.disturbed_until_ms = MAX(check.disturbed_until_ms, until_ms);
+}
+
+static void
+check_unasked(const char *task)
+{
+	const struct job *job = find_job(task);
+	int64_t now_ms = slp_now_ms();
+
+	if (job->cancelled_ms != 0 &&
+	    now_ms - job->cancelled_ms > SCK_CANCEL_MS &&
+	    now_ms - check.disturbed_until_ms > SCK_IN_TOUCH_MS)
+		break_rule(SCK_UNASKED, task, "its job was cancelled");
+}
+
 void
 sck_job_over(const char *name)
 {
@@ -206,6 +237,7 @@
 		break_rule(SCK_LIMIT, task, text);
 	}
 	check_refused(task);
+	check_unasked(task);
 }
 
 void
--- a/sim/check.h
+++ b/sim/check.h
@@ -12,11 +12,19 @@
  */
 enum sck_rule {
 	SCK_KEPT,
-	SCK_TWICE,  /* two runs of one task at once, on workers that are up */
-	SCK_LIMIT,  /* a start over the capacity of its worker */
-	SCK_REFUSED /* a task started although its job was always refused */
+	SCK_TWICE,   /* two runs of one task at once, on workers that are up */
+	SCK_LIMIT,   /* a start over the capacity of its worker */
+	SCK_REFUSED, /* a task started although its job was always refused */
+	SCK_UNASKED  /* a task started long after its job's cancel */
 };
 
+/*
+ * SCK_UNASKED counts starts later than SCK_CANCEL_MS after the acknowledgement,
+ * when nothing in the fleet was disturbed for SCK_IN_TOUCH_MS.
+ */
+#define SCK_CANCEL_MS	3000
+#define SCK_IN_TOUCH_MS 3000
+
 /* The first rule that was broken. */
 struct sck_violation {
 	enum sck_rule rule;
@@ -38,6 +46,10 @@
 /* A submission of the job was sent, or was refused with 429 or 503. */
 void sck_submitted(const char *job);
 void sck_refused(const char *job);
+/* A cancel of the job was acknowledged. */
+void sck_cancel_acknowledged(const char *job);
+/* Until this time some machine, path or the store is disturbed. */
+void sck_disturbed(int64_t until_ms);
 /* The caller has finished with the job. */
 void sck_job_over(const char *job);
 
--- a/sim/fleet.c
+++ b/sim/fleet.c
@@ -6,6 +6,7 @@
 #include "process/jobentry.h"
 #include "request/sched.h"
 #include "sim/callers.h"
+#include "sim/cancels.h"
 #include "sim/fleet.h"
 #include "sim/loop.h"
 #include "sim/net.h"
@@ -24,6 +25,8 @@
 #define MUTANT_DRIFT	    0.3
 /* A process that has died is back after this, plus the length of the fault. */
 #define RESTART_MS 100
+/* What a fault holds up may go on for so long after its end. */
+#define AFTERMATH_MS 500
 /* Links delay by up to this in a fault; longer ones reset the connection. */
 #define MAX_DELAY_MS   1500
 #define MAX_STOP_MS    1500
@@ -102,6 +105,7 @@
 	entry->je = je_new(&opts);
 	slp_enter(former);
 	scl_entry_started(entry->index, entry->proc, entry->je);
+	scn_entry_started(entry->index, entry->proc, entry->je);
 }
 
 static void
@@ -112,6 +116,7 @@
 	if (entry->proc == NULL)
 		return;
 	scl_entry_died(entry->index);
+	scn_entry_died(entry->index);
 	snt_close_all(entry->proc);
 	former = slp_enter(entry->proc);
 	sst_client_free(entry->ks);
@@ -479,6 +484,7 @@
 	g_autofree char *text = spl_text(fault);
 
 	sck_note(NULL, "%s", text);
+	sck_disturbed(slp_now_ms() + fault->lasts_ms + AFTERMATH_MS);
 	apply_fault(fault);
 }
 
@@ -565,6 +571,7 @@
 	sst_reset();
 	swk_reset(opts, send_heartbeat);
 	scl_reset(opts);
+	scn_reset(opts);
 	make_fleet();
 	for (i = 0; i < faults->len; i++) {
 		struct spl_fault *fault =
--- a/sim/options.h
+++ b/sim/options.h
@@ -26,6 +26,10 @@
 	enum sop_mutant mutant;
 	/* Also faults of this kind; the others of a seed are then others. */
 	bool rooms; /* workers shrink, the store is down */
+	/* Callers cancel jobs, which have several steps, and the store is down. */
+	bool cancels;
+	/* Never at the entry that the job was submitted to. */
+	bool elsewhere;
 };
 
 #define SOP_DEFAULTS                                                           \
--- a/sim/plan.c
+++ b/sim/plan.c
@@ -45,7 +45,7 @@
 static uint32_t
 n_kinds(const struct sop *opts)
 {
-	return opts->rooms ? SPL_N_KINDS : SPL_SHRINK_WORKER;
+	return opts->rooms || opts->cancels ? SPL_N_KINDS : SPL_SHRINK_WORKER;
 }
 
 static struct theme
--- a/sim/spsim.c
+++ b/sim/spsim.c
@@ -34,6 +34,8 @@
 	KEY_DURATION = 'd',
 	KEY_MUTANT = 'm',
 	KEY_ROOMS = 'R',
+	KEY_CANCELS = 'C',
+	KEY_ELSEWHERE = 'E',
 	KEY_FINDINGS = 'x',
 	KEY_SHORTEST = 'r'
 };
@@ -54,6 +56,10 @@
     {"duration", KEY_DURATION, "MS", 0, "simulated time of a fleet (12000)", 0},
     {"rooms", KEY_ROOMS, NULL, 0,
 	"also faults that shrink workers and stop the store", 0},
+    {"cancels", KEY_CANCELS, NULL, 0,
+	"also callers that cancel jobs, and outages of the store", 0},
+    {"elsewhere", KEY_ELSEWHERE, NULL, 0,
+	"with --cancels, only at entries that the job was not submitted to", 0},
     {"mutant", KEY_MUTANT, "NAME", 0, "deliberate fault of the model", 0},
     {0},
 };
@@ -168,6 +174,12 @@
 	case KEY_ROOMS:
 		fleet->rooms = true;
 		return 0;
+	case KEY_ELSEWHERE:
+		fleet->elsewhere = true;
+		return 0;
+	case KEY_CANCELS:
+		fleet->cancels = true;
+		return 0;
 	case ARGP_KEY_ARG:
 		parse_argument(command, arg, state);
 		return 0;
