Treat a cancel as a fact that all entries learn

Cause: a cancel was a message to whoever was connected at that moment.

An entry tells some agents (RUN_CANCELLED), which pass it on, answer (RUN_CANCELS_KNOWN) and tell each entry that connects what it has missed. The caller gets 200 when so many agents have answered that no entry misses the cancel, or when the cancel is in the store, which all entries watch; otherwise 503 after 2.5 s. Agents start no task of a job that they know to be cancelled. An open job is found under its own path only, and can be cancelled after its route was removed.

--- a/src/connection/run.x
+++ b/src/connection/run.x
@@ -45,11 +45,15 @@
 	run_name entry;
 	uint64_t incarnation;
 	run_statement *worker;	/* NULL: none is known */
+	/* As in the last RUN_CANCELLED of the agent; 0: none was received. */
+	uint64_t cancels_source;
+	uint64_t cancels_position;
 };
 
 struct run_start {
 	uint64_t seq;		/* unique within the connection */
 	run_name task;
+	uint64_t job_key;	/* as in run_cancelled */
 	uint32_t spec;		/* index in specs of the message */
 	run_name service;
 	run_name queue;
@@ -143,12 +147,29 @@
 	run_suspect suspects<RUN_BATCH_MAX>;	/* by falling weight */
 };
 
+/* A job that its caller has cancelled. */
+struct run_cancelled {
+	uint64_t key;		/* of host and path, see request/cancelled.h */
+	int64_t age_ms;		/* since the cancel */
+};
+
+/*
+ * Jobs that were cancelled.  An entry sends each to some agents, which answer
+ * with RUN_CANCELS_KNOWN and pass it on to their other entries.  An agent sends
+ * what an entry has missed first of all on a connection.
+ */
+struct run_cancelled_args {
+	uint64_t source;	/* the agent's process; 0 from an entry */
+	uint64_t position;	/* in what source has learned, after these jobs */
+	run_cancelled jobs<RUN_BATCH_MAX>;
+};
+
 /*
- * A job was cancelled at an entry that does not have it.  The agent passes it on
- * to its other entries.
+ * The agent has recorded that these jobs are cancelled, and has passed that on
+ * to the entries that are connected to it.
  */
-struct run_cancel_job_args {
-	run_name job;
+struct run_cancels_known_args {
+	uint64_t keys<RUN_BATCH_MAX>;
 };
 
 program RUN_PROG {
@@ -160,6 +181,8 @@
 		void RUN_WORKER(run_worker_args) = 5;
 		void RUN_UPDATE(run_update_args) = 6;
 		void RUN_CRASH(run_crash_args) = 7;
-		void RUN_CANCEL_JOB(run_cancel_job_args) = 8;
+		/* 8 was a cancel that was not acknowledged. */
+		void RUN_CANCELLED(run_cancelled_args) = 10;
+		void RUN_CANCELS_KNOWN(run_cancels_known_args) = 11;
 	} = 1;
-} = 0x20005359;
+} = 0x2000535A;
--- a/src/connection/run_xdr.c
+++ b/src/connection/run_xdr.c
@@ -69,6 +69,10 @@
 	if (!xdr_pointer(xdrs, (char **)&objp->worker, sizeof(run_statement),
 		(xdrproc_t)xdr_run_statement))
 		return FALSE;
+	if (!xdr_uint64_t(xdrs, &objp->cancels_source))
+		return FALSE;
+	if (!xdr_uint64_t(xdrs, &objp->cancels_position))
+		return FALSE;
 	return TRUE;
 }
 
@@ -81,6 +85,8 @@
 		return FALSE;
 	if (!xdr_run_name(xdrs, &objp->task))
 		return FALSE;
+	if (!xdr_uint64_t(xdrs, &objp->job_key))
+		return FALSE;
 	if (!xdr_uint32_t(xdrs, &objp->spec))
 		return FALSE;
 	if (!xdr_run_name(xdrs, &objp->service))
@@ -268,11 +274,41 @@
 }
 
 bool_t
-xdr_run_cancel_job_args(XDR *xdrs, run_cancel_job_args *objp)
+xdr_run_cancelled(XDR *xdrs, run_cancelled *objp)
+{
+	register int32_t *buf;
+
+	if (!xdr_uint64_t(xdrs, &objp->key))
+		return FALSE;
+	if (!xdr_int64_t(xdrs, &objp->age_ms))
+		return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_run_cancelled_args(XDR *xdrs, run_cancelled_args *objp)
+{
+	register int32_t *buf;
+
+	if (!xdr_uint64_t(xdrs, &objp->source))
+		return FALSE;
+	if (!xdr_uint64_t(xdrs, &objp->position))
+		return FALSE;
+	if (!xdr_array(xdrs, (char **)&objp->jobs.jobs_val,
+		(u_int *)&objp->jobs.jobs_len, RUN_BATCH_MAX,
+		sizeof(run_cancelled), (xdrproc_t)xdr_run_cancelled))
+		return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_run_cancels_known_args(XDR *xdrs, run_cancels_known_args *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_run_name(xdrs, &objp->job))
+	if (!xdr_array(xdrs, (char **)&objp->keys.keys_val,
+		(u_int *)&objp->keys.keys_len, RUN_BATCH_MAX, sizeof(uint64_t),
+		(xdrproc_t)xdr_uint64_t))
 		return FALSE;
 	return TRUE;
 }
--- a/src/connection/run_xdr.h
+++ b/src/connection/run_xdr.h
@@ -49,12 +49,15 @@
 	run_name entry;
 	uint64_t incarnation;
 	run_statement *worker;
+	uint64_t cancels_source;
+	uint64_t cancels_position;
 };
 typedef struct run_open_args run_open_args;
 
 struct run_start {
 	uint64_t seq;
 	run_name task;
+	uint64_t job_key;
 	uint32_t spec;
 	run_name service;
 	run_name queue;
@@ -167,12 +170,31 @@
 };
 typedef struct run_crash_args run_crash_args;
 
-struct run_cancel_job_args {
-	run_name job;
+struct run_cancelled {
+	uint64_t key;
+	int64_t age_ms;
+};
+typedef struct run_cancelled run_cancelled;
+
+struct run_cancelled_args {
+	uint64_t source;
+	uint64_t position;
+	struct {
+		u_int jobs_len;
+		run_cancelled *jobs_val;
+	} jobs;
+};
+typedef struct run_cancelled_args run_cancelled_args;
+
+struct run_cancels_known_args {
+	struct {
+		u_int keys_len;
+		uint64_t *keys_val;
+	} keys;
 };
-typedef struct run_cancel_job_args run_cancel_job_args;
+typedef struct run_cancels_known_args run_cancels_known_args;
 
-#define RUN_PROG 0x20005359
+#define RUN_PROG 0x2000535A
 #define RUN_V1	 1
 
 #if defined(__STDC__) || defined(__cplusplus)
@@ -198,37 +220,45 @@
 #define RUN_CRASH 7
 extern enum clnt_stat run_crash_1(run_crash_args *, void *, CLIENT *);
 extern bool_t run_crash_1_svc(run_crash_args *, void *, struct svc_req *);
-#define RUN_CANCEL_JOB 8
-extern enum clnt_stat run_cancel_job_1(run_cancel_job_args *, void *, CLIENT *);
-extern bool_t run_cancel_job_1_svc(
-    run_cancel_job_args *, void *, struct svc_req *);
+#define RUN_CANCELLED 10
+extern enum clnt_stat run_cancelled_1(run_cancelled_args *, void *, CLIENT *);
+extern bool_t run_cancelled_1_svc(
+    run_cancelled_args *, void *, struct svc_req *);
+#define RUN_CANCELS_KNOWN 11
+extern enum clnt_stat run_cancels_known_1(
+    run_cancels_known_args *, void *, CLIENT *);
+extern bool_t run_cancels_known_1_svc(
+    run_cancels_known_args *, void *, struct svc_req *);
 extern int run_prog_1_freeresult(SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
-#define RUN_OPEN       1
+#define RUN_OPEN	  1
 extern enum clnt_stat run_open_1();
 extern bool_t run_open_1_svc();
-#define RUN_START      2
+#define RUN_START	  2
 extern enum clnt_stat run_start_1();
 extern bool_t run_start_1_svc();
-#define RUN_CANCEL     3
+#define RUN_CANCEL	  3
 extern enum clnt_stat run_cancel_1();
 extern bool_t run_cancel_1_svc();
-#define RUN_HEARTBEAT  4
+#define RUN_HEARTBEAT	  4
 extern enum clnt_stat run_heartbeat_1();
 extern bool_t run_heartbeat_1_svc();
-#define RUN_WORKER     5
+#define RUN_WORKER	  5
 extern enum clnt_stat run_worker_1();
 extern bool_t run_worker_1_svc();
-#define RUN_UPDATE     6
+#define RUN_UPDATE	  6
 extern enum clnt_stat run_update_1();
 extern bool_t run_update_1_svc();
-#define RUN_CRASH      7
+#define RUN_CRASH	  7
 extern enum clnt_stat run_crash_1();
 extern bool_t run_crash_1_svc();
-#define RUN_CANCEL_JOB 8
-extern enum clnt_stat run_cancel_job_1();
-extern bool_t run_cancel_job_1_svc();
+#define RUN_CANCELLED	  10
+extern enum clnt_stat run_cancelled_1();
+extern bool_t run_cancelled_1_svc();
+#define RUN_CANCELS_KNOWN 11
+extern enum clnt_stat run_cancels_known_1();
+extern bool_t run_cancels_known_1_svc();
 extern int run_prog_1_freeresult();
 #endif /* K&R C */
 
@@ -251,7 +281,9 @@
 extern bool_t xdr_run_crash_state(XDR *, run_crash_state *);
 extern bool_t xdr_run_suspect(XDR *, run_suspect *);
 extern bool_t xdr_run_crash_args(XDR *, run_crash_args *);
-extern bool_t xdr_run_cancel_job_args(XDR *, run_cancel_job_args *);
+extern bool_t xdr_run_cancelled(XDR *, run_cancelled *);
+extern bool_t xdr_run_cancelled_args(XDR *, run_cancelled_args *);
+extern bool_t xdr_run_cancels_known_args(XDR *, run_cancels_known_args *);
 
 #else /* K&R C */
 extern bool_t xdr_run_name();
@@ -270,7 +302,9 @@
 extern bool_t xdr_run_crash_state();
 extern bool_t xdr_run_suspect();
 extern bool_t xdr_run_crash_args();
-extern bool_t xdr_run_cancel_job_args();
+extern bool_t xdr_run_cancelled();
+extern bool_t xdr_run_cancelled_args();
+extern bool_t xdr_run_cancels_known_args();
 
 #endif /* K&R C */
 
--- a/src/connection/sessions.c
+++ b/src/connection/sessions.c
@@ -1,6 +1,7 @@
 #include <gio/gio.h>
 
 #include "connection/address.h"
+#include "connection/cancelwire.h"
 #include "connection/peerclock.h"
 #include "connection/rpc.h"
 #include "connection/sessions.h"
@@ -100,6 +101,8 @@
 		rpc_close(s->conn, ST_INVALID, "malformed opening call");
 	} else {
 		s->identified = true;
+		s->ses->opts.cancels_seen(s->id, args.cancels_source,
+		    args.cancels_position, s->ses->opts.ctx);
 		s->ses->opts.opened(
 		    s->id, args.entry, args.worker, s->ses->opts.ctx);
 	}
@@ -147,15 +150,15 @@
 }
 
 static void
-handle_cancel_job(struct session *s, XDR *xdrs)
+handle_cancelled(struct session *s, XDR *xdrs)
 {
-	run_cancel_job_args args = {0};
+	run_cancelled_args args = {0};
 
-	if (xdr_run_cancel_job_args(xdrs, &args))
-		s->ses->opts.cancel_job(s->id, args.job, s->ses->opts.ctx);
+	if (xdr_run_cancelled_args(xdrs, &args) && ccw_are_valid(&args))
+		s->ses->opts.cancelled(s->id, &args, s->ses->opts.ctx);
 	else
-		rpc_close(s->conn, ST_INVALID, "malformed cancel of a job");
-	xdr_free((xdrproc_t)xdr_run_cancel_job_args, &args);
+		rpc_close(s->conn, ST_INVALID, "malformed cancelled jobs");
+	xdr_free((xdrproc_t)xdr_run_cancelled_args, &args);
 }
 
 static void
@@ -212,8 +215,8 @@
 	case RUN_HEARTBEAT:
 		handle_heartbeat(s, call->args);
 		break;
-	case RUN_CANCEL_JOB:
-		handle_cancel_job(s, call->args);
+	case RUN_CANCELLED:
+		handle_cancelled(s, call->args);
 		break;
 	default:
 		rpc_close(conn, ST_INVALID, "unknown procedure");
--- a/src/connection/sessions.h
+++ b/src/connection/sessions.h
@@ -27,8 +27,15 @@
 	    uint64_t session, const struct run_start_args *args, void *ctx);
 	void (*cancel)(
 	    uint64_t session, const struct run_cancel_args *args, void *ctx);
-	/* A job was cancelled at the entry, which does not have it. */
-	void (*cancel_job)(uint64_t session, const char *job, void *ctx);
+	/*
+	 * Runs before opened(): what the entry has received of RUN_CANCELLED,
+	 * from the process source of the agent, up to a position.
+	 */
+	void (*cancels_seen)(
+	    uint64_t session, uint64_t source, uint64_t position, void *ctx);
+	/* Jobs were cancelled, as the entry has learned. */
+	void (*cancelled)(
+	    uint64_t session, const struct run_cancelled_args *args, void *ctx);
 	void (*on_heartbeat)(
 	    uint64_t session, const struct run_heartbeat_args *args, void *ctx);
 	void *ctx;
--- a/src/connection/worklink.c
+++ b/src/connection/worklink.c
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 
 #include "connection/address.h"
+#include "connection/cancelwire.h"
 #include "connection/peerclock.h"
 #include "connection/rpc.h"
 #include "connection/startspecs.h"
@@ -37,6 +38,9 @@
 	struct pcl agent_clock;
 	/* As the agent described it last; incarnation 0: not yet. */
 	run_statement worker;
+	/* As in the last RUN_CANCELLED; 0: none. */
+	uint64_t cancels_source;
+	uint64_t cancels_position;
 	int64_t backoff_ms;
 	GArray *starts;	  /* run_start; strings owned */
 	GPtrArray *specs; /* GBytes, of the starts */
@@ -152,6 +156,20 @@
 	*statement = (run_statement){0};
 }
 
+/*
+ * The position is returned when the link opens again, so that the agent sends
+ * what was missed meanwhile.
+ */
+static void
+take_cancelled(struct wlk *link, const run_cancelled_args *args)
+{
+	bool is_new = args->source != link->cancels_source;
+
+	link->cancels_source = args->source;
+	link->cancels_position = args->position;
+	link->opts.cancelled(link, args, is_new, link->opts.ctx);
+}
+
 static void
 on_call(struct rpc_conn *conn, const struct rpc_call *call, void *ctx)
 {
@@ -159,7 +177,8 @@
 	run_worker_args worker = {0};
 	run_update_args update = {0};
 	run_crash_args crash = {0};
-	run_cancel_job_args cancel = {0};
+	run_cancelled_args cancelled = {0};
+	run_cancels_known_args known = {0};
 
 	link->backoff_ms = 0;
 	if (call->proc == RUN_WORKER &&
@@ -174,15 +193,20 @@
 	} else if (call->proc == RUN_CRASH &&
 		   xdr_run_crash_args(call->args, &crash))
 		link->opts.crash(link, &crash, link->opts.ctx);
-	else if (call->proc == RUN_CANCEL_JOB &&
-		 xdr_run_cancel_job_args(call->args, &cancel))
-		link->opts.cancelled(cancel.job, link->opts.ctx);
+	else if (call->proc == RUN_CANCELLED &&
+		 xdr_run_cancelled_args(call->args, &cancelled) &&
+		 ccw_are_valid(&cancelled))
+		take_cancelled(link, &cancelled);
+	else if (call->proc == RUN_CANCELS_KNOWN &&
+		 xdr_run_cancels_known_args(call->args, &known))
+		link->opts.cancels_known(link, &known, link->opts.ctx);
 	else
 		rpc_close(conn, ST_INVALID, "malformed call of an agent");
 	xdr_free((xdrproc_t)xdr_run_worker_args, &worker);
 	xdr_free((xdrproc_t)xdr_run_update_args, &update);
 	xdr_free((xdrproc_t)xdr_run_crash_args, &crash);
-	xdr_free((xdrproc_t)xdr_run_cancel_job_args, &cancel);
+	xdr_free((xdrproc_t)xdr_run_cancelled_args, &cancelled);
+	xdr_free((xdrproc_t)xdr_run_cancels_known_args, &known);
 }
 
 void
@@ -237,6 +261,8 @@
 	    .entry = (char *)link->opts.name,
 	    .incarnation = link->opts.incarnation,
 	    .worker = link->worker.incarnation == 0 ? NULL : &link->worker,
+	    .cancels_source = link->cancels_source,
+	    .cancels_position = link->cancels_position,
 	};
 
 	rpc_send(link->conn, RUN_OPEN, (xdrproc_t)xdr_run_open_args, &args);
@@ -401,13 +427,13 @@
 }
 
 void
-wlk_cancel_job(struct wlk *link, const char *job)
+wlk_tell_cancelled(struct wlk *link, const run_cancelled *jobs, uint32_t n)
 {
-	run_cancel_job_args args = {.job = (char *)job};
+	run_cancelled_args args = {.jobs = {n, (run_cancelled *)jobs}};
 
 	if (link->conn != NULL)
-		rpc_send(link->conn, RUN_CANCEL_JOB,
-		    (xdrproc_t)xdr_run_cancel_job_args, &args);
+		rpc_send(link->conn, RUN_CANCELLED,
+		    (xdrproc_t)xdr_run_cancelled_args, &args);
 }
 
 static void
--- a/src/connection/worklink.h
+++ b/src/connection/worklink.h
@@ -30,8 +30,15 @@
 	    struct wlk *link, const struct run_update_args *args, void *ctx);
 	void (*crash)(
 	    struct wlk *link, const struct run_crash_args *args, void *ctx);
-	/* A job was cancelled at another entry. */
-	void (*cancelled)(const char *job, void *ctx);
+	/*
+	 * The agent knows of cancelled jobs.  Runs first of all on a connection;
+	 * is_new: the agent's process is another one than on the last.
+	 */
+	void (*cancelled)(struct wlk *link,
+	    const struct run_cancelled_args *args, bool is_new, void *ctx);
+	/* The answer to wlk_tell_cancelled(). */
+	void (*cancels_known)(struct wlk *link,
+	    const struct run_cancels_known_args *args, void *ctx);
 	void (*closed)(struct wlk *link, const struct status *why, void *ctx);
 	void *ctx;
 };
@@ -50,8 +57,9 @@
  */
 bool wlk_start(struct wlk *link, const run_start *start, GBytes *spec);
 void wlk_cancel(struct wlk *link, uint64_t seq);
-/* Tells the agent's other entries that a job was cancelled here. */
-void wlk_cancel_job(struct wlk *link, const char *job);
+/* Tells the agent, and by it other entries, of cancelled jobs. */
+void wlk_tell_cancelled(
+    struct wlk *link, const run_cancelled *jobs, uint32_t n);
 /* Sends the queued starts and cancels. */
 void wlk_flush(struct wlk *link);
 /* Sends a heartbeat at once, because its content has changed. */
--- a/src/process/agentpool.c
+++ b/src/process/agentpool.c
@@ -28,11 +28,6 @@
  */
 #define LINK_DOWN_MS 300
 #define LINK_NEW_MS  1500
-/*
- * Agents that pass a cancel on.  In a large fleet each is connected to a share
- * of the entries, so that one would not reach all.
- */
-#define CANCEL_RELAYS 16
 /* An idle link to an agent that is no longer chosen is closed after this. */
 #define SURPLUS_MS 10000
 
@@ -41,6 +36,7 @@
 	struct wlk *link;
 	struct wks_worker *worker;
 	char *address;	/* key in pool->agents */
+	uint64_t id;	/* key in pool->by_id */
 	bool listed;	/* in the store */
 	bool connected; /* described by its agent since the link opened */
 	bool was_connected;
@@ -52,7 +48,9 @@
 	struct agp_options opts;
 	struct mir *mirror;
 	struct sub *sub;
-	GHashTable *agents;    /* address to struct agp_agent */
+	GHashTable *agents; /* address to struct agp_agent */
+	GHashTable *by_id;  /* the same by id */
+	uint64_t last_id;
 	GHashTable *revisions; /* address to the revision that was parsed */
 	int64_t choose_at_ms;
 	int64_t adapt_at_ms;
@@ -144,11 +142,25 @@
 }
 
 static void
-on_cancelled(const char *job, void *ctx)
+on_cancelled(struct wlk *link, const struct run_cancelled_args *args,
+    bool is_new, void *ctx)
+{
+	const struct agp *pool = ctx;
+	const struct agp_cancels *cancels = &pool->opts.cancels;
+
+	cancels->relay_up(
+	    find_agent(pool, wlk_address(link))->id, is_new, cancels->ctx);
+	cancels->cancelled(args, cancels->ctx);
+}
+
+static void
+on_cancels_known(
+    struct wlk *link, const struct run_cancels_known_args *args, void *ctx)
 {
 	struct agp *pool = ctx;
 
-	pool->opts.cancelled(job, pool->opts.ctx);
+	pool->opts.cancels.known(find_agent(pool, wlk_address(link))->id, args,
+	    pool->opts.cancels.ctx);
 }
 
 static void
@@ -162,6 +174,7 @@
 	evt_write("agent", evt_text("agent", wlk_address(link)),
 	    evt_text("state", "lost"), evt_text("reason", why->message));
 	agent->connected = false;
+	pool->opts.cancels.relay_down(agent->id, pool->opts.cancels.ctx);
 	sch_disconnect(pool->opts.sch, agent->worker, clk_now_ms());
 }
 
@@ -185,9 +198,12 @@
 agent_free(gpointer data)
 {
 	struct agp_agent *agent = data;
+	const struct agp_cancels *cancels = &agent->pool->opts.cancels;
 
 	sch_remove_worker(agent->pool->opts.sch, agent->worker, clk_now_ms());
 	wlk_free(agent->link);
+	cancels->relay_down(agent->id, cancels->ctx);
+	g_hash_table_remove(agent->pool->by_id, &agent->id);
 	g_free(agent->address);
 	g_free(agent);
 }
@@ -205,6 +221,7 @@
 	    .update = on_update,
 	    .crash = on_crash,
 	    .cancelled = on_cancelled,
+	    .cancels_known = on_cancels_known,
 	    .closed = on_link_closed,
 	    .ctx = pool,
 	};
@@ -219,7 +236,9 @@
 	agent->worker = wks_add(sch_workers(pool->opts.sch), agent);
 	agent->address = g_strdup(address);
 	agent->listed = true;
+	agent->id = ++pool->last_id;
 	g_hash_table_insert(pool->agents, agent->address, agent);
+	g_hash_table_insert(pool->by_id, &agent->id, agent);
 }
 
 /*
@@ -452,6 +471,7 @@
 	pool->sub = sub_new(&sub);
 	pool->agents =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, agent_free);
+	pool->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
 	pool->revisions =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	pool->mirror = mir_new(&mirror);
@@ -464,6 +484,7 @@
 	/* Freeing an agent closes its link, whose callback uses the table. */
 	g_hash_table_remove_all(pool->agents);
 	g_hash_table_unref(pool->agents);
+	g_hash_table_unref(pool->by_id);
 	g_hash_table_unref(pool->revisions);
 	mir_free(pool->mirror);
 	sub_free(pool->sub);
@@ -531,24 +552,20 @@
 		wlk_reconnect(((struct agp_agent *)agent)->link, why);
 }
 
-bool
-agp_cancel_job(struct agp *pool, const char *job)
+void
+agp_tell_cancelled(
+    struct agp *pool, uint64_t relay, const run_cancelled *jobs, uint32_t n)
 {
-	GHashTableIter iter;
-	gpointer agent;
-	uint32_t n = 0;
+	struct agp_agent *agent = g_hash_table_lookup(pool->by_id, &relay);
 
-	g_hash_table_iter_init(&iter, pool->agents);
-	while (
-	    n < CANCEL_RELAYS && g_hash_table_iter_next(&iter, NULL, &agent)) {
-		struct wlk *link = ((struct agp_agent *)agent)->link;
+	if (agent != NULL)
+		wlk_tell_cancelled(agent->link, jobs, n);
+}
 
-		if (!wlk_is_open(link))
-			continue;
-		wlk_cancel_job(link, job);
-		n++;
-	}
-	return n > 0;
+uint32_t
+agp_n_agents(const struct agp *pool)
+{
+	return sub_count(pool->sub);
 }
 
 bool
--- a/src/process/agentpool.h
+++ b/src/process/agentpool.h
@@ -15,6 +15,22 @@
 struct agp;
 struct agp_agent;
 
+/* Receiver of what agents tell of cancelled jobs. */
+struct agp_cancels {
+	/*
+	 * An agent passes cancels on; runs again with each of its messages.
+	 * is_new: its process is another one than that of the last message.
+	 */
+	void (*relay_up)(uint64_t relay, bool is_new, void *ctx);
+	/* The agent is not connected any more. */
+	void (*relay_down)(uint64_t relay, void *ctx);
+	void (*cancelled)(const struct run_cancelled_args *args, void *ctx);
+	/* The answer to agp_tell_cancelled(). */
+	void (*known)(uint64_t relay, const struct run_cancels_known_args *args,
+	    void *ctx);
+	void *ctx;
+};
+
 struct agp_options {
 	const char *name;	    /* of the entry; outlives the pool */
 	const char *failure_domain; /* of the entry; outlives the pool */
@@ -31,8 +47,7 @@
 	int64_t (*noticed_ms)(void *ctx);
 	/* Runs after the scheduler was given an agent's free capacity. */
 	void (*update)(const struct run_update_args *args, void *ctx);
-	/* A job was cancelled at another entry. */
-	void (*cancelled)(const char *job, void *ctx);
+	struct agp_cancels cancels;
 	void (*store_state)(bool reachable, const struct status *st,
 	    int64_t revision, void *ctx);
 	void *ctx;
@@ -54,11 +69,11 @@
  */
 bool agp_want(struct agp *pool, const char *service, const struct wk_job *job);
 
-/*
- * Lets agents tell the other entries that a job was cancelled.  Returns false
- * if no agent is connected.
- */
-bool agp_cancel_job(struct agp *pool, const char *job);
+/* Tells an agent, and by it other entries, of cancelled jobs. */
+void agp_tell_cancelled(
+    struct agp *pool, uint64_t relay, const run_cancelled *jobs, uint32_t n);
+/* Number of agents that are registered. */
+uint32_t agp_n_agents(const struct agp *pool);
 
 struct wlk *agp_link(const struct agp_agent *agent);
 
--- a/src/process/jobagent.c
+++ b/src/process/jobagent.c
@@ -5,6 +5,7 @@
 #include "connection/sessions.h"
 #include "connection/startspecs.h"
 #include "connection/statement.h"
+#include "process/cancelrelay.h"
 #include "process/clock.h"
 #include "process/crashwatch.h"
 #include "process/enlist.h"
@@ -12,7 +13,6 @@
 #include "process/histogram.h"
 #include "process/jobagent.h"
 #include "process/outdomains.h"
-#include "request/cancelled.h"
 #include "request/ledger.h"
 #include "request/slowness.h"
 #include "request/updates.h"
@@ -43,7 +43,7 @@
 	struct ses *ses;
 	struct enl *enlist;
 	struct crw *crashwatch;
-	struct ccl *cancelled;	  /* jobs, at entries that did not have them */
+	struct cry *cancels;
 	GHashTable *outboxes;	  /* session to struct outbox */
 	struct slw slowness;	  /* of the worker */
 	uint64_t slowness_of;	  /* incarnation that it was measured with */
@@ -315,7 +315,8 @@
 		    .start_by_ms = sent_ms + s->start_within_ms,
 		};
 
-		if (g_strcmp0(s->service, ja->worker->service) != 0)
+		if (g_strcmp0(s->service, ja->worker->service) != 0 ||
+		    cry_has(ja->cancels, s))
 			start.start_by_ms = now_ms - 1;
 		led_submit(ja->led, &start, now_ms);
 	}
@@ -335,27 +336,20 @@
 	plan_updates(ja);
 }
 
-/*
- * Passes a cancel on to the other entries, one of which has the job.  Each
- * agent does so once, although several entries and agents may pass it on.
- */
 static void
-on_cancel_job(uint64_t session, const char *job, void *ctx)
+on_cancels_seen(uint64_t session, uint64_t source, uint64_t position, void *ctx)
 {
-	run_cancel_job_args args = {.job = (char *)job};
 	struct ja *ja = ctx;
-	g_autofree uint64_t *ids = NULL;
-	uint32_t i, n;
 
-	if (!ccl_add(ja->cancelled, job, clk_now_ms()))
-		return;
-	evt_write("cancel", evt_text("job", job), evt_uint("session", session));
-	ids = ses_ids(ja->ses, &n);
-	for (i = 0; i < n; i++) {
-		if (ids[i] != session)
-			ses_send(ja->ses, ids[i], RUN_CANCEL_JOB,
-			    (xdrproc_t)xdr_run_cancel_job_args, &args);
-	}
+	cry_opened(ja->cancels, session, source, position);
+}
+
+static void
+on_cancelled(uint64_t session, const struct run_cancelled_args *args, void *ctx)
+{
+	struct ja *ja = ctx;
+
+	cry_receive(ja->cancels, session, args);
 }
 
 /*
@@ -827,7 +821,8 @@
 	    .closed = on_closed,
 	    .start = on_start,
 	    .cancel = on_cancel,
-	    .cancel_job = on_cancel_job,
+	    .cancels_seen = on_cancels_seen,
+	    .cancelled = on_cancelled,
 	    .on_heartbeat = on_heartbeat,
 	    .ctx = ja,
 	};
@@ -844,7 +839,7 @@
 	    g_int64_hash, g_int64_equal, g_free, outbox_free);
 	ja->out_domains = odm_new(&out);
 	ja->updates = upd_new();
-	ja->cancelled = ccl_new();
+	ja->cancels = cry_new(opts->counters);
 	make_counters(ja);
 	make_run_state(ja);
 	ja->ses = ses_new(&ses, st);
@@ -853,6 +848,7 @@
 		return NULL;
 	}
 	crw_set_sessions(ja->crashwatch, ja->ses);
+	cry_set_sessions(ja->cancels, ja->ses);
 	ja->tick_id = g_timeout_add(JA_TICK_MS, on_tick, ja);
 	register_agent(ja);
 	return ja;
@@ -877,7 +873,7 @@
 	hold_free(ja->hold);
 	led_free(ja->led);
 	crw_free(ja->crashwatch);
-	ccl_free(ja->cancelled);
+	cry_free(ja->cancels);
 	g_hash_table_unref(ja->outboxes);
 	upd_free(ja->updates);
 	odm_free(ja->out_domains);
--- a/src/process/jobentry.c
+++ b/src/process/jobentry.c
@@ -9,6 +9,7 @@
 #include "process/entryconfig.h"
 #include "process/events.h"
 #include "process/histogram.h"
+#include "process/jobcancel.h"
 #include "process/jobentry.h"
 #include "process/pause.h"
 #include "request/cancelled.h"
@@ -47,7 +48,7 @@
 	struct sch *sch;
 	struct ecf *config;
 	struct agp *agents;
-	struct ccl *cancelled;
+	struct jcn *cancels;
 	GHashTable *waiters; /* ticket to struct waiter */
 	uint64_t next_ticket;
 	struct pau pause;
@@ -105,12 +106,14 @@
 static bool
 start_task(void *data, const struct sch_start *start, void *ctx)
 {
+	struct je *je = ctx;
 	struct agp_agent *agent = data;
 	g_autofree char *task =
 	    wk_task_name(start->job, start->step, start->index);
 	run_start message = {
 	    .seq = start->seq,
 	    .task = task,
+	    .job_key = jcn_key_of(je->cancels, start->job),
 	    .service = (char *)start->service,
 	    .queue = (char *)start->queue,
 	    .size = {start->size.cpu_milli, start->size.memory_mb,
@@ -121,7 +124,6 @@
 	    .start_within_ms = start->start_within_ms,
 	};
 
-	(void)ctx;
 	return wlk_start(agp_link(agent), &message, start->spec);
 }
 
@@ -195,6 +197,7 @@
 	    .retry_ms = RETRY_AFTER_MIN_MS,
 	};
 
+	jcn_closed(je->cancels, job);
 	++*je->ended_counters[end];
 	if (end == SCH_COMPLETED)
 		hst_add(je->job_times, clk_now_ms() - waiter->submitted_ms);
@@ -299,6 +302,7 @@
 
 	if (first)
 		je->opts.configured(je->opts.ctx);
+	jcn_routes_changed(je->cancels, ecf_routes(je->config));
 	agp_domains_changed(je->agents);
 	schedule_placement(je);
 }
@@ -363,6 +367,7 @@
 	handle_pause(je);
 	handle_clients_pause(je);
 	agp_tick(je->agents);
+	jcn_tick(je->cancels);
 	sch_tick(je->sch, clk_now_ms());
 	*je->open_jobs = sch_n_jobs(je->sch);
 	finish_drain(je);
@@ -414,33 +419,19 @@
 }
 
 /* Cancels a job that is open here, and answers its call. */
-static bool
-cancel_open_job(struct je *je, const char *job)
+static void
+cancel_open_job(const char *job, void *ctx)
 {
 	struct je_answer gone = {
 	    .result = JE_ABORTED, .reason = "the job was cancelled"};
+	struct je *je = ctx;
 	struct waiter *waiter;
 
-	if (!sch_has_job(je->sch, job))
-		return false;
+	jcn_closed(je->cancels, job);
 	waiter = sch_replace_waiter(je->sch, job, NULL);
 	sch_cancel(je->sch, job);
 	if (waiter != NULL)
 		answer_waiter(je, waiter, &gone);
-	return true;
-}
-
-/* A call of the job that is still on its way must not start it again. */
-static void
-on_cancelled(const char *job, void *ctx)
-{
-	struct je *je = ctx;
-	bool open;
-
-	ccl_add(je->cancelled, job, clk_now_ms());
-	open = cancel_open_job(je, job);
-	evt_write("cancel", evt_text("job", job), evt_text("from", "agent"),
-	    evt_bool("open", open));
 }
 
 static struct agp *
@@ -459,7 +450,7 @@
 	    .fill_heartbeat = fill_heartbeat,
 	    .noticed_ms = noticed_ms,
 	    .update = on_update,
-	    .cancelled = on_cancelled,
+	    .cancels = jcn_receiver(je->cancels),
 	    .store_state = on_agents_store_state,
 	    .ctx = je,
 	};
@@ -495,11 +486,17 @@
 		je->incarnation = (uint64_t)clk_now_ns();
 	je->sch = sch_new(&sch);
 	wks_set_out_check(sch_workers(je->sch), is_domain_out, je);
-	je->cancelled = ccl_new();
 	je->waiters = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, waiter_free);
 	make_counters(je);
+	je->cancels = jcn_new(&(struct jcn_options){
+	    .ks = opts->ks,
+	    .counters = opts->counters,
+	    .cancel_open = cancel_open_job,
+	    .ctx = je,
+	});
 	je->agents = make_agents(je);
+	jcn_set_agents(je->cancels, je->agents);
 	je->config = make_config(je);
 	pau_tick(&je->pause, clk_now_ms());
 	je->tick_id = g_timeout_add(JE_TICK_MS, on_tick, je);
@@ -516,7 +513,7 @@
 	agp_free(je->agents);
 	ecf_free(je->config);
 	sch_free(je->sch);
-	ccl_free(je->cancelled);
+	jcn_free(je->cancels);
 	g_hash_table_unref(je->waiters);
 	hst_free(je->job_times);
 	g_free(je);
@@ -618,6 +615,19 @@
 	answer_now(fn, ctx, JE_REFUSED, reason, RETRY_AFTER_MIN_MS);
 }
 
+/* Tasks are told apart by the id of their job, not by its path. */
+static void
+refuse_other_path(
+    struct je *je, const struct wk_job *job, je_answer_fn fn, void *ctx)
+{
+	static const char reason[] = "a job of another path has this id";
+
+	++*je->refused;
+	evt_write(
+	    "refusal", evt_text("job", job->id), evt_text("reason", reason));
+	answer_now(fn, ctx, JE_REFUSED, reason, RETRY_AFTER_MIN_MS);
+}
+
 /* Workers have crashed under the job, maybe at the hands of another entry. */
 static void
 answer_crashing(
@@ -671,6 +681,7 @@
 	const struct rts_queue *queue;
 	struct sch_request request = {.job = job, .deadline_ms = deadline_ms};
 	enum sch_submit_result verdict;
+	uint64_t key = ccl_key(host, path);
 	struct waiter *waiter;
 	uint64_t ticket = 0;
 
@@ -687,11 +698,17 @@
 		wk_job_free(job);
 		return 0;
 	}
-	if (ccl_has(je->cancelled, job->id, clk_now_ms())) {
+	if (jcn_is_cancelled(je->cancels, key)) {
 		answer_now(fn, ctx, JE_UNKNOWN_JOB, "the job was cancelled", 0);
 		wk_job_free(job);
 		return 0;
 	}
+	if (sch_has_job(je->sch, job->id) &&
+	    jcn_key_of(je->cancels, job->id) != key) {
+		refuse_other_path(je, job, fn, ctx);
+		wk_job_free(job);
+		return 0;
+	}
 	if (sch_has_job(je->sch, job->id)) {
 		ticket = replace_waiter(je, job->id, fn, ctx);
 		wk_job_free(job);
@@ -704,6 +721,7 @@
 	verdict = sch_submit(je->sch, &request, clk_now_ms());
 	if (verdict == SCH_ACCEPTED) {
 		++*je->accepted;
+		jcn_opened(je->cancels, job->id, key);
 		evt_write("accepted", evt_text("job", job->id),
 		    evt_text("queue", queue->name),
 		    evt_int("jobs", sch_n_jobs(je->sch)));
@@ -742,6 +760,7 @@
 	if (waiter == NULL)
 		return;
 	log_abandoned(je, waiter);
+	jcn_closed(je->cancels, waiter->job);
 	sch_cancel(je->sch, waiter->job);
 	g_hash_table_remove(je->waiters, &ticket);
 }
@@ -759,15 +778,24 @@
 	evt_write("gone", evt_text("job", job));
 }
 
+/* Whether the job is open here, under this path and not that of another queue. */
+static bool
+is_open(
+    const struct je *je, const char *host, const char *path, const char *job)
+{
+	return sch_has_job(je->sch, job) &&
+	       jcn_key_of(je->cancels, job) == ccl_key(host, path);
+}
+
 void
 je_query_state(struct je *je, const char *host, const char *path,
     const char *job, je_answer_fn fn, void *ctx)
 {
-	if (find_queue(je, host, path, job, fn, ctx) == NULL)
-		return;
-	if (sch_has_job(je->sch, job))
+	if (is_open(je, host, path, job)) {
 		answer_now(fn, ctx, JE_RUNNING, "", 0);
-	else
+		return;
+	}
+	if (find_queue(je, host, path, job, fn, ctx) != NULL)
 		answer_now(fn, ctx, JE_UNKNOWN_JOB, "no such job here", 0);
 }
 
@@ -775,20 +803,11 @@
 je_cancel(struct je *je, const char *host, const char *path, const char *job,
     je_answer_fn fn, void *ctx)
 {
-	bool open, passed_on = false;
-
-	if (find_queue(je, host, path, job, fn, ctx) == NULL)
+	if (!is_open(je, host, path, job) &&
+	    !jcn_had_route(je->cancels, host, path, job) &&
+	    find_queue(je, host, path, job, fn, ctx) == NULL)
 		return;
-	ccl_add(je->cancelled, job, clk_now_ms());
-	open = cancel_open_job(je, job);
-	if (!open)
-		passed_on = agp_cancel_job(je->agents, job);
-	evt_write("cancel", evt_text("job", job), evt_text("from", "client"),
-	    evt_bool("open", open), evt_bool("passed_on", passed_on));
-	if (open || passed_on)
-		answer_now(fn, ctx, JE_RUNNING, "cancelled", 0);
-	else
-		answer_now(fn, ctx, JE_UNKNOWN_JOB, "no such job here", 0);
+	jcn_cancel(je->cancels, ccl_key(host, path), job, fn, ctx);
 }
 
 void
--- a/src/process/jobentry.h
+++ b/src/process/jobentry.h
@@ -91,8 +91,9 @@
 void je_query_state(struct je *je, const char *host, const char *path,
     const char *job, je_answer_fn fn, void *ctx);
 /*
- * Cancels a job, also one that another entry has: answers JE_RUNNING, or
- * JE_UNKNOWN_JOB if it is not open here and no other entry can be told.
+ * Cancels a job, also one that another entry has.  Answers JE_RUNNING when no
+ * entry that is in touch goes on with it or accepts it again, and JE_REFUSED
+ * when that can't be told; one that is open here ends at once in any case.
  */
 void je_cancel(struct je *je, const char *host, const char *path,
     const char *job, je_answer_fn fn, void *ctx);
--- /dev/null
+++ b/src/request/confirm.h
@@ -0,0 +1,56 @@
+#ifndef SP_CONFIRM_H
+#define SP_CONFIRM_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * Decides when an entry may acknowledge a cancel: when so many agents (relays)
+ * have it that every other entry is connected to one of them, or when it is in
+ * the store, which all entries watch.  Holds no sockets and reads no clock.
+ */
+struct cfm;
+
+/* All relays are asked after this time without enough answers. */
+#define CFM_ASK_ALL_MS 150
+/* Then the cancel is written to the store. */
+#define CFM_STORE_MS 400
+/* A cancel is refused after this time. */
+#define CFM_GIVE_UP_MS 2500
+/*
+ * Writes to the store of one entry, for which the store is not made: each
+ * reaches all entries.  Further cancels wait, and are refused in the end.
+ */
+#define CFM_WRITES_PER_S 20
+
+struct cfm_options {
+	/* Sends the cancel to a relay, which answers by cfm_known(). */
+	void (*ask)(uint64_t relay, uint64_t key, void *ctx);
+	/* Writes the cancel to the store, which answers by cfm_stored(). */
+	void (*write)(uint64_t key, void *ctx);
+	/* Runs once for each waiter. */
+	void (*decided)(void *waiter, bool confirmed, void *ctx);
+	void *ctx;
+};
+
+struct cfm *cfm_new(const struct cfm_options *opts);
+/* decided() does not run. */
+void cfm_free(struct cfm *cfm);
+
+/* A relay is connected, or no longer; repetitions have no effect. */
+void cfm_relay_up(struct cfm *cfm, uint64_t relay);
+void cfm_relay_down(struct cfm *cfm, uint64_t relay);
+/* Number of agents in the fleet; an entry is connected to a share of them. */
+void cfm_set_agents(struct cfm *cfm, uint32_t n_agents);
+
+void cfm_begin(struct cfm *cfm, uint64_t key, void *waiter, int64_t now_ms);
+void cfm_known(struct cfm *cfm, uint64_t relay, uint64_t key);
+void cfm_stored(struct cfm *cfm, uint64_t key, bool ok, int64_t now_ms);
+/* To be called every few tens of milliseconds. */
+void cfm_tick(struct cfm *cfm, int64_t now_ms);
+
+/* Answers of relays that a cancel needs now; 0: they can't suffice. */
+uint32_t cfm_needed(const struct cfm *cfm);
+uint32_t cfm_n_pending(const struct cfm *cfm);
+
+#endif
--- a/src/version/routes.c
+++ b/src/version/routes.c
@@ -89,6 +89,12 @@
 	return rts->opts.n_queues;
 }
 
+const struct rts_queue *
+rts_queue_at(const struct rts *rts, size_t i)
+{
+	return &rts->opts.queues[i];
+}
+
 const struct rts_queue *
 rts_find(const struct rts *rts, const char *host, const char *path)
 {
--- a/src/version/routes.h
+++ b/src/version/routes.h
@@ -43,6 +43,7 @@
 int64_t rts_version(const struct rts *rts);
 uint64_t rts_max_body_bytes(const struct rts *rts);
 size_t rts_n_queues(const struct rts *rts);
+const struct rts_queue *rts_queue_at(const struct rts *rts, size_t i);
 /*
  * Returns the queue with this host and the longest matching path prefix, or
  * NULL.  A port in host is ignored.
