Close a simulated connection that its peer closed before it was used

An entry whose connection was closed by the agent while its connect call was still on the way kept that connection for ever, which the kernel does not allow.

--- a/sim/net.c
+++ b/sim/net.c
@@ -356,6 +356,9 @@
 		schedule_silence_check(conn);
 }
 
+static gboolean deliver_closed(gpointer data);
+
+/* The peer may have closed the connection already. */
 struct rpc_conn *
 rpc_new(const struct rpc_options *opts)
 {
@@ -366,6 +369,9 @@
 	conn->last_input_ms = clk_now_ms();
 	if (opts->silence_ms > 0)
 		schedule_silence_check(conn);
+	if (!conn->open && conn->closed_id == 0)
+		conn->closed_id = g_idle_add_full(
+		    G_PRIORITY_DEFAULT, deliver_closed, rpc_ref(conn), NULL);
 	return rpc_ref(conn);
 }
 
