--- a/sim/fleet.c
+++ b/sim/fleet.c
@@ -559,6 +559,7 @@
 	struct snt_options network = {
 	    .n_entries = opts->n_entries,
 	    .n_agents = opts->n_agents,
+	    .no_catch_up = opts->mutant == SOP_NO_CATCH_UP,
 	};
 	struct sfl_result result = {0};
 	guint i;
@@ -568,7 +569,7 @@
 	slp_reset();
 	sck_reset(recording);
 	snt_reset(&network);
-	sst_reset();
+	sst_reset(opts->mutant == SOP_DEAF_STORE);
 	swk_reset(opts, send_heartbeat);
 	scl_reset(opts);
 	scn_reset(opts);
--- a/sim/net.c
+++ b/sim/net.c
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 
 #include "connection/rpc.h"
+#include "connection/run_xdr.h"
 #include "process/clock.h"
 #include "sim/check.h"
 #include "sim/net.h"
@@ -53,6 +54,7 @@
 	struct link *link;
 	enum snt_direction sends;
 	bool open;
+	bool told_cancels;	 /* has sent RUN_CANCELLED */
 	bool reset_at_close;	 /* SO_LINGER with a time of 0 */
 	int64_t user_timeout_ms; /* TCP_USER_TIMEOUT; 0: none */
 	int64_t last_input_ms;
@@ -416,6 +418,17 @@
 	return conn->open;
 }
 
+/* An agent tells first of all what its entry has missed. */
+static bool
+is_catching_up(struct rpc_conn *conn, uint32_t proc)
+{
+	bool first = !conn->node->is_entry && proc == RUN_CANCELLED &&
+		     !conn->told_cancels;
+
+	conn->told_cancels |= proc == RUN_CANCELLED;
+	return first;
+}
+
 bool
 rpc_send(struct rpc_conn *conn, uint32_t proc, xdrproc_t encode, void *args)
 {
@@ -424,6 +437,8 @@
 
 	if (!conn->open)
 		return false;
+	if (is_catching_up(conn, proc) && net.opts.no_catch_up)
+		((run_cancelled_args *)args)->jobs.jobs_len = 0;
 	message = g_new0(struct message, 1);
 	message->proc = proc;
 	message->len = (u_int)xdr_sizeof(encode, args);
--- a/sim/net.h
+++ b/sim/net.h
@@ -18,6 +18,7 @@
 struct snt_options {
 	uint32_t n_entries;
 	uint32_t n_agents;
+	bool no_catch_up; /* the mutant of this name */
 };
 
 void snt_reset(const struct snt_options *opts);
--- a/sim/options.c
+++ b/sim/options.c
@@ -13,6 +13,8 @@
 	    [SOP_NO_SEAL] = "no-seal",
 	    [SOP_REFUSE_SENT] = "refuse-sent",
 	    [SOP_FAST_AGENTS] = "fast-agents",
+	    [SOP_NO_CATCH_UP] = "no-catch-up",
+	    [SOP_DEAF_STORE] = "deaf-store",
 	};
 
 	return names[mutant];
--- a/sim/options.h
+++ b/sim/options.h
@@ -15,6 +15,9 @@
 	SOP_NO_SEAL,	  /* a stop does not seal a run that is not there yet */
 	SOP_REFUSE_SENT,  /* callers see a 502 as a 503 */
 	SOP_FAST_AGENTS,  /* agents' clocks are 30% fast */
+	/* With cancels only: */
+	SOP_NO_CATCH_UP, /* entries do not get the cancels that they missed */
+	SOP_DEAF_STORE,	 /* the store hides cancels from all but their writer */
 	SOP_N_MUTANTS
 };
 
--- a/sim/store.c
+++ b/sim/store.c
@@ -1,6 +1,7 @@
 #include <glib.h>
 #include <string.h>
 
+#include "process/jobcancel.h"
 #include "sim/store.h"
 #include "sim/worker.h"
 
@@ -41,6 +42,7 @@
 	int64_t revision;
 	GPtrArray *watches; /* struct call that waits for a change */
 	int64_t down_until_ms;
+	bool deaf;
 } store;
 
 static void
@@ -94,7 +96,7 @@
 }
 
 void
-sst_reset(void)
+sst_reset(bool deaf)
 {
 	if (store.items == NULL) {
 		store.items = g_ptr_array_new_with_free_func(item_free);
@@ -104,6 +106,7 @@
 	g_ptr_array_set_size(store.watches, 0);
 	store.revision = 0;
 	store.down_until_ms = 0;
+	store.deaf = deaf;
 	set_item("op/config", CONFIGURATION, strlen(CONFIGURATION));
 }
 
@@ -234,7 +237,8 @@
 	struct call *call = call_new(data, key, ctx);
 
 	call->write_fn = fn;
-	if (!call->failed) {
+	if (!call->failed &&
+	    !(store.deaf && g_str_has_prefix(key, JCN_PREFIX))) {
 		set_item(key, value, len);
 		answer_watches();
 	}
--- a/sim/store.h
+++ b/sim/store.h
@@ -1,6 +1,8 @@
 #ifndef SIM_STORE_H
 #define SIM_STORE_H
 
+#include <stdbool.h>
+
 #include "sim/loop.h"
 #include "version/keyspace.h"
 
@@ -14,7 +16,8 @@
 #define SST_HOST   "sim.example"
 #define SST_PREFIX "/q/"
 
-void sst_reset(void);
+/* deaf: the mutant deaf-store. */
+void sst_reset(bool deaf);
 /* Calls that arrive until then fail and have no effect. */
 void sst_stop(int64_t until_ms);
 /* The store as one process calls it; freed by sst_client_free(). */
--- a/tests/test_sessions.c
+++ b/tests/test_sessions.c
@@ -15,6 +15,7 @@
 	struct ses *ses;
 	struct rpc_conn *entry;
 	int n_started;
+	int n_cancelled;
 	bool closed;
 };
 
@@ -49,6 +50,24 @@
 	pair->n_started += (int)args->starts.starts_len;
 }
 
+static void
+on_cancels_seen(uint64_t session, uint64_t source, uint64_t position, void *ctx)
+{
+	(void)session;
+	(void)source;
+	(void)position;
+	(void)ctx;
+}
+
+static void
+on_cancelled(uint64_t session, const struct run_cancelled_args *args, void *ctx)
+{
+	struct pair *pair = ctx;
+
+	(void)session;
+	pair->n_cancelled += (int)args->jobs.jobs_len;
+}
+
 static void
 on_call(struct rpc_conn *conn, const struct rpc_call *call, void *ctx)
 {
@@ -94,6 +113,8 @@
 	    .opened = on_opened,
 	    .closed = on_session_closed,
 	    .start = on_start,
+	    .cancels_seen = on_cancels_seen,
+	    .cancelled = on_cancelled,
 	    .ctx = pair,
 	};
 	struct status st;
@@ -155,4 +176,44 @@
 }
 END_TEST
 
-TEST_MAIN("sessions", 2 * HN_LIMIT_MS / 1000.0, times_of_starts_have_a_range)
+static void
+send_cancelled(struct pair *pair, uint64_t key, int64_t age_ms)
+{
+	run_cancelled job = {.key = key, .age_ms = age_ms};
+	run_cancelled_args args = {.jobs = {1, &job}};
+
+	rpc_send(pair->entry, RUN_CANCELLED, (xdrproc_t)xdr_run_cancelled_args,
+	    &args);
+}
+
+static const run_cancelled invalid_jobs[] = {
+    {0, 1}, {1, -1}, {1, PCL_MAX_MS + 1}, {1, INT64_MIN}};
+
+/* Guards against a cancel of the future, or for ever, and one of no job. */
+START_TEST(cancelled_jobs_have_a_range)
+{
+	struct pair pair;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(invalid_jobs); i++) {
+		pair = (struct pair){0};
+		open_pair(&pair);
+		send_cancelled(
+		    &pair, invalid_jobs[i].key, invalid_jobs[i].age_ms);
+		ck_assert(hn_wait_until(pair.closed, HN_LIMIT_MS));
+		ck_assert_int_eq(pair.n_cancelled, 0);
+		close_pair(&pair);
+	}
+	pair = (struct pair){0};
+	open_pair(&pair);
+	send_cancelled(&pair, 1, 0);
+	send_cancelled(&pair, UINT64_MAX, PCL_MAX_MS);
+	ck_assert(hn_wait_until(pair.n_cancelled == 2, HN_LIMIT_MS));
+	ck_assert(!pair.closed);
+	close_pair(&pair);
+	hn_finish();
+}
+END_TEST
+
+TEST_MAIN("sessions", 2 * HN_LIMIT_MS / 1000.0, times_of_starts_have_a_range,
+    cancelled_jobs_have_a_range)
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -9,11 +9,13 @@
 
 #define TIMEOUT_S 60
 /* Seeds within which each mutant is found, with a margin, and the first. */
-#define MUTANT_SEEDS	  1200
-#define MUTANT_FIRST_SEED 401
-#define CLEAN_SEEDS	  150
-#define REPLAYED	  20
-#define PAUSED_ENTRY_SEED 30007165
+#define MUTANT_SEEDS	    1200
+#define MUTANT_FIRST_SEED   401
+#define CLEAN_SEEDS	    150
+#define CANCELS_SEEDS	    150
+#define CANCELS_DURATION_MS 20000
+#define REPLAYED	    20
+#define PAUSED_ENTRY_SEED   30007165
 /* Fleets with a paused entry, whose faults are fixed. */
 #define PAUSED_ENTRIES 300
 #define PAUSE_MS       420
@@ -48,6 +50,14 @@
 	};
 }
 
+/* Jobs are cancelled; they and the runs take longer. */
+static void
+add_cancels(struct sop *fleet)
+{
+	fleet->cancels = true;
+	fleet->duration_ms = CANCELS_DURATION_MS;
+}
+
 /* Guards against a search that is blind: each deliberate fault must be found. */
 START_TEST(finds_each_mutant)
 {
@@ -56,6 +66,8 @@
 	struct srh_result result;
 
 	opts.first_seed = MUTANT_FIRST_SEED;
+	if (mutant >= SOP_NO_CATCH_UP)
+		add_cancels(&opts.fleet);
 	result = srh_search(&opts);
 
 	ck_assert_msg(result.n_findings == 1, "mutant %s was not found",
@@ -78,6 +90,22 @@
 }
 END_TEST
 
+/*
+ * Guards against a cancel that an entry misses: on 2ed17ee more than half of the
+ * seeds break UNASKED.
+ */
+START_TEST(no_cancel_is_lost)
+{
+	struct srh_options opts = search_options(CANCELS_SEEDS, SOP_NO_MUTANT);
+
+	add_cancels(&opts.fleet);
+	opts.out = stdout;
+	ck_assert_uint_eq(srh_search(&opts).n_findings, 0);
+	opts.fleet.elsewhere = true;
+	ck_assert_uint_eq(srh_search(&opts).n_findings, 0);
+}
+END_TEST
+
 /* Plays the faults with some seeds; no rule may break. */
 static void
 expect_rules_kept(const GArray *faults, uint64_t n_seeds)
@@ -318,6 +346,7 @@
 	tcase_add_loop_test(
 	    tc, finds_each_mutant, SOP_NO_MUTANT + 1, SOP_N_MUTANTS);
 	tcase_add_test(tc, finds_nothing_without_a_mutant);
+	tcase_add_test(tc, no_cancel_is_lost);
 	tcase_add_test(tc, caller_leaves_a_paused_entry);
 	tcase_add_loop_test(tc, no_start_waits_in_a_silent_life, 0, N_AWAY);
 	tcase_add_test(tc, old_capacity_starts_nothing);
