Bound the remembered cancels by a setting

cancelled_jobs (100,000; 1,000 to 1,000,000) of entry and agent; above it an entry refuses callers' cancels with 503, counts and logs that. A cancel that waits for its confirmation when the process ends is freed.

--- a/sim/fleet.c
+++ b/sim/fleet.c
@@ -19,6 +19,7 @@
 #define DRAIN_MS	  4500
 #define CROSS_RACK_FACTOR 1.5
 #define AGENT_CONNECTIONS 64
+#define CANCELLED_JOBS	  100000
 /* The clocks of the machines differ by up to this. */
 #define MAX_CLOCK_OFFSET_MS 100000
 #define MAX_CLOCK_DRIFT	    0.001
@@ -87,6 +88,7 @@
 	    .layout = &pcfg_layout,
 	    .cross_rack_factor = CROSS_RACK_FACTOR,
 	    .agent_connections = AGENT_CONNECTIONS,
+	    .cancelled_jobs = CANCELLED_JOBS,
 	    .lease_ms = LEASE_MS,
 	    .drain_ms = DRAIN_MS,
 	    .configured = ignore,
@@ -140,6 +142,7 @@
 	    .lease_ms = LEASE_MS,
 	    .drain_ms = DRAIN_MS,
 	    .worker_heartbeat_ms = SWK_HEARTBEAT_MAX_MS,
+	    .cancelled_jobs = CANCELLED_JOBS,
 	    .drained = ignore,
 	};
 	struct slp_proc *former;
--- a/src/process/cancelrelay.c
+++ b/src/process/cancelrelay.c
@@ -19,11 +19,11 @@
 };
 
 struct cry *
-cry_new(struct ctr_registry *counters)
+cry_new(uint32_t max_jobs, struct ctr_registry *counters)
 {
 	struct cry *cry = g_new0(struct cry, 1);
 
-	cry->cancelled = ccl_new();
+	cry->cancelled = ccl_new(max_jobs);
 	/* 0 means that an entry has heard of no agent. */
 	cry->source = (uint64_t)g_random_int() << 32 | g_random_int() | 1;
 	cry->n_cancelled = ctr_gauge(counters, "sp_jobs_cancelled",
--- a/src/process/cancelrelay.h
+++ b/src/process/cancelrelay.h
@@ -14,7 +14,8 @@
  */
 struct cry;
 
-struct cry *cry_new(struct ctr_registry *counters);
+/* max_jobs are remembered, as in ccl_new(). */
+struct cry *cry_new(uint32_t max_jobs, struct ctr_registry *counters);
 /* NULL is allowed. */
 void cry_free(struct cry *cry);
 /* To be called before the first session opens. */
--- a/src/process/jobagent.c
+++ b/src/process/jobagent.c
@@ -839,7 +839,7 @@
 	    g_int64_hash, g_int64_equal, g_free, outbox_free);
 	ja->out_domains = odm_new(&out);
 	ja->updates = upd_new();
-	ja->cancels = cry_new(opts->counters);
+	ja->cancels = cry_new(opts->cancelled_jobs, opts->counters);
 	make_counters(ja);
 	make_run_state(ja);
 	ja->ses = ses_new(&ses, st);
--- a/src/process/jobagent.h
+++ b/src/process/jobagent.h
@@ -26,6 +26,7 @@
 	int64_t lease_ms; /* longest lease that the worker grants */
 	int64_t drain_ms; /* longest wait for running tasks at shutdown */
 	int64_t worker_heartbeat_ms;   /* interval of the worker's heartbeats */
+	uint32_t cancelled_jobs;       /* that are remembered */
 	struct ctr_registry *counters; /* borrowed */
 	/* Runs once, when the shutdown begun by ja_drain() is complete. */
 	void (*drained)(void *ctx);
--- a/src/process/jobcancel.c
+++ b/src/process/jobcancel.c
@@ -69,8 +69,10 @@
 }
 
 static void
-waiter_free(struct waiter *waiter)
+waiter_free(void *data)
 {
+	struct waiter *waiter = data;
+
 	g_free(waiter->job);
 	g_free(waiter);
 }
@@ -268,6 +270,7 @@
 	    .ask = on_ask,
 	    .write = on_write,
 	    .decided = on_decided,
+	    .drop = waiter_free,
 	    .ctx = jcn,
 	};
 	struct mir_options stored = {
@@ -281,7 +284,7 @@
 	};
 
 	jcn->opts = *opts;
-	jcn->cancelled = ccl_new();
+	jcn->cancelled = ccl_new(opts->max_jobs);
 	jcn->former_routes = frt_new();
 	jcn->confirm = cfm_new(&confirm);
 	jcn->keys =
@@ -368,6 +371,9 @@
 		if (g_hash_table_contains(jcn->jobs, pointer_of(key)))
 			jcn->opts.cancel_open(job, jcn->opts.ctx);
 		++*jcn->refused;
+		evt_write("cancel", evt_text("job", job),
+		    evt_text("from", "client"), evt_bool("confirmed", false),
+		    evt_uint("remembered", ccl_count(jcn->cancelled)));
 		answer(
 		    fn, ctx, false, "too many cancelled jobs are remembered");
 		return;
--- a/src/process/jobcancel.h
+++ b/src/process/jobcancel.h
@@ -23,6 +23,7 @@
 struct jcn_options {
 	const struct ks *ks;	       /* borrowed */
 	struct ctr_registry *counters; /* borrowed */
+	uint32_t max_jobs; /* that are remembered, as in ccl_new() */
 	/* Ends a job that is open here, and answers its caller. */
 	void (*cancel_open)(const char *job, void *ctx);
 	void *ctx;
--- a/src/process/jobentry.c
+++ b/src/process/jobentry.c
@@ -492,6 +492,7 @@
 	je->cancels = jcn_new(&(struct jcn_options){
 	    .ks = opts->ks,
 	    .counters = opts->counters,
+	    .max_jobs = opts->cancelled_jobs,
 	    .cancel_open = cancel_open_job,
 	    .ctx = je,
 	});
--- a/src/process/jobentry.h
+++ b/src/process/jobentry.h
@@ -53,6 +53,7 @@
 	double cross_rack_factor;
 	/* Agents that the entry connects to at least, if there are as many. */
 	uint32_t agent_connections;
+	uint32_t cancelled_jobs;       /* that are remembered */
 	int64_t lease_ms;	       /* longest lease that a worker grants */
 	int64_t drain_ms;	       /* longest time of a graceful shutdown */
 	struct ctr_registry *counters; /* borrowed */
--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -88,7 +88,8 @@
     {"store", ADDRESS, REQ, J(store), NULL, 0, 0, 0}, \
     {"lease_ms", INT64, OPT, J(lease_ms), NULL, 1000, 100, 60000}, \
     {"drain_ms", INT64, OPT, J(drain_ms), NULL, 4500, 0, HOUR_MS}, \
-    {"log_lines_per_s", UINT32, OPT, J(log_lines_per_s), NULL, 20, 0, 100000}
+    {"log_lines_per_s", UINT32, OPT, J(log_lines_per_s), NULL, 20, 0, 100000}, \
+    {"cancelled_jobs", UINT32, OPT, J(cancelled_jobs), NULL, 100000, 1000, 1000000}
 
 static const struct field job_entry_fields[] = {
     JOB_COMMON,
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -86,6 +86,7 @@
 	 * in percent of the run time inside it.
 	 */
 	int64_t cross_rack_percent;
+	uint32_t cancelled_jobs; /* that are remembered */
 	uint32_t agent_connections;
 	uint32_t log_lines_per_s; /* of each event type */
 };
--- a/src/request/cancelled.c
+++ b/src/request/cancelled.c
@@ -10,6 +10,7 @@
 #define FNV_PRIME UINT64_C(1099511628211)
 
 struct ccl {
+	uint32_t max;
 	GHashTable *keys;  /* set of uint64_t, in rows */
 	GArray *rows;	   /* struct ccl_row */
 	guint first;	   /* index of the oldest row that is remembered */
@@ -17,10 +18,11 @@
 };
 
 struct ccl *
-ccl_new(void)
+ccl_new(uint32_t max)
 {
 	struct ccl *ccl = g_new0(struct ccl, 1);
 
+	ccl->max = max;
 	ccl->keys = g_hash_table_new(NULL, NULL);
 	ccl->rows = g_array_new(FALSE, FALSE, sizeof(struct ccl_row));
 	return ccl;
@@ -84,7 +86,7 @@
 		const struct ccl_row *oldest = row_at(ccl, ccl->first);
 
 		if (now_ms - oldest->since_ms <= CCL_KEEP_MS &&
-		    ccl_count(ccl) <= 2 * CCL_MAX)
+		    ccl_count(ccl) / 2 <= ccl->max)
 			break;
 		g_hash_table_remove(ccl->keys, pointer_of(oldest->key));
 		ccl->first++;
@@ -120,7 +122,7 @@
 ccl_is_full(struct ccl *ccl, int64_t now_ms)
 {
 	expire(ccl, now_ms);
-	return ccl_count(ccl) >= CCL_MAX;
+	return ccl_count(ccl) >= ccl->max;
 }
 
 uint64_t
--- a/src/request/cancelled.h
+++ b/src/request/cancelled.h
@@ -19,19 +19,17 @@
  * shortly before it.
  */
 #define CCL_KEEP_MS 660000
-/*
- * Jobs that a process remembers, some 60 bytes each.  Further ones are not
- * accepted from callers (ccl_is_full()); what other processes have accepted
- * replaces the oldest above twice as many.
- */
-#define CCL_MAX 100000
-
 struct ccl_row {
 	uint64_t key;
 	int64_t since_ms; /* when the job was cancelled */
 };
 
-struct ccl *ccl_new(void);
+/*
+ * Remembers max jobs, some 60 bytes each.  Further ones are not accepted from
+ * callers (ccl_is_full()); what other processes have accepted replaces the
+ * oldest above twice as many.
+ */
+struct ccl *ccl_new(uint32_t max);
 /* NULL is allowed. */
 void ccl_free(struct ccl *ccl);
 
--- a/src/request/confirm.c
+++ b/src/request/confirm.c
@@ -62,12 +62,21 @@
 	return cfm;
 }
 
+static void
+drop_waiter(gpointer waiter, gpointer cfm)
+{
+	((struct cfm *)cfm)->opts.drop(waiter);
+}
+
 void
 cfm_free(struct cfm *cfm)
 {
+	struct pending *p;
+
 	if (cfm == NULL)
 		return;
-	g_queue_clear(&cfm->order);
+	while ((p = g_queue_pop_head(&cfm->order)) != NULL)
+		g_ptr_array_foreach(p->waiters, drop_waiter, cfm);
 	g_hash_table_unref(cfm->pending);
 	g_array_unref(cfm->relays);
 	g_free(cfm);
--- a/src/request/confirm.h
+++ b/src/request/confirm.h
@@ -30,11 +30,13 @@
 	void (*write)(uint64_t key, void *ctx);
 	/* Runs once for each waiter. */
 	void (*decided)(void *waiter, bool confirmed, void *ctx);
+	/* Frees a waiter for which decided() did not run. */
+	void (*drop)(void *waiter);
 	void *ctx;
 };
 
 struct cfm *cfm_new(const struct cfm_options *opts);
-/* decided() does not run. */
+/* decided() does not run; NULL is allowed. */
 void cfm_free(struct cfm *cfm);
 
 /* A relay is connected, or no longer; repetitions have no effect. */
--- a/tests/test_cancelled.c
+++ b/tests/test_cancelled.c
@@ -6,11 +6,12 @@
 #include "runner.h"
 
 #define MAX_READ 100
+#define MAX_JOBS 1000
 
 static void *
 start(void)
 {
-	return ccl_new();
+	return ccl_new(MAX_JOBS);
 }
 
 static void
--- a/tests/test_confirm.c
+++ b/tests/test_confirm.c
@@ -35,11 +35,17 @@
 	    confirmed ? "confirmed" : "refused", GPOINTER_TO_INT(waiter));
 }
 
+static void
+drop(void *waiter)
+{
+	(void)waiter;
+}
+
 static void *
 start(void)
 {
 	struct test *t = g_new0(struct test, 1);
-	struct cfm_options opts = {on_ask, on_write, on_decided, t};
+	struct cfm_options opts = {on_ask, on_write, on_decided, drop, t};
 
 	t->cfm = cfm_new(&opts);
 	return t;
