--- a/fuzz/fuzz_frames.c
+++ b/fuzz/fuzz_frames.c
@@ -23,8 +23,7 @@
     {(xdrproc_t)xdr_run_update_args, sizeof(run_update_args)},
     {(xdrproc_t)xdr_run_crash_args, sizeof(run_crash_args)},
     {(xdrproc_t)xdr_run_cancelled_args, sizeof(run_cancelled_args)},
-    {(xdrproc_t)xdr_run_cancels_known_args,
-	sizeof(run_cancels_known_args)},
+    {(xdrproc_t)xdr_run_cancels_known_args, sizeof(run_cancels_known_args)},
 };
 
 static void
--- a/src/request/cancelled.h
+++ b/src/request/cancelled.h
@@ -25,7 +25,7 @@
 };
 
 /*
- * Remembers max jobs, some 60 bytes each.  Further ones are not accepted from
+ * Remembers max jobs, some 40 bytes each.  Further ones are not accepted from
  * callers (ccl_is_full()); what other processes have accepted replaces the
  * oldest above twice as many.
  */
