--- a/src/process/cancelrelay.c
+++ b/src/process/cancelrelay.c
@@ -108,7 +108,7 @@
 answer(struct cry *cry, uint64_t session, const struct run_cancelled_args *args)
 {
 	uint32_t i, n = args->jobs.jobs_len;
-	g_autofree uint64_t *keys = g_new0(uint64_t, n + 1);
+	uint64_t keys[RUN_BATCH_MAX];
 	run_cancels_known_args known = {{n, keys}};
 
 	for (i = 0; i < n; i++)
@@ -121,8 +121,7 @@
 cry_receive(
     struct cry *cry, uint64_t session, const struct run_cancelled_args *args)
 {
-	g_autofree run_cancelled *news =
-	    g_new0(run_cancelled, args->jobs.jobs_len + 1);
+	run_cancelled news[RUN_BATCH_MAX];
 	int64_t now_ms = clk_now_ms();
 	uint32_t i, n = 0;
 
