Answer a cancelled job's POST with 410 before anything else

An entry that was shutting down, or whose route of the job was removed, answered 503 or 404. The checks of an open job's path move to jobcancel.

--- a/sim/callers.c
+++ b/sim/callers.c
@@ -96,6 +96,7 @@
 	uint32_t i;
 
 	calls.opts = *opts;
+	scn_reset(opts);
 	calls.n_jobs = calls.n_completed = 0;
 	if (calls.attempts == NULL)
 		calls.attempts = g_ptr_array_new_with_free_func(g_free);
@@ -350,6 +351,7 @@
 void
 scl_entry_started(uint32_t entry, struct slp_proc *proc, struct je *je)
 {
+	scn_entry_started(entry, proc, je);
 	calls.doors[entry].proc = proc;
 	calls.doors[entry].je = je;
 }
@@ -359,6 +361,7 @@
 {
 	uint32_t i;
 
+	scn_entry_died(entry);
 	calls.doors[entry].proc = NULL;
 	for (i = 0; i < calls.opts.n_callers; i++) {
 		struct attempt *attempt = calls.callers[i].attempt;
--- a/sim/check.c
+++ b/sim/check.c
@@ -4,6 +4,9 @@
 #include "sim/check.h"
 #include "sim/loop.h"
 
+/* What a fault holds up may go on for so long after its end. */
+#define AFTERMATH_MS 500
+
 struct note {
 	int64_t at_ms;
 	char *name; /* of the task or job; NULL: the fleet's */
@@ -179,9 +182,10 @@
 }
 
 void
-sck_disturbed(int64_t until_ms)
+sck_disturbed(int64_t lasts_ms)
 {
-	check.disturbed_until_ms = MAX(check.disturbed_until_ms, until_ms);
+	check.disturbed_until_ms = MAX(
+	    check.disturbed_until_ms, slp_now_ms() + lasts_ms + AFTERMATH_MS);
 }
 
 static void
--- a/sim/check.h
+++ b/sim/check.h
@@ -48,8 +48,8 @@
 void sck_refused(const char *job);
 /* A cancel of the job was acknowledged. */
 void sck_cancel_acknowledged(const char *job);
-/* Until this time some machine, path or the store is disturbed. */
-void sck_disturbed(int64_t until_ms);
+/* Some machine, path or the store is disturbed for this time from now on. */
+void sck_disturbed(int64_t lasts_ms);
 /* The caller has finished with the job. */
 void sck_job_over(const char *job);
 
--- a/sim/fleet.c
+++ b/sim/fleet.c
@@ -6,7 +6,6 @@
 #include "process/jobentry.h"
 #include "request/sched.h"
 #include "sim/callers.h"
-#include "sim/cancels.h"
 #include "sim/fleet.h"
 #include "sim/loop.h"
 #include "sim/net.h"
@@ -19,15 +18,12 @@
 #define DRAIN_MS	  4500
 #define CROSS_RACK_FACTOR 1.5
 #define AGENT_CONNECTIONS 64
-#define CANCELLED_JOBS	  100000
 /* The clocks of the machines differ by up to this. */
 #define MAX_CLOCK_OFFSET_MS 100000
 #define MAX_CLOCK_DRIFT	    0.001
 #define MUTANT_DRIFT	    0.3
 /* A process that has died is back after this, plus the length of the fault. */
 #define RESTART_MS 100
-/* What a fault holds up may go on for so long after its end. */
-#define AFTERMATH_MS 500
 /* Links delay by up to this in a fault; longer ones reset the connection. */
 #define MAX_DELAY_MS   1500
 #define MAX_STOP_MS    1500
@@ -36,7 +32,6 @@
 /* A slow process pauses for up to this, and runs for up to that. */
 #define MAX_SLOW_PAUSE_MS 500
 #define MAX_SLOW_RUN_MS	  60
-
 /* A worker shrinks to one, two or three of so many parts. */
 #define MAX_SHRINKING	 4
 #define SHRINKING_FACTOR 4
@@ -88,7 +83,7 @@
 	    .layout = &pcfg_layout,
 	    .cross_rack_factor = CROSS_RACK_FACTOR,
 	    .agent_connections = AGENT_CONNECTIONS,
-	    .cancelled_jobs = CANCELLED_JOBS,
+	    .cancelled_jobs = SOP_CANCELLED_JOBS,
 	    .lease_ms = LEASE_MS,
 	    .drain_ms = DRAIN_MS,
 	    .configured = ignore,
@@ -107,7 +102,6 @@
 	entry->je = je_new(&opts);
 	slp_enter(former);
 	scl_entry_started(entry->index, entry->proc, entry->je);
-	scn_entry_started(entry->index, entry->proc, entry->je);
 }
 
 static void
@@ -118,7 +112,6 @@
 	if (entry->proc == NULL)
 		return;
 	scl_entry_died(entry->index);
-	scn_entry_died(entry->index);
 	snt_close_all(entry->proc);
 	former = slp_enter(entry->proc);
 	sst_client_free(entry->ks);
@@ -142,7 +135,7 @@
 	    .lease_ms = LEASE_MS,
 	    .drain_ms = DRAIN_MS,
 	    .worker_heartbeat_ms = SWK_HEARTBEAT_MAX_MS,
-	    .cancelled_jobs = CANCELLED_JOBS,
+	    .cancelled_jobs = SOP_CANCELLED_JOBS,
 	    .drained = ignore,
 	};
 	struct slp_proc *former;
@@ -487,7 +480,7 @@
 	g_autofree char *text = spl_text(fault);
 
 	sck_note(NULL, "%s", text);
-	sck_disturbed(slp_now_ms() + fault->lasts_ms + AFTERMATH_MS);
+	sck_disturbed(fault->lasts_ms);
 	apply_fault(fault);
 }
 
@@ -575,7 +568,6 @@
 	sst_reset(opts->mutant == SOP_DEAF_STORE);
 	swk_reset(opts, send_heartbeat);
 	scl_reset(opts);
-	scn_reset(opts);
 	make_fleet();
 	for (i = 0; i < faults->len; i++) {
 		struct spl_fault *fault =
--- a/sim/options.h
+++ b/sim/options.h
@@ -41,6 +41,9 @@
 		.duration_ms = 12000                                           \
 	}
 
+/* Cancelled jobs that entries and agents remember. */
+#define SOP_CANCELLED_JOBS 100000
+
 const char *sop_mutant_name(enum sop_mutant mutant);
 
 #endif
--- a/src/process/jobcancel.c
+++ b/src/process/jobcancel.c
@@ -352,6 +352,12 @@
 	return key == NULL ? 0 : *key;
 }
 
+bool
+jcn_is_open(const struct jcn *jcn, uint64_t key, const char *job)
+{
+	return jcn_key_of(jcn, job) == key;
+}
+
 bool
 jcn_is_cancelled(const struct jcn *jcn, uint64_t key)
 {
--- a/src/process/jobcancel.h
+++ b/src/process/jobcancel.h
@@ -43,6 +43,8 @@
 void jcn_closed(struct jcn *jcn, const char *job);
 /* Key of a job that is open here; 0: it is not. */
 uint64_t jcn_key_of(const struct jcn *jcn, const char *job);
+/* Whether the job is open here under this key, not under that of another path. */
+bool jcn_is_open(const struct jcn *jcn, uint64_t key, const char *job);
 bool jcn_is_cancelled(const struct jcn *jcn, uint64_t key);
 
 /* The configuration has changed; routes may be NULL. */
--- a/src/process/jobentry.c
+++ b/src/process/jobentry.c
@@ -605,30 +605,15 @@
 }
 
 static void
-refuse_draining(
-    struct je *je, const struct wk_job *job, je_answer_fn fn, void *ctx)
+refuse_at_once(struct je *je, const struct wk_job *job, const char *reason,
+    je_answer_fn fn, void *ctx)
 {
-	static const char reason[] = "entry is shutting down";
-
 	++*je->refused;
 	evt_write("refusal", evt_text("job", job->id),
 	    evt_text("reason", reason), evt_int("jobs", sch_n_jobs(je->sch)));
 	answer_now(fn, ctx, JE_REFUSED, reason, RETRY_AFTER_MIN_MS);
 }
 
-/* Tasks are told apart by the id of their job, not by its path. */
-static void
-refuse_other_path(
-    struct je *je, const struct wk_job *job, je_answer_fn fn, void *ctx)
-{
-	static const char reason[] = "a job of another path has this id";
-
-	++*je->refused;
-	evt_write(
-	    "refusal", evt_text("job", job->id), evt_text("reason", reason));
-	answer_now(fn, ctx, JE_REFUSED, reason, RETRY_AFTER_MIN_MS);
-}
-
 /* Workers have crashed under the job, maybe at the hands of another entry. */
 static void
 answer_crashing(
@@ -687,6 +672,11 @@
 	uint64_t ticket = 0;
 
 	handle_pause(je);
+	if (jcn_is_cancelled(je->cancels, key)) {
+		answer_now(fn, ctx, JE_UNKNOWN_JOB, "the job was cancelled", 0);
+		wk_job_free(job);
+		return 0;
+	}
 	queue = find_queue(je, host, path, job->id, fn, ctx);
 	if (queue == NULL) {
 		wk_job_free(job);
@@ -695,23 +685,17 @@
 	if (je->drain.active &&
 	    !drn_accepts(
 		&je->drain, wk_job_critical_path_ms(job), clk_now_ms())) {
-		refuse_draining(je, job, fn, ctx);
-		wk_job_free(job);
-		return 0;
-	}
-	if (jcn_is_cancelled(je->cancels, key)) {
-		answer_now(fn, ctx, JE_UNKNOWN_JOB, "the job was cancelled", 0);
-		wk_job_free(job);
-		return 0;
-	}
-	if (sch_has_job(je->sch, job->id) &&
-	    jcn_key_of(je->cancels, job->id) != key) {
-		refuse_other_path(je, job, fn, ctx);
+		refuse_at_once(je, job, "entry is shutting down", fn, ctx);
 		wk_job_free(job);
 		return 0;
 	}
 	if (sch_has_job(je->sch, job->id)) {
-		ticket = replace_waiter(je, job->id, fn, ctx);
+		/* Tasks are told apart by the id of their job, not by its path. */
+		if (!jcn_is_open(je->cancels, key, job->id))
+			refuse_at_once(je, job,
+			    "a job of another path has this id", fn, ctx);
+		else
+			ticket = replace_waiter(je, job->id, fn, ctx);
 		wk_job_free(job);
 		return ticket;
 	}
@@ -779,20 +763,11 @@
 	evt_write("gone", evt_text("job", job));
 }
 
-/* Whether the job is open here, under this path and not that of another queue. */
-static bool
-is_open(
-    const struct je *je, const char *host, const char *path, const char *job)
-{
-	return sch_has_job(je->sch, job) &&
-	       jcn_key_of(je->cancels, job) == ccl_key(host, path);
-}
-
 void
 je_query_state(struct je *je, const char *host, const char *path,
     const char *job, je_answer_fn fn, void *ctx)
 {
-	if (is_open(je, host, path, job)) {
+	if (jcn_is_open(je->cancels, ccl_key(host, path), job)) {
 		answer_now(fn, ctx, JE_RUNNING, "", 0);
 		return;
 	}
@@ -804,11 +779,13 @@
 je_cancel(struct je *je, const char *host, const char *path, const char *job,
     je_answer_fn fn, void *ctx)
 {
-	if (!is_open(je, host, path, job) &&
+	uint64_t key = ccl_key(host, path);
+
+	if (!jcn_is_open(je->cancels, key, job) &&
 	    !jcn_had_route(je->cancels, host, path, job) &&
 	    find_queue(je, host, path, job, fn, ctx) == NULL)
 		return;
-	jcn_cancel(je->cancels, ccl_key(host, path), job, fn, ctx);
+	jcn_cancel(je->cancels, key, job, fn, ctx);
 }
 
 void
