--- a/tests/test_cancel_state.c
+++ b/tests/test_cancel_state.c
@@ -105,6 +105,8 @@
 	    status_of(&dpl, entry, "DELETE", "/never/00000000000000f2"), 404);
 	ck_assert(hn_wait_until(dpl_count(&dpl, "running") == 0, 1000));
 	ck_assert_int_eq(hn_http_wait(job, HN_LIMIT_MS)->status, 502);
+	ck_assert_int_eq(
+	    hn_http_wait(post_job(&dpl, 1), HN_LIMIT_MS)->status, 410);
 	hn_finish();
 }
 END_TEST
