--- a/sim/fleet.c
+++ b/sim/fleet.c
@@ -32,7 +32,6 @@
 /* A slow process pauses for up to this, and runs for up to that. */
 #define MAX_SLOW_PAUSE_MS 500
 #define MAX_SLOW_RUN_MS	  60
-
 /* A worker shrinks to one, two or three of so many parts. */
 #define MAX_SHRINKING	 4
 #define SHRINKING_FACTOR 4
@@ -84,6 +83,7 @@
 	    .layout = &pcfg_layout,
 	    .cross_rack_factor = CROSS_RACK_FACTOR,
 	    .agent_connections = AGENT_CONNECTIONS,
+	    .cancelled_jobs = SOP_CANCELLED_JOBS,
 	    .lease_ms = LEASE_MS,
 	    .drain_ms = DRAIN_MS,
 	    .configured = ignore,
@@ -135,6 +135,7 @@
 	    .lease_ms = LEASE_MS,
 	    .drain_ms = DRAIN_MS,
 	    .worker_heartbeat_ms = SWK_HEARTBEAT_MAX_MS,
+	    .cancelled_jobs = SOP_CANCELLED_JOBS,
 	    .drained = ignore,
 	};
 	struct slp_proc *former;
@@ -479,6 +480,7 @@
 	g_autofree char *text = spl_text(fault);
 
 	sck_note(NULL, "%s", text);
+	sck_disturbed(fault->lasts_ms);
 	apply_fault(fault);
 }
 
@@ -553,6 +555,7 @@
 	struct snt_options network = {
 	    .n_entries = opts->n_entries,
 	    .n_agents = opts->n_agents,
+	    .no_catch_up = opts->mutant == SOP_NO_CATCH_UP,
 	};
 	struct sfl_result result = {0};
 	guint i;
@@ -562,7 +565,7 @@
 	slp_reset();
 	sck_reset(recording);
 	snt_reset(&network);
-	sst_reset();
+	sst_reset(opts->mutant == SOP_DEAF_STORE);
 	swk_reset(opts, send_heartbeat);
 	scl_reset(opts);
 	make_fleet();
--- a/sim/net.c
+++ b/sim/net.c
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 
 #include "connection/rpc.h"
+#include "connection/run_xdr.h"
 #include "process/clock.h"
 #include "sim/check.h"
 #include "sim/net.h"
@@ -53,6 +54,7 @@
 	struct link *link;
 	enum snt_direction sends;
 	bool open;
+	bool told_cancels;	 /* has sent RUN_CANCELLED */
 	bool reset_at_close;	 /* SO_LINGER with a time of 0 */
 	int64_t user_timeout_ms; /* TCP_USER_TIMEOUT; 0: none */
 	int64_t last_input_ms;
@@ -356,6 +358,9 @@
 		schedule_silence_check(conn);
 }
 
+static gboolean deliver_closed(gpointer data);
+
+/* The peer may have closed the connection already. */
 struct rpc_conn *
 rpc_new(const struct rpc_options *opts)
 {
@@ -366,6 +371,9 @@
 	conn->last_input_ms = clk_now_ms();
 	if (opts->silence_ms > 0)
 		schedule_silence_check(conn);
+	if (!conn->open && conn->closed_id == 0)
+		conn->closed_id = g_idle_add_full(
+		    G_PRIORITY_DEFAULT, deliver_closed, rpc_ref(conn), NULL);
 	return rpc_ref(conn);
 }
 
@@ -410,6 +418,17 @@
 	return conn->open;
 }
 
+/* An agent tells first of all what its entry has missed. */
+static bool
+is_catching_up(struct rpc_conn *conn, uint32_t proc)
+{
+	bool first = !conn->node->is_entry && proc == RUN_CANCELLED &&
+		     !conn->told_cancels;
+
+	conn->told_cancels |= proc == RUN_CANCELLED;
+	return first;
+}
+
 bool
 rpc_send(struct rpc_conn *conn, uint32_t proc, xdrproc_t encode, void *args)
 {
@@ -418,6 +437,8 @@
 
 	if (!conn->open)
 		return false;
+	if (is_catching_up(conn, proc) && net.opts.no_catch_up)
+		((run_cancelled_args *)args)->jobs.jobs_len = 0;
 	message = g_new0(struct message, 1);
 	message->proc = proc;
 	message->len = (u_int)xdr_sizeof(encode, args);
--- a/sim/options.h
+++ b/sim/options.h
@@ -15,6 +15,9 @@
 	SOP_NO_SEAL,	  /* a stop does not seal a run that is not there yet */
 	SOP_REFUSE_SENT,  /* callers see a 502 as a 503 */
 	SOP_FAST_AGENTS,  /* agents' clocks are 30% fast */
+	/* With cancels only: */
+	SOP_NO_CATCH_UP, /* entries do not get the cancels that they missed */
+	SOP_DEAF_STORE,	 /* the store hides cancels from all but their writer */
 	SOP_N_MUTANTS
 };
 
@@ -26,6 +29,10 @@
 	enum sop_mutant mutant;
 	/* Also faults of this kind; the others of a seed are then others. */
 	bool rooms; /* workers shrink, the store is down */
+	/* Callers cancel jobs, which have several steps, and the store is down. */
+	bool cancels;
+	/* Never at the entry that the job was submitted to. */
+	bool elsewhere;
 };
 
 #define SOP_DEFAULTS                                                           \
@@ -34,6 +41,9 @@
 		.duration_ms = 12000                                           \
 	}
 
+/* Cancelled jobs that entries and agents remember. */
+#define SOP_CANCELLED_JOBS 100000
+
 const char *sop_mutant_name(enum sop_mutant mutant);
 
 #endif
--- a/src/process/jobagent.c
+++ b/src/process/jobagent.c
@@ -5,6 +5,7 @@
 #include "connection/sessions.h"
 #include "connection/startspecs.h"
 #include "connection/statement.h"
+#include "process/cancelrelay.h"
 #include "process/clock.h"
 #include "process/crashwatch.h"
 #include "process/enlist.h"
@@ -14,7 +15,6 @@
 #include "process/jobagent.h"
 #include "process/outdomains.h"
 #include "process/runstates.h"
-#include "request/cancelled.h"
 #include "request/ledger.h"
 #include "request/slowness.h"
 #include "request/statedroom.h"
@@ -48,7 +48,7 @@
 	struct enl *enlist;
 	struct crw *crashwatch;
 	struct itw *interference; /* NULL: not measured */
-	struct ccl *cancelled;	  /* jobs, at entries that did not have them */
+	struct cry *cancels;
 	GHashTable *outboxes;	  /* session to struct outbox */
 	struct slw slowness;	  /* of the worker */
 	uint64_t slowness_of;	  /* incarnation that it was measured with */
@@ -339,7 +339,8 @@
 		starts[i] = start_from_wire(s, specs);
 		starts[i].session = session;
 		starts[i].start_by_ms = sent_ms + s->start_within_ms;
-		if (g_strcmp0(s->service, ja->worker->service) != 0)
+		if (g_strcmp0(s->service, ja->worker->service) != 0 ||
+		    cry_has(ja->cancels, s))
 			starts[i].start_by_ms = now_ms - 1;
 	}
 	led_submit(ja->led, starts, n, now_ms);
@@ -360,27 +361,20 @@
 	plan_updates(ja);
 }
 
-/*
- * Passes a cancel on to the other entries, one of which has the job.  Each
- * agent does so once, although several entries and agents may pass it on.
- */
 static void
-on_cancel_job(uint64_t session, const char *job, void *ctx)
+on_cancels_seen(uint64_t session, uint64_t source, uint64_t position, void *ctx)
 {
-	run_cancel_job_args args = {.job = (char *)job};
 	struct ja *ja = ctx;
-	g_autofree uint64_t *ids = NULL;
-	uint32_t i, n;
 
-	if (!ccl_add(ja->cancelled, job, clk_now_ms()))
-		return;
-	evt_write("cancel", evt_text("job", job), evt_uint("session", session));
-	ids = ses_ids(ja->ses, &n);
-	for (i = 0; i < n; i++) {
-		if (ids[i] != session)
-			ses_send(ja->ses, ids[i], RUN_CANCEL_JOB,
-			    (xdrproc_t)xdr_run_cancel_job_args, &args);
-	}
+	cry_opened(ja->cancels, session, source, position);
+}
+
+static void
+on_cancelled(uint64_t session, const struct run_cancelled_args *args, void *ctx)
+{
+	struct ja *ja = ctx;
+
+	cry_receive(ja->cancels, session, args);
 }
 
 /*
@@ -856,8 +850,9 @@
 	    .closed = on_closed,
 	    .start = on_start,
 	    .cancel = on_cancel,
-	    .cancel_job = on_cancel_job,
 	    .interference = on_interference,
+	    .cancels_seen = on_cancels_seen,
+	    .cancelled = on_cancelled,
 	    .on_heartbeat = on_heartbeat,
 	    .ctx = ja,
 	};
@@ -874,7 +869,7 @@
 	    g_int64_hash, g_int64_equal, g_free, outbox_free);
 	ja->out_domains = odm_new(&out);
 	ja->updates = upd_new();
-	ja->cancelled = ccl_new();
+	ja->cancels = cry_new(opts->cancelled_jobs, opts->counters);
 	make_counters(ja);
 	ja->interference = itw_new(opts->interference, opts->counters);
 	make_run_state(ja);
@@ -885,6 +880,7 @@
 	}
 	crw_set_sessions(ja->crashwatch, ja->ses);
 	itw_set_sessions(ja->interference, ja->ses);
+	cry_set_sessions(ja->cancels, ja->ses);
 	ja->tick_id = g_timeout_add(JA_TICK_MS, on_tick, ja);
 	register_agent(ja);
 	return ja;
@@ -911,7 +907,7 @@
 	led_free(ja->led);
 	crw_free(ja->crashwatch);
 	itw_free(ja->interference);
-	ccl_free(ja->cancelled);
+	cry_free(ja->cancels);
 	g_hash_table_unref(ja->outboxes);
 	upd_free(ja->updates);
 	odm_free(ja->out_domains);
--- a/src/process/jobagent.h
+++ b/src/process/jobagent.h
@@ -29,6 +29,7 @@
 	bool interference;	     /* whether to measure it between queues */
 	uint32_t max_runs;	     /* at a time; 0: 512 */
 	uint32_t max_queued_starts;  /* of all entries; 0: 1,024 */
+	uint32_t cancelled_jobs;     /* that are remembered */
 	struct ctr_registry *counters; /* borrowed */
 	/* Runs once, when the shutdown begun by ja_drain() is complete. */
 	void (*drained)(void *ctx);
--- a/src/process/jobentry.h
+++ b/src/process/jobentry.h
@@ -59,6 +59,7 @@
 	bool interference;
 	uint32_t max_open_tasks;       /* of all open jobs; 0: 100,000 */
 	uint32_t max_runs;	       /* of an agent at a time; 0: 512 */
+	uint32_t cancelled_jobs;       /* that are remembered */
 	int64_t lease_ms;	       /* longest lease that a worker grants */
 	int64_t drain_ms;	       /* longest time of a graceful shutdown */
 	struct ctr_registry *counters; /* borrowed */
@@ -97,8 +98,9 @@
 void je_query_state(struct je *je, const char *host, const char *path,
     const char *job, je_answer_fn fn, void *ctx);
 /*
- * Cancels a job, also one that another entry has: answers JE_RUNNING, or
- * JE_UNKNOWN_JOB if it is not open here and no other entry can be told.
+ * Cancels a job, also one that another entry has.  Answers JE_RUNNING when no
+ * entry that is in touch goes on with it or accepts it again, and JE_REFUSED
+ * when that can't be told; one that is open here ends at once in any case.
  */
 void je_cancel(struct je *je, const char *host, const char *path,
     const char *job, je_answer_fn fn, void *ctx);
