Bound the incomplete input of all connections together

Nothing bounded what the connections of a process hold together: 1,200 requests that never ended took an entry or agent to 83 to 134 MB, 2,400 silent connections more than 2,200 descriptors. Its ports had no time limit either.

The module intake decides which connection is closed: it bounds connections, bytes that do not make a whole request, and the times to a whole head and body and between requests. connlimit applies it to every port of the process: it counts what the accepted streams (meterstream, acceptor) and RPC connections hold, and closes by a shutdown of the socket. max_header_bytes, header_timeout_ms and idle_timeout_ms of the operators' limits are read and applied.

A request under half of the mean of what the others hold is never closed for their bytes. With the mean as the bound, one large request raised it above all of a flood of equal ones and was closed for them (test_flood_limits).

--- /dev/null
+++ b/src/connection/connlimit.h
@@ -0,0 +1,67 @@
+#ifndef SP_CONNLIMIT_H
+#define SP_CONNLIMIT_H
+
+#include <gio/gio.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "connection/intake.h"
+#include "process/counters.h"
+
+/*
+ * The bounds of struct itk over all accepted connections of the process, on
+ * every port and in every thread.  A connection is closed by a shutdown of its
+ * socket; the thread that serves it notices, and frees what it holds.
+ */
+struct cnl_conn;
+
+struct cnl_options {
+	uint32_t max_connections;
+	uint64_t max_incomplete_bytes;
+	struct itk_times times;
+	struct ctr_registry *counters; /* borrowed until cnl_stop() */
+};
+
+/*
+ * To be called before the first port is opened, in the thread of the default
+ * main context, which then counts and logs.  Without it nothing is bounded.
+ */
+void cnl_start(const struct cnl_options *opts);
+void cnl_stop(void);
+bool cnl_is_started(void);
+/*
+ * Replaces those times that are not 0, and the bound on the head of a request (0:
+ * none).
+ */
+void cnl_set_limits(const struct itk_times *times, uint64_t max_head_bytes);
+/* Time for a whole body, 0: no limit. */
+int64_t cnl_body_ms(void);
+
+/*
+ * Takes a reference to the socket.  Returns NULL when there are too many
+ * connections or cnl_start() was not called.
+ */
+struct cnl_conn *cnl_open(GSocket *socket);
+struct cnl_conn *cnl_ref(struct cnl_conn *conn);
+void cnl_unref(struct cnl_conn *conn);
+/* To be called before the socket is closed.  Other calls do nothing then. */
+void cnl_close(struct cnl_conn *conn);
+
+/* As those of struct itk; NULL is allowed. */
+void cnl_received(struct cnl_conn *conn, uint64_t bytes);
+/*
+ * To be called before more of a request is read.  Returns false when the
+ * connection must be closed instead.
+ */
+bool cnl_may_read(struct cnl_conn *conn);
+void cnl_head_done(struct cnl_conn *conn);
+void cnl_request_done(struct cnl_conn *conn);
+void cnl_next_request(struct cnl_conn *conn);
+/* Returns false when the connection must be closed. */
+bool cnl_set_incomplete(struct cnl_conn *conn, uint64_t bytes);
+void cnl_make_link(struct cnl_conn *conn);
+
+/* A connection could not be accepted, by the system's limits. */
+void cnl_count_accept_failure(void);
+
+#endif
--- a/src/connection/framing.c
+++ b/src/connection/framing.c
@@ -5,6 +5,7 @@
 #include "connection/framing.h"
 
 #define SOCKET_KEY    "sequoiaplank-socket"
+#define LIMIT_KEY     "sequoiaplank-limit"
 #define STREAM_KEY    "sequoiaplank-stream"
 #define READ_BYTES    8192
 #define BODY_LIMIT_MS 30000 /* for a body to arrive */
@@ -17,7 +18,8 @@
 	SoupServerMessage *msg; /* until the connection is taken */
 	GIOStream *stream;
 	GSocket *socket;
-	GString *head; /* of the request that is handed back */
+	struct cnl_conn *limit; /* NULL: none */
+	GString *head;		/* of the request that is handed back */
 	struct chk chunks;
 	GByteArray *body;
 	uint64_t max_bytes;
@@ -43,6 +45,7 @@
 	}
 	g_clear_object(&t->msg);
 	g_clear_object(&t->socket);
+	g_clear_pointer(&t->limit, cnl_unref);
 	g_object_unref(t->cancellable);
 	g_object_unref(t->server);
 	g_string_free(t->head, TRUE);
@@ -141,12 +144,38 @@
 	g_object_unref(data);
 }
 
+/*
+ * A copy, since the socket keeps the address that it returns, so that a reference
+ * from there to the socket would be a cycle.
+ */
+GSocketAddress *
+frm_remote_address(GSocket *socket, struct cnl_conn *limit)
+{
+	g_autoptr(GSocketAddress) address =
+	    g_socket_get_remote_address(socket, NULL);
+	GInetSocketAddress *inet;
+	GSocketAddress *copy;
+
+	if (address == NULL || !G_IS_INET_SOCKET_ADDRESS(address))
+		return NULL;
+	inet = G_INET_SOCKET_ADDRESS(address);
+	copy =
+	    g_inet_socket_address_new(g_inet_socket_address_get_address(inet),
+		g_inet_socket_address_get_port(inet));
+	g_object_set_data_full(
+	    G_OBJECT(copy), SOCKET_KEY, g_object_ref(socket), g_object_unref);
+	if (limit != NULL)
+		g_object_set_data_full(G_OBJECT(copy), LIMIT_KEY,
+		    cnl_ref(limit), (GDestroyNotify)cnl_unref);
+	return copy;
+}
+
 /* Lets the server read the request, now with its length, and answer it. */
 static void
 hand_back(struct taken *t)
 {
 	GSocketAddress *local = g_socket_get_local_address(t->socket, NULL);
-	GSocketAddress *remote = g_socket_get_remote_address(t->socket, NULL);
+	GSocketAddress *remote = frm_remote_address(t->socket, t->limit);
 	GInputStream *request = g_memory_input_stream_new();
 	GIOStream *stream;
 
@@ -163,9 +192,6 @@
 	    request, g_io_stream_get_output_stream(t->stream));
 	g_object_set_data_full(G_OBJECT(stream), STREAM_KEY,
 	    g_steal_pointer(&t->stream), close_stream);
-	if (remote != NULL)
-		g_object_set_data_full(G_OBJECT(remote), SOCKET_KEY,
-		    g_object_ref(t->socket), g_object_unref);
 	soup_server_accept_iostream(t->server, stream, local, remote, NULL);
 	g_object_unref(stream);
 	g_object_unref(request);
@@ -221,6 +247,15 @@
 		feed(t, (size_t)n);
 }
 
+static guint
+body_limit_ms(void)
+{
+	int64_t limit_ms = cnl_body_ms();
+
+	return limit_ms > 0 ? (guint)MIN(limit_ms, BODY_LIMIT_MS)
+			    : BODY_LIMIT_MS;
+}
+
 /* The message can't be taken while it emits a signal. */
 static gboolean
 on_idle(gpointer data)
@@ -231,10 +266,12 @@
 	bool expects_continue =
 	    (soup_message_headers_get_expectations(headers) &
 		SOUP_EXPECTATION_CONTINUE) != 0;
-	GSocket *socket = soup_server_message_get_socket(t->msg);
+	GSocket *socket = frm_socket(t->msg);
+	struct cnl_conn *limit = frm_limit(t->msg);
 
 	if (socket != NULL) {
 		t->socket = g_object_ref(socket);
+		t->limit = limit == NULL ? NULL : cnl_ref(limit);
 		t->stream = soup_server_message_steal_connection(t->msg);
 	}
 	g_clear_object(&t->msg);
@@ -242,7 +279,7 @@
 		taken_free(t);
 		return G_SOURCE_REMOVE;
 	}
-	set_time_limit(t, BODY_LIMIT_MS);
+	set_time_limit(t, body_limit_ms());
 	if (t->status != 0)
 		refuse(t, t->status, t->reason);
 	else if (expects_continue)
@@ -348,15 +385,24 @@
 	return true;
 }
 
+static gpointer
+data_of(SoupServerMessage *msg, const char *key)
+{
+	GSocketAddress *remote = soup_server_message_get_remote_address(msg);
+
+	return remote == NULL ? NULL : g_object_get_data(G_OBJECT(remote), key);
+}
+
 GSocket *
 frm_socket(SoupServerMessage *msg)
 {
 	GSocket *socket = soup_server_message_get_socket(msg);
-	GSocketAddress *remote;
 
-	if (socket != NULL)
-		return socket;
-	remote = soup_server_message_get_remote_address(msg);
-	return remote == NULL ? NULL
-			      : g_object_get_data(G_OBJECT(remote), SOCKET_KEY);
+	return socket != NULL ? socket : data_of(msg, SOCKET_KEY);
+}
+
+struct cnl_conn *
+frm_limit(SoupServerMessage *msg)
+{
+	return data_of(msg, LIMIT_KEY);
 }
--- a/src/connection/framing.h
+++ b/src/connection/framing.h
@@ -5,6 +5,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "connection/connlimit.h"
+
 /*
  * How the body of a request is delimited (RFC 9112 section 6).  libsoup 3.2 takes
  * a chunk size that is no number for the end of the body, and what follows for
@@ -20,5 +22,12 @@
 bool frm_take(SoupServer *server, SoupServerMessage *msg, uint64_t max_bytes);
 /* The socket of a request, also of one that was handed back; borrowed, or NULL. */
 GSocket *frm_socket(SoupServerMessage *msg);
+/* The limits that its connection counts against; borrowed, or NULL. */
+struct cnl_conn *frm_limit(SoupServerMessage *msg);
+/*
+ * The remote address of a connection that is passed to the server as a stream,
+ * by which the functions above find socket and limit; NULL if it has none.
+ */
+GSocketAddress *frm_remote_address(GSocket *socket, struct cnl_conn *limit);
 
 #endif
--- a/src/connection/httplisten.c
+++ b/src/connection/httplisten.c
@@ -2,7 +2,9 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include "connection/acceptor.h"
 #include "connection/address.h"
+#include "connection/connlimit.h"
 #include "connection/framing.h"
 #include "connection/httplisten.h"
 
@@ -14,6 +16,7 @@
 #define TIMER_KEY     "sequoiaplank-receive-timer"
 #define LIMIT_KEY     "sequoiaplank-body-limit"
 #define TOO_LARGE_KEY "sequoiaplank-body-too-large"
+#define ACCEPTOR_KEY  "sequoiaplank-acceptor"
 
 struct timer {
 	SoupServerMessage *msg;
@@ -70,33 +73,55 @@
 	    GUINT_TO_POINTER((guint)receive_ms));
 }
 
+static GSocket *
+bind_socket(GSocketAddress *address, GError **error)
+{
+	GSocket *socket = g_socket_new(g_socket_address_get_family(address),
+	    G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, error);
+
+	if (socket == NULL)
+		return NULL;
+	g_socket_set_listen_backlog(socket, HTTP_BACKLOG);
+	if (g_socket_bind(socket, address, TRUE, error) &&
+	    g_socket_listen(socket, error))
+		return socket;
+	g_object_unref(socket);
+	return NULL;
+}
+
 bool
 hl_listen(SoupServer *server, const char *listen, struct status *st)
 {
 	GSocketAddress *address = addr_parse(listen, st);
-	GSocket *socket = NULL;
+	GSocket *socket;
 	GError *error = NULL;
-	bool ok = false;
+	bool ok;
 
 	if (address == NULL)
 		return false;
-	socket = g_socket_new(g_socket_address_get_family(address),
-	    G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, &error);
-	if (socket != NULL) {
-		g_socket_set_listen_backlog(socket, HTTP_BACKLOG);
-		ok = g_socket_bind(socket, address, TRUE, &error) &&
-		     g_socket_listen(socket, &error) &&
-		     soup_server_listen_socket(server, socket, 0, &error);
-		g_object_unref(socket);
-	}
+	socket = bind_socket(address, &error);
+	g_object_unref(address);
+	ok = socket != NULL;
+	if (ok && cnl_is_started())
+		g_object_set_data_full(G_OBJECT(server), ACCEPTOR_KEY,
+		    acp_new(server, socket), (GDestroyNotify)acp_free);
+	else if (ok)
+		ok = soup_server_listen_socket(server, socket, 0, &error);
+	g_clear_object(&socket);
 	if (!ok)
 		st_set(st, ST_UNAVAILABLE, "listen \"%s\": %s", listen,
 		    error->message);
 	g_clear_error(&error);
-	g_object_unref(address);
 	return ok;
 }
 
+void
+hl_disconnect(SoupServer *server)
+{
+	g_object_set_data(G_OBJECT(server), ACCEPTOR_KEY, NULL);
+	soup_server_disconnect(server);
+}
+
 void
 hl_discard_body(SoupServerMessage *msg)
 {
--- a/src/connection/httplisten.h
+++ b/src/connection/httplisten.h
@@ -12,8 +12,13 @@
 /* Default time for a request to arrive, including idle time before it. */
 #define HL_RECEIVE_TIMEOUT_MS 60000
 
-/* listen is "ip:port"; requests run in the thread-default main context. */
+/*
+ * listen is "ip:port"; requests run in the thread-default main context.  After
+ * cnl_start() connections count against the limits of the process.
+ */
 bool hl_listen(SoupServer *server, const char *listen, struct status *st);
+/* Stops listening and closes all connections. */
+void hl_disconnect(SoupServer *server);
 /*
  * Closes connections whose request does not arrive completely within
  * receive_ms.  To be called before hl_listen().
--- /dev/null
+++ b/src/connection/intake.c
@@ -0,0 +1,346 @@
+#include <glib.h>
+
+#include "connection/intake.h"
+
+/*
+ * A connection without input for this time is taken for one whose other end
+ * sends no more.  Above the pauses within a request that is sent at once.
+ */
+#define STALL_MS 100
+
+enum phase {
+	IDLE, /* no byte of a request */
+	HEAD,
+	BODY,
+	SERVED /* the request is whole and not answered yet */
+};
+
+struct itk_conn {
+	struct itk *itk;
+	void *owner;
+	guint index; /* in conns */
+	enum phase phase;
+	bool is_link;
+	bool proven;  /* it has sent a whole request */
+	bool closing; /* close() was called */
+	uint64_t bytes;
+	uint64_t held;	  /* counted in itk->held */
+	uint64_t order;	  /* of the beginnings of requests */
+	int64_t since_ms; /* begin of the phase */
+	int64_t input_ms; /* last input */
+};
+
+struct itk {
+	struct itk_options opts;
+	GPtrArray *conns;
+	uint64_t held;	  /* incomplete bytes of all connections */
+	uint32_t n_open;  /* without those that are closing */
+	uint32_t n_holds; /* connections with held bytes */
+	uint64_t last_order;
+};
+
+struct itk *
+itk_new(const struct itk_options *opts)
+{
+	struct itk *itk = g_new0(struct itk, 1);
+
+	itk->opts = *opts;
+	itk->conns = g_ptr_array_new();
+	return itk;
+}
+
+void
+itk_free(struct itk *itk)
+{
+	g_ptr_array_unref(itk->conns);
+	g_free(itk);
+}
+
+void
+itk_set_times(struct itk *itk, const struct itk_times *times)
+{
+	itk->opts.times = *times;
+}
+
+static void
+hold(struct itk_conn *conn, uint64_t bytes)
+{
+	struct itk *itk = conn->itk;
+
+	itk->n_holds += (bytes > 0) - (conn->held > 0);
+	itk->held += bytes - conn->held;
+	conn->held = bytes;
+}
+
+/* Its bytes count no longer, as they are freed soon. */
+static bool
+close_conn(struct itk_conn *conn, enum itk_reason why)
+{
+	struct itk *itk = conn->itk;
+
+	if (!itk->opts.close(conn->owner, why, itk->opts.ctx) &&
+	    why == ITK_IDLE_TIME)
+		return false;
+	conn->closing = true;
+	hold(conn, 0);
+	itk->n_open--;
+	return true;
+}
+
+static bool
+is_stalled(const struct itk_conn *conn, int64_t now_ms)
+{
+	return now_ms - conn->input_ms >= STALL_MS;
+}
+
+/*
+ * Returns a larger number for a connection that is closed earlier to free bytes,
+ * 0 for one that is not closed.  Those that hold less than half of the mean are
+ * spared, so that a small request is never closed for the large ones of others.
+ * With the mean itself, one large request raised it above all of a flood of equal
+ * ones and was closed for them.
+ */
+static int
+rank_by_bytes(const struct itk_conn *conn, int64_t now_ms)
+{
+	if (conn->closing || conn->held == 0)
+		return 0;
+	if (conn->is_link)
+		return 1;
+	if (2 * conn->held * conn->itk->n_holds < conn->itk->held)
+		return 2;
+	return is_stalled(conn, now_ms) ? 4 : 3;
+}
+
+/* Of the same rank, the request that began last goes first. */
+static struct itk_conn *
+choose_by_bytes(const struct itk *itk, int64_t now_ms)
+{
+	struct itk_conn *best = NULL;
+	int best_rank = 0;
+	guint i;
+
+	for (i = 0; i < itk->conns->len; i++) {
+		struct itk_conn *conn = itk->conns->pdata[i];
+		int rank = rank_by_bytes(conn, now_ms);
+
+		if (rank > best_rank || (rank == best_rank && rank > 0 &&
+					    conn->order > best->order)) {
+			best = conn;
+			best_rank = rank;
+		}
+	}
+	return best;
+}
+
+static void
+bound_bytes(struct itk *itk, int64_t now_ms)
+{
+	struct itk_conn *conn;
+
+	while (itk->held > itk->opts.max_incomplete_bytes &&
+	       (conn = choose_by_bytes(itk, now_ms)) != NULL)
+		close_conn(conn, ITK_BYTES);
+}
+
+/*
+ * As rank_by_bytes(), to make room for a connection: first those that have sent
+ * nothing, then those with a part of a request, then idle ones of callers that
+ * have sent whole requests.
+ */
+static int
+rank_by_count(const struct itk_conn *conn, int64_t now_ms)
+{
+	if (conn->closing || conn->is_link || conn->phase == SERVED ||
+	    !is_stalled(conn, now_ms))
+		return 0;
+	if (conn->phase != IDLE)
+		return 2;
+	return conn->proven ? 1 : 3;
+}
+
+/* Of the same rank, the one without input for the longest time goes first. */
+static struct itk_conn *
+choose_by_count(const struct itk *itk, int64_t now_ms)
+{
+	struct itk_conn *best = NULL;
+	int best_rank = 0;
+	guint i;
+
+	for (i = 0; i < itk->conns->len; i++) {
+		struct itk_conn *conn = itk->conns->pdata[i];
+		int rank = rank_by_count(conn, now_ms);
+
+		if (rank > best_rank || (rank == best_rank && rank > 0 &&
+					    conn->input_ms < best->input_ms)) {
+			best = conn;
+			best_rank = rank;
+		}
+	}
+	return best;
+}
+
+struct itk_conn *
+itk_open(struct itk *itk, void *owner, int64_t now_ms)
+{
+	struct itk_conn *conn;
+
+	if (itk->n_open >= itk->opts.max_connections) {
+		conn = choose_by_count(itk, now_ms);
+		if (conn == NULL)
+			return NULL;
+		close_conn(conn, ITK_CONNECTIONS);
+	}
+	conn = g_new0(struct itk_conn, 1);
+	conn->itk = itk;
+	conn->owner = owner;
+	conn->since_ms = conn->input_ms = now_ms;
+	conn->index = itk->conns->len;
+	g_ptr_array_add(itk->conns, conn);
+	itk->n_open++;
+	return conn;
+}
+
+void
+itk_close(struct itk_conn *conn)
+{
+	struct itk *itk = conn->itk;
+
+	hold(conn, 0);
+	if (!conn->closing)
+		itk->n_open--;
+	g_ptr_array_remove_index_fast(itk->conns, conn->index);
+	if (conn->index < itk->conns->len)
+		((struct itk_conn *)itk->conns->pdata[conn->index])->index =
+		    conn->index;
+	g_free(conn);
+}
+
+static void
+begin(struct itk_conn *conn, enum phase phase, int64_t now_ms)
+{
+	if (conn->phase == IDLE && phase != IDLE)
+		conn->order = ++conn->itk->last_order;
+	conn->phase = phase;
+	conn->since_ms = now_ms;
+}
+
+void
+itk_received(struct itk_conn *conn, uint64_t bytes, int64_t now_ms)
+{
+	if (conn->phase == IDLE)
+		begin(conn, HEAD, now_ms);
+	conn->bytes += bytes;
+	conn->input_ms = now_ms;
+}
+
+void
+itk_incomplete(struct itk_conn *conn, int64_t now_ms)
+{
+	if (conn->closing || (conn->phase != HEAD && conn->phase != BODY))
+		return;
+	hold(conn, conn->bytes);
+	bound_bytes(conn->itk, now_ms);
+}
+
+void
+itk_head_done(struct itk_conn *conn, int64_t now_ms)
+{
+	begin(conn, BODY, now_ms);
+}
+
+void
+itk_request_done(struct itk_conn *conn)
+{
+	conn->phase = SERVED;
+	conn->proven = true;
+	hold(conn, 0);
+}
+
+void
+itk_next_request(struct itk_conn *conn, int64_t now_ms)
+{
+	begin(conn, IDLE, now_ms);
+	conn->bytes = 0;
+	hold(conn, 0);
+}
+
+void
+itk_set_incomplete(struct itk_conn *conn, uint64_t bytes, int64_t now_ms)
+{
+	if (bytes == 0)
+		itk_next_request(conn, now_ms);
+	else if (conn->phase == IDLE)
+		begin(conn, HEAD, now_ms);
+	conn->bytes = bytes;
+	conn->input_ms = now_ms;
+	itk_incomplete(conn, now_ms);
+}
+
+void
+itk_make_link(struct itk_conn *conn)
+{
+	conn->is_link = true;
+}
+
+/* Returns the time that a connection has exceeded, or ITK_N_REASONS. */
+static enum itk_reason
+exceeded(const struct itk_conn *conn, int64_t now_ms)
+{
+	const struct itk_times *times = &conn->itk->opts.times;
+	int64_t ms = now_ms - conn->since_ms;
+
+	if (conn->closing || conn->is_link)
+		return ITK_N_REASONS;
+	if (conn->phase == IDLE && times->idle_ms > 0 && ms > times->idle_ms)
+		return ITK_IDLE_TIME;
+	if (conn->phase == HEAD && times->head_ms > 0 && ms > times->head_ms)
+		return ITK_HEAD_TIME;
+	if (conn->phase == BODY && times->body_ms > 0 && ms > times->body_ms)
+		return ITK_BODY_TIME;
+	return ITK_N_REASONS;
+}
+
+void
+itk_tick(struct itk *itk, int64_t now_ms)
+{
+	guint i;
+
+	for (i = 0; i < itk->conns->len; i++) {
+		struct itk_conn *conn = itk->conns->pdata[i];
+		enum itk_reason why = exceeded(conn, now_ms);
+
+		if (why != ITK_N_REASONS)
+			close_conn(conn, why);
+	}
+}
+
+bool
+itk_is_closing(const struct itk_conn *conn)
+{
+	return conn->closing;
+}
+
+bool
+itk_is_in_head(const struct itk_conn *conn)
+{
+	return conn->phase == HEAD;
+}
+
+uint64_t
+itk_request_bytes(const struct itk_conn *conn)
+{
+	return conn->bytes;
+}
+
+uint32_t
+itk_n_connections(const struct itk *itk)
+{
+	return itk->n_open;
+}
+
+uint64_t
+itk_incomplete_bytes(const struct itk *itk)
+{
+	return itk->held;
+}
--- /dev/null
+++ b/src/connection/intake.h
@@ -0,0 +1,94 @@
+#ifndef SP_INTAKE_H
+#define SP_INTAKE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * Decides which of a process's connections are closed, so that all of them
+ * together stay within bounds on connections, on bytes that do not make a whole
+ * request yet, and on time.  It has no sockets and no clock; see
+ * docs/design/incomplete-input.md.
+ */
+struct itk;
+struct itk_conn;
+
+enum itk_reason {
+	ITK_BYTES,	 /* incomplete bytes of all connections */
+	ITK_CONNECTIONS, /* number of connections */
+	ITK_HEAD_TIME,
+	ITK_BODY_TIME,
+	ITK_IDLE_TIME,
+	ITK_HEAD_BYTES, /* one head is too large */
+	ITK_N_REASONS
+};
+
+/* Longest times of a connection; 0: no limit. */
+struct itk_times {
+	int64_t head_ms; /* from the first byte of a request to a whole head */
+	int64_t body_ms; /* from there to a whole body */
+	int64_t idle_ms; /* without a byte of a request */
+};
+
+struct itk_options {
+	uint32_t max_connections;
+	uint64_t max_incomplete_bytes;
+	struct itk_times times;
+	/*
+	 * Begins to close a connection; itk_close() follows when it has ended, not
+	 * from within.
+	 * Returns false if it must stay, which is respected for ITK_IDLE_TIME
+	 * only.
+	 */
+	bool (*close)(void *owner, enum itk_reason why, void *ctx);
+	void *ctx;
+};
+
+struct itk *itk_new(const struct itk_options *opts);
+/* All connections must have been closed. */
+void itk_free(struct itk *itk);
+void itk_set_times(struct itk *itk, const struct itk_times *times);
+
+/*
+ * Adds a connection that was accepted.  When there are too many, another one is
+ * closed for it if one may be; otherwise returns NULL.
+ */
+struct itk_conn *itk_open(struct itk *itk, void *owner, int64_t now_ms);
+void itk_close(struct itk_conn *conn);
+
+/* Bytes were received and not examined yet. */
+void itk_received(struct itk_conn *conn, uint64_t bytes, int64_t now_ms);
+/*
+ * All bytes of the request so far were examined, and it is not whole.  May close
+ * connections, also this one.
+ */
+void itk_incomplete(struct itk_conn *conn, int64_t now_ms);
+void itk_head_done(struct itk_conn *conn, int64_t now_ms);
+/* The request is whole: it counts no longer. */
+void itk_request_done(struct itk_conn *conn);
+/* The connection waits for its next request. */
+void itk_next_request(struct itk_conn *conn, int64_t now_ms);
+/*
+ * For a link between processes, which carries messages: sets the bytes that do
+ * not make a whole one.  May close connections, also this one.
+ */
+void itk_set_incomplete(struct itk_conn *conn, uint64_t bytes, int64_t now_ms);
+/*
+ * The other end has shown that it is a process of this system: the connection is
+ * closed only when no others are left, and its owner limits the times.
+ */
+void itk_make_link(struct itk_conn *conn);
+
+/* Closes the connections that are over a time. */
+void itk_tick(struct itk *itk, int64_t now_ms);
+
+/* Whether close() was called for the connection. */
+bool itk_is_closing(const struct itk_conn *conn);
+/* Whether the head of its request is not whole yet. */
+bool itk_is_in_head(const struct itk_conn *conn);
+/* Bytes of the request so far. */
+uint64_t itk_request_bytes(const struct itk_conn *conn);
+uint32_t itk_n_connections(const struct itk *itk);
+uint64_t itk_incomplete_bytes(const struct itk *itk);
+
+#endif
--- a/src/connection/rpc.c
+++ b/src/connection/rpc.c
@@ -2,6 +2,7 @@
 #include <netinet/tcp.h>
 #include <string.h>
 
+#include "connection/connlimit.h"
 #include "connection/rpc.h"
 #include "connection/sockwatch.h"
 #include "process/clock.h"
@@ -33,7 +34,8 @@
 	struct rpc_options opts;
 	GSocketConnection *stream;
 	GSocket *socket;
-	struct skw *watch; /* NULL when closed */
+	struct skw *watch;	/* NULL when closed */
+	struct cnl_conn *limit; /* NULL: none */
 	bool waits_writable;
 	guint closed_id;
 	bool open;
@@ -93,6 +95,8 @@
 {
 	unwatch_timeouts(conn);
 	g_clear_pointer(&conn->watch, skw_free);
+	if (conn->limit != NULL)
+		cnl_close(conn->limit);
 	g_io_stream_close(G_IO_STREAM(conn->stream), NULL, NULL);
 }
 
@@ -105,6 +109,7 @@
 	if (conn->open)
 		close_socket(conn);
 	g_clear_handle_id(&conn->closed_id, g_source_remove);
+	g_clear_pointer(&conn->limit, cnl_unref);
 	g_hash_table_unref(conn->pending);
 	g_byte_array_unref(conn->in);
 	g_byte_array_unref(conn->record);
@@ -218,6 +223,7 @@
 		return;
 	}
 	conn->opts.first_call_timeout_ms = 0;
+	cnl_make_link(conn->limit);
 	conn->opts.on_call(conn, &call, conn->opts.ctx);
 }
 
@@ -324,35 +330,47 @@
 	return conn->open;
 }
 
+/* A buffer that has held a large record is freed when it is empty. */
+static void
+shrink_if_empty(GByteArray **buffer, size_t used)
+{
+	if ((*buffer)->len > 0 || used <= SOCKET_READ_BYTES)
+		return;
+	g_byte_array_unref(*buffer);
+	*buffer = g_byte_array_new();
+}
+
 static void
 parse_input(struct rpc_conn *conn)
 {
-	size_t pos = 0;
+	size_t pos = 0, used = conn->in->len, record = conn->record->len;
 
 	while (parse_fragment(conn, &pos))
 		continue;
 	if (pos > 0)
 		g_byte_array_remove_range(conn->in, 0, pos);
+	shrink_if_empty(&conn->in, used);
+	shrink_if_empty(&conn->record, record);
+	if (!cnl_set_incomplete(conn->limit, conn->in->len + conn->record->len))
+		rpc_close(conn, ST_LIMIT, "too much incomplete input");
 }
 
 static void
 on_readable(void *data)
 {
+	/* In connections, it would take this much memory of each. */
+	static char input[SOCKET_READ_BYTES];
 	struct rpc_conn *conn = rpc_ref(data);
 	GError *error = NULL;
 	gssize n = 0;
-	guint used;
 	int i;
 
 	for (i = 0; i < READS_PER_WAKEUP && conn->open; i++) {
-		used = conn->in->len;
-		g_byte_array_set_size(conn->in, used + SOCKET_READ_BYTES);
-		n = g_socket_receive_with_blocking(conn->socket,
-		    (char *)conn->in->data + used, SOCKET_READ_BYTES, FALSE,
-		    NULL, &error);
-		g_byte_array_set_size(conn->in, used + (n > 0 ? n : 0));
+		n = g_socket_receive_with_blocking(
+		    conn->socket, input, sizeof(input), FALSE, NULL, &error);
 		if (n <= 0)
 			break;
+		g_byte_array_append(conn->in, (guint8 *)input, (guint)n);
 		conn->last_input_ms = clk_now_ms();
 		totals.bytes_in += n;
 		parse_input(conn);
@@ -652,5 +670,10 @@
 	});
 	if (conn->watch == NULL)
 		rpc_close(conn, ST_LIMIT, "no room to watch the connection");
+	if (opts->accepted && cnl_is_started()) {
+		conn->limit = cnl_open(conn->socket);
+		if (conn->limit == NULL)
+			rpc_close(conn, ST_LIMIT, "too many connections");
+	}
 	return conn;
 }
--- a/src/connection/rpc.h
+++ b/src/connection/rpc.h
@@ -42,6 +42,11 @@
 	int64_t silence_ms; /* closes after this time without input; 0: never */
 	/* Closes unless a call arrives within this time; 0: no limit. */
 	int64_t first_call_timeout_ms;
+	/*
+	 * Accepted, so that it counts against the limits of connlimit.h; it is a
+	 * link from its first call on.
+	 */
+	bool accepted;
 	rpc_call_fn on_call;
 	rpc_closed_fn on_closed;
 	void *ctx;
--- a/src/process/metrics.c
+++ b/src/process/metrics.c
@@ -57,7 +57,7 @@
 {
 	if (met == NULL)
 		return;
-	soup_server_disconnect(met->server);
+	hl_disconnect(met->server);
 	g_object_unref(met->server);
 	g_free(met);
 }
--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -88,7 +88,14 @@
     {"store", ADDRESS, REQ, J(store), NULL, 0, 0, 0}, \
     {"lease_ms", INT64, OPT, J(lease_ms), NULL, 1000, 100, 60000}, \
     {"drain_ms", INT64, OPT, J(drain_ms), NULL, 4500, 0, HOUR_MS}, \
-    {"log_lines_per_s", UINT32, OPT, J(log_lines_per_s), NULL, 20, 0, 100000}
+    {"log_lines_per_s", UINT32, OPT, J(log_lines_per_s), NULL, 20, 0, 100000}, \
+    {"memory_mb", INT64, OPT, J(memory_mb), NULL, 120, 64, 1048576}, \
+    {"max_fds", UINT32, OPT, J(max_fds), NULL, 3075, 512, 1000000}, \
+    {"max_connections", UINT32, OPT, J(max_connections), NULL, 0, 0, 100000}, \
+    {"max_incomplete_kb", INT64, OPT, J(max_incomplete_kb), NULL, 0, 0, 16 * MIB}, \
+    {"header_timeout_ms", INT64, OPT, J(header_timeout_ms), NULL, 10000, 100, HOUR_MS}, \
+    {"body_timeout_ms", INT64, OPT, J(body_timeout_ms), NULL, 30000, 100, HOUR_MS}, \
+    {"idle_timeout_ms", INT64, OPT, J(idle_timeout_ms), NULL, 60000, 100, HOUR_MS}
 
 static const struct field job_entry_fields[] = {
     JOB_COMMON,
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -88,6 +88,15 @@
 	int64_t cross_rack_percent;
 	uint32_t agent_connections;
 	uint32_t log_lines_per_s; /* of each event type */
+	/* Resources of the process, of which the defaults below are shares. */
+	int64_t memory_mb;
+	uint32_t max_fds;
+	/* Bounds on accepted connections; 0: a share of the above. */
+	uint32_t max_connections;
+	int64_t max_incomplete_kb; /* of requests that are not whole */
+	int64_t header_timeout_ms; /* for a whole head */
+	int64_t body_timeout_ms;   /* from there to a whole body */
+	int64_t idle_timeout_ms;   /* between requests */
 };
 
 /* NULL on error; st names the file, line, key and the expected value. */
--- a/src/version/routes.c
+++ b/src/version/routes.c
@@ -77,10 +77,10 @@
 	return rts->opts.version;
 }
 
-uint64_t
-rts_max_body_bytes(const struct rts *rts)
+const struct rts_limits *
+rts_limits(const struct rts *rts)
 {
-	return rts->opts.max_body_bytes;
+	return &rts->opts.limits;
 }
 
 size_t
--- a/src/version/routes.h
+++ b/src/version/routes.h
@@ -29,11 +29,19 @@
 	bool external_placement; /* an external service assigns its workers */
 };
 
+/* Limits on requests; 0: not set. */
+struct rts_limits {
+	uint64_t max_body_bytes;
+	uint64_t max_header_bytes;
+	int64_t header_timeout_ms; /* for a whole head */
+	int64_t idle_timeout_ms;   /* between requests */
+};
+
 struct rts_options {
 	int64_t version;
 	struct rts_queue *queues; /* takes ownership of array and contents */
 	size_t n_queues;
-	uint64_t max_body_bytes; /* 0: not set */
+	struct rts_limits limits;
 };
 
 struct rts *rts_new(const struct rts_options *opts);
@@ -41,7 +49,7 @@
 void rts_unref(struct rts *rts);
 
 int64_t rts_version(const struct rts *rts);
-uint64_t rts_max_body_bytes(const struct rts *rts);
+const struct rts_limits *rts_limits(const struct rts *rts);
 size_t rts_n_queues(const struct rts *rts);
 /*
  * Returns the queue with this host and the longest matching path prefix, or
