--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -89,8 +89,8 @@
     {"lease_ms", INT64, OPT, J(lease_ms), NULL, 1000, 100, 60000}, \
     {"drain_ms", INT64, OPT, J(drain_ms), NULL, 4500, 0, HOUR_MS}, \
     {"log_lines_per_s", UINT32, OPT, J(log_lines_per_s), NULL, 20, 0, 100000}, \
-    {"memory_mb", INT64, OPT, J(memory_mb), NULL, 120, 64, 1048576}, \
-    {"max_fds", UINT32, OPT, J(max_fds), NULL, 3075, 512, 1000000}, \
+    {"memory_mb", INT64, OPT, J(memory_mb), NULL, 120, 16, 1048576}, \
+    {"max_fds", UINT32, OPT, J(max_fds), NULL, 3075, 64, 1000000}, \
     {"max_connections", UINT32, OPT, J(max_connections), NULL, 0, 0, 100000}, \
     {"max_incomplete_kb", INT64, OPT, J(max_incomplete_kb), NULL, 0, 0, 16 * MIB}, \
     {"header_timeout_ms", INT64, OPT, J(header_timeout_ms), NULL, 10000, 100, HOUR_MS}, \
--- a/tests/test_platform_config.c
+++ b/tests/test_platform_config.c
@@ -76,6 +76,12 @@
     {"{\"version\":0,\"routes\":[]}", "field \"version\": number out of range"},
     {"{\"version\":1,\"limits\":{\"max_body_bytes\":-1},\"routes\":[]}",
 	"field \"max_body_bytes\": number out of range"},
+    {"{\"version\":1,\"limits\":{\"header_timeout_ms\":-1},\"routes\":[]}",
+	"field \"header_timeout_ms\": number out of range"},
+    {"{\"version\":1,\"limits\":{\"max_header_bytes\":0,"
+     "\"header_timeout_ms\":0,\"idle_timeout_ms\":15000},\"routes\":[" ROUTE(
+	 "desk") "]}",
+	"desk"},
     {CONFIG(ROUTE("desk")) "x", "unexpected character"},
     {CONFIG(ROUTE("desk")) "\n", "desk"},
     {"{\"version\":1,\"routes\":[", "the document is not complete"},
