Test callers beside a flood that does not end

The floods of the tests stopped before the callers came. Connections of this one are made again as soon as they are closed.

--- a/tests/flood.c
+++ b/tests/flood.c
@@ -1,6 +1,7 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <glib.h>
+#include <stdbool.h>
 #include <string.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
@@ -26,6 +27,7 @@
 	pid_t pid;
 	unsigned n_connected;
 	struct sender *senders;
+	bool again;
 	struct fl_peak peak;
 };
 
@@ -105,11 +107,12 @@
 }
 
 static void
-end_sender(struct sender *s)
+end_sender(const struct fl *fl, struct sender *s)
 {
 	close(s->fd);
 	s->fd = -1;
-	s->done = true;
+	s->sent = 0;
+	s->done = !fl->again;
 }
 
 /* Sends one piece; an answer is read and dropped. */
@@ -123,7 +126,7 @@
 
 	n = recv(s->fd, piece, sizeof(piece), 0);
 	if (n == 0 || (n < 0 && errno != EAGAIN && errno != ENOTCONN)) {
-		end_sender(s);
+		end_sender(fl, s);
 		return;
 	}
 	if (s->sent < fl->kind.head_len) {
@@ -135,10 +138,10 @@
 		n = len == 0 ? 0 : send(s->fd, piece, len, MSG_NOSIGNAL);
 	}
 	if (n < 0 && errno != EAGAIN && errno != ENOTCONN)
-		end_sender(s);
+		end_sender(fl, s);
 	else if (n > 0)
 		s->sent += (size_t)n;
-	if (s->sent == total)
+	if (s->sent == total && !fl->again)
 		s->done = true;
 }
 
@@ -150,6 +153,8 @@
 	for (i = 0; i < CONNECTS_A_PUMP && fl->n_connected < fl->kind.n; i++)
 		connect_sender(fl, &fl->senders[fl->n_connected++]);
 	for (i = 0; i < fl->n_connected; i++) {
+		if (fl->senders[i].fd < 0 && fl->again)
+			connect_sender(fl, &fl->senders[i]);
 		if (fl->senders[i].done)
 			continue;
 		send_piece(fl, &fl->senders[i]);
@@ -176,6 +181,20 @@
 	}
 }
 
+void
+fl_repeat(struct fl *fl)
+{
+	fl->again = true;
+}
+
+void
+fl_step(struct fl *fl)
+{
+	fl_pump(fl);
+	sample(fl);
+	hn_sleep(1);
+}
+
 struct fl_peak
 fl_peak(const struct fl *fl)
 {
--- a/tests/flood.h
+++ b/tests/flood.h
@@ -35,6 +35,10 @@
 unsigned fl_pump(struct fl *fl);
 /* Pumps until all is sent or refused, limit_ms at most, and samples the peak. */
 void fl_run(struct fl *fl, int64_t limit_ms);
+/* Connections that the other end closes are made again from now on. */
+void fl_repeat(struct fl *fl);
+/* Pumps and samples once. */
+void fl_step(struct fl *fl);
 struct fl_peak fl_peak(const struct fl *fl);
 /* Descriptors that a process has open. */
 int64_t fl_count_fds(pid_t pid);
--- a/tests/test_flood_limits.c
+++ b/tests/test_flood_limits.c
@@ -14,12 +14,20 @@
 #define FLOOD_MS     20000
 #define CROWD	     1200
 #define ANSWER_MAX   4096
+#define N_JOBS	     20
 #define PADDING	     200000 /* a whole body under the limit of 256 KB */
 #define HEAD_LIMIT   2048
 #define TIMEOUT_MS   300
 #define SLOW_PIECES  10
 #define SLOW_STEP_MS 100
 
+#define MEMORY_KB (120 * 1024 / 2)
+#ifdef __SANITIZE_ADDRESS__
+#define SANITIZER_FACTOR 4
+#else
+#define SANITIZER_FACTOR 1
+#endif
+
 #define JOB                                                                    \
 	"{\"spec\":\"1\",\"best_effort\":true,\"steps\":["                     \
 	"{\"count\":1,\"cpu\":1000,\"mem_mb\":1}]}"
@@ -86,6 +94,36 @@
 }
 END_TEST
 
+/*
+ * A flood whose connections come again as soon as they are closed must neither
+ * grow nor keep out callers.
+ */
+START_TEST(callers_are_served_beside_lasting_flood)
+{
+	struct hn_http *job;
+	struct dpl dpl;
+	struct fl *fl;
+	int i;
+
+	limit_asan_quarantine();
+	dpl_start(&dpl, &(struct dpl_options){0});
+	fl = fl_start(&heads, dpl.entry_port[0], hn_pid(dpl.entry[0]));
+	fl_repeat(fl);
+	for (i = 0; i < N_JOBS; i++) {
+		job = hn_http_start("POST",
+		    dpl_url(&dpl, 0, hn_str("/q/%016x", 0x7c0 + i)), NULL, JOB);
+		while (!job->done)
+			fl_step(fl);
+		ck_assert_int_eq(job->status, 200);
+	}
+	printf("lasting flood: %d kB, %d descriptors\n",
+	    (int)fl_peak(fl).anon_kb, (int)fl_peak(fl).fds);
+	ck_assert_int_lt(fl_peak(fl).anon_kb, MEMORY_KB * SANITIZER_FACTOR);
+	fl_free(fl);
+	hn_finish();
+}
+END_TEST
+
 static void
 configure(const struct dpl *dpl, const char *limits)
 {
@@ -162,4 +200,5 @@
 END_TEST
 
 TEST_MAIN("flood_limits", 4 * HN_LIMIT_MS / 1000.0,
-    callers_inside_limits_are_served, head_limit_applies, time_limits_apply)
+    callers_inside_limits_are_served, callers_are_served_beside_lasting_flood,
+    head_limit_applies, time_limits_apply)
