Order links last for their bytes, and serve connections of unknown address

A link that holds less than half of the mean is closed only after larger links, so that an entry's short messages outlive records that others leave incomplete. A connection whose remote address the system does not tell is served, too. The refusal of a large head is checked by its counter.

--- a/src/connection/acceptor.c
+++ b/src/connection/acceptor.c
@@ -54,13 +54,11 @@
 	connection = g_socket_connection_factory_create_connection(socket);
 	stream = mst_new(connection, limit);
 	g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
-	if (remote != NULL && local != NULL)
-		soup_server_accept_iostream(
-		    acp->server, stream, local, remote, NULL);
+	soup_server_accept_iostream(acp->server, stream, local, remote, NULL);
 	g_object_unref(stream);
 	g_object_unref(connection);
 	g_clear_object(&local);
-	g_clear_object(&remote);
+	g_object_unref(remote);
 }
 
 static gboolean
--- a/src/connection/framing.c
+++ b/src/connection/framing.c
@@ -153,15 +153,19 @@
 {
 	g_autoptr(GSocketAddress) address =
 	    g_socket_get_remote_address(socket, NULL);
-	GInetSocketAddress *inet;
+	g_autoptr(GInetAddress) any = NULL;
 	GSocketAddress *copy;
 
-	if (address == NULL || !G_IS_INET_SOCKET_ADDRESS(address))
-		return NULL;
-	inet = G_INET_SOCKET_ADDRESS(address);
-	copy =
-	    g_inet_socket_address_new(g_inet_socket_address_get_address(inet),
-		g_inet_socket_address_get_port(inet));
+	if (address != NULL && G_IS_INET_SOCKET_ADDRESS(address)) {
+		GInetSocketAddress *inet = G_INET_SOCKET_ADDRESS(address);
+
+		copy = g_inet_socket_address_new(
+		    g_inet_socket_address_get_address(inet),
+		    g_inet_socket_address_get_port(inet));
+	} else {
+		any = g_inet_address_new_any(G_SOCKET_FAMILY_IPV4);
+		copy = g_inet_socket_address_new(any, 0);
+	}
 	g_object_set_data_full(
 	    G_OBJECT(copy), SOCKET_KEY, g_object_ref(socket), g_object_unref);
 	if (limit != NULL)
@@ -196,7 +200,7 @@
 	g_object_unref(stream);
 	g_object_unref(request);
 	g_clear_object(&local);
-	g_clear_object(&remote);
+	g_object_unref(remote);
 	taken_free(t);
 }
 
--- a/src/connection/framing.h
+++ b/src/connection/framing.h
@@ -26,7 +26,7 @@
 struct cnl_conn *frm_limit(SoupServerMessage *msg);
 /*
  * The remote address of a connection that is passed to the server as a stream,
- * by which the functions above find socket and limit; NULL if it has none.
+ * by which the functions above find socket and limit; 0.0.0.0 if it is unknown.
  */
 GSocketAddress *frm_remote_address(GSocket *socket, struct cnl_conn *limit);
 
--- a/src/connection/intake.c
+++ b/src/connection/intake.c
@@ -103,13 +103,16 @@
 static int
 rank_by_bytes(const struct itk_conn *conn, int64_t now_ms)
 {
+	bool is_small;
+
 	if (conn->closing || conn->held == 0)
 		return 0;
+	is_small = 2 * conn->held * conn->itk->n_holds < conn->itk->held;
 	if (conn->is_link)
-		return 1;
-	if (2 * conn->held * conn->itk->n_holds < conn->itk->held)
-		return 2;
-	return is_stalled(conn, now_ms) ? 4 : 3;
+		return is_small ? 1 : 2;
+	if (is_small)
+		return 3;
+	return is_stalled(conn, now_ms) ? 5 : 4;
 }
 
 /* Of the same rank, the request that began last goes first. */
--- a/tests/test_flood_limits.c
+++ b/tests/test_flood_limits.c
@@ -153,6 +153,20 @@
 	return status_of(fd);
 }
 
+static int64_t
+refused_heads(const struct dpl *dpl)
+{
+	static const char name[] =
+	    "\nsp_intake_closed_total{reason=\"head_bytes\"} ";
+	struct hn_http *metrics = hn_http("GET",
+	    hn_str("http://127.0.0.1:%u/metrics", dpl->entry_metrics_port),
+	    NULL);
+	const char *line = strstr(metrics->body, name);
+
+	ck_assert_ptr_nonnull(line);
+	return g_ascii_strtoll(line + strlen(name), NULL, 10);
+}
+
 /* max_header_bytes of the operators' configuration had no effect. */
 START_TEST(head_limit_applies)
 {
@@ -165,6 +179,7 @@
 	    status_of_head(dpl.entry_port[0], HEAD_LIMIT / 2), 200);
 	status = status_of_head(dpl.entry_port[0], 16 * HEAD_LIMIT);
 	ck_assert_msg(status == 431 || status == 0, "status %d", status);
+	ck_assert(hn_wait_until(refused_heads(&dpl) == 1, HN_LIMIT_MS));
 	hn_finish();
 }
 END_TEST
