Do not count a body that is only read to be refused

A body above the limit is dropped as it comes and answered 413 at its end; above the bound on incomplete input its connection was closed before.

--- a/src/connection/connlimit.c
+++ b/src/connection/connlimit.c
@@ -304,6 +304,17 @@
 	g_mutex_unlock(&state.lock);
 }
 
+void
+cnl_discard(struct cnl_conn *conn)
+{
+	struct itk_conn *itk = lock(conn);
+
+	if (itk == NULL)
+		return;
+	itk_discard(itk);
+	g_mutex_unlock(&state.lock);
+}
+
 void
 cnl_request_done(struct cnl_conn *conn)
 {
--- a/src/connection/connlimit.h
+++ b/src/connection/connlimit.h
@@ -55,6 +55,7 @@
  */
 bool cnl_may_read(struct cnl_conn *conn);
 void cnl_head_done(struct cnl_conn *conn);
+void cnl_discard(struct cnl_conn *conn);
 void cnl_request_done(struct cnl_conn *conn);
 void cnl_next_request(struct cnl_conn *conn);
 /* Returns false when the connection must be closed. */
--- a/src/connection/httplisten.c
+++ b/src/connection/httplisten.c
@@ -129,6 +129,7 @@
 
 	soup_message_body_set_accumulate(body, FALSE);
 	soup_message_body_truncate(body);
+	cnl_discard(frm_limit(msg));
 	soup_message_headers_replace(
 	    soup_server_message_get_response_headers(msg), "Connection",
 	    "close");
--- a/src/connection/intake.c
+++ b/src/connection/intake.c
@@ -21,8 +21,9 @@
 	guint index; /* in conns */
 	enum phase phase;
 	bool is_link;
-	bool proven;  /* it has sent a whole request */
-	bool closing; /* close() was called */
+	bool proven;   /* it has sent a whole request */
+	bool closing;  /* close() was called */
+	bool discards; /* the bytes of the request are not kept */
 	uint64_t bytes;
 	uint64_t held;	  /* counted in itk->held */
 	uint64_t order;	  /* of the beginnings of requests */
@@ -240,7 +241,8 @@
 void
 itk_incomplete(struct itk_conn *conn, int64_t now_ms)
 {
-	if (conn->closing || (conn->phase != HEAD && conn->phase != BODY))
+	if (conn->closing || conn->discards ||
+	    (conn->phase != HEAD && conn->phase != BODY))
 		return;
 	hold(conn, conn->bytes);
 	bound_bytes(conn->itk, now_ms);
@@ -252,6 +254,13 @@
 	begin(conn, BODY, now_ms);
 }
 
+void
+itk_discard(struct itk_conn *conn)
+{
+	conn->discards = true;
+	hold(conn, 0);
+}
+
 void
 itk_request_done(struct itk_conn *conn)
 {
@@ -265,6 +274,7 @@
 {
 	begin(conn, IDLE, now_ms);
 	conn->bytes = 0;
+	conn->discards = false;
 	hold(conn, 0);
 }
 
--- a/src/connection/intake.h
+++ b/src/connection/intake.h
@@ -64,6 +64,8 @@
  */
 void itk_incomplete(struct itk_conn *conn, int64_t now_ms);
 void itk_head_done(struct itk_conn *conn, int64_t now_ms);
+/* Further bytes of the request are dropped as they come, so that none count. */
+void itk_discard(struct itk_conn *conn);
 /* The request is whole: it counts no longer. */
 void itk_request_done(struct itk_conn *conn);
 /* The connection waits for its next request. */
--- a/tests/test_flood_limits.c
+++ b/tests/test_flood_limits.c
@@ -16,6 +16,7 @@
 #define ANSWER_MAX   4096
 #define N_JOBS	     20
 #define PADDING	     200000 /* a whole body under the limit of 256 KB */
+#define LARGE_BODY   20000000
 #define HEAD_LIMIT   ((size_t)2048)
 #define TIMEOUT_MS   300
 #define SLOW_PIECES  10
@@ -89,6 +90,24 @@
 }
 END_TEST
 
+/*
+ * A body above the limit is answered 413, also one above the bound on incomplete
+ * input of all connections.
+ */
+START_TEST(large_body_is_answered)
+{
+	const char *text = request(0x7b3, LARGE_BODY);
+	struct dpl dpl;
+	int fd;
+
+	dpl_start(&dpl, &(struct dpl_options){0});
+	fd = rh_connect(dpl.entry_port[0], HN_LIMIT_MS);
+	send_text(fd, text, strlen(text));
+	ck_assert_int_eq(status_of(fd), 413);
+	hn_finish();
+}
+END_TEST
+
 /*
  * A flood whose connections come again as soon as they are closed must neither
  * grow nor keep out callers.
@@ -211,4 +230,4 @@
 
 TEST_MAIN("flood_limits", 4 * HN_LIMIT_MS / 1000.0,
     callers_inside_limits_are_served, callers_are_served_beside_lasting_flood,
-    head_limit_applies, time_limits_apply)
+    large_body_is_answered, head_limit_applies, time_limits_apply)
--- a/tests/test_intake.c
+++ b/tests/test_intake.c
@@ -152,6 +152,25 @@
 }
 END_TEST
 
+/* A body that was only read to answer 413 was counted, and closed before. */
+START_TEST(discarded_body_does_not_count)
+{
+	struct itk *itk = new_itk();
+
+	ck_assert(open_end(itk, 0));
+	receive(0, 100);
+	itk_head_done(ends[0].conn, now_ms);
+	itk_discard(ends[0].conn);
+	receive(0, 2 * MAX_BYTES);
+	ck_assert_uint_eq(itk_incomplete_bytes(itk), 0);
+	itk_next_request(ends[0].conn, now_ms);
+	receive(0, 100);
+	ck_assert_uint_eq(itk_incomplete_bytes(itk), 100);
+	ck_assert_int_eq(closed_end(ITK_BYTES), -1);
+	close_all(itk);
+}
+END_TEST
+
 /*
  * Silent connections must not keep callers out, the first of them goes first;
  * links, and connections that wait for an answer or were just used, stay.
@@ -264,5 +283,5 @@
 
 TEST_MAIN("intake", 0, bytes_are_taken_from_latest_large,
     flood_of_equal_requests_goes_first, whole_request_does_not_count,
-    room_is_made_by_silent_connections, times_are_bounded,
-    bounds_hold_in_any_order)
+    discarded_body_does_not_count, room_is_made_by_silent_connections,
+    times_are_bounded, bounds_hold_in_any_order)
