--- a/tests/test_interwatch.c
+++ b/tests/test_interwatch.c
@@ -94,8 +94,7 @@
 }
 
 static void
-on_cancels_seen(
-    uint64_t session, uint64_t source, uint64_t position, void *ctx)
+on_cancels_seen(uint64_t session, uint64_t source, uint64_t position, void *ctx)
 {
 	(void)session;
 	(void)source;
