--- a/tests/test_intake.c
+++ b/tests/test_intake.c
@@ -4,7 +4,7 @@
 #include "runner.h"
 
 #define MAX_CONNS   8
-#define MAX_BYTES   1000
+#define MAX_BYTES   ((uint64_t)1000)
 #define STALLED_MS  200 /* after the last input */
 #define RANDOM_ENDS 40
 #define RANDOM_OPS  200000
