Test crowds of whole requests and of unread answers

The tests of incomplete input leave out what callers send that is whole: heads of many headers, large bodies, bodies that become large once they are parsed, input behind a request that waits, and answers that are not read.

test_flood_requests starts entries and agents with the settings of a small machine (32 MB, 640 descriptors) and sends small crowds to each port. It checks that the process lives, that its anonymous memory and its bytes in the kernel stay below memory_mb, that 200 descriptors are left for files, that an ordinary request is answered beside the crowd and a job afterwards, and that what the crowd took is released. It has no times and no shares.

flood.c got crowds with a text for each connection; what the older tests call is as it was. Peaks of the new crowds come from the highest resident size, so that memory that is freed between two samples counts.

--- a/tests/deployment.c
+++ b/tests/deployment.c
@@ -32,7 +32,7 @@
 }
 
 static void
-start_entry(struct dpl *dpl, int i)
+start_entry(struct dpl *dpl, int i, const char *settings)
 {
 	uint16_t metrics_port = hn_port(), ready_port = hn_port();
 	const char *path = hn_write(hn_str("entry%d.json", i),
@@ -40,9 +40,10 @@
 		   "\"listen\":\"127.0.0.1:%u\",\"ready_listen\":"
 		   "\"127.0.0.1:%u\",\"store\":\"127.0.0.1:%u\","
 		   "\"metrics_listen\":\"127.0.0.1:%u\","
-		   "\"drain_ms\":3000}",
+		   "\"drain_ms\":3000%s%s}",
 		i, i, dpl->entry_port[i], ready_port,
-		dpl->path[DPL_ENTRY_STORE][i], metrics_port));
+		dpl->path[DPL_ENTRY_STORE][i], metrics_port,
+		settings == NULL ? "" : ",", settings == NULL ? "" : settings));
 
 	if (i == 0) {
 		dpl->entry_metrics_port = metrics_port;
@@ -53,7 +54,7 @@
 }
 
 static void
-start_agent(struct dpl *dpl, int i)
+start_agent(struct dpl *dpl, int i, const char *settings)
 {
 	uint16_t metrics_port = hn_port();
 	const char *path = hn_write(hn_str("agent%d.json", i),
@@ -61,10 +62,11 @@
 		   "\"listen\":\"127.0.0.1:%u\",\"advertise\":"
 		   "\"127.0.0.1:%u\",\"worker_listen\":"
 		   "\"127.0.0.1:%u\",\"store\":\"127.0.0.1:%u\",\"metrics_"
-		   "listen\":\"127.0.0.1:%u\"}",
+		   "listen\":\"127.0.0.1:%u\"%s%s}",
 		i, i, dpl->agent_port[i], dpl->path[DPL_ENTRIES_AGENT][i],
 		dpl->control_port[i], dpl->path[DPL_AGENT_STORE][i],
-		metrics_port));
+		metrics_port, settings == NULL ? "" : ",",
+		settings == NULL ? "" : settings));
 
 	if (i == 0)
 		dpl->agent_metrics_port = metrics_port;
@@ -219,9 +221,9 @@
 	    HN_LIMIT_MS));
 	dpl_configure(dpl, 1, "/q/");
 	for (i = 0; i < DPL_AGENTS; i++)
-		start_agent(dpl, i);
+		start_agent(dpl, i, opts->settings);
 	for (i = 0; i < DPL_ENTRIES; i++)
-		start_entry(dpl, i);
+		start_entry(dpl, i, opts->settings);
 	for (i = 0; i < DPL_ENTRIES; i++)
 		ck_assert(
 		    hn_wait_until(dpl_completes_job(dpl, i), HN_LIMIT_MS));
--- a/tests/deployment.h
+++ b/tests/deployment.h
@@ -23,6 +23,8 @@
 
 struct dpl_options {
 	bool proxied; /* every path passes through the fault proxy */
+	/* Further members of the settings of each process, or NULL. */
+	const char *settings;
 };
 
 struct dpl {
--- a/tests/flood.h
+++ b/tests/flood.h
@@ -1,6 +1,8 @@
 #ifndef SP_FLOOD_H
 #define SP_FLOOD_H
 
+#include <glib.h>
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 #include <sys/types.h>
@@ -26,15 +28,38 @@
 	unsigned n; /* connections */
 };
 
+/* Connections that each send a text of their own. */
+struct fl_texts {
+	unsigned n; /* connections */
+	/* Returns what connection i sends; freed with g_string_free(). */
+	GString *(*make)(unsigned i);
+	/* It is sent again and again up to this number of bytes; 0: once. */
+	size_t repeat_bytes;
+	/* Bytes of answers that are read, then none; 0: all. */
+	size_t read_bytes;
+	/* Each sends only when those before it have sent all. */
+	bool in_turn;
+};
+
 struct fl;
 
 /* Peak of a process since fl_start(). */
 struct fl_peak {
-	int64_t anon_kb; /* anonymous resident memory */
+	/* Anonymous resident memory; of fl_start_texts() also between samples. */
+	int64_t anon_kb;
 	int64_t fds;
+	/*
+	 * Anonymous memory and the bytes that the kernel holds for connections to
+	 * the port: received and not read, and written and not delivered.
+	 */
+	int64_t total_kb;
+	int64_t unread_kb;
+	int64_t unsent_kb;
 };
 
 struct fl *fl_start(const struct fl_kind *kind, uint16_t port, pid_t pid);
+struct fl *fl_start_texts(
+    const struct fl_texts *texts, uint16_t port, pid_t pid);
 /*
  * Connects and sends what the other end takes without waiting.  Returns how many
  * connections have bytes left to send.
@@ -49,6 +74,13 @@
 struct fl_peak fl_peak(const struct fl *fl);
 /* Descriptors that a process has open. */
 int64_t fl_count_fds(pid_t pid);
+/* Runs the crowds side by side, as fl_run() does one. */
+void fl_run_all(struct fl *const *fls, unsigned n, int64_t limit_ms);
+/*
+ * Samples until the other end has read and written what it will: until the bytes
+ * in the kernel have not changed for a second, limit_ms at most.
+ */
+void fl_settle(struct fl *const *fls, unsigned n, int64_t limit_ms);
 /* Closes all connections. */
 void fl_free(struct fl *fl);
 
