Let a connection be idle again after its answer

What callers saw: once max_connections callers had asked once and kept their connections open, no new caller was accepted any more, for good. 32 callers under max_connections 32, idle_timeout_ms 1000: none was closed, every new connection was reset.

Cause: libsoup starts the first request of a connection when it is accepted, and further ones only when their head is whole. The limits took the start of a request for the moment at which the one before had ended, so that a connection stayed "served" from its first answer on: it had no time limit, was never closed for a new one, and the bytes of its later heads counted nowhere.

The end of a request now comes from the signal "finished" of its message.

idle_connections_make_room of test_keep_alive failed before and passes; test_intake and the other tests of test_keep_alive pass.

--- a/src/connection/acceptor.c
+++ b/src/connection/acceptor.c
@@ -118,14 +118,25 @@
 	cnl_request_done(frm_limit(msg));
 }
 
+static void
+on_finished(SoupServerMessage *msg, gpointer data)
+{
+	(void)data;
+	cnl_next_request(frm_limit(msg));
+}
+
+/*
+ * libsoup starts the first request of a connection when it is accepted, but
+ * further ones only when their head is whole.
+ */
 static void
 on_request_started(SoupServer *server, SoupServerMessage *msg, gpointer data)
 {
 	(void)server;
 	(void)data;
-	cnl_next_request(frm_limit(msg));
 	g_signal_connect(msg, "got-headers", G_CALLBACK(on_headers), NULL);
 	g_signal_connect(msg, "got-body", G_CALLBACK(on_body), NULL);
+	g_signal_connect(msg, "finished", G_CALLBACK(on_finished), NULL);
 }
 
 struct acp *
