Release connections that end between two requests

What callers saw: each connection that had been answered and was then closed by the caller kept its descriptor and its memory in the process, for good. A process with 3,075 descriptors accepted nobody any more after some 3,000 callers.

When the connection ends within a request, after one byte at least, it is freed.

The end of an idle connection is therefore preceded by one byte that can't complete a request. Errors other than "would block" end the input in the same way.

ended_connections_are_released (test_keep_alive), 40 callers on each of five ports: failed before, since all descriptors stayed; passes.

--- a/src/connection/connlimit.c
+++ b/src/connection/connlimit.c
@@ -293,6 +293,19 @@
 	return may_read;
 }
 
+bool
+cnl_is_idle(struct cnl_conn *conn)
+{
+	struct itk_conn *itk = lock(conn);
+	bool is_idle;
+
+	if (itk == NULL)
+		return false;
+	is_idle = itk_is_idle(itk);
+	g_mutex_unlock(&state.lock);
+	return is_idle;
+}
+
 void
 cnl_head_done(struct cnl_conn *conn)
 {
--- a/src/connection/connlimit.h
+++ b/src/connection/connlimit.h
@@ -54,6 +54,7 @@
  * connection must be closed instead.
  */
 bool cnl_may_read(struct cnl_conn *conn);
+bool cnl_is_idle(struct cnl_conn *conn);
 void cnl_head_done(struct cnl_conn *conn);
 void cnl_discard(struct cnl_conn *conn);
 void cnl_request_done(struct cnl_conn *conn);
--- a/src/connection/intake.c
+++ b/src/connection/intake.c
@@ -334,6 +334,12 @@
 	return conn->closing;
 }
 
+bool
+itk_is_idle(const struct itk_conn *conn)
+{
+	return conn->phase == IDLE;
+}
+
 bool
 itk_is_in_head(const struct itk_conn *conn)
 {
--- a/src/connection/intake.h
+++ b/src/connection/intake.h
@@ -86,6 +86,8 @@
 
 /* Whether close() was called for the connection. */
 bool itk_is_closing(const struct itk_conn *conn);
+/* Whether it waits for a request, of which it has no byte. */
+bool itk_is_idle(const struct itk_conn *conn);
 /* Whether the head of its request is not whole yet. */
 bool itk_is_in_head(const struct itk_conn *conn);
 /* Bytes of the request so far. */
--- a/src/connection/meterstream.c
+++ b/src/connection/meterstream.c
@@ -4,6 +4,7 @@
 	GInputStream parent;
 	GInputStream *base;
 	struct cnl_conn *limit;
+	bool has_ended;
 };
 
 struct _MstStream {
@@ -22,21 +23,49 @@
 G_DECLARE_FINAL_TYPE(MstStream, mst_stream, MST, STREAM, GIOStream)
 G_DEFINE_TYPE(MstStream, mst_stream, G_TYPE_IO_STREAM)
 
+static bool
+is_end(gssize n, const GError *error)
+{
+	return n == 0 || (n < 0 && !g_error_matches(error, G_IO_ERROR,
+				       G_IO_ERROR_WOULD_BLOCK));
+}
+
+/*
+ * Ends the input, at an error as well.  libsoup 3.2 never frees a connection that
+ * ends between two requests, but it frees one that ends within a request, so that
+ * a byte comes first, which completes none.
+ */
+static gssize
+end_input(MstInput *self, char *buffer)
+{
+	bool was_idle = !self->has_ended && cnl_is_idle(self->limit);
+
+	self->has_ended = true;
+	if (!was_idle)
+		return 0;
+	*buffer = 'X';
+	return 1;
+}
+
 static gssize
 read_metered(MstInput *self, void *buffer, gsize count, bool blocking,
     GCancellable *cancellable, GError **error)
 {
+	GError *cause = NULL;
 	gssize n;
 
-	if (!cnl_may_read(self->limit)) {
-		g_set_error_literal(error, G_IO_ERROR,
-		    G_IO_ERROR_CONNECTION_CLOSED, "closed by a limit");
-		return -1;
-	}
+	if (self->has_ended || !cnl_may_read(self->limit))
+		return end_input(self, buffer);
 	n = g_pollable_stream_read(
-	    self->base, buffer, count, blocking, cancellable, error);
+	    self->base, buffer, count, blocking, cancellable, &cause);
+	if (is_end(n, cause)) {
+		g_clear_error(&cause);
+		return end_input(self, buffer);
+	}
 	if (n > 0)
 		cnl_received(self->limit, (uint64_t)n);
+	else
+		g_propagate_error(error, cause);
 	return n;
 }
 
--- a/tests/test_keep_alive.c
+++ b/tests/test_keep_alive.c
@@ -3,10 +3,12 @@
 #include <sys/socket.h>
 
 #include "deployment.h"
+#include "flood.h"
 #include "rawhttp.h"
 #include "runner.h"
 
 #define N_REQUESTS	3
+#define N_CALLERS	40
 #define MAX_CONNECTIONS 32
 
 /* Sends a job and returns the status of its answer, 0 if there is none. */
@@ -58,6 +60,57 @@
 	return rh_status(answer);
 }
 
+/* Asks once on each of several connections and closes them all. */
+static void
+ask_and_leave(uint16_t port, int n)
+{
+	static const char request[] =
+	    "GET /nowhere HTTP/1.1\r\nHost: 127.0.0.1\r\n\r\n";
+	char byte;
+	int i, fd;
+
+	for (i = 0; i < n; i++) {
+		fd = rh_connect(port, HN_LIMIT_MS);
+		ck_assert_int_gt(
+		    send(fd, request, strlen(request), MSG_NOSIGNAL), 0);
+		/* The others leave without having read the answer. */
+		if (i % 2 == 0)
+			ck_assert_int_eq(recv(fd, &byte, 1, 0), 1);
+		close(fd);
+	}
+}
+
+/*
+ * A connection that had been answered kept its descriptor for good when the
+ * caller closed it, so that each process ran out of them.
+ */
+START_TEST(ended_connections_are_released)
+{
+	uint16_t ports[5];
+	struct dpl dpl;
+	int64_t entry_fds, agent_fds;
+	size_t i;
+
+	dpl_start(&dpl, &(struct dpl_options){0});
+	ports[0] = dpl.entry_port[0];
+	ports[1] = dpl.entry_ready_port;
+	ports[2] = dpl.entry_metrics_port;
+	ports[3] = dpl.control_port[0];
+	ports[4] = dpl.agent_metrics_port;
+	entry_fds = fl_count_fds(hn_pid(dpl.entry[0]));
+	agent_fds = fl_count_fds(hn_pid(dpl.agent[0]));
+	for (i = 0; i < G_N_ELEMENTS(ports); i++)
+		ask_and_leave(ports[i], N_CALLERS);
+	ck_assert(hn_wait_until(
+	    fl_count_fds(hn_pid(dpl.entry[0])) <= entry_fds + N_CALLERS / 2,
+	    HN_LIMIT_MS));
+	ck_assert(hn_wait_until(
+	    fl_count_fds(hn_pid(dpl.agent[0])) <= agent_fds + N_CALLERS / 2,
+	    HN_LIMIT_MS));
+	hn_finish();
+}
+END_TEST
+
 /*
  * Callers that ask once and keep their connections must not keep out others.
  * After an answer no connection was idle again, so that none was ever closed for
@@ -96,4 +149,5 @@
 END_TEST
 
 TEST_MAIN("keep_alive", 4 * HN_LIMIT_MS / 1000.0,
-    connection_serves_several_requests, idle_connections_make_room)
+    connection_serves_several_requests, ended_connections_are_released,
+    idle_connections_make_room)
