Count headers of incomplete requests by their parsed size

What callers saw: 400 heads of 60 kB, 12,000 headers "a:b" each, with a body that stays away took a process to 270 MB (measured by the users on arm64), beyond the memory of its machine.

Cause: the bound on incomplete input counts bytes, and libsoup takes some 80 bytes beside the text of each header once the head is whole: twelve times its bytes.

Each header now counts with 96 bytes more. Until the head is parsed its lines stand for headers, since it would be too late afterwards: libsoup parses as soon as the last line is there; from then on the parsed headers are counted.

--- a/src/connection/acceptor.c
+++ b/src/connection/acceptor.c
@@ -104,11 +104,25 @@
 	    G_SOURCE_FUNC(on_incoming));
 }
 
+static void
+count_header(const char *name, const char *value, gpointer data)
+{
+	uint32_t *n = data;
+
+	(void)name;
+	(void)value;
+	++*n;
+}
+
 static void
 on_headers(SoupServerMessage *msg, gpointer data)
 {
+	uint32_t n = 0;
+
 	(void)data;
-	cnl_head_done(frm_limit(msg));
+	soup_message_headers_foreach(
+	    soup_server_message_get_request_headers(msg), count_header, &n);
+	cnl_head_done(frm_limit(msg), n);
 }
 
 static void
--- a/src/connection/connlimit.c
+++ b/src/connection/connlimit.c
@@ -126,7 +126,7 @@
 	    "Accepted connections that are open.");
 	state.incomplete_bytes =
 	    ctr_gauge(counters, "sp_intake_incomplete_bytes",
-		"Received bytes that do not make a whole request yet.");
+		"Memory of requests that are not whole yet.");
 }
 
 void
@@ -249,14 +249,34 @@
 	return conn->itk;
 }
 
+static uint32_t
+count_lines(const char *data, size_t len)
+{
+	const char *end = data + len;
+	uint32_t n = 0;
+
+	while ((data = memchr(data, '\n', (size_t)(end - data))) != NULL) {
+		n++;
+		data++;
+	}
+	return n;
+}
+
+/*
+ * Lines stand for headers until the head is parsed, which takes most of its
+ * memory: it must count before.
+ */
 void
-cnl_received(struct cnl_conn *conn, uint64_t bytes)
+cnl_received(struct cnl_conn *conn, const void *data, size_t len)
 {
 	struct itk_conn *itk = lock(conn);
 
 	if (itk == NULL)
 		return;
-	itk_received(itk, bytes, clk_now_ms());
+	itk_received(itk, len, clk_now_ms());
+	if (itk_is_in_head(itk))
+		itk_set_headers(
+		    itk, itk_n_headers(itk) + count_lines(data, len));
 	g_mutex_unlock(&state.lock);
 }
 
@@ -307,12 +327,13 @@
 }
 
 void
-cnl_head_done(struct cnl_conn *conn)
+cnl_head_done(struct cnl_conn *conn, uint32_t n_headers)
 {
 	struct itk_conn *itk = lock(conn);
 
 	if (itk == NULL)
 		return;
+	itk_set_headers(itk, n_headers);
 	itk_head_done(itk, clk_now_ms());
 	g_mutex_unlock(&state.lock);
 }
--- a/src/connection/connlimit.h
+++ b/src/connection/connlimit.h
@@ -48,14 +48,14 @@
 void cnl_close(struct cnl_conn *conn);
 
 /* As those of struct itk; NULL is allowed. */
-void cnl_received(struct cnl_conn *conn, uint64_t bytes);
+void cnl_received(struct cnl_conn *conn, const void *data, size_t len);
 /*
  * To be called before more of a request is read.  Returns false when the
  * connection must be closed instead.
  */
 bool cnl_may_read(struct cnl_conn *conn);
 bool cnl_is_idle(struct cnl_conn *conn);
-void cnl_head_done(struct cnl_conn *conn);
+void cnl_head_done(struct cnl_conn *conn, uint32_t n_headers);
 void cnl_discard(struct cnl_conn *conn);
 void cnl_request_done(struct cnl_conn *conn);
 void cnl_next_request(struct cnl_conn *conn);
--- a/src/connection/intake.c
+++ b/src/connection/intake.c
@@ -7,6 +7,8 @@
  * sends no more.  Above the pauses within a request that is sent at once.
  */
 #define STALL_MS 100
+/* Memory of a header once it is parsed, beside its text. */
+#define HEADER_BYTES 96
 
 enum phase {
 	IDLE, /* no byte of a request */
@@ -25,6 +27,7 @@
 	bool closing;  /* close() was called */
 	bool discards; /* the bytes of the request are not kept */
 	uint64_t bytes;
+	uint32_t n_headers;
 	uint64_t held;	  /* counted in itk->held */
 	uint64_t order;	  /* of the beginnings of requests */
 	int64_t since_ms; /* begin of the phase */
@@ -34,7 +37,7 @@
 struct itk {
 	struct itk_options opts;
 	GPtrArray *conns;
-	uint64_t held;	  /* incomplete bytes of all connections */
+	uint64_t held;	  /* memory of all incomplete requests */
 	uint32_t n_open;  /* without those that are closing */
 	uint32_t n_holds; /* connections with held bytes */
 	uint64_t last_order;
@@ -238,13 +241,19 @@
 	conn->input_ms = now_ms;
 }
 
+void
+itk_set_headers(struct itk_conn *conn, uint32_t n_headers)
+{
+	conn->n_headers = n_headers;
+}
+
 void
 itk_incomplete(struct itk_conn *conn, int64_t now_ms)
 {
 	if (conn->closing || conn->discards ||
 	    (conn->phase != HEAD && conn->phase != BODY))
 		return;
-	hold(conn, conn->bytes);
+	hold(conn, conn->bytes + (uint64_t)conn->n_headers * HEADER_BYTES);
 	bound_bytes(conn->itk, now_ms);
 }
 
@@ -274,6 +283,7 @@
 {
 	begin(conn, IDLE, now_ms);
 	conn->bytes = 0;
+	conn->n_headers = 0;
 	conn->discards = false;
 	hold(conn, 0);
 }
@@ -340,6 +350,12 @@
 	return conn->phase == IDLE;
 }
 
+uint32_t
+itk_n_headers(const struct itk_conn *conn)
+{
+	return conn->n_headers;
+}
+
 bool
 itk_is_in_head(const struct itk_conn *conn)
 {
--- a/src/connection/intake.h
+++ b/src/connection/intake.h
@@ -6,8 +6,8 @@
 
 /*
  * Decides which of a process's connections are closed, so that all of them
- * together stay within bounds on connections, on bytes that do not make a whole
- * request yet, and on time.  It has no sockets and no clock; see
+ * together stay within bounds on connections, on the memory of requests that are
+ * not whole yet, and on time.  It has no sockets and no clock; see
  * docs/design/incomplete-input.md.
  */
 struct itk;
@@ -58,6 +58,8 @@
 
 /* Bytes were received and not examined yet. */
 void itk_received(struct itk_conn *conn, uint64_t bytes, int64_t now_ms);
+/* The head of the request has so many headers, as far as it has arrived. */
+void itk_set_headers(struct itk_conn *conn, uint32_t n_headers);
 /*
  * All bytes of the request so far were examined, and it is not whole.  May close
  * connections, also this one.
@@ -88,6 +90,8 @@
 bool itk_is_closing(const struct itk_conn *conn);
 /* Whether it waits for a request, of which it has no byte. */
 bool itk_is_idle(const struct itk_conn *conn);
+/* Headers of its request so far. */
+uint32_t itk_n_headers(const struct itk_conn *conn);
 /* Whether the head of its request is not whole yet. */
 bool itk_is_in_head(const struct itk_conn *conn);
 /* Bytes of the request so far. */
--- a/src/connection/meterstream.c
+++ b/src/connection/meterstream.c
@@ -63,7 +63,7 @@
 		return end_input(self, buffer);
 	}
 	if (n > 0)
-		cnl_received(self->limit, (uint64_t)n);
+		cnl_received(self->limit, buffer, (size_t)n);
 	else
 		g_propagate_error(error, cause);
 	return n;
--- a/tests/test_intake.c
+++ b/tests/test_intake.c
@@ -262,6 +262,27 @@
 	}
 }
 
+/* Headers count with the memory that they take once they are parsed. */
+START_TEST(headers_count_as_parsed)
+{
+	struct itk *itk = new_itk();
+	int i;
+
+	for (i = 0; i < 3; i++)
+		open_end(itk, i);
+	receive(0, 100);
+	itk_received(ends[1].conn, 100, now_ms);
+	itk_set_headers(ends[1].conn, 5);
+	itk_incomplete(ends[1].conn, now_ms);
+	ck_assert_uint_gt(itk_incomplete_bytes(itk), 300);
+	itk_received(ends[2].conn, 100, now_ms);
+	itk_set_headers(ends[2].conn, 50);
+	itk_incomplete(ends[2].conn, now_ms);
+	ck_assert_int_eq(closed_end(ITK_BYTES), 2);
+	close_all(itk);
+}
+END_TEST
+
 /* Whatever the order of events, the bounds hold after each. */
 START_TEST(bounds_hold_in_any_order)
 {
@@ -283,5 +304,6 @@
 
 TEST_MAIN("intake", 0, bytes_are_taken_from_latest_large,
     flood_of_equal_requests_goes_first, whole_request_does_not_count,
-    discarded_body_does_not_count, room_is_made_by_silent_connections,
-    times_are_bounded, bounds_hold_in_any_order)
+    discarded_body_does_not_count, headers_count_as_parsed,
+    room_is_made_by_silent_connections, times_are_bounded,
+    bounds_hold_in_any_order)
