Bound the memory of whole requests

What callers saw: 400 whole jobs of 900 kB took an entry to 637 MB (measured by the users on arm64), and 100 jobs that wait, with 12,000 headers each, to 104 MB here.

Cause: a request counted until it was whole, and nothing afterwards. Its head stays with libsoup until the answer, and its body stayed twice: in the message and in the call to the entry.

Large requests leave a quarter to small ones, and a lone one is always served. The body is taken out of the message and freed when it is decoded, so that a waiting job holds none of it. The decision is made by intake, without sockets or clock, in the order in which requests become whole.

--- a/fuzz/fuzz_framing.c
+++ b/fuzz/fuzz_framing.c
@@ -35,7 +35,7 @@
 on_request(SoupServer *server, SoupServerMessage *msg, const char *path,
     GHashTable *query, gpointer data)
 {
-	g_autoptr(GBytes) body = hl_body(msg);
+	g_autoptr(GBytes) body = hl_take_body(msg);
 
 	(void)server;
 	(void)path;
--- a/src/connection/acceptor.c
+++ b/src/connection/acceptor.c
@@ -125,13 +125,6 @@
 	cnl_head_done(frm_limit(msg), n);
 }
 
-static void
-on_body(SoupServerMessage *msg, gpointer data)
-{
-	(void)data;
-	cnl_request_done(frm_limit(msg));
-}
-
 static void
 on_finished(SoupServerMessage *msg, gpointer data)
 {
@@ -149,7 +142,6 @@
 	(void)server;
 	(void)data;
 	g_signal_connect(msg, "got-headers", G_CALLBACK(on_headers), NULL);
-	g_signal_connect(msg, "got-body", G_CALLBACK(on_body), NULL);
 	g_signal_connect(msg, "finished", G_CALLBACK(on_finished), NULL);
 }
 
--- a/src/connection/connlimit.c
+++ b/src/connection/connlimit.c
@@ -32,6 +32,7 @@
 	uint64_t max_head_bytes;       /* 0: no limit */
 	int64_t closed[ITK_N_REASONS]; /* totals */
 	int64_t accept_failures;
+	int64_t refused; /* whole requests */
 
 	/* Used in the thread of cnl_start() only. */
 	guint tick_id;
@@ -39,8 +40,11 @@
 	int64_t logged[ITK_N_REASONS];
 	int64_t *counters[ITK_N_REASONS];
 	int64_t *accept_failure_counter;
+	int64_t *refused_counter;
+	int64_t logged_refused;
 	int64_t *connections;
 	int64_t *incomplete_bytes;
+	int64_t *whole_bytes;
 } state;
 
 /* The client may have used an idle connection at this moment. */
@@ -87,6 +91,19 @@
 	}
 }
 
+static void
+log_refused(void)
+{
+	int64_t n = *state.refused_counter - state.logged_refused;
+
+	state.logged_refused = *state.refused_counter;
+	if (n > 0)
+		evt_write("intake", evt_text("reason", "whole_bytes"),
+		    evt_int("refused", n),
+		    evt_int("connections", *state.connections),
+		    evt_int("whole_bytes", *state.whole_bytes));
+}
+
 static gboolean
 on_tick(gpointer data)
 {
@@ -98,11 +115,15 @@
 	for (why = 0; why < ITK_N_REASONS; why++)
 		*state.counters[why] = state.closed[why];
 	*state.accept_failure_counter = state.accept_failures;
+	*state.refused_counter = state.refused;
+	*state.whole_bytes = (int64_t)itk_whole_bytes(state.itk);
 	*state.connections = itk_n_connections(state.itk);
 	*state.incomplete_bytes = (int64_t)itk_incomplete_bytes(state.itk);
 	g_mutex_unlock(&state.lock);
-	if (++state.n_ticks % LOG_TICKS == 0)
+	if (++state.n_ticks % LOG_TICKS == 0) {
 		log_closed();
+		log_refused();
+	}
 	return G_SOURCE_CONTINUE;
 }
 
@@ -124,6 +145,11 @@
 		"Connections that could not be accepted.");
 	state.connections = ctr_gauge(counters, "sp_intake_connections",
 	    "Accepted connections that are open.");
+	state.refused_counter = ctr_counter(counters, "sp_intake_refused_total",
+	    "Whole requests refused since all took too much memory.");
+	state.logged_refused = *state.refused_counter;
+	state.whole_bytes = ctr_gauge(counters, "sp_intake_whole_bytes",
+	    "Memory of requests that are whole and not answered yet.");
 	state.incomplete_bytes =
 	    ctr_gauge(counters, "sp_intake_incomplete_bytes",
 		"Memory of requests that are not whole yet.");
@@ -135,6 +161,7 @@
 	struct itk_options itk = {
 	    .max_connections = opts->max_connections,
 	    .max_incomplete_bytes = opts->max_incomplete_bytes,
+	    .max_whole_bytes = opts->max_whole_bytes,
 	    .times = opts->times,
 	    .close = shut_down,
 	};
@@ -349,14 +376,29 @@
 	g_mutex_unlock(&state.lock);
 }
 
-void
+bool
 cnl_request_done(struct cnl_conn *conn)
+{
+	struct itk_conn *itk = lock(conn);
+	bool has_room;
+
+	if (itk == NULL)
+		return true;
+	has_room = itk_request_done(itk);
+	if (!has_room)
+		state.refused++;
+	g_mutex_unlock(&state.lock);
+	return has_room;
+}
+
+void
+cnl_body_freed(struct cnl_conn *conn)
 {
 	struct itk_conn *itk = lock(conn);
 
 	if (itk == NULL)
 		return;
-	itk_request_done(itk);
+	itk_body_freed(itk);
 	g_mutex_unlock(&state.lock);
 }
 
--- a/src/connection/connlimit.h
+++ b/src/connection/connlimit.h
@@ -18,6 +18,7 @@
 struct cnl_options {
 	uint32_t max_connections;
 	uint64_t max_incomplete_bytes;
+	uint64_t max_whole_bytes;
 	struct itk_times times;
 	struct ctr_registry *counters; /* borrowed until cnl_stop() */
 };
@@ -57,7 +58,10 @@
 bool cnl_is_idle(struct cnl_conn *conn);
 void cnl_head_done(struct cnl_conn *conn, uint32_t n_headers);
 void cnl_discard(struct cnl_conn *conn);
-void cnl_request_done(struct cnl_conn *conn);
+/* Returns false if the request must be refused. */
+bool cnl_request_done(struct cnl_conn *conn);
+/* May be called in any thread. */
+void cnl_body_freed(struct cnl_conn *conn);
 void cnl_next_request(struct cnl_conn *conn);
 /* Returns false when the connection must be closed. */
 bool cnl_set_incomplete(struct cnl_conn *conn, uint64_t bytes);
--- a/src/connection/httplisten.c
+++ b/src/connection/httplisten.c
@@ -17,6 +17,12 @@
 #define LIMIT_KEY     "sequoiaplank-body-limit"
 #define TOO_LARGE_KEY "sequoiaplank-body-too-large"
 #define ACCEPTOR_KEY  "sequoiaplank-acceptor"
+#define BUSY_RETRY_S  "1" /* Retry-After */
+
+struct handler {
+	SoupServerCallback fn;
+	void *data;
+};
 
 struct timer {
 	SoupServerMessage *msg;
@@ -129,6 +135,47 @@
 	return ok;
 }
 
+/* What the request holds is freed at once, also while its answer is unread. */
+static void
+answer_busy(SoupServerMessage *msg)
+{
+	static const char text[] =
+	    "{\"reason\":\"too many requests are being served\"}";
+	SoupMessageHeaders *headers =
+	    soup_server_message_get_response_headers(msg);
+
+	soup_message_body_truncate(soup_server_message_get_request_body(msg));
+	soup_message_headers_replace(headers, "Retry-After", BUSY_RETRY_S);
+	soup_message_headers_replace(headers, "Connection", "close");
+	soup_server_message_set_status(
+	    msg, SOUP_STATUS_SERVICE_UNAVAILABLE, NULL);
+	soup_server_message_set_response(msg, "application/json",
+	    SOUP_MEMORY_STATIC, text, sizeof(text) - 1);
+}
+
+static void
+on_request(SoupServer *server, SoupServerMessage *msg, const char *path,
+    GHashTable *query, gpointer data)
+{
+	const struct handler *handler = data;
+
+	if (cnl_request_done(frm_limit(msg)))
+		handler->fn(server, msg, path, query, handler->data);
+	else
+		answer_busy(msg);
+}
+
+void
+hl_add_handler(
+    SoupServer *server, const char *path, SoupServerCallback fn, void *data)
+{
+	struct handler *handler = g_new0(struct handler, 1);
+
+	handler->fn = fn;
+	handler->data = data;
+	soup_server_add_handler(server, path, on_request, handler, g_free);
+}
+
 void
 hl_disconnect(SoupServer *server)
 {
@@ -203,12 +250,16 @@
 }
 
 GBytes *
-hl_body(SoupServerMessage *msg)
+hl_take_body(SoupServerMessage *msg)
 {
+	SoupMessageBody *body = soup_server_message_get_request_body(msg);
+	GBytes *bytes;
+
 	if (g_object_get_data(G_OBJECT(msg), TOO_LARGE_KEY) != NULL)
 		return NULL;
-	return soup_message_body_flatten(
-	    soup_server_message_get_request_body(msg));
+	bytes = soup_message_body_flatten(body);
+	soup_message_body_truncate(body);
+	return bytes;
 }
 
 /* Whether the client has closed the connection behind unread input. */
--- a/src/connection/httplisten.h
+++ b/src/connection/httplisten.h
@@ -17,6 +17,13 @@
  * cnl_start() connections count against the limits of the process.
  */
 bool hl_listen(SoupServer *server, const char *listen, struct status *st);
+/*
+ * Adds a handler for a path, NULL: for all, as soup_server_add_handler() does.
+ * It gets no request that is over the limits of the process; that is answered 503
+ * here, so that it certainly has not run.
+ */
+void hl_add_handler(
+    SoupServer *server, const char *path, SoupServerCallback fn, void *data);
 /* Stops listening and closes all connections. */
 void hl_disconnect(SoupServer *server);
 /*
@@ -41,10 +48,11 @@
 /* Calls hl_limit_body() for each request of a server. */
 void hl_limit_bodies(SoupServer *server, uint64_t max_bytes);
 /*
- * The body of a request with hl_limit_body(), which the caller unrefs, or NULL
- * if it was larger.
+ * Takes the body of a request with hl_limit_body(), which the caller unrefs, or
+ * returns NULL if it was larger.  When the bytes are freed before the answer,
+ * cnl_body_freed() tells so.
  */
-GBytes *hl_body(SoupServerMessage *msg);
+GBytes *hl_take_body(SoupServerMessage *msg);
 /*
  * Whether the client has closed or reset the connection, or the sending half of
  * it; also while data that it sent before is unread.
--- a/src/connection/intake.c
+++ b/src/connection/intake.c
@@ -9,6 +9,13 @@
 #define STALL_MS 100
 /* Memory of a header once it is parsed, beside its text. */
 #define HEADER_BYTES 96
+/* Copies of the bytes of a whole request: as received and as examined. */
+#define WHOLE_COPIES 2
+/*
+ * A whole request of more than this share of the bound is large.  Large ones
+ * leave a quarter of it to others, so that they can't keep small ones out.
+ */
+#define LARGE_SHARE 256
 
 enum phase {
 	IDLE, /* no byte of a request */
@@ -27,8 +34,10 @@
 	bool closing;  /* close() was called */
 	bool discards; /* the bytes of the request are not kept */
 	uint64_t bytes;
+	uint64_t head_bytes; /* of them, up to the end of the head */
 	uint32_t n_headers;
 	uint64_t held;	  /* counted in itk->held */
+	uint64_t whole;	  /* counted in itk->whole */
 	uint64_t order;	  /* of the beginnings of requests */
 	int64_t since_ms; /* begin of the phase */
 	int64_t input_ms; /* last input */
@@ -38,6 +47,8 @@
 	struct itk_options opts;
 	GPtrArray *conns;
 	uint64_t held;	  /* memory of all incomplete requests */
+	uint64_t whole;	  /* memory of all whole requests */
+	uint32_t n_large; /* whole requests that are large */
 	uint32_t n_open;  /* without those that are closing */
 	uint32_t n_holds; /* connections with held bytes */
 	uint64_t last_order;
@@ -76,6 +87,34 @@
 	conn->held = bytes;
 }
 
+static bool
+is_large(const struct itk *itk, uint64_t bytes)
+{
+	return bytes > itk->opts.max_whole_bytes / LARGE_SHARE;
+}
+
+static void
+set_whole(struct itk_conn *conn, uint64_t bytes)
+{
+	struct itk *itk = conn->itk;
+
+	itk->n_large += is_large(itk, bytes) - is_large(itk, conn->whole);
+	itk->whole += bytes - conn->whole;
+	conn->whole = bytes;
+}
+
+/* One large request is always served, so that a lone one is never too large. */
+static bool
+has_room(const struct itk *itk, uint64_t bytes)
+{
+	uint64_t max_bytes = itk->opts.max_whole_bytes;
+
+	if (is_large(itk, bytes))
+		return itk->n_large == 0 ||
+		       itk->whole + bytes <= max_bytes - max_bytes / 4;
+	return itk->whole + bytes <= max_bytes;
+}
+
 /* Its bytes count no longer, as they are freed soon. */
 static bool
 close_conn(struct itk_conn *conn, enum itk_reason why)
@@ -87,6 +126,7 @@
 		return false;
 	conn->closing = true;
 	hold(conn, 0);
+	set_whole(conn, 0);
 	itk->n_open--;
 	return true;
 }
@@ -214,6 +254,7 @@
 	struct itk *itk = conn->itk;
 
 	hold(conn, 0);
+	set_whole(conn, 0);
 	if (!conn->closing)
 		itk->n_open--;
 	g_ptr_array_remove_index_fast(itk->conns, conn->index);
@@ -247,13 +288,19 @@
 	conn->n_headers = n_headers;
 }
 
+static uint64_t
+header_bytes(const struct itk_conn *conn)
+{
+	return (uint64_t)conn->n_headers * HEADER_BYTES;
+}
+
 void
 itk_incomplete(struct itk_conn *conn, int64_t now_ms)
 {
 	if (conn->closing || conn->discards ||
 	    (conn->phase != HEAD && conn->phase != BODY))
 		return;
-	hold(conn, conn->bytes + (uint64_t)conn->n_headers * HEADER_BYTES);
+	hold(conn, conn->bytes + header_bytes(conn));
 	bound_bytes(conn->itk, now_ms);
 }
 
@@ -261,6 +308,7 @@
 itk_head_done(struct itk_conn *conn, int64_t now_ms)
 {
 	begin(conn, BODY, now_ms);
+	conn->head_bytes = conn->bytes;
 }
 
 void
@@ -270,12 +318,30 @@
 	hold(conn, 0);
 }
 
-void
+bool
 itk_request_done(struct itk_conn *conn)
 {
+	uint64_t bytes = conn->discards ? conn->head_bytes : conn->bytes;
+	bool is_new = conn->phase != SERVED;
+
 	conn->phase = SERVED;
 	conn->proven = true;
 	hold(conn, 0);
+	if (!is_new || conn->closing)
+		return true;
+	bytes = WHOLE_COPIES * bytes + header_bytes(conn);
+	if (!has_room(conn->itk, bytes))
+		return false;
+	set_whole(conn, bytes);
+	return true;
+}
+
+void
+itk_body_freed(struct itk_conn *conn)
+{
+	if (conn->whole > 0)
+		set_whole(
+		    conn, WHOLE_COPIES * conn->head_bytes + header_bytes(conn));
 }
 
 void
@@ -286,6 +352,7 @@
 	conn->n_headers = 0;
 	conn->discards = false;
 	hold(conn, 0);
+	set_whole(conn, 0);
 }
 
 void
@@ -379,3 +446,9 @@
 {
 	return itk->held;
 }
+
+uint64_t
+itk_whole_bytes(const struct itk *itk)
+{
+	return itk->whole;
+}
--- a/src/connection/intake.h
+++ b/src/connection/intake.h
@@ -6,8 +6,8 @@
 
 /*
  * Decides which of a process's connections are closed, so that all of them
- * together stay within bounds on connections, on the memory of requests that are
- * not whole yet, and on time.  It has no sockets and no clock; see
+ * together stay within bounds on connections, on the memory of requests, and on
+ * time.  It has no sockets and no clock; see
  * docs/design/incomplete-input.md.
  */
 struct itk;
@@ -33,6 +33,8 @@
 struct itk_options {
 	uint32_t max_connections;
 	uint64_t max_incomplete_bytes;
+	/* Memory of all requests from when they are whole until their end. */
+	uint64_t max_whole_bytes;
 	struct itk_times times;
 	/*
 	 * Begins to close a connection; itk_close() follows when it has ended, not
@@ -68,8 +70,13 @@
 void itk_head_done(struct itk_conn *conn, int64_t now_ms);
 /* Further bytes of the request are dropped as they come, so that none count. */
 void itk_discard(struct itk_conn *conn);
-/* The request is whole: it counts no longer. */
-void itk_request_done(struct itk_conn *conn);
+/*
+ * The request is whole.  Returns false if it must be refused, since all whole
+ * requests together would take too much memory; it counts no longer then.
+ */
+bool itk_request_done(struct itk_conn *conn);
+/* The body of a whole request is freed. */
+void itk_body_freed(struct itk_conn *conn);
 /* The connection waits for its next request. */
 void itk_next_request(struct itk_conn *conn, int64_t now_ms);
 /*
@@ -98,5 +105,6 @@
 uint64_t itk_request_bytes(const struct itk_conn *conn);
 uint32_t itk_n_connections(const struct itk *itk);
 uint64_t itk_incomplete_bytes(const struct itk *itk);
+uint64_t itk_whole_bytes(const struct itk *itk);
 
 #endif
--- a/src/process/metrics.c
+++ b/src/process/metrics.c
@@ -43,8 +43,7 @@
 	    "Log lines that could not be written.");
 	met->server = soup_server_new("server-header", NULL, NULL);
 	hl_limit_bodies(met->server, HL_SMALL_BODY_BYTES);
-	soup_server_add_handler(
-	    met->server, "/metrics", serve_metrics, met, NULL);
+	hl_add_handler(met->server, "/metrics", serve_metrics, met);
 	if (!hl_listen(met->server, listen, st)) {
 		met_free(met);
 		return NULL;
--- a/tests/test_intake.c
+++ b/tests/test_intake.c
@@ -3,11 +3,13 @@
 #include "connection/intake.h"
 #include "runner.h"
 
-#define MAX_CONNS   8
-#define MAX_BYTES   ((uint64_t)1000)
-#define STALLED_MS  200 /* after the last input */
-#define RANDOM_ENDS 40
-#define RANDOM_OPS  200000
+#define MAX_CONNS	8
+#define MAX_BYTES	((uint64_t)1000)
+#define MAX_WHOLE_BYTES ((uint64_t)100000)
+#define LARGE_BYTES	((uint64_t)30000) /* twice that when it is whole */
+#define STALLED_MS	200		  /* after the last input */
+#define RANDOM_ENDS	40
+#define RANDOM_OPS	200000
 
 /* One end of a connection; why: ITK_N_REASONS while it is not to be closed. */
 struct end {
@@ -37,6 +39,7 @@
 	struct itk_options opts = {
 	    .max_connections = MAX_CONNS,
 	    .max_incomplete_bytes = MAX_BYTES,
+	    .max_whole_bytes = MAX_WHOLE_BYTES,
 	    .times = {.head_ms = 1000, .body_ms = 2000, .idle_ms = 3000},
 	    .close = on_close,
 	};
@@ -72,6 +75,7 @@
 	}
 	ck_assert_uint_eq(itk_n_connections(itk), 0);
 	ck_assert_uint_eq(itk_incomplete_bytes(itk), 0);
+	ck_assert_uint_eq(itk_whole_bytes(itk), 0);
 	itk_free(itk);
 }
 
@@ -283,6 +287,61 @@
 }
 END_TEST
 
+static bool
+complete(struct itk *itk, int i, uint64_t bytes)
+{
+	open_end(itk, i);
+	itk_received(ends[i].conn, bytes, now_ms);
+	itk_head_done(ends[i].conn, now_ms);
+	return itk_request_done(ends[i].conn);
+}
+
+/* A crowd of large whole requests must not keep out small ones. */
+START_TEST(large_requests_leave_room)
+{
+	struct itk *itk = new_itk();
+
+	ck_assert(complete(itk, 0, LARGE_BYTES));
+	ck_assert(!complete(itk, 1, LARGE_BYTES));
+	ck_assert_uint_le(itk_whole_bytes(itk), 2 * LARGE_BYTES);
+	ck_assert(complete(itk, 2, 100));
+	/* The one that was refused has another try when the first is answered. */
+	itk_next_request(ends[0].conn, now_ms);
+	itk_next_request(ends[1].conn, now_ms);
+	itk_received(ends[1].conn, LARGE_BYTES, now_ms);
+	ck_assert(itk_request_done(ends[1].conn));
+	close_all(itk);
+}
+END_TEST
+
+/* A lone request is served, even if it is above the bound. */
+START_TEST(lone_request_is_served)
+{
+	struct itk *itk = new_itk();
+
+	ck_assert(complete(itk, 0, 2 * MAX_WHOLE_BYTES));
+	ck_assert(!complete(itk, 1, 100));
+	close_all(itk);
+}
+END_TEST
+
+/* Once its body is freed, a large request is as small as its head. */
+START_TEST(freed_body_does_not_count)
+{
+	struct itk *itk = new_itk();
+
+	open_end(itk, 0);
+	itk_received(ends[0].conn, 100, now_ms);
+	itk_head_done(ends[0].conn, now_ms);
+	itk_received(ends[0].conn, LARGE_BYTES, now_ms);
+	ck_assert(itk_request_done(ends[0].conn));
+	itk_body_freed(ends[0].conn);
+	ck_assert_uint_lt(itk_whole_bytes(itk), LARGE_BYTES);
+	ck_assert(complete(itk, 1, LARGE_BYTES));
+	close_all(itk);
+}
+END_TEST
+
 /* Whatever the order of events, the bounds hold after each. */
 START_TEST(bounds_hold_in_any_order)
 {
@@ -305,5 +364,6 @@
 TEST_MAIN("intake", 0, bytes_are_taken_from_latest_large,
     flood_of_equal_requests_goes_first, whole_request_does_not_count,
     discarded_body_does_not_count, headers_count_as_parsed,
-    room_is_made_by_silent_connections, times_are_bounded,
-    bounds_hold_in_any_order)
+    large_requests_leave_room, lone_request_is_served,
+    freed_body_does_not_count, room_is_made_by_silent_connections,
+    times_are_bounded, bounds_hold_in_any_order)
