Bound what a document takes once it is parsed

What callers saw: one job or one heartbeat of 300 kB, 100,000 empty objects in a member that nobody reads, took a process to 80 MB; 1 MiB of them is above the memory of every small machine, and a heartbeat may have 4 MiB.

Cause: json-c takes some 790 bytes for an empty object, 150 for an empty list, 71 to 103 for another value, 264 for a member (measured with 50,000 of each, json-c 0.16).

Answers of the store and of workers' calls, and the operators' configuration, have no such bound.

--- a/src/connection/announce.c
+++ b/src/connection/announce.c
@@ -182,7 +182,7 @@
 		st_set(st, ST_INVALID, "body of %zu bytes", len);
 		return NULL;
 	}
-	return fld_parse(json, len, st);
+	return fld_parse_bounded(json, len, st);
 }
 
 bool
--- a/src/process/enlist.c
+++ b/src/process/enlist.c
@@ -108,7 +108,7 @@
     void (*fn)(const struct wp_worker *worker, void *ctx), void *ctx,
     struct status *st)
 {
-	struct json_object *from = fld_parse(data, len, st);
+	struct json_object *from = fld_parse_bounded(data, len, st);
 	enum enl_verdict verdict = ENL_MALFORMED;
 	struct registration r = {0};
 
--- a/src/process/fields.c
+++ b/src/process/fields.c
@@ -33,6 +33,15 @@
 	return root;
 }
 
+struct json_object *
+fld_parse_bounded(const char *data, size_t len, struct status *st)
+{
+	if (jtx_fits(data, len))
+		return fld_parse(data, len, st);
+	st_set(st, ST_INVALID, "the document takes too much memory");
+	return NULL;
+}
+
 static bool
 decode_int(struct json_object *value, const struct fld *field, void *to,
     struct status *st)
--- a/src/process/fields.h
+++ b/src/process/fields.h
@@ -57,6 +57,9 @@
  * JSON_TOKENER_DEFAULT_DEPTH levels deep.  data may be NULL if len is 0.
  */
 struct json_object *fld_parse(const char *data, size_t len, struct status *st);
+/* The same for a document of an outside writer, which jtx_fits() bounds. */
+struct json_object *fld_parse_bounded(
+    const char *data, size_t len, struct status *st);
 /*
  * Decodes the members of an object into a struct, which holds the values of
  * absent fields.  fields end with one that has no name.  Returns false, with
--- a/src/process/jsontext.c
+++ b/src/process/jsontext.c
@@ -11,6 +11,17 @@
 #define SURROGATE_MASK	   0xfc00u
 #define NO_UNIT		   UINT32_MAX
 
+/*
+ * Memory that json-c takes, beside the text: for a value in a list or an object,
+ * for an object and a list, and for the name of a member.
+ */
+#define VALUE_BYTES  112
+#define OBJECT_BYTES 800
+#define LIST_BYTES   352
+#define NAME_BYTES   176
+
+static uint64_t max_memory_bytes;
+
 /*
  * Two encoded surrogates, as long as an escape.  json-c lets them through, and
  * they are no UTF-8, so that a text that has them is not Unicode.
@@ -202,6 +213,58 @@
 	return NULL;
 }
 
+/* Returns what follows the closing quote of the string that begins before p. */
+static const char *
+skip_string(const char *p, const char *end)
+{
+	while (p < end && *p != '"')
+		p += *p == '\\' && p + 1 < end ? 2 : 1;
+	return p < end ? p + 1 : end;
+}
+
+static uint64_t
+memory_of(const char *data, size_t len)
+{
+	const char *p = data, *end = data + len;
+	uint64_t bytes = len;
+
+	while (p < end) {
+		switch (*p++) {
+		case '"':
+			p = skip_string(p, end);
+			break;
+		case '{':
+			bytes += OBJECT_BYTES;
+			break;
+		case '[':
+			bytes += LIST_BYTES;
+			break;
+		case ',':
+			bytes += VALUE_BYTES;
+			break;
+		case ':':
+			bytes += NAME_BYTES;
+			break;
+		default:
+			break;
+		}
+	}
+	return bytes;
+}
+
+void
+jtx_set_max_memory(uint64_t bytes)
+{
+	max_memory_bytes = bytes;
+}
+
+bool
+jtx_fits(const char *data, size_t len)
+{
+	return max_memory_bytes == 0 ||
+	       memory_of(data, len) <= max_memory_bytes;
+}
+
 static bool
 is_unicode(const char *text, size_t len)
 {
--- a/src/process/jsontext.h
+++ b/src/process/jsontext.h
@@ -23,6 +23,15 @@
  */
 struct json_object *jtx_parse(
     const char *data, size_t len, uint32_t max_depth, struct status *st);
+/*
+ * Bounds the memory that a document of a client, a worker or another writer may
+ * take once it is parsed; 0: no bound, as before the call.  Such a document can
+ * take 300 times the memory of its text.  To be called before the first document
+ * is parsed.
+ */
+void jtx_set_max_memory(uint64_t bytes);
+/* Whether a document is within that bound, by an estimate from its text. */
+bool jtx_fits(const char *data, size_t len);
 /*
  * Whether all texts of a value, its names included, are Unicode; U+0000 is
  * allowed.
--- a/src/request/jobform.c
+++ b/src/request/jobform.c
@@ -14,6 +14,10 @@
 {
 	struct status st = {.message = "another type"};
 
+	if (!jtx_fits(body, len)) {
+		st_set(why, ST_INVALID, "the body takes too much memory");
+		return REF_BAD_REQUEST;
+	}
 	*root = jtx_parse(body, len, JF_MAX_JSON_DEPTH, &st);
 	if (json_object_is_type(*root, json_type_object))
 		return REF_NONE;
--- a/tests/test_jsontext.c
+++ b/tests/test_jsontext.c
@@ -4,7 +4,8 @@
 #include "process/jsontext.h"
 #include "runner.h"
 
-#define DEPTH 8
+#define DEPTH	   8
+#define MAX_MEMORY 100000
 
 /* The member "t" as it is decoded, with zeros as "<0>", or the reason. */
 static char *
@@ -40,6 +41,46 @@
 	return g_string_free(out, FALSE);
 }
 
+/* N members of "x" that are each value, as text. */
+static char *
+document_of(const char *value, int n)
+{
+	GString *out = g_string_new("{\"x\":[0");
+
+	while (n-- > 0) {
+		g_string_append_c(out, ',');
+		g_string_append(out, value);
+	}
+	g_string_append(out, "]}");
+	return g_string_free(out, FALSE);
+}
+
+/* A short text must not become hundreds of times its size in memory. */
+START_TEST(memory_is_bounded)
+{
+	static const char *const values[] = {
+	    "{}", "[]", "1", "\"\"", "null", "{\"a\":1}", "[1]", "\"\\\"{\""};
+	g_autofree char *text = g_strnfill(MAX_MEMORY / 2, '{');
+	g_autofree char *quoted = g_strdup_printf("{\"t\":\"%s\"}", text);
+	size_t i;
+
+	jtx_set_max_memory(MAX_MEMORY);
+	for (i = 0; i < G_N_ELEMENTS(values); i++) {
+		g_autofree char *few = document_of(values[i], 10);
+		g_autofree char *many = document_of(values[i], 10000);
+
+		ck_assert(jtx_fits(few, strlen(few)));
+		ck_assert(!jtx_fits(many, strlen(many)));
+	}
+	/* What stands in a text takes no more than its bytes. */
+	ck_assert(jtx_fits(quoted, strlen(quoted)));
+	/* A text that ends in an escape. */
+	ck_assert(jtx_fits("\"\\", 2));
+	jtx_set_max_memory(0);
+	ck_assert(jtx_fits(quoted, strlen(quoted)));
+}
+END_TEST
+
 /* Bytes that are no UTF-8 would reach a worker that can't read them. */
 START_TEST(malformed_utf8_is_no_unicode)
 {
@@ -91,4 +132,4 @@
 }
 
 CASES_MAIN("jsontext", run_case, malformed_utf8_is_no_unicode,
-    truncated_document_is_refused)
+    memory_is_bounded, truncated_document_is_refused)
