Keep little input in the kernel for connections that wait

What callers saw: 400 connections that each send a job that waits, and 400 kB behind it, took an entry of 32 MB to 51 MB, 39 MB of them in the kernel.

Cause: nothing is read from a connection whose request is being served, and the kernel took up to 128 KB for each, beside the 13 connections a MB that are allowed. Received bytes count toward the memory of the machine also while they are unread.

The receive buffer is 8 KB (12 KB at most were seen unread).

--- a/src/connection/acceptor.c
+++ b/src/connection/acceptor.c
@@ -5,15 +5,16 @@
 #include "connection/acceptor.h"
 #include "connection/connlimit.h"
 #include "connection/framing.h"
+#include "connection/httplisten.h"
 #include "connection/meterstream.h"
 
 #define ACCEPTS_PER_WAKEUP 64
 #define RETRY_MS	   100 /* after a failure */
 /*
- * Input that the kernel holds for one connection, doubled for its own use.  Left
- * to itself it holds up to 6 MB, which may count as memory of the process.
+ * Input that the kernel holds for one connection, which may be half as much again,
+ * and counts as memory of the process.  Left to itself it holds up to 6 MB.
  */
-#define RECEIVE_BUFFER_BYTES 65536
+#define RECEIVE_BUFFER_BYTES 8192
 
 struct acp {
 	SoupServer *server; /* borrowed */
@@ -123,6 +124,8 @@
 	soup_message_headers_foreach(
 	    soup_server_message_get_request_headers(msg), count_header, &n);
 	cnl_head_done(frm_limit(msg), n);
+	if (hl_body_exceeds(msg, RECEIVE_BUFFER_BYTES))
+		cnl_widen(frm_limit(msg));
 }
 
 static void
--- a/src/connection/connlimit.c
+++ b/src/connection/connlimit.c
@@ -1,4 +1,7 @@
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "connection/connlimit.h"
 #include "process/clock.h"
@@ -6,6 +9,8 @@
 
 #define TICK_MS	  200
 #define LOG_TICKS 5 /* between lines of the log */
+/* Of a connection with a large body; the kernel holds up to twice as much. */
+#define WIDE_BUFFER_BYTES 65536
 
 static const char head_too_large[] =
     "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\n"
@@ -21,15 +26,18 @@
 	/* Protected by state.lock. */
 	struct itk_conn *itk; /* NULL when closed */
 	bool head_refused;
+	bool is_wide; /* counted in state.n_wide */
 };
 
 /* Ports are served in several threads: all members are protected by lock. */
 static struct {
 	GMutex lock;
 	struct itk *itk;
-	struct itk_times times;	       /* of the settings */
-	struct itk_times limits;       /* in force */
-	uint64_t max_head_bytes;       /* 0: no limit */
+	struct itk_times times;	 /* of the settings */
+	struct itk_times limits; /* in force */
+	uint64_t max_head_bytes; /* 0: no limit */
+	uint32_t max_wide;	 /* connections of cnl_widen() */
+	uint32_t n_wide;
 	int64_t closed[ITK_N_REASONS]; /* totals */
 	int64_t accept_failures;
 	int64_t refused; /* whole requests */
@@ -168,6 +176,8 @@
 
 	state.times = state.limits = opts->times;
 	state.itk = itk_new(&itk);
+	state.max_wide =
+	    (uint32_t)(opts->max_wide_bytes / (2 * WIDE_BUFFER_BYTES));
 	make_counters(opts->counters);
 	state.tick_id = g_timeout_add(TICK_MS, on_tick, NULL);
 }
@@ -261,6 +271,8 @@
 	if (conn->itk != NULL)
 		itk_close(conn->itk);
 	conn->itk = NULL;
+	state.n_wide -= conn->is_wide;
+	conn->is_wide = false;
 	g_mutex_unlock(&state.lock);
 }
 
@@ -365,6 +377,25 @@
 	g_mutex_unlock(&state.lock);
 }
 
+void
+cnl_widen(struct cnl_conn *conn)
+{
+	struct itk_conn *itk = lock(conn);
+
+	if (itk == NULL)
+		return;
+	if (!conn->is_wide && state.n_wide < state.max_wide) {
+		conn->is_wide = true;
+		state.n_wide++;
+		g_socket_set_option(conn->socket, SOL_SOCKET, SO_RCVBUF,
+		    WIDE_BUFFER_BYTES, NULL);
+		/* The window stays as small as it was without this. */
+		g_socket_set_option(conn->socket, IPPROTO_TCP, TCP_WINDOW_CLAMP,
+		    WIDE_BUFFER_BYTES, NULL);
+	}
+	g_mutex_unlock(&state.lock);
+}
+
 void
 cnl_discard(struct cnl_conn *conn)
 {
--- a/src/connection/connlimit.h
+++ b/src/connection/connlimit.h
@@ -19,6 +19,8 @@
 	uint32_t max_connections;
 	uint64_t max_incomplete_bytes;
 	uint64_t max_whole_bytes;
+	/* Of the larger receive buffers of cnl_widen(). */
+	uint64_t max_wide_bytes;
 	struct itk_times times;
 	struct ctr_registry *counters; /* borrowed until cnl_stop() */
 };
@@ -57,6 +59,12 @@
 bool cnl_may_read(struct cnl_conn *conn);
 bool cnl_is_idle(struct cnl_conn *conn);
 void cnl_head_done(struct cnl_conn *conn, uint32_t n_headers);
+/*
+ * Gives a connection with a large body a larger receive buffer until it closes,
+ * if one is left.  Elsewhere input that waits is kept short, since it counts as
+ * memory of the process.
+ */
+void cnl_widen(struct cnl_conn *conn);
 void cnl_discard(struct cnl_conn *conn);
 /* Returns false if the request must be refused. */
 bool cnl_request_done(struct cnl_conn *conn);
