Bound answers that are not read

What callers saw: 400 connections that ask on and on and read nothing took an entry or an agent of 32 MB to 919 MB (metrics, nearly all of it in the kernel), 107 MB (worker's port) and 83 MB (readiness). Beside those on the callers' port nobody else was answered, since no connection that is being served made room for a new one.

Cause: the kernel takes up to 4 MB of answers for each connection, an answer that is blocked had no time limit, and nothing counted either.

An answer of which nothing is taken for send_timeout_ms ends, and such a connection makes room for a new one as one with a part of a request does. The text of an answer counts with its request.

--- a/src/connection/connlimit.c
+++ b/src/connection/connlimit.c
@@ -1,6 +1,8 @@
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include "connection/connlimit.h"
@@ -18,7 +20,7 @@
     "{\"reason\":\"the head is too large\"}";
 
 static const char *const reason_names[ITK_N_REASONS] = {"bytes", "connections",
-    "head_time", "body_time", "idle_time", "head_bytes"};
+    "head_time", "body_time", "idle_time", "head_bytes", "unsent", "send_time"};
 
 struct cnl_conn {
 	gint refs;
@@ -53,6 +55,7 @@
 	int64_t *connections;
 	int64_t *incomplete_bytes;
 	int64_t *whole_bytes;
+	int64_t *unsent_bytes;
 } state;
 
 /* The client may have used an idle connection at this moment. */
@@ -76,6 +79,19 @@
 	return true;
 }
 
+/* Runs with the lock held. */
+static uint64_t
+unsent_bytes(void *owner, void *ctx)
+{
+	const struct cnl_conn *conn = owner;
+	int bytes = 0;
+
+	(void)ctx;
+	if (ioctl(g_socket_get_fd(conn->socket), SIOCOUTQ, &bytes) != 0)
+		return 0;
+	return (uint64_t)MAX(bytes, 0);
+}
+
 /*
  * Lines name how many connections were closed since the last one.  The end of
  * idle connections is no fault, and is only counted.
@@ -124,6 +140,7 @@
 		*state.counters[why] = state.closed[why];
 	*state.accept_failure_counter = state.accept_failures;
 	*state.refused_counter = state.refused;
+	*state.unsent_bytes = (int64_t)itk_unsent_bytes(state.itk);
 	*state.whole_bytes = (int64_t)itk_whole_bytes(state.itk);
 	*state.connections = itk_n_connections(state.itk);
 	*state.incomplete_bytes = (int64_t)itk_incomplete_bytes(state.itk);
@@ -156,6 +173,8 @@
 	state.refused_counter = ctr_counter(counters, "sp_intake_refused_total",
 	    "Whole requests refused since all took too much memory.");
 	state.logged_refused = *state.refused_counter;
+	state.unsent_bytes = ctr_gauge(counters, "sp_intake_unsent_bytes",
+	    "Bytes of answers that were not read when last looked at.");
 	state.whole_bytes = ctr_gauge(counters, "sp_intake_whole_bytes",
 	    "Memory of requests that are whole and not answered yet.");
 	state.incomplete_bytes =
@@ -170,8 +189,10 @@
 	    .max_connections = opts->max_connections,
 	    .max_incomplete_bytes = opts->max_incomplete_bytes,
 	    .max_whole_bytes = opts->max_whole_bytes,
+	    .max_unsent_bytes = opts->max_unsent_bytes,
 	    .times = opts->times,
 	    .close = shut_down,
+	    .unsent = unsent_bytes,
 	};
 
 	state.times = state.limits = opts->times;
@@ -433,6 +454,28 @@
 	g_mutex_unlock(&state.lock);
 }
 
+void
+cnl_set_answer(struct cnl_conn *conn, uint64_t bytes)
+{
+	struct itk_conn *itk = lock(conn);
+
+	if (itk == NULL)
+		return;
+	itk_set_answer(itk, bytes);
+	g_mutex_unlock(&state.lock);
+}
+
+void
+cnl_sent(struct cnl_conn *conn, uint64_t bytes)
+{
+	struct itk_conn *itk = lock(conn);
+
+	if (itk == NULL)
+		return;
+	itk_sent(itk, bytes, clk_now_ms());
+	g_mutex_unlock(&state.lock);
+}
+
 void
 cnl_next_request(struct cnl_conn *conn)
 {
--- a/src/connection/connlimit.h
+++ b/src/connection/connlimit.h
@@ -19,6 +19,7 @@
 	uint32_t max_connections;
 	uint64_t max_incomplete_bytes;
 	uint64_t max_whole_bytes;
+	uint64_t max_unsent_bytes;
 	/* Of the larger receive buffers of cnl_widen(). */
 	uint64_t max_wide_bytes;
 	struct itk_times times;
@@ -70,6 +71,8 @@
 bool cnl_request_done(struct cnl_conn *conn);
 /* May be called in any thread. */
 void cnl_body_freed(struct cnl_conn *conn);
+void cnl_set_answer(struct cnl_conn *conn, uint64_t bytes);
+void cnl_sent(struct cnl_conn *conn, uint64_t bytes);
 void cnl_next_request(struct cnl_conn *conn);
 /* Returns false when the connection must be closed. */
 bool cnl_set_incomplete(struct cnl_conn *conn, uint64_t bytes);
--- a/src/connection/httplisten.c
+++ b/src/connection/httplisten.c
@@ -159,10 +159,13 @@
 {
 	const struct handler *handler = data;
 
-	if (cnl_request_done(frm_limit(msg)))
-		handler->fn(server, msg, path, query, handler->data);
-	else
+	if (!cnl_request_done(frm_limit(msg))) {
 		answer_busy(msg);
+		return;
+	}
+	handler->fn(server, msg, path, query, handler->data);
+	cnl_set_answer(frm_limit(msg),
+	    (uint64_t)soup_server_message_get_response_body(msg)->length);
 }
 
 void
--- a/src/connection/intake.c
+++ b/src/connection/intake.c
@@ -36,11 +36,14 @@
 	uint64_t bytes;
 	uint64_t head_bytes; /* of them, up to the end of the head */
 	uint32_t n_headers;
-	uint64_t held;	  /* counted in itk->held */
-	uint64_t whole;	  /* counted in itk->whole */
-	uint64_t order;	  /* of the beginnings of requests */
-	int64_t since_ms; /* begin of the phase */
-	int64_t input_ms; /* last input */
+	uint64_t held;	   /* counted in itk->held */
+	uint64_t whole;	   /* counted in itk->whole */
+	uint64_t unsent;   /* counted in itk->unsent, at most */
+	uint64_t order;	   /* of the beginnings of requests */
+	int64_t since_ms;  /* begin of the phase */
+	int64_t input_ms;  /* last input */
+	bool is_sending;   /* a part of the answer is written */
+	int64_t output_ms; /* last output */
 };
 
 struct itk {
@@ -48,6 +51,7 @@
 	GPtrArray *conns;
 	uint64_t held;	  /* memory of all incomplete requests */
 	uint64_t whole;	  /* memory of all whole requests */
+	uint64_t unsent;  /* of all connections, at most */
 	uint32_t n_large; /* whole requests that are large */
 	uint32_t n_open;  /* without those that are closing */
 	uint32_t n_holds; /* connections with held bytes */
@@ -103,6 +107,13 @@
 	conn->whole = bytes;
 }
 
+static void
+set_unsent(struct itk_conn *conn, uint64_t bytes)
+{
+	conn->itk->unsent += bytes - conn->unsent;
+	conn->unsent = bytes;
+}
+
 /* One large request is always served, so that a lone one is never too large. */
 static bool
 has_room(const struct itk *itk, uint64_t bytes)
@@ -127,6 +138,7 @@
 	conn->closing = true;
 	hold(conn, 0);
 	set_whole(conn, 0);
+	set_unsent(conn, 0);
 	itk->n_open--;
 	return true;
 }
@@ -134,7 +146,7 @@
 static bool
 is_stalled(const struct itk_conn *conn, int64_t now_ms)
 {
-	return now_ms - conn->input_ms >= STALL_MS;
+	return now_ms - MAX(conn->input_ms, conn->output_ms) >= STALL_MS;
 }
 
 /*
@@ -192,15 +204,16 @@
 
 /*
  * As rank_by_bytes(), to make room for a connection: first those that have sent
- * nothing, then those with a part of a request, then idle ones of callers that
- * have sent whole requests.
+ * nothing, then those with a part of a request or an answer that is not read, then
+ * idle ones of callers that have sent whole requests.
  */
 static int
 rank_by_count(const struct itk_conn *conn, int64_t now_ms)
 {
-	if (conn->closing || conn->is_link || conn->phase == SERVED ||
-	    !is_stalled(conn, now_ms))
+	if (conn->closing || conn->is_link || !is_stalled(conn, now_ms))
 		return 0;
+	if (conn->phase == SERVED)
+		return conn->is_sending ? 2 : 0;
 	if (conn->phase != IDLE)
 		return 2;
 	return conn->proven ? 1 : 3;
@@ -227,6 +240,55 @@
 	return best;
 }
 
+/* Returns the connection with the most unsent bytes, links last, or NULL. */
+static struct itk_conn *
+choose_by_unsent(const struct itk *itk)
+{
+	struct itk_conn *best = NULL;
+	guint i;
+
+	for (i = 0; i < itk->conns->len; i++) {
+		struct itk_conn *conn = itk->conns->pdata[i];
+
+		if (conn->unsent == 0)
+			continue;
+		if (best == NULL || conn->is_link < best->is_link ||
+		    (conn->is_link == best->is_link &&
+			conn->unsent > best->unsent))
+			best = conn;
+	}
+	return best;
+}
+
+/* Looks how much of what was written is still there. */
+static void
+measure_unsent(struct itk *itk)
+{
+	guint i;
+
+	for (i = 0; i < itk->conns->len; i++) {
+		struct itk_conn *conn = itk->conns->pdata[i];
+
+		if (conn->unsent > 0)
+			set_unsent(conn,
+			    MIN(conn->unsent,
+				itk->opts.unsent(conn->owner, itk->opts.ctx)));
+	}
+}
+
+static void
+bound_unsent(struct itk *itk)
+{
+	struct itk_conn *conn;
+
+	if (itk->unsent <= itk->opts.max_unsent_bytes)
+		return;
+	measure_unsent(itk);
+	while (itk->unsent > itk->opts.max_unsent_bytes &&
+	       (conn = choose_by_unsent(itk)) != NULL)
+		close_conn(conn, ITK_UNSENT);
+}
+
 struct itk_conn *
 itk_open(struct itk *itk, void *owner, int64_t now_ms)
 {
@@ -255,6 +317,7 @@
 
 	hold(conn, 0);
 	set_whole(conn, 0);
+	set_unsent(conn, 0);
 	if (!conn->closing)
 		itk->n_open--;
 	g_ptr_array_remove_index_fast(itk->conns, conn->index);
@@ -344,9 +407,28 @@
 		    conn, WHOLE_COPIES * conn->head_bytes + header_bytes(conn));
 }
 
+void
+itk_set_answer(struct itk_conn *conn, uint64_t bytes)
+{
+	if (!conn->closing)
+		set_whole(conn, conn->whole + bytes);
+}
+
+void
+itk_sent(struct itk_conn *conn, uint64_t bytes, int64_t now_ms)
+{
+	conn->is_sending = true;
+	conn->output_ms = now_ms;
+	if (conn->closing)
+		return;
+	set_unsent(conn, conn->unsent + bytes);
+	bound_unsent(conn->itk);
+}
+
 void
 itk_next_request(struct itk_conn *conn, int64_t now_ms)
 {
+	conn->is_sending = false;
 	begin(conn, IDLE, now_ms);
 	conn->bytes = 0;
 	conn->n_headers = 0;
@@ -382,6 +464,11 @@
 
 	if (conn->closing || conn->is_link)
 		return ITK_N_REASONS;
+	if (conn->phase == SERVED)
+		return conn->is_sending && times->send_ms > 0 &&
+			       now_ms - conn->output_ms > times->send_ms
+			   ? ITK_SEND_TIME
+			   : ITK_N_REASONS;
 	if (conn->phase == IDLE && times->idle_ms > 0 && ms > times->idle_ms)
 		return ITK_IDLE_TIME;
 	if (conn->phase == HEAD && times->head_ms > 0 && ms > times->head_ms)
@@ -452,3 +539,9 @@
 {
 	return itk->whole;
 }
+
+uint64_t
+itk_unsent_bytes(const struct itk *itk)
+{
+	return itk->unsent;
+}
--- a/src/connection/intake.h
+++ b/src/connection/intake.h
@@ -20,6 +20,8 @@
 	ITK_BODY_TIME,
 	ITK_IDLE_TIME,
 	ITK_HEAD_BYTES, /* one head is too large */
+	ITK_UNSENT,	/* bytes that other ends have not taken */
+	ITK_SEND_TIME,
 	ITK_N_REASONS
 };
 
@@ -28,6 +30,7 @@
 	int64_t head_ms; /* from the first byte of a request to a whole head */
 	int64_t body_ms; /* from there to a whole body */
 	int64_t idle_ms; /* without a byte of a request */
+	int64_t send_ms; /* within an answer without a byte of it */
 };
 
 struct itk_options {
@@ -35,6 +38,8 @@
 	uint64_t max_incomplete_bytes;
 	/* Memory of all requests from when they are whole until their end. */
 	uint64_t max_whole_bytes;
+	/* Written and not taken by the other end, of all connections. */
+	uint64_t max_unsent_bytes;
 	struct itk_times times;
 	/*
 	 * Begins to close a connection; itk_close() follows when it has ended, not
@@ -43,6 +48,8 @@
 	 * only.
 	 */
 	bool (*close)(void *owner, enum itk_reason why, void *ctx);
+	/* Bytes of a connection that were written and not taken yet. */
+	uint64_t (*unsent)(void *owner, void *ctx);
 	void *ctx;
 };
 
@@ -77,6 +84,10 @@
 bool itk_request_done(struct itk_conn *conn);
 /* The body of a whole request is freed. */
 void itk_body_freed(struct itk_conn *conn);
+/* The answer takes so much memory until it is written. */
+void itk_set_answer(struct itk_conn *conn, uint64_t bytes);
+/* Bytes of an answer were written.  May close connections, also this one. */
+void itk_sent(struct itk_conn *conn, uint64_t bytes, int64_t now_ms);
 /* The connection waits for its next request. */
 void itk_next_request(struct itk_conn *conn, int64_t now_ms);
 /*
@@ -106,5 +117,7 @@
 uint32_t itk_n_connections(const struct itk *itk);
 uint64_t itk_incomplete_bytes(const struct itk *itk);
 uint64_t itk_whole_bytes(const struct itk *itk);
+/* At most: bytes count until a look at the connection shows that they are taken. */
+uint64_t itk_unsent_bytes(const struct itk *itk);
 
 #endif
--- a/src/connection/meterstream.c
+++ b/src/connection/meterstream.c
@@ -7,19 +7,31 @@
 	bool has_ended;
 };
 
+struct _MstOutput {
+	GOutputStream parent;
+	GOutputStream *base;
+	struct cnl_conn *limit;
+};
+
 struct _MstStream {
 	GIOStream parent;
 	GIOStream *base;
 	GInputStream *input;
+	GOutputStream *output;
 	struct cnl_conn *limit;
 };
 
 static void mst_input_pollable_init(GPollableInputStreamInterface *iface);
+static void mst_output_pollable_init(GPollableOutputStreamInterface *iface);
 
 G_DECLARE_FINAL_TYPE(MstInput, mst_input, MST, INPUT, GInputStream)
 G_DEFINE_TYPE_WITH_CODE(MstInput, mst_input, G_TYPE_INPUT_STREAM,
     G_IMPLEMENT_INTERFACE(
 	G_TYPE_POLLABLE_INPUT_STREAM, mst_input_pollable_init))
+G_DECLARE_FINAL_TYPE(MstOutput, mst_output, MST, OUTPUT, GOutputStream)
+G_DEFINE_TYPE_WITH_CODE(MstOutput, mst_output, G_TYPE_OUTPUT_STREAM,
+    G_IMPLEMENT_INTERFACE(
+	G_TYPE_POLLABLE_OUTPUT_STREAM, mst_output_pollable_init))
 G_DECLARE_FINAL_TYPE(MstStream, mst_stream, MST, STREAM, GIOStream)
 G_DEFINE_TYPE(MstStream, mst_stream, G_TYPE_IO_STREAM)
 
@@ -134,6 +146,83 @@
 	(void)self;
 }
 
+static gssize
+write_metered(MstOutput *self, const void *buffer, gsize count, bool blocking,
+    GCancellable *cancellable, GError **error)
+{
+	gssize n = g_pollable_stream_write(
+	    self->base, buffer, count, blocking, cancellable, error);
+
+	if (n > 0)
+		cnl_sent(self->limit, (uint64_t)n);
+	return n;
+}
+
+static gssize
+output_write(GOutputStream *stream, const void *buffer, gsize count,
+    GCancellable *cancellable, GError **error)
+{
+	return write_metered(
+	    MST_OUTPUT(stream), buffer, count, true, cancellable, error);
+}
+
+static gssize
+output_write_nonblocking(GPollableOutputStream *stream, const void *buffer,
+    gsize count, GError **error)
+{
+	return write_metered(
+	    MST_OUTPUT(stream), buffer, count, false, NULL, error);
+}
+
+static gboolean
+output_is_writable(GPollableOutputStream *stream)
+{
+	return g_pollable_output_stream_is_writable(
+	    G_POLLABLE_OUTPUT_STREAM(MST_OUTPUT(stream)->base));
+}
+
+static GSource *
+output_create_source(GPollableOutputStream *stream, GCancellable *cancellable)
+{
+	GSource *base = g_pollable_output_stream_create_source(
+	    G_POLLABLE_OUTPUT_STREAM(MST_OUTPUT(stream)->base), NULL);
+	GSource *source = g_pollable_source_new_full(stream, base, cancellable);
+
+	g_source_unref(base);
+	return source;
+}
+
+static void
+output_finalize(GObject *object)
+{
+	MstOutput *self = MST_OUTPUT(object);
+
+	g_object_unref(self->base);
+	cnl_unref(self->limit);
+	G_OBJECT_CLASS(mst_output_parent_class)->finalize(object);
+}
+
+static void
+mst_output_pollable_init(GPollableOutputStreamInterface *iface)
+{
+	iface->is_writable = output_is_writable;
+	iface->create_source = output_create_source;
+	iface->write_nonblocking = output_write_nonblocking;
+}
+
+static void
+mst_output_class_init(MstOutputClass *class)
+{
+	G_OUTPUT_STREAM_CLASS(class)->write_fn = output_write;
+	G_OBJECT_CLASS(class)->finalize = output_finalize;
+}
+
+static void
+mst_output_init(MstOutput *self)
+{
+	(void)self;
+}
+
 static GInputStream *
 stream_input(GIOStream *stream)
 {
@@ -143,7 +232,7 @@
 static GOutputStream *
 stream_output(GIOStream *stream)
 {
-	return g_io_stream_get_output_stream(MST_STREAM(stream)->base);
+	return MST_STREAM(stream)->output;
 }
 
 static gboolean
@@ -182,6 +271,7 @@
 	cnl_close(self->limit);
 	cnl_unref(self->limit);
 	g_object_unref(self->input);
+	g_object_unref(self->output);
 	g_object_unref(self->base);
 	G_OBJECT_CLASS(mst_stream_parent_class)->finalize(object);
 }
@@ -210,11 +300,15 @@
 {
 	MstStream *self = g_object_new(mst_stream_get_type(), NULL);
 	MstInput *input = g_object_new(mst_input_get_type(), NULL);
+	MstOutput *output = g_object_new(mst_output_get_type(), NULL);
 
 	self->base = G_IO_STREAM(g_object_ref(base));
 	self->limit = limit;
 	input->base = g_object_ref(g_io_stream_get_input_stream(self->base));
 	input->limit = cnl_ref(limit);
 	self->input = G_INPUT_STREAM(input);
+	output->base = g_object_ref(g_io_stream_get_output_stream(self->base));
+	output->limit = cnl_ref(limit);
+	self->output = G_OUTPUT_STREAM(output);
 	return G_IO_STREAM(self);
 }
--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -107,10 +107,12 @@
     {"max_connections", UINT32, OPT, J(max_connections), NULL, 0, 0, 100000}, \
     {"max_incomplete_kb", INT64, OPT, J(max_incomplete_kb), NULL, 0, 0, 16 * MIB}, \
     {"max_whole_kb", INT64, OPT, J(max_whole_kb), NULL, 0, 0, 16 * MIB}, \
+    {"max_unsent_kb", INT64, OPT, J(max_unsent_kb), NULL, 0, 0, 16 * MIB}, \
     {"max_json_kb", INT64, OPT, J(max_json_kb), NULL, 0, 0, 16 * MIB}, \
     {"header_timeout_ms", INT64, OPT, J(header_timeout_ms), NULL, 10000, 100, HOUR_MS}, \
     {"body_timeout_ms", INT64, OPT, J(body_timeout_ms), NULL, 30000, 100, HOUR_MS}, \
-    {"idle_timeout_ms", INT64, OPT, J(idle_timeout_ms), NULL, 60000, 100, HOUR_MS}
+    {"idle_timeout_ms", INT64, OPT, J(idle_timeout_ms), NULL, 60000, 100, HOUR_MS}, \
+    {"send_timeout_ms", INT64, OPT, J(send_timeout_ms), NULL, 30000, 100, HOUR_MS}
 
 static const struct field job_entry_fields[] = {
     JOB_COMMON,
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -106,10 +106,12 @@
 	uint32_t max_connections;
 	int64_t max_incomplete_kb; /* of requests that are not whole */
 	int64_t max_whole_kb;	   /* of whole requests until their end */
+	int64_t max_unsent_kb;	   /* of answers that are not read */
 	int64_t max_json_kb;	   /* of one document once it is parsed */
 	int64_t header_timeout_ms; /* for a whole head */
 	int64_t body_timeout_ms;   /* from there to a whole body */
 	int64_t idle_timeout_ms;   /* between requests */
+	int64_t send_timeout_ms;   /* without a byte of an answer being taken */
 };
 
 /* NULL on error; st names the file, line, key and the expected value. */
--- a/tests/test_intake.c
+++ b/tests/test_intake.c
@@ -3,19 +3,21 @@
 #include "connection/intake.h"
 #include "runner.h"
 
-#define MAX_CONNS	8
-#define MAX_BYTES	((uint64_t)1000)
-#define MAX_WHOLE_BYTES ((uint64_t)100000)
-#define LARGE_BYTES	((uint64_t)30000) /* twice that when it is whole */
-#define STALLED_MS	200		  /* after the last input */
-#define RANDOM_ENDS	40
-#define RANDOM_OPS	200000
+#define MAX_CONNS	 8
+#define MAX_BYTES	 ((uint64_t)1000)
+#define MAX_WHOLE_BYTES	 ((uint64_t)100000)
+#define LARGE_BYTES	 ((uint64_t)30000) /* twice that when it is whole */
+#define MAX_UNSENT_BYTES ((uint64_t)1000)
+#define STALLED_MS	 200 /* after the last input */
+#define RANDOM_ENDS	 40
+#define RANDOM_OPS	 200000
 
 /* One end of a connection; why: ITK_N_REASONS while it is not to be closed. */
 struct end {
 	struct itk_conn *conn;
 	enum itk_reason why;
 	bool stays;
+	uint64_t unsent; /* what a look at the connection shows */
 };
 
 static struct end ends[RANDOM_ENDS];
@@ -33,6 +35,15 @@
 	return true;
 }
 
+static uint64_t
+unsent_bytes(void *owner, void *ctx)
+{
+	const struct end *end = owner;
+
+	(void)ctx;
+	return end->unsent;
+}
+
 static struct itk *
 new_itk(void)
 {
@@ -40,8 +51,13 @@
 	    .max_connections = MAX_CONNS,
 	    .max_incomplete_bytes = MAX_BYTES,
 	    .max_whole_bytes = MAX_WHOLE_BYTES,
-	    .times = {.head_ms = 1000, .body_ms = 2000, .idle_ms = 3000},
+	    .max_unsent_bytes = MAX_UNSENT_BYTES,
+	    .times = {.head_ms = 1000,
+		.body_ms = 2000,
+		.idle_ms = 3000,
+		.send_ms = 4000},
 	    .close = on_close,
+	    .unsent = unsent_bytes,
 	};
 
 	now_ms = 1000;
@@ -63,6 +79,14 @@
 	itk_incomplete(ends[i].conn, now_ms);
 }
 
+/* Writes bytes to an end that then has so many of all that it was sent. */
+static void
+send_to(int i, uint64_t bytes, uint64_t unsent)
+{
+	ends[i].unsent = unsent;
+	itk_sent(ends[i].conn, bytes, now_ms);
+}
+
 static void
 close_all(struct itk *itk)
 {
@@ -76,6 +100,7 @@
 	ck_assert_uint_eq(itk_n_connections(itk), 0);
 	ck_assert_uint_eq(itk_incomplete_bytes(itk), 0);
 	ck_assert_uint_eq(itk_whole_bytes(itk), 0);
+	ck_assert_uint_eq(itk_unsent_bytes(itk), 0);
 	itk_free(itk);
 }
 
@@ -261,6 +286,9 @@
 	case 3:
 		itk_next_request(end->conn, now_ms);
 		break;
+	case 4:
+		send_to(i, 300, (uint64_t)g_rand_int_range(rand, 0, 900));
+		break;
 	default:
 		receive(i, (uint64_t)g_rand_int_range(rand, 1, 400));
 	}
@@ -342,6 +370,44 @@
 }
 END_TEST
 
+/* Callers that read are never closed for those that do not. */
+START_TEST(unread_answers_are_bounded)
+{
+	struct itk *itk = new_itk();
+	int i;
+
+	for (i = 0; i < 3; i++)
+		ck_assert(complete(itk, i, 100));
+	for (i = 0; i < 100; i++)
+		send_to(0, 900, 0);
+	send_to(1, 500, 500);
+	send_to(2, 400, 400);
+	ck_assert_int_eq(closed_end(ITK_N_REASONS), -1);
+	send_to(2, 300, 700);
+	ck_assert_int_eq(closed_end(ITK_UNSENT), 2);
+	ck_assert_uint_le(itk_unsent_bytes(itk), MAX_UNSENT_BYTES);
+	close_all(itk);
+}
+END_TEST
+
+/* An answer of which nothing is taken ends; a job that waits does not. */
+START_TEST(unread_answer_has_time)
+{
+	struct itk *itk = new_itk();
+
+	ck_assert(complete(itk, 0, 100));
+	ck_assert(complete(itk, 1, 100));
+	send_to(0, 10, 10);
+	now_ms += 4000;
+	itk_tick(itk, now_ms);
+	ck_assert_int_eq(closed_end(ITK_N_REASONS), -1);
+	now_ms++;
+	itk_tick(itk, now_ms);
+	ck_assert_int_eq(closed_end(ITK_SEND_TIME), 0);
+	close_all(itk);
+}
+END_TEST
+
 /* Whatever the order of events, the bounds hold after each. */
 START_TEST(bounds_hold_in_any_order)
 {
@@ -355,6 +421,8 @@
 		itk_tick(itk, now_ms);
 		ck_assert_uint_le(itk_n_connections(itk), MAX_CONNS);
 		ck_assert_uint_le(itk_incomplete_bytes(itk), MAX_BYTES);
+		ck_assert_uint_le(itk_unsent_bytes(itk), MAX_UNSENT_BYTES);
+		ck_assert_uint_le(itk_whole_bytes(itk), MAX_WHOLE_BYTES);
 	}
 	g_rand_free(rand);
 	close_all(itk);
@@ -365,5 +433,6 @@
     flood_of_equal_requests_goes_first, whole_request_does_not_count,
     discarded_body_does_not_count, headers_count_as_parsed,
     large_requests_leave_room, lone_request_is_served,
-    freed_body_does_not_count, room_is_made_by_silent_connections,
+    freed_body_does_not_count, unread_answers_are_bounded,
+    unread_answer_has_time, room_is_made_by_silent_connections,
     times_are_bounded, bounds_hold_in_any_order)
