Count connections until they are freed, and bound the output of links

Beside a build, row 4 of test_flood_requests (heads with bodies away, metrics of an agent) reached 53 MB of 32 once, after all other rows of its kind had stayed at 12 to 18. Cause: a connection that is closed for its bytes counted no longer at once, but its thread frees it only in its next turn; in one turn each of a crowd could take the bytes that another had just given up.

What closing connections hold now counts until they are freed. While it is above a whole bound, a large connection that would grow is closed instead; small ones go on. The same holds for unsent bytes.

Messages that wait in a link between processes count with the unsent bytes, as exactly as the link knows them; before, each link might hold 10 MB. Links are closed only when no other connection has unsent bytes.

--- a/src/connection/connlimit.c
+++ b/src/connection/connlimit.c
@@ -476,6 +476,17 @@
 	g_mutex_unlock(&state.lock);
 }
 
+void
+cnl_set_queue(struct cnl_conn *conn, uint64_t bytes)
+{
+	struct itk_conn *itk = lock(conn);
+
+	if (itk == NULL)
+		return;
+	itk_set_queue(itk, bytes);
+	g_mutex_unlock(&state.lock);
+}
+
 void
 cnl_next_request(struct cnl_conn *conn)
 {
--- a/src/connection/connlimit.h
+++ b/src/connection/connlimit.h
@@ -73,6 +73,7 @@
 void cnl_body_freed(struct cnl_conn *conn);
 void cnl_set_answer(struct cnl_conn *conn, uint64_t bytes);
 void cnl_sent(struct cnl_conn *conn, uint64_t bytes);
+void cnl_set_queue(struct cnl_conn *conn, uint64_t bytes);
 void cnl_next_request(struct cnl_conn *conn);
 /* Returns false when the connection must be closed. */
 bool cnl_set_incomplete(struct cnl_conn *conn, uint64_t bytes);
--- a/src/connection/intake.c
+++ b/src/connection/intake.c
@@ -7,6 +7,8 @@
  * sends no more.  Above the pauses within a request that is sent at once.
  */
 #define STALL_MS 100
+/* Unsent bytes that are never too many for one connection. */
+#define SMALL_ANSWER_BYTES 4096
 /* Memory of a header once it is parsed, beside its text. */
 #define HEADER_BYTES 96
 /* Copies of the bytes of a whole request: as received and as examined. */
@@ -39,6 +41,8 @@
 	uint64_t held;	   /* counted in itk->held */
 	uint64_t whole;	   /* counted in itk->whole */
 	uint64_t unsent;   /* counted in itk->unsent, at most */
+	bool has_queue;	   /* unsent is what its owner holds, not the kernel */
+	uint64_t leaving;  /* counted in itk->leaving */
 	uint64_t order;	   /* of the beginnings of requests */
 	int64_t since_ms;  /* begin of the phase */
 	int64_t input_ms;  /* last input */
@@ -51,6 +55,7 @@
 	GPtrArray *conns;
 	uint64_t held;	  /* memory of all incomplete requests */
 	uint64_t whole;	  /* memory of all whole requests */
+	uint64_t leaving; /* memory of those that are closing */
 	uint64_t unsent;  /* of all connections, at most */
 	uint32_t n_large; /* whole requests that are large */
 	uint32_t n_open;  /* without those that are closing */
@@ -126,7 +131,14 @@
 	return itk->whole + bytes <= max_bytes;
 }
 
-/* Its bytes count no longer, as they are freed soon. */
+static void
+set_leaving(struct itk_conn *conn, uint64_t bytes)
+{
+	conn->itk->leaving += bytes - conn->leaving;
+	conn->leaving = bytes;
+}
+
+/* Its bytes no longer count as its own, but they are freed only later. */
 static bool
 close_conn(struct itk_conn *conn, enum itk_reason why)
 {
@@ -136,6 +148,7 @@
 	    why == ITK_IDLE_TIME)
 		return false;
 	conn->closing = true;
+	set_leaving(conn, conn->held + conn->whole + conn->unsent);
 	hold(conn, 0);
 	set_whole(conn, 0);
 	set_unsent(conn, 0);
@@ -143,6 +156,12 @@
 	return true;
 }
 
+static bool
+is_small(const struct itk_conn *conn)
+{
+	return 2 * conn->held * conn->itk->n_holds < conn->itk->held;
+}
+
 static bool
 is_stalled(const struct itk_conn *conn, int64_t now_ms)
 {
@@ -159,14 +178,11 @@
 static int
 rank_by_bytes(const struct itk_conn *conn, int64_t now_ms)
 {
-	bool is_small;
-
 	if (conn->closing || conn->held == 0)
 		return 0;
-	is_small = 2 * conn->held * conn->itk->n_holds < conn->itk->held;
 	if (conn->is_link)
-		return is_small ? 1 : 2;
-	if (is_small)
+		return is_small(conn) ? 1 : 2;
+	if (is_small(conn))
 		return 3;
 	return is_stalled(conn, now_ms) ? 5 : 4;
 }
@@ -202,6 +218,18 @@
 		close_conn(conn, ITK_BYTES);
 }
 
+/*
+ * Whether those that are closing still take as much as all others may.  Until it
+ * is freed, a large connection that would grow is closed in their place: in one
+ * turn of a thread, each of a crowd could take the bytes of another.
+ */
+static bool
+must_not_grow(const struct itk_conn *conn, uint64_t max_bytes)
+{
+	return !conn->closing && !conn->is_link &&
+	       conn->itk->leaving > max_bytes;
+}
+
 /*
  * As rank_by_bytes(), to make room for a connection: first those that have sent
  * nothing, then those with a part of a request or an answer that is not read, then
@@ -269,7 +297,7 @@
 	for (i = 0; i < itk->conns->len; i++) {
 		struct itk_conn *conn = itk->conns->pdata[i];
 
-		if (conn->unsent > 0)
+		if (conn->unsent > 0 && !conn->has_queue)
 			set_unsent(conn,
 			    MIN(conn->unsent,
 				itk->opts.unsent(conn->owner, itk->opts.ctx)));
@@ -318,6 +346,7 @@
 	hold(conn, 0);
 	set_whole(conn, 0);
 	set_unsent(conn, 0);
+	set_leaving(conn, 0);
 	if (!conn->closing)
 		itk->n_open--;
 	g_ptr_array_remove_index_fast(itk->conns, conn->index);
@@ -365,6 +394,9 @@
 		return;
 	hold(conn, conn->bytes + header_bytes(conn));
 	bound_bytes(conn->itk, now_ms);
+	if (must_not_grow(conn, conn->itk->opts.max_incomplete_bytes) &&
+	    !is_small(conn))
+		close_conn(conn, ITK_BYTES);
 }
 
 void
@@ -423,6 +455,19 @@
 		return;
 	set_unsent(conn, conn->unsent + bytes);
 	bound_unsent(conn->itk);
+	if (must_not_grow(conn, conn->itk->opts.max_unsent_bytes) &&
+	    conn->unsent > SMALL_ANSWER_BYTES)
+		close_conn(conn, ITK_UNSENT);
+}
+
+void
+itk_set_queue(struct itk_conn *conn, uint64_t bytes)
+{
+	if (conn->closing)
+		return;
+	conn->has_queue = true;
+	set_unsent(conn, bytes);
+	bound_unsent(conn->itk);
 }
 
 void
--- a/src/connection/intake.h
+++ b/src/connection/intake.h
@@ -88,6 +88,11 @@
 void itk_set_answer(struct itk_conn *conn, uint64_t bytes);
 /* Bytes of an answer were written.  May close connections, also this one. */
 void itk_sent(struct itk_conn *conn, uint64_t bytes, int64_t now_ms);
+/*
+ * For a link between processes: sets the bytes of messages that are not written
+ * yet.  May close connections, also this one.
+ */
+void itk_set_queue(struct itk_conn *conn, uint64_t bytes);
 /* The connection waits for its next request. */
 void itk_next_request(struct itk_conn *conn, int64_t now_ms);
 /*
--- a/src/connection/rpc.c
+++ b/src/connection/rpc.c
@@ -37,6 +37,7 @@
 	struct skw *watch;	/* NULL when closed */
 	struct cnl_conn *limit; /* NULL: none */
 	bool waits_writable;
+	bool queue_counted; /* cnl_set_queue() has more than 0 */
 	guint closed_id;
 	bool open;
 	bool detached;
@@ -389,6 +390,18 @@
 
 static void flush_output(struct rpc_conn *conn);
 
+/* Most messages are written at once, and then there is nothing to count. */
+static void
+count_queue(struct rpc_conn *conn)
+{
+	size_t bytes = conn->out->len - conn->out_pos;
+
+	if (conn->limit == NULL || (bytes == 0 && !conn->queue_counted))
+		return;
+	conn->queue_counted = bytes > 0;
+	cnl_set_queue(conn->limit, bytes);
+}
+
 static void
 wait_writable(struct rpc_conn *conn, bool wait)
 {
@@ -403,6 +416,7 @@
 
 	wait_writable(conn, false);
 	flush_output(conn);
+	count_queue(conn);
 	rpc_unref(conn);
 }
 
@@ -455,6 +469,7 @@
 	totals.bytes_out += len;
 	totals.records_out++;
 	flush_output(conn);
+	count_queue(conn);
 	return conn->open;
 }
 
--- a/tests/test_intake.c
+++ b/tests/test_intake.c
@@ -390,6 +390,25 @@
 }
 END_TEST
 
+/* Links between processes are closed only when callers are not enough. */
+START_TEST(links_are_closed_last)
+{
+	struct itk *itk = new_itk();
+
+	ck_assert(complete(itk, 0, 100));
+	open_end(itk, 1);
+	itk_make_link(ends[1].conn);
+	itk_set_queue(ends[1].conn, 900);
+	send_to(0, 200, 200);
+	ck_assert_int_eq(closed_end(ITK_UNSENT), 0);
+	ck_assert_uint_eq(itk_unsent_bytes(itk), 900);
+	ends[0].why = ITK_N_REASONS;
+	itk_set_queue(ends[1].conn, MAX_UNSENT_BYTES + 1);
+	ck_assert_int_eq(closed_end(ITK_UNSENT), 1);
+	close_all(itk);
+}
+END_TEST
+
 /* An answer of which nothing is taken ends; a job that waits does not. */
 START_TEST(unread_answer_has_time)
 {
@@ -434,5 +453,6 @@
     discarded_body_does_not_count, headers_count_as_parsed,
     large_requests_leave_room, lone_request_is_served,
     freed_body_does_not_count, unread_answers_are_bounded,
-    unread_answer_has_time, room_is_made_by_silent_connections,
-    times_are_bounded, bounds_hold_in_any_order)
+    links_are_closed_last, unread_answer_has_time,
+    room_is_made_by_silent_connections, times_are_bounded,
+    bounds_hold_in_any_order)
