Bound what clients of the stand-alone programs take together

The settings of the limits are one struct with one table for all programs, and limitshares starts them, so that the three daemons differ in defaults only: 1,024 MB here, and the descriptors that the system allows. There is always room for a body of max_body_bytes. Accepted links count like those of spjobd. A request that is over the limits is refused as overloaded in the callers' own form, with whether it ran. The operators' text is bounded before it is parsed, like the bodies of callers and endpoints. The port that a daemon has bound comes from its own socket now, since libsoup knows only the listener that keeps its connections open.

--- a/src/connection/httplisten.c
+++ b/src/connection/httplisten.c
@@ -17,6 +17,8 @@
 #define LIMIT_KEY     "sequoiaplank-body-limit"
 #define TOO_LARGE_KEY "sequoiaplank-body-too-large"
 #define ACCEPTOR_KEY  "sequoiaplank-acceptor"
+#define BUSY_KEY      "sequoiaplank-busy"
+#define PORT_KEY      "sequoiaplank-port"
 #define BUSY_RETRY_S  "1" /* Retry-After */
 
 struct handler {
@@ -42,7 +44,7 @@
 on_receive_timeout(gpointer data)
 {
 	struct timer *timer = data;
-	GSocket *socket = soup_server_message_get_socket(timer->msg);
+	GSocket *socket = frm_socket(timer->msg);
 
 	timer->id = 0;
 	if (socket != NULL)
@@ -110,6 +112,26 @@
 	return true;
 }
 
+/* An accepted connection does not tell it: libsoup has a listener of its own. */
+static void
+remember_port(SoupServer *server, GSocket *socket)
+{
+	g_autoptr(GSocketAddress) address =
+	    g_socket_get_local_address(socket, NULL);
+	guint port = address == NULL ? 0
+				     : g_inet_socket_address_get_port(
+					   G_INET_SOCKET_ADDRESS(address));
+
+	g_object_set_data(G_OBJECT(server), PORT_KEY, GUINT_TO_POINTER(port));
+}
+
+uint16_t
+hl_port(SoupServer *server)
+{
+	return (uint16_t)GPOINTER_TO_UINT(
+	    g_object_get_data(G_OBJECT(server), PORT_KEY));
+}
+
 bool
 hl_listen(SoupServer *server, const char *listen, struct status *st)
 {
@@ -123,6 +145,8 @@
 	socket = bind_socket(address, &error);
 	g_object_unref(address);
 	ok = socket != NULL;
+	if (ok)
+		remember_port(server, socket);
 	if (ok && cnl_is_started())
 		ok = accept_metered(server, socket, &error);
 	else if (ok)
@@ -135,22 +159,35 @@
 	return ok;
 }
 
-/* What the request holds is freed at once, also while its answer is unread. */
 static void
 answer_busy(SoupServerMessage *msg)
 {
 	static const char text[] =
 	    "{\"reason\":\"too many requests are being served\"}";
+
+	soup_server_message_set_status(
+	    msg, SOUP_STATUS_SERVICE_UNAVAILABLE, NULL);
+	soup_server_message_set_response(msg, "application/json",
+	    SOUP_MEMORY_STATIC, text, sizeof(text) - 1);
+}
+
+/* What the request holds is freed at once, also while its answer is unread. */
+static void
+refuse_busy(SoupServer *server, SoupServerMessage *msg, const char *path,
+    GHashTable *query)
+{
+	const struct handler *busy =
+	    g_object_get_data(G_OBJECT(server), BUSY_KEY);
 	SoupMessageHeaders *headers =
 	    soup_server_message_get_response_headers(msg);
 
 	soup_message_body_truncate(soup_server_message_get_request_body(msg));
+	if (busy != NULL)
+		busy->fn(server, msg, path, query, busy->data);
+	else
+		answer_busy(msg);
 	soup_message_headers_replace(headers, "Retry-After", BUSY_RETRY_S);
 	soup_message_headers_replace(headers, "Connection", "close");
-	soup_server_message_set_status(
-	    msg, SOUP_STATUS_SERVICE_UNAVAILABLE, NULL);
-	soup_server_message_set_response(msg, "application/json",
-	    SOUP_MEMORY_STATIC, text, sizeof(text) - 1);
 }
 
 static void
@@ -160,7 +197,7 @@
 	const struct handler *handler = data;
 
 	if (!cnl_request_done(frm_limit(msg))) {
-		answer_busy(msg);
+		refuse_busy(server, msg, path, query);
 		return;
 	}
 	handler->fn(server, msg, path, query, handler->data);
@@ -168,15 +205,29 @@
 	    (uint64_t)soup_server_message_get_response_body(msg)->length);
 }
 
-void
-hl_add_handler(
-    SoupServer *server, const char *path, SoupServerCallback fn, void *data)
+static struct handler *
+new_handler(SoupServerCallback fn, void *data)
 {
 	struct handler *handler = g_new0(struct handler, 1);
 
 	handler->fn = fn;
 	handler->data = data;
-	soup_server_add_handler(server, path, on_request, handler, g_free);
+	return handler;
+}
+
+void
+hl_set_busy_handler(SoupServer *server, SoupServerCallback fn, void *data)
+{
+	g_object_set_data_full(
+	    G_OBJECT(server), BUSY_KEY, new_handler(fn, data), g_free);
+}
+
+void
+hl_add_handler(
+    SoupServer *server, const char *path, SoupServerCallback fn, void *data)
+{
+	soup_server_add_handler(
+	    server, path, on_request, new_handler(fn, data), g_free);
 }
 
 void
--- a/src/connection/httplisten.h
+++ b/src/connection/httplisten.h
@@ -24,6 +24,13 @@
  */
 void hl_add_handler(
     SoupServer *server, const char *path, SoupServerCallback fn, void *data);
+/*
+ * Replaces the answer to a request that is over the limits of the process; fn sets
+ * a status and a body.
+ */
+void hl_set_busy_handler(SoupServer *server, SoupServerCallback fn, void *data);
+/* The port that hl_listen() has bound. */
+uint16_t hl_port(SoupServer *server);
 /* Stops listening and closes all connections. */
 void hl_disconnect(SoupServer *server);
 /*
--- a/src/connection/intake.h
+++ b/src/connection/intake.h
@@ -8,7 +8,7 @@
  * Decides which of a process's connections are closed, so that all of them
  * together stay within bounds on connections, on the memory of requests, and on
  * time.  It has no sockets and no clock; see
- * docs/design/incomplete-input.md.
+ * docs/design/client-limits.md.
  */
 struct itk;
 struct itk_conn;
--- a/src/connection/localhttp.c
+++ b/src/connection/localhttp.c
@@ -122,9 +122,8 @@
 	lh = g_new0(struct lh, 1);
 	lh->opts = *opts;
 	lh->server = soup_server_new(NULL, NULL);
-	soup_server_add_handler(
-	    lh->server, "/v1/announce", on_announce, lh, NULL);
-	soup_server_add_handler(lh->server, NULL, on_get, lh, NULL);
+	hl_add_handler(lh->server, "/v1/announce", on_announce, lh);
+	hl_add_handler(lh->server, NULL, on_get, lh);
 	soup_server_add_early_handler(lh->server, NULL, on_headers, lh, NULL);
 	soup_server_add_early_handler(
 	    lh->server, "/v1/announce", on_headers, lh, NULL);
@@ -141,7 +140,7 @@
 {
 	if (lh == NULL)
 		return;
-	soup_server_disconnect(lh->server);
+	hl_disconnect(lh->server);
 	g_object_unref(lh->server);
 	g_free(lh);
 }
--- a/src/process/agent.c
+++ b/src/process/agent.c
@@ -4,7 +4,9 @@
 #include <sys/random.h>
 
 #include "connection/announce.h"
+#include "connection/connlimit.h"
 #include "connection/entryset.h"
+#include "connection/limitshares.h"
 #include "connection/localhttp.h"
 #include "connection/rpc.h"
 #include "process/agent.h"
@@ -17,7 +19,8 @@
 #include "request/outcome.h"
 #include "version/fresh.h"
 
-#define AGENT_TICK_MS 100
+#define AGENT_TICK_MS  100
+#define MAX_MESSAGE_KB 4096 /* of a link */
 /* Shorter delays of a tick occur on a busy machine and are not a pause. */
 #define PAUSE_MIN_MS 500
 /*
@@ -495,6 +498,7 @@
 	}
 	agent->loop = g_main_loop_new(NULL, FALSE);
 	make_executor(agent);
+	lsh_start(&set->limits, MAX_MESSAGE_KB, agent->counters);
 	lh = (struct lh_options){
 	    .listen = set->listen,
 	    .ann = agent->ann,
@@ -544,6 +548,7 @@
 	ann_free(agent->ann);
 	fresh_free(agent->fresh);
 	trc_free(agent->traces);
+	cnl_stop();
 	ctr_free(agent->counters);
 	g_main_loop_unref(agent->loop);
 	g_free(agent->announced_service);
--- a/src/process/entry.c
+++ b/src/process/entry.c
@@ -4,6 +4,8 @@
 #include <sys/random.h>
 
 #include "connection/agentlink.h"
+#include "connection/connlimit.h"
+#include "connection/limitshares.h"
 #include "connection/listener.h"
 #include "process/clock.h"
 #include "process/entry.h"
@@ -30,6 +32,8 @@
 #define MAX_OUTSTANDING_STARTS 200000U
 #define MAX_WAITERS_PER_JOB    64
 #define MAX_HTTP_REQUESTS      20000
+#define MAX_MESSAGE_KB	       4096 /* of a link */
+#define BYTES_PER_KB	       1024
 #define MAX_JOB_BYTES	       (2ULL << 30) /* payloads and results */
 /* Budget for retries of starts with an unknown outcome. */
 #define RETRY_PERCENT	   10  /* of requests */
@@ -634,6 +638,9 @@
 	entry->set = set;
 	entry->loop = g_main_loop_new(NULL, FALSE);
 	entry->counters = ctr_new();
+	lsh_start(&set->limits,
+	    MAX(MAX_MESSAGE_KB, (int64_t)(set->max_body_bytes / BYTES_PER_KB)),
+	    entry->counters);
 	entry->traces = trc_new(set->trace_spans);
 	entry->ids = id_new_random();
 	entry->self.incarnation = id_incarnation(entry->ids);
@@ -704,6 +711,7 @@
 	fresh_free(entry->fresh);
 	id_free(entry->ids);
 	trc_free(entry->traces);
+	cnl_stop();
 	ctr_free(entry->counters);
 	g_main_loop_unref(entry->loop);
 	g_free(entry);
--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -41,6 +41,20 @@
 #define OPT	  JSONC_OPTIONAL
 
 /* clang-format off */
+/* Defaults: memory, descriptors and times to receive a head and a body. */
+#define LIMITS(AT, MEMORY_MB, MIN_MB, FDS, MIN_FDS, HEAD_MS, BODY_MS) \
+    {"memory_mb", INT64, OPT, AT(limits.memory_mb), NULL, MEMORY_MB, MIN_MB, 1048576}, \
+    {"max_fds", UINT32, OPT, AT(limits.max_fds), NULL, FDS, MIN_FDS, 1000000}, \
+    {"max_connections", UINT32, OPT, AT(limits.max_connections), NULL, 0, 0, 100000}, \
+    {"max_incomplete_kb", INT64, OPT, AT(limits.max_incomplete_kb), NULL, 0, 0, 16 * MIB}, \
+    {"max_whole_kb", INT64, OPT, AT(limits.max_whole_kb), NULL, 0, 0, 16 * MIB}, \
+    {"max_unsent_kb", INT64, OPT, AT(limits.max_unsent_kb), NULL, 0, 0, 16 * MIB}, \
+    {"max_json_kb", INT64, OPT, AT(limits.max_json_kb), NULL, 0, 0, 16 * MIB}, \
+    {"header_timeout_ms", INT64, OPT, AT(limits.header_timeout_ms), NULL, HEAD_MS, 100, HOUR_MS}, \
+    {"body_timeout_ms", INT64, OPT, AT(limits.body_timeout_ms), NULL, BODY_MS, 100, HOUR_MS}, \
+    {"idle_timeout_ms", INT64, OPT, AT(limits.idle_timeout_ms), NULL, 60000, 100, HOUR_MS}, \
+    {"send_timeout_ms", INT64, OPT, AT(limits.send_timeout_ms), NULL, 30000, 100, HOUR_MS}
+
 static const struct field entry_fields[] = {
     {"name", NAME, REQ, E(name), NULL, 0, 0, 0},
     {"failure_domain", NAME, REQ, E(failure_domain), NULL, 0, 0, 0},
@@ -69,6 +83,7 @@
     {"max_body_bytes", UINT64, OPT, E(max_body_bytes), NULL, 16 * MIB, KIB, 1024 * MIB},
     {"agent_queue", UINT32, OPT, E(agent_queue), NULL, 1, 0, 1000},
     {"trace_spans", UINT32, OPT, E(trace_spans), NULL, 4096, 0, 1000000},
+    LIMITS(E, 1024, 64, 0, 0, 60000, 60000),
 };
 
 static const struct field agent_fields[] = {
@@ -88,6 +103,7 @@
     {"max_queue", UINT32, OPT, A(max_queue), NULL, 64, 0, 100000},
     {"max_answer_bytes", UINT64, OPT, A(max_answer_bytes), NULL, 1 * MIB, KIB, 1 * MIB},
     {"trace_spans", UINT32, OPT, A(trace_spans), NULL, 4096, 0, 1000000},
+    LIMITS(A, 1024, 64, 0, 0, 60000, 60000),
 };
 
 #define J(member) offsetof(struct set_job, member)
@@ -102,17 +118,7 @@
     {"interference", BOOL, OPT, J(interference), NULL, 0, 0, 0}, \
     {"log_lines_per_s", UINT32, OPT, J(log_lines_per_s), NULL, 20, 0, 100000}, \
     {"cancelled_jobs", UINT32, OPT, J(cancelled_jobs), NULL, 100000, 1000, 1000000}, \
-    {"memory_mb", INT64, OPT, J(memory_mb), NULL, 120, 16, 1048576}, \
-    {"max_fds", UINT32, OPT, J(max_fds), NULL, 3075, 64, 1000000}, \
-    {"max_connections", UINT32, OPT, J(max_connections), NULL, 0, 0, 100000}, \
-    {"max_incomplete_kb", INT64, OPT, J(max_incomplete_kb), NULL, 0, 0, 16 * MIB}, \
-    {"max_whole_kb", INT64, OPT, J(max_whole_kb), NULL, 0, 0, 16 * MIB}, \
-    {"max_unsent_kb", INT64, OPT, J(max_unsent_kb), NULL, 0, 0, 16 * MIB}, \
-    {"max_json_kb", INT64, OPT, J(max_json_kb), NULL, 0, 0, 16 * MIB}, \
-    {"header_timeout_ms", INT64, OPT, J(header_timeout_ms), NULL, 10000, 100, HOUR_MS}, \
-    {"body_timeout_ms", INT64, OPT, J(body_timeout_ms), NULL, 30000, 100, HOUR_MS}, \
-    {"idle_timeout_ms", INT64, OPT, J(idle_timeout_ms), NULL, 60000, 100, HOUR_MS}, \
-    {"send_timeout_ms", INT64, OPT, J(send_timeout_ms), NULL, 30000, 100, HOUR_MS}
+    LIMITS(J, 120, 16, 3075, 64, 10000, 30000)
 
 static const struct field job_entry_fields[] = {
     JOB_COMMON,
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -6,6 +6,22 @@
 
 #include "process/status.h"
 
+/* What clients may take, of which most defaults are shares of the resources. */
+struct set_limits {
+	int64_t memory_mb; /* of the process */
+	uint32_t max_fds;  /* of the process; 0: as many as the system allows */
+	/* On accepted connections; 0: a share of the above. */
+	uint32_t max_connections;
+	int64_t max_incomplete_kb; /* of requests that are not whole */
+	int64_t max_whole_kb;	   /* of whole requests until their end */
+	int64_t max_unsent_kb;	   /* of answers that are not read */
+	int64_t max_json_kb;	   /* of one document once it is parsed */
+	int64_t header_timeout_ms; /* for a whole head */
+	int64_t body_timeout_ms;   /* from there to a whole body */
+	int64_t idle_timeout_ms;   /* between requests */
+	int64_t send_timeout_ms;   /* without a byte of an answer being taken */
+};
+
 /* Settings of spentryd.  Strings and arrays are owned by the struct. */
 struct set_entry {
 	char *name;
@@ -39,6 +55,7 @@
 	uint64_t max_body_bytes;
 	uint32_t agent_queue; /* limit of tasks sent beyond an agent's slots */
 	uint32_t trace_spans;
+	struct set_limits limits;
 };
 
 /* Settings of spagentd.  Strings and arrays are owned by the struct. */
@@ -63,6 +80,7 @@
 	uint32_t max_queue; /* starts queued for a slot */
 	uint64_t max_answer_bytes;
 	uint32_t trace_spans;
+	struct set_limits limits;
 };
 
 /*
@@ -99,19 +117,7 @@
 	uint32_t max_runs;	 /* of an agent at a time */
 	uint32_t max_queued_starts; /* agent: of all entries */
 	uint32_t log_lines_per_s;   /* of each event type */
-	/* Resources of the process, of which the defaults below are shares. */
-	int64_t memory_mb;
-	uint32_t max_fds;
-	/* Bounds on accepted connections; 0: a share of the above. */
-	uint32_t max_connections;
-	int64_t max_incomplete_kb; /* of requests that are not whole */
-	int64_t max_whole_kb;	   /* of whole requests until their end */
-	int64_t max_unsent_kb;	   /* of answers that are not read */
-	int64_t max_json_kb;	   /* of one document once it is parsed */
-	int64_t header_timeout_ms; /* for a whole head */
-	int64_t body_timeout_ms;   /* from there to a whole body */
-	int64_t idle_timeout_ms;   /* between requests */
-	int64_t send_timeout_ms;   /* without a byte of an answer being taken */
+	struct set_limits limits;
 };
 
 /* NULL on error; st names the file, line, key and the expected value. */
--- a/src/request/callers.c
+++ b/src/request/callers.c
@@ -279,6 +279,15 @@
 		hr_refuse(msg, REF_NOT_FOUND, "no such path");
 }
 
+static void
+on_busy(SoupServer *server, SoupServerMessage *msg, const char *path,
+    GHashTable *query, gpointer data)
+{
+	(void)server;
+	(void)query;
+	refuse_headers(data, msg, path, REF_OVERLOADED);
+}
+
 /* Serves requests from the default main context. */
 struct http *
 http_new(const struct http_options *opts, struct status *st)
@@ -297,7 +306,8 @@
 	    "server-header", "sequoiaplank", NULL);
 	soup_server_add_early_handler(
 	    http->server, NULL, on_headers, http, NULL);
-	soup_server_add_handler(http->server, NULL, on_request, http, NULL);
+	hl_add_handler(http->server, NULL, on_request, http);
+	hl_set_busy_handler(http->server, on_busy, http);
 	hl_set_receive_timeout(http->server,
 	    opts->receive_ms > 0 ? opts->receive_ms : HL_RECEIVE_TIMEOUT_MS);
 	if (!hl_listen(http->server, opts->listen, st)) {
@@ -310,7 +320,7 @@
 void
 http_free(struct http *http)
 {
-	soup_server_disconnect(http->server);
+	hl_disconnect(http->server);
 	g_object_unref(http->server);
 	g_free(http);
 }
@@ -319,11 +329,7 @@
 uint16_t
 http_port(const struct http *http)
 {
-	GSList *uris = soup_server_get_uris(http->server);
-	int port = uris != NULL ? g_uri_get_port(uris->data) : 0;
-
-	g_slist_free_full(uris, (GDestroyNotify)g_uri_unref);
-	return (uint16_t)port;
+	return hl_port(http->server);
 }
 
 uint32_t
--- a/src/request/operators.c
+++ b/src/request/operators.c
@@ -8,6 +8,7 @@
 #include "operators.h"
 #include "process/clock.h"
 #include "process/jsonc.h"
+#include "process/jsontext.h"
 
 #define MAX_BODY_BYTES (2L * 1024 * 1024)
 
@@ -437,6 +438,10 @@
 		refuse(msg, ST_LIMIT, "the request body is larger than 2 MB");
 		return;
 	}
+	if (body->length > 0 && !jtx_fits(body->data, (size_t)body->length)) {
+		refuse(msg, ST_LIMIT, "the request body takes too much memory");
+		return;
+	}
 	doc = jsonc_parse("request", body->data == NULL ? "" : body->data,
 	    (size_t)body->length, &st);
 	if (doc == NULL || !jsonc_root(doc, &root, &st))
@@ -533,14 +538,10 @@
 static bool
 start_listening(struct ops *ops, struct status *st)
 {
-	GSList *uris;
-
 	hl_set_receive_timeout(ops->server, HL_RECEIVE_TIMEOUT_MS);
 	if (!hl_listen(ops->server, ops->opts.listen, st))
 		return false;
-	uris = soup_server_get_uris(ops->server);
-	ops->port = (uint16_t)g_uri_get_port(uris->data);
-	g_slist_free_full(uris, (GDestroyNotify)g_uri_unref);
+	ops->port = hl_port(ops->server);
 	return true;
 }
 
@@ -553,7 +554,7 @@
 	ops->waiting = g_ptr_array_new();
 	ops->server = soup_server_new("server-header", "spentryd", NULL);
 	soup_server_add_early_handler(ops->server, NULL, on_headers, ops, NULL);
-	soup_server_add_handler(ops->server, NULL, on_request, ops, NULL);
+	hl_add_handler(ops->server, NULL, on_request, ops);
 	if (start_listening(ops, st))
 		return ops;
 	ops_free(ops);
@@ -574,7 +575,7 @@
 		request_free(request);
 	}
 	g_ptr_array_free(ops->waiting, TRUE);
-	soup_server_disconnect(ops->server);
+	hl_disconnect(ops->server);
 	g_object_unref(ops->server);
 	g_free(ops);
 }
