--- a/src/connection/connlimit.c
+++ b/src/connection/connlimit.c
@@ -12,7 +12,7 @@
 #define TICK_MS	  200
 #define LOG_TICKS 5 /* between lines of the log */
 /* Of a connection with a large body; the kernel holds up to twice as much. */
-#define WIDE_BUFFER_BYTES 65536
+#define WIDE_BUFFER_BYTES 65536U
 
 static const char head_too_large[] =
     "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\n"
@@ -198,7 +198,7 @@
 	state.times = state.limits = opts->times;
 	state.itk = itk_new(&itk);
 	state.max_wide =
-	    (uint32_t)(opts->max_wide_bytes / (2 * WIDE_BUFFER_BYTES));
+	    (uint32_t)(opts->max_wide_bytes / (2UL * WIDE_BUFFER_BYTES));
 	make_counters(opts->counters);
 	state.tick_id = g_timeout_add(TICK_MS, on_tick, NULL);
 }
--- a/tests/test_flood_daemons.c
+++ b/tests/test_flood_daemons.c
@@ -7,7 +7,7 @@
 #include "runner.h"
 #include "system.h"
 
-#define MEMORY_MB 64
+#define MEMORY_KB (INT64_C(64) * 1024)
 #define MAX_FDS	  640
 #define FILE_FDS  200 /* descriptors that are kept for files */
 #define SETTINGS  ",\"memory_mb\":64,\"max_fds\":640"
@@ -124,7 +124,7 @@
 	    (int)row->port, row->name, (int)peak.total_kb, (int)peak.anon_kb,
 	    (int)peak.unread_kb, (int)peak.unsent_kb, (int)peak.fds);
 	fflush(stdout);
-	ck_assert_int_lt(peak.total_kb, MEMORY_MB * 1024 * FL_SANITIZER_FACTOR);
+	ck_assert_int_lt(peak.total_kb, MEMORY_KB * FL_SANITIZER_FACTOR);
 	ck_assert_int_le(peak.fds, MAX_FDS - FILE_FDS);
 	ck_assert(sys_wait_job_completes(&sys, 0, HN_LIMIT_MS));
 	fl_free(fl);
--- a/tests/test_flood_requests.c
+++ b/tests/test_flood_requests.c
@@ -15,7 +15,7 @@
 #include "flood.h"
 #include "runner.h"
 
-#define MEMORY_MB 32
+#define MEMORY_KB (INT64_C(32) * 1024)
 #define MAX_FDS	  640
 #define FILE_FDS  200 /* descriptors that the platform keeps for files */
 #define SETTINGS  "\"memory_mb\":32,\"max_fds\":640"
@@ -26,7 +26,8 @@
 #define LARGE_BODY   900000
 #define UNREAD_BYTES 400000 /* that a connection sends without reading */
 #define SHORT_READ   64
-#define LATER_HEAD   90000 /* below the limit of libsoup */
+#define OVERLONG     3600000 /* letters of a header */
+#define LATER_HEAD   90000   /* below the limit of libsoup */
 
 #define JOB_START "{\"spec\":\"20000\",\"best_effort\":true,"
 /* Three of these fill the workers, and the others wait. */
@@ -212,7 +213,7 @@
 static GString *
 head_over_limit(unsigned i)
 {
-	g_autofree char *letters = g_strnfill(4 * LARGE_BODY, 'x');
+	g_autofree char *letters = g_strnfill(OVERLONG, 'x');
 	GString *text = g_string_new("GET /" HOST "X-Large: ");
 
 	(void)i;
@@ -389,7 +390,7 @@
 	    port, name, (int)peak.total_kb, (int)peak.anon_kb,
 	    (int)peak.unread_kb, (int)peak.unsent_kb, (int)peak.fds);
 	fflush(stdout);
-	ck_assert_msg(peak.total_kb < MEMORY_MB * 1024 * FL_SANITIZER_FACTOR,
+	ck_assert_msg(peak.total_kb < MEMORY_KB * FL_SANITIZER_FACTOR,
 	    "port %d, %s: %d kB", port, name, (int)peak.total_kb);
 	ck_assert_msg(peak.fds <= MAX_FDS - FILE_FDS,
 	    "port %d, %s: %d descriptors", port, name, (int)peak.fds);
