Keep the shares of clients below three quarters of the memory

With an eighth each for unsent answers and for one document the bounds came to 87% of the memory. They are a sixteenth each now, 74% in all; the largest job still fits. Rows 13, 15, 16, 21 and 23 of test_flood_requests pass (2 to 18 MB of 32). CAPACITY has the parts.

--- a/src/connection/limitshares.c
+++ b/src/connection/limitshares.c
@@ -15,9 +15,9 @@
 /* Parts of the memory; input that is not whole takes up to twice its bytes. */
 #define INCOMPLETE_SHARE 16
 #define WHOLE_SHARE	 8
-#define UNSENT_SHARE	 8
+#define UNSENT_SHARE	 16
 #define WIDE_SHARE	 16
-#define JSON_SHARE	 8
+#define JSON_SHARE	 16
 
 /* Holds the largest job, of 256 steps that each name all before them. */
 #define MIN_JSON_KB 6144
