Do not take a 100 Continue for the begin of an answer

Found by reading the change: a caller that expects 100 Continue has been written to before its request is whole, so that its job, while it waited, would have been closed after send_timeout_ms, or for a new connection. A body in chunks counted as part of the head until the answer.

unread_answer_has_time of test_intake has the case, and failed before.

--- a/src/connection/intake.c
+++ b/src/connection/intake.c
@@ -405,8 +405,10 @@
 void
 itk_head_done(struct itk_conn *conn, int64_t now_ms)
 {
+	/* A body that came in chunks is handed over with a head of its own. */
+	if (conn->phase != BODY)
+		conn->head_bytes = conn->bytes;
 	begin(conn, BODY, now_ms);
-	conn->head_bytes = conn->bytes;
 }
 
 void
@@ -424,6 +426,8 @@
 
 	conn->phase = SERVED;
 	conn->proven = true;
+	/* It may have sent a 100 Continue. */
+	conn->is_sending = conn->is_sending && !is_new;
 	hold(conn, 0);
 	if (!is_new || conn->closing)
 		return true;
--- a/tests/test_intake.c
+++ b/tests/test_intake.c
@@ -409,13 +409,20 @@
 }
 END_TEST
 
-/* An answer of which nothing is taken ends; a job that waits does not. */
+/*
+ * An answer of which nothing is taken ends; a job that waits does not, also after
+ * a 100 Continue.
+ */
 START_TEST(unread_answer_has_time)
 {
 	struct itk *itk = new_itk();
 
 	ck_assert(complete(itk, 0, 100));
-	ck_assert(complete(itk, 1, 100));
+	open_end(itk, 1);
+	itk_received(ends[1].conn, 100, now_ms);
+	itk_head_done(ends[1].conn, now_ms);
+	send_to(1, 25, 0);
+	ck_assert(itk_request_done(ends[1].conn));
 	send_to(0, 10, 10);
 	now_ms += 4000;
 	itk_tick(itk, now_ms);
