--- a/tests/test_flood_requests.c
+++ b/tests/test_flood_requests.c
@@ -279,6 +279,19 @@
 	return g_string_new_len(record, sizeof(mark) + xdr_getpos(&xdrs));
 }
 
+/* A link, and the begin of a large message on it. */
+static GString *
+link_with_large_record(unsigned i)
+{
+	g_autofree char *letters = g_strnfill(LARGE_BODY, 'x');
+	uint32_t mark = htonl(0x80000000U | (LARGE_BODY + 1000));
+	GString *text = opened_link(i);
+
+	g_string_append_len(text, (const char *)&mark, sizeof(mark));
+	g_string_append(text, letters);
+	return text;
+}
+
 #define HEADS	  100
 #define BODIES	  60
 #define TREES	  4
@@ -346,6 +359,7 @@
     {"silent connections", WORKER, ONCE(SILENT, nothing)},
     {"silent connections", RPC, ONCE(SILENT, nothing)},
     {"links that send no more", RPC, ONCE(SILENT, opened_link)},
+    {"links with large records", RPC, ONCE(HEADS, link_with_large_record)},
 };
 /* clang-format on */
 
