Notice that a caller leaves behind more bytes

The end of a connection comes behind all its bytes, and with a receive buffer of 8 KB the kernel of the caller keeps most of them.

A connection with input behind a job that waits gets the larger buffer, as those with large bodies do; the job is given up if none is left and the small buffer is nearly full. A job that arrives with more than 4 KB behind it is not accepted, as if its caller had gone: whether it has can't be told. No client sends so much ahead of its answer; it may be refused.

--- a/src/connection/connlimit.c
+++ b/src/connection/connlimit.c
@@ -414,13 +414,14 @@
 	g_mutex_unlock(&state.lock);
 }
 
-void
+bool
 cnl_widen(struct cnl_conn *conn)
 {
 	struct itk_conn *itk = lock(conn);
+	bool is_wide;
 
 	if (itk == NULL)
-		return;
+		return false;
 	if (!conn->is_wide && state.n_wide < state.max_wide) {
 		conn->is_wide = true;
 		state.n_wide++;
@@ -430,7 +431,9 @@
 		g_socket_set_option(conn->socket, IPPROTO_TCP, TCP_WINDOW_CLAMP,
 		    WIDE_BUFFER_BYTES, NULL);
 	}
+	is_wide = conn->is_wide;
 	g_mutex_unlock(&state.lock);
+	return is_wide;
 }
 
 void
--- a/src/connection/connlimit.h
+++ b/src/connection/connlimit.h
@@ -63,11 +63,11 @@
 bool cnl_is_in_head(struct cnl_conn *conn);
 void cnl_head_done(struct cnl_conn *conn, uint32_t n_headers);
 /*
- * Gives a connection with a large body a larger receive buffer until it closes,
- * if one is left.  Elsewhere input that waits is kept short, since it counts as
+ * Gives a connection a larger receive buffer until it closes.  Returns false if
+ * none is left.  Elsewhere input that waits is kept short, since it counts as
  * memory of the process.
  */
-void cnl_widen(struct cnl_conn *conn);
+bool cnl_widen(struct cnl_conn *conn);
 void cnl_discard(struct cnl_conn *conn);
 /* Returns false if the request must be refused. */
 bool cnl_request_done(struct cnl_conn *conn);
--- a/src/connection/httplisten.c
+++ b/src/connection/httplisten.c
@@ -19,7 +19,9 @@
 #define ACCEPTOR_KEY  "sequoiaplank-acceptor"
 #define BUSY_KEY      "sequoiaplank-busy"
 #define PORT_KEY      "sequoiaplank-port"
-#define BUSY_RETRY_S  "1" /* Retry-After */
+/* Below what the kernel takes of a connection that is not read. */
+#define MAX_SEEN_BYTES 4096
+#define BUSY_RETRY_S   "1" /* Retry-After */
 
 struct handler {
 	SoupServerCallback fn;
@@ -340,6 +342,12 @@
 	return n == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+bool
+hl_may_hide_end(GSocket *socket)
+{
+	return g_socket_get_available_bytes(socket) >= MAX_SEEN_BYTES;
+}
+
 GSource *
 hl_hangup_source(GSocket *socket, bool has_input)
 {
--- a/src/connection/httplisten.h
+++ b/src/connection/httplisten.h
@@ -65,6 +65,11 @@
  * it; also while data that it sent before is unread.
  */
 bool hl_client_has_gone(GSocket *socket);
+/*
+ * Whether so much input is unread that the end of the connection may be behind
+ * input that the kernel has not taken yet.
+ */
+bool hl_may_hide_end(GSocket *socket);
 /*
  * Returns a source with a GSocketSourceFunc, which is ready when the client has
  * closed or reset the connection.  Without has_input it is also ready when there
