--- a/tests/flood.c
+++ b/tests/flood.c
@@ -120,7 +120,9 @@
 	int64_t anon_kb = anonymous_kb(fl->pid, fl->texts.make != NULL);
 	int64_t unread_kb = 0, unsent_kb = 0;
 
-	count_queues(fl->port, &unread_kb, &unsent_kb);
+	/* Reading all sockets takes time, and the older crowds do not ask. */
+	if (fl->texts.make != NULL)
+		count_queues(fl->port, &unread_kb, &unsent_kb);
 	fl->peak.anon_kb = MAX(fl->peak.anon_kb, anon_kb);
 	fl->peak.unread_kb = MAX(fl->peak.unread_kb, unread_kb);
 	fl->peak.unsent_kb = MAX(fl->peak.unsent_kb, unsent_kb);
