--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -17,7 +17,6 @@
 build worker3 review/rig3/worker3.c
 for i in 11 12 13 14 15; do
 	if [ -e "review/$i/case.c" ]; then
-		build "case$i" "review/$i/case.c" review/rig3/rig3.c \
-		    review/rig3/proxy3.c -pthread
+		build "case$i" "review/$i/case.c" review/rig3/rig3.c
 	fi
 done
--- a/review/rig3/rig3.c
+++ b/review/rig3/rig3.c
@@ -139,13 +139,12 @@
 	proc->argv[i++] = g_build_filename(bin, "worker3", NULL);
 	proc->argv[i++] = g_strdup(worker->id);
 	proc->argv[i++] = g_strdup_printf("%d", worker->port);
-	proc->argv[i++] = g_strdup_printf("%d", worker->called_port);
+	proc->argv[i++] = g_strdup_printf("%d", worker->control_port);
 	proc->argv[i++] = g_strdup(worker->zone);
 	proc->argv[i++] = g_strdup(worker->service);
 	proc->argv[i++] = g_strdup(worker->labels);
 	proc->argv[i++] = g_strdup_printf("%lld", (long long)worker->cpu);
 	proc->argv[i++] = g_strdup_printf("%d", worker->command_port);
-	proc->argv[i++] = g_strdup_printf("%d", worker->shown_port);
 	rig_spawn(proc);
 }
 
@@ -172,17 +171,6 @@
 	worker->cpu = cpu;
 	worker->port = rig_free_port();
 	worker->control_port = rig_free_port();
-	worker->shown_port = worker->port;
-	worker->called_port = worker->control_port;
-	if (rig.with_proxies) {
-		worker->shown_port = rig_free_port();
-		worker->to_worker = prx_new(worker->shown_port, worker->port);
-		worker->called_port = rig_free_port();
-		worker->to_agent =
-		    prx_new(worker->called_port, worker->control_port);
-		if (worker->to_worker == NULL || worker->to_agent == NULL)
-			fail("no proxy");
-	}
 	worker->command_port = rig_free_port();
 	worker->proc.output = in_dir("worker%d.log", n);
 	rig.agent_port[n] = rig_free_port();
@@ -272,14 +260,6 @@
 	return proc->pid <= 0;
 }
 
-void
-rig_cut(struct rig_worker *worker, bool cut)
-{
-	rec("the link to %s is %s", worker->id, cut ? "cut" : "whole");
-	prx_hold(worker->to_worker, cut);
-	prx_hold(worker->to_agent, cut);
-}
-
 void
 rig_command(const struct rig_worker *worker, const char *text)
 {
--- a/review/rig3/rig3.h
+++ b/review/rig3/rig3.h
@@ -7,7 +7,6 @@
 #include <stdint.h>
 
 #include "log3.h"
-#include "proxy3.h"
 
 /*
  * Starts a small deployment on loopback addresses: spjobd as entries and agents,
@@ -32,16 +31,11 @@
 	char *labels;
 	int64_t cpu;
 	int port, control_port, command_port;
-	int shown_port;	 /* that it names as its own */
-	int called_port; /* that it sends heartbeats to */
-	/* Proxies between its agent and it, or NULL. */
-	struct prx *to_worker, *to_agent;
 };
 
 struct rig {
 	char *dir;
-	bool trouble;	   /* false with TROUBLE=0 */
-	bool with_proxies; /* set it before workers are added */
+	bool trouble; /* false with TROUBLE=0 */
 	int store_port, store_control_port;
 	struct rig_proc store;
 	struct rig_worker workers[RIG_MAX];
@@ -85,8 +79,6 @@
 void rig_kill(struct rig_proc *proc, const char *what);
 /* Waits for its end; false after the time. */
 bool rig_wait_end(struct rig_proc *proc, int64_t ms);
-/* Cuts the link between a worker and its agent; what is sent waits. */
-void rig_cut(struct rig_worker *worker, bool cut);
 void rig_command(const struct rig_worker *worker, const char *text);
 void rig_put(const char *key, const char *value);
 void rig_remove(const char *key);
--- a/review/rig3/worker3.c
+++ b/review/rig3/worker3.c
@@ -1,9 +1,8 @@
 /*
  * Stand-in for a worker: runs tasks under a lease, as the users' pages say.
  *
- * worker3 ID PORT CONTROL_PORT ZONE SERVICE LABELS CPU COMMAND_PORT SHOWN_PORT
+ * worker3 ID PORT CONTROL_PORT ZONE SERVICE LABELS CPU COMMAND_PORT
  *
- * SHOWN_PORT is the port that it names as its own, of a proxy perhaps.
  * The spec of a task is its run time in milliseconds, or "fail".  Datagrams to
  * the command port: "capacity MILLI", "drain", "leave", "late PERMILLE MIN MAX"
  * (calls to start and stop that get no answer and are executed later), "lost
@@ -45,7 +44,7 @@
 	const char *zone;
 	const char *service;
 	char **labels;
-	int shown_port;
+	int port;
 	int control_port;
 	int64_t cpu;
 	int64_t born_ms;
@@ -440,7 +439,7 @@
 
 #define ADD(key, value) json_object_object_add(body, key, value)
 	ADD("service", json_object_new_string(w.service));
-	text = g_strdup_printf("127.0.0.1:%d", w.shown_port);
+	text = g_strdup_printf("127.0.0.1:%d", w.port);
 	ADD("address", json_object_new_string(text));
 	g_free((char *)text);
 	ADD("zone", json_object_new_string(w.zone));
@@ -563,11 +562,11 @@
 	GSocketAddress *address;
 	GError *error = NULL;
 
-	if (argc != 10)
+	if (argc != 9)
 		return 2;
 	signal(SIGPIPE, SIG_IGN);
 	w.id = argv[1];
-	w.shown_port = atoi(argv[9]);
+	w.port = atoi(argv[2]);
 	w.control_port = atoi(argv[3]);
 	w.zone = argv[4];
 	w.service = argv[5];
@@ -582,8 +581,8 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	w.session = soup_session_new_with_options(
 	    "proxy-resolver", NULL, "timeout", 1, NULL);
-	address = g_inet_socket_address_new_from_string(
-	    "127.0.0.1", (guint)atoi(argv[2]));
+	address =
+	    g_inet_socket_address_new_from_string("127.0.0.1", (guint)w.port);
 	soup_server_add_handler(server, NULL, on_call, NULL, NULL);
 	if (!soup_server_listen(server, address, 0, &error)) {
 		fprintf(stderr, "worker3: %s\n", error->message);
