Fill the limits of the machine into the templates of review/1 to 5

Cause: brought {{limits.memory_mb}} and {{limits.max_fds}} to the templates in deploy/. The stand-in of these five cases fills the templates itself, did not know the two and ended with "NOT RUN unknown field", status 2, before it started anything.

Change: review/rig/nodes.c has values for both, those of the machines of the small sites (entry 260 MB and 4,100 descriptors, agent 128 MB and 4,096). Nothing else: claims, trouble, checks and bounds are as they were.

--- a/review/rig/nodes.c
+++ b/review/rig/nodes.c
@@ -12,6 +12,12 @@
 #define READY_MS    40000
 #define FIRST_ENTRY "entry-0"
 
+/* The limits of the small sites' machines. */
+#define ENTRY_MEMORY_MB 260
+#define ENTRY_MAX_FDS	4100
+#define AGENT_MEMORY_MB 128
+#define AGENT_MAX_FDS	4096
+
 struct node entries[RIG_ENTRIES], agents[RIG_WORKERS];
 int64_t (*nodes_delay_ms)(void);
 static char *folder;
@@ -70,6 +76,7 @@
 static void
 write_settings(struct node *node, const char *zone)
 {
+	bool is_entry = strcmp(node->role, "entry") == 0;
 	struct field fields[] = {
 	    {"{{node_name|json}}", g_strdup_printf("\"%s\"", node->name)},
 	    {"{{zone|json}}", g_strdup_printf("\"%s\"", zone)},
@@ -88,6 +95,12 @@
 		g_strdup_printf("%u", rig_free_port())},
 	    {"{{bounds.max_hold_ms}}",
 		g_strdup_printf("%d", BOUND_MAX_HOLD_MS)},
+	    {"{{limits.memory_mb}}",
+		g_strdup_printf(
+		    "%d", is_entry ? ENTRY_MEMORY_MB : AGENT_MEMORY_MB)},
+	    {"{{limits.max_fds}}",
+		g_strdup_printf(
+		    "%d", is_entry ? ENTRY_MAX_FDS : AGENT_MAX_FDS)},
 	    {NULL, NULL},
 	};
 	g_autofree char *template = g_strdup_printf("%s.json.in", node->role);
