Name the key of a missing value in settings

Seen: the last setting of a file without a value, as the platform writes where it has none, was refused with the line of the closing brace and without the key: "settings.json:18:1: expected a value".

Cause: the scan reported what it met in place of the value, which may be lines below.

Change: a member without a value is reported at its key, "KEY: value is missing".

--- a/src/process/jsonc_scan.c
+++ b/src/process/jsonc_scan.c
@@ -115,6 +115,22 @@
 	g_hash_table_replace(sc->positions, g_strdup(sc->path->str), position);
 }
 
+/* Reports a missing value at its key: what comes next may be lines below. */
+static bool
+check_value_begins(struct scan *sc)
+{
+	const struct jsonc_position *key =
+	    g_hash_table_lookup(sc->positions, sc->path->str);
+
+	if (!skip_space(sc))
+		return false;
+	if (sc->p >= sc->end || (*sc->p != ',' && *sc->p != '}'))
+		return true;
+	st_set(sc->st, ST_INVALID, "%s:%u:%u: %s: value is missing", sc->name,
+	    key->line, key->column, sc->path->str);
+	return false;
+}
+
 static bool
 scan_member(struct scan *sc, GHashTable *seen)
 {
@@ -141,7 +157,7 @@
 	if (sc->p >= sc->end || *sc->p != ':')
 		return scan_error(sc, sc->p, "expected \":\" after a key");
 	sc->p++;
-	ok = scan_value(sc);
+	ok = check_value_begins(sc) && scan_value(sc);
 	g_string_truncate(sc->path, path_len);
 	return ok;
 }
