Cancel jobs of routes that this process may have missed

Cause: former routes are known to a process that saw them being removed, and an entry took "I know of no such route" for "there was none".

Change: 404 only if the entry has followed the configuration for 660 s without a gap, or since the one that was written first (the store tells when a key was created), its copy is at most 2 s old, and no former route made room for another. Else the job is cancelled by its key, which needs no route: recorded, passed on, answered 200 when that is confirmed. This holds also without a configuration.

--- a/sim/store.c
+++ b/sim/store.c
@@ -17,6 +17,7 @@
 	char *key;
 	char *data;
 	int64_t revision;
+	int64_t created; /* revision of the first value */
 };
 
 struct client {
@@ -88,6 +89,7 @@
 	if (item == NULL) {
 		item = g_new0(struct item, 1);
 		item->key = g_strdup(key);
+		item->created = store.revision + 1;
 		g_ptr_array_add(store.items, item);
 	}
 	g_free(item->data);
@@ -135,7 +137,12 @@
 	for (i = 0; i < store.items->len && !call->failed; i++) {
 		const struct item *item = store.items->pdata[i];
 		struct ks_item row = {
-		    item->key, item->data, strlen(item->data), item->revision};
+		    .key = item->key,
+		    .data = item->data,
+		    .len = strlen(item->data),
+		    .revision = item->revision,
+		    .created = item->created,
+		};
 
 		if (g_str_has_prefix(item->key, call->prefix) &&
 		    item->revision > call->after)
--- a/src/process/entryconfig.c
+++ b/src/process/entryconfig.c
@@ -9,6 +9,11 @@
 	struct rts *routes;
 	char **out_names;
 	GHashTable *out_domains; /* the same as a set */
+	/*
+	 * Since when the copy was followed when it held the configuration that
+	 * was written first; 0: it never did.
+	 */
+	int64_t first_since_ms;
 };
 
 /* Returns whether the configuration is the first valid one. */
@@ -52,6 +57,8 @@
 	bool first = update_routes(ecf, mir_items(mir));
 
 	update_out_domains(ecf, mir_items(mir));
+	if (ecf->opts.layout->is_first(mir_items(mir)))
+		ecf->first_since_ms = mir_followed_since_ms(mir);
 	evt_write("config",
 	    evt_int(
 		"version", ecf->routes == NULL ? 0 : rts_version(ecf->routes)),
@@ -143,3 +150,15 @@
 		return -1;
 	return clk_now_ms() - mir_confirmed_ms(ecf->mirror);
 }
+
+bool
+ecf_has_seen_all(const struct ecf *ecf, int64_t for_ms)
+{
+	int64_t since_ms = mir_followed_since_ms(ecf->mirror);
+	int64_t age_ms = ecf_age_ms(ecf);
+
+	if (ecf->routes == NULL || age_ms < 0 || age_ms > ECF_CURRENT_MS)
+		return false;
+	return since_ms == ecf->first_since_ms ||
+	       clk_now_ms() - since_ms >= for_ms;
+}
--- a/src/process/entryconfig.h
+++ b/src/process/entryconfig.h
@@ -16,6 +16,9 @@
  */
 #define ECF_STORE_WATCH_MS 1500
 
+/* Within this time a new configuration is in force everywhere. */
+#define ECF_CURRENT_MS 2000
+
 /*
  * What an entry knows of the operators' configuration: a copy of their keys in
  * the store, with the queues and the failure domains that are out of service.
@@ -28,6 +31,8 @@
 	const char *out_prefix; /* of those that out() reads */
 	/* NULL when the items hold no valid configuration. */
 	struct rts *(*routes)(GHashTable *items, struct status *st);
+	/* Whether the items hold the configuration that was written first. */
+	bool (*is_first)(GHashTable *items);
 	/* Failure domains out of service; freed with g_strfreev(). */
 	char **(*out)(GHashTable *items);
 };
@@ -57,6 +62,12 @@
 /* Time since the store has confirmed the copy; -1: there is none. */
 int64_t ecf_age_ms(const struct ecf *ecf);
 
+/*
+ * Whether this process has seen each configuration that was in force in the last
+ * for_ms, as far as the store had told by ECF_CURRENT_MS ago.
+ */
+bool ecf_has_seen_all(const struct ecf *ecf, int64_t for_ms);
+
 /* Logs that the store can be reached again, or why it can't. */
 void ecf_log_store(const char *copy, bool reachable, const struct status *st,
     int64_t revision);
--- a/src/process/jobcancel.c
+++ b/src/process/jobcancel.c
@@ -486,8 +486,11 @@
 }
 
 bool
-jcn_had_route(
+jcn_may_have_had_route(
     struct jcn *jcn, const char *host, const char *path, const char *job)
 {
-	return frt_has(jcn->former_routes, host, path, job, clk_now_ms());
+	int64_t now_ms = clk_now_ms();
+
+	return frt_has(jcn->former_routes, host, path, job, now_ms) ||
+	       !frt_is_complete(jcn->former_routes, now_ms);
 }
--- a/src/process/jobcancel.h
+++ b/src/process/jobcancel.h
@@ -49,8 +49,8 @@
 
 /* The configuration has changed; routes may be NULL. */
 void jcn_routes_changed(struct jcn *jcn, const struct rts *routes);
-/* Whether the path is that of a job whose route was removed lately. */
-bool jcn_had_route(
+/* Whether the path may be that of a job whose route was removed lately. */
+bool jcn_may_have_had_route(
     struct jcn *jcn, const char *host, const char *path, const char *job);
 
 /*
--- a/src/process/jobentry.c
+++ b/src/process/jobentry.c
@@ -15,6 +15,7 @@
 #include "request/cancelled.h"
 #include "request/jobsize.h"
 #include "request/sched.h"
+#include "version/formerroutes.h"
 
 #define JE_TICK_MS 50
 /* A longer gap between ticks means that this process was paused. */
@@ -827,6 +828,18 @@
 		answer_now(fn, ctx, JE_UNKNOWN_JOB, "no such job here", 0);
 }
 
+/*
+ * Whether another entry may have a job of this path open, by a configuration
+ * that is no longer in force or that this process has not seen.
+ */
+static bool
+may_be_open(struct je *je, const char *host, const char *path, const char *job)
+{
+	return jcn_may_have_had_route(je->cancels, host, path, job) ||
+	       !ecf_has_seen_all(je->config, FRT_KEEP_MS);
+}
+
+/* A job is cancelled by the key of its path, for which no queue is needed. */
 void
 je_cancel(struct je *je, const char *host, const char *path, const char *job,
     je_answer_fn fn, void *ctx)
@@ -834,7 +847,7 @@
 	uint64_t key = ccl_key(host, path);
 
 	if (!jcn_is_open(je->cancels, key, job) &&
-	    !jcn_had_route(je->cancels, host, path, job) &&
+	    !may_be_open(je, host, path, job) &&
 	    find_queue(je, host, path, job, fn, ctx) == NULL)
 		return;
 	jcn_cancel(je->cancels, key, job, fn, ctx);
--- a/src/version/formerroutes.c
+++ b/src/version/formerroutes.c
@@ -10,6 +10,8 @@
 
 struct frt {
 	GQueue queues; /* struct former, the oldest first */
+	/* Queues that made room for others would be remembered until then. */
+	int64_t incomplete_until_ms;
 };
 
 static void
@@ -45,8 +47,11 @@
 	const struct former *oldest;
 
 	while ((oldest = g_queue_peek_head(&frt->queues)) != NULL &&
-	       (now_ms > oldest->until_ms || frt->queues.length > FRT_MAX))
+	       (now_ms > oldest->until_ms || frt->queues.length > FRT_MAX)) {
+		frt->incomplete_until_ms =
+		    MAX(frt->incomplete_until_ms, oldest->until_ms);
 		former_free(g_queue_pop_head(&frt->queues));
+	}
 }
 
 static bool
@@ -97,3 +102,10 @@
 	}
 	return false;
 }
+
+bool
+frt_is_complete(struct frt *frt, int64_t now_ms)
+{
+	expire(frt, now_ms);
+	return now_ms > frt->incomplete_until_ms;
+}
--- a/src/version/formerroutes.h
+++ b/src/version/formerroutes.h
@@ -27,5 +27,7 @@
 /* Whether the path was that of a job of a removed queue. */
 bool frt_has(struct frt *frt, const char *host, const char *path,
     const char *job, int64_t now_ms);
+/* Whether none made room for another before its time. */
+bool frt_is_complete(struct frt *frt, int64_t now_ms);
 
 #endif
--- a/src/version/keyspace.h
+++ b/src/version/keyspace.h
@@ -21,6 +21,7 @@
 	const char *data; /* NULL: deleted */
 	size_t len;
 	int64_t revision;
+	int64_t created; /* revision of the key's first value; 0: not told */
 };
 
 /* Items are valid during the callback only. */
--- a/src/version/mirror.c
+++ b/src/version/mirror.c
@@ -24,6 +24,7 @@
 	int64_t listing_revision;
 	int64_t revision;
 	int64_t confirmed_ms;
+	int64_t followed_since_ms;
 	int64_t backoff_ms;
 	uint32_t n_older; /* answers in a row that are older than the copy */
 	bool listed;
@@ -58,6 +59,7 @@
 
 	item->data = g_bytes_new(from->data, from->len);
 	item->revision = from->revision;
+	item->created = from->created;
 	g_hash_table_replace(items, g_strdup(from->key), item);
 }
 
@@ -153,6 +155,7 @@
 	mir->revision = mir->listing_revision;
 	mir->n_older = 0;
 	mir->listed = true;
+	mir->followed_since_ms = clk_now_ms();
 	if (changed)
 		mir->opts.changed(mir, mir->opts.ctx);
 }
@@ -263,6 +266,9 @@
 		return false;
 	if (held == NULL && event->data == NULL)
 		return false;
+	/* An earlier event of this answer, whose value nobody will see. */
+	if (held != NULL && held->revision > mir->revision)
+		mir->followed_since_ms = clk_now_ms();
 	if (event->data == NULL)
 		g_hash_table_remove(mir->items, event->key);
 	else
@@ -374,6 +380,12 @@
 	return mir->confirmed_ms;
 }
 
+int64_t
+mir_followed_since_ms(const struct mir *mir)
+{
+	return mir->followed_since_ms;
+}
+
 const struct mir_item *
 mir_get(const struct mir *mir, const char *key)
 {
--- a/src/version/mirror.h
+++ b/src/version/mirror.h
@@ -18,6 +18,7 @@
 struct mir_item {
 	GBytes *data;
 	int64_t revision;
+	int64_t created; /* revision of its first value; 0: not known */
 };
 
 struct mir_options {
@@ -52,6 +53,12 @@
 int64_t mir_revision(const struct mir *mir);
 /* Time of the last answer of the store (CLOCK_BOOTTIME); 0: never. */
 int64_t mir_confirmed_ms(const struct mir *mir);
+/*
+ * Time since which the copy has held each value of each key for a while
+ * (CLOCK_BOOTTIME): not before it was last listed, nor before one answer changed
+ * a key twice.  0: no copy yet.
+ */
+int64_t mir_followed_since_ms(const struct mir *mir);
 /* NULL when there is no such key. */
 const struct mir_item *mir_get(const struct mir *mir, const char *key);
 /* Maps keys to struct mir_item; borrowed, unordered. */
--- a/tests/kvstandin.c
+++ b/tests/kvstandin.c
@@ -8,6 +8,7 @@
 struct item {
 	GBytes *data; /* NULL: deleted */
 	int64_t revision;
+	int64_t created; /* revision of the first value since a deletion */
 };
 
 /* A call that is answered when a key with its prefix changes. */
@@ -49,6 +50,7 @@
 
 		json_object_object_add(
 		    json, "value", json_object_new_string(text));
+		jrep_add_int(json, "created", item->created);
 	}
 	return json;
 }
@@ -111,10 +113,13 @@
 void
 kvs_write(const char *key, GBytes *data)
 {
+	const struct item *former = g_hash_table_lookup(items, key);
 	struct item *item = g_new0(struct item, 1);
 
 	item->data = data;
 	item->revision = ++revision;
+	item->created = former != NULL && former->data != NULL ? former->created
+							       : item->revision;
 	g_hash_table_replace(items, g_strdup(key), item);
 	kvs_check_watches();
 }
--- a/tests/test_cancel_state.c
+++ b/tests/test_cancel_state.c
@@ -111,6 +111,34 @@
 }
 END_TEST
 
+/*
+ * Guards against a job that can't be cancelled at an entry that was restarted
+ * after the job's route had been removed (review/12).
+ */
+START_TEST(restarted_entry_cancels_job_without_a_route)
+{
+	struct hn_http *job;
+	struct dpl dpl;
+
+	dpl_start(&dpl, &(struct dpl_options){0});
+	job = post_job(&dpl, 0);
+	ck_assert(hn_wait_until(dpl_count(&dpl, "running") == 4, HN_LIMIT_MS));
+	dpl_configure(&dpl, 2, OTHER_PREFIX);
+	ck_assert(hn_wait_until(
+	    status_of(&dpl, 0, "GET", OTHER_PREFIX) == 200, HN_LIMIT_MS));
+	hn_kill(dpl.entry[1]);
+	hn_restart(dpl.entry[1]);
+	ck_assert(hn_wait_until(
+	    status_of(&dpl, 1, "GET", OTHER_PREFIX) == 200, HN_LIMIT_MS));
+	ck_assert_int_eq(status_of(&dpl, 1, "DELETE", JOB_PATH), 200);
+	ck_assert(hn_wait_until(dpl_count(&dpl, "running") == 0, 1000));
+	ck_assert_int_eq(hn_http_wait(job, HN_LIMIT_MS)->status, 502);
+	ck_assert_int_eq(
+	    hn_http_wait(post_job(&dpl, 1), HN_LIMIT_MS)->status, 410);
+	hn_finish();
+}
+END_TEST
+
 /*
  * Guards against a cancel that is lost when its entry is cut off from all agents
  * (review/8), and against a job that its own entry, cut off at that time, goes on
@@ -147,6 +175,7 @@
 	tcase_add_test(tc, job_cancelled_at_its_entry_runs_nowhere);
 	tcase_add_test(tc, job_of_another_path_is_not_meant);
 	tcase_add_loop_test(tc, job_without_a_route_is_cancelled, 0, 2);
+	tcase_add_test(tc, restarted_entry_cancels_job_without_a_route);
 	tcase_add_loop_test(tc, cut_off_entries_learn_of_cancels, 0, 2);
 	return run_tcase("cancel_state", tc, 2 * HN_LIMIT_MS / 1000.0);
 }
--- a/tests/test_formerroutes.c
+++ b/tests/test_formerroutes.c
@@ -37,6 +37,22 @@
 	return rts_new(&opts);
 }
 
+/* Removes the routes a.b|/0/, a.b|/1/ and so on. */
+static void
+replace_many(struct frt *frt, int n, int64_t now_ms)
+{
+	g_autoptr(GString) text = g_string_new("a.b|/0/");
+	struct rts *former, *none = parse_routes("-");
+	int i;
+
+	for (i = 1; i < n; i++)
+		g_string_append_printf(text, ",a.b|/%d/", i);
+	former = parse_routes(text->str);
+	frt_replace(frt, former, none, now_ms);
+	rts_unref(former);
+	rts_unref(none);
+}
+
 static void
 step(void *ctx, char **w, GString *actual)
 {
@@ -52,6 +68,11 @@
 	} else if (strcmp(w[0], "has") == 0) {
 		g_string_append(actual,
 		    frt_has(ctx, w[2], w[3], w[4], now_ms) ? "yes" : "no");
+	} else if (strcmp(w[0], "many") == 0) {
+		replace_many(ctx, atoi(w[2]), now_ms);
+	} else if (strcmp(w[0], "complete") == 0) {
+		g_string_append(
+		    actual, frt_is_complete(ctx, now_ms) ? "yes" : "no");
 	} else {
 		ck_abort_msg("unknown command %s", w[0]);
 	}
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -15,6 +15,7 @@
 	ks_page_fn fn; /* of the call in progress */
 	void *ctx;
 	int changes;
+	int64_t followed_since_ms; /* as last asked */
 };
 
 static void
@@ -145,6 +146,8 @@
 	ks_page_fn fn = t->fn;
 	int i;
 
+	/* Answers come at different times. */
+	g_usleep(2000);
 	for (i = 2; w[i] != NULL; i++)
 		parse_item(w[i], &items[page.n_items++]);
 	t->fn = NULL;
@@ -161,6 +164,15 @@
 	fn(&st, NULL, t->ctx);
 }
 
+static void
+tell_followed(struct trace *t)
+{
+	int64_t since_ms = mir_followed_since_ms(t->mir);
+
+	record(t, since_ms == t->followed_since_ms ? "still" : "anew");
+	t->followed_since_ms = since_ms;
+}
+
 static void
 step(void *ctx, char **w, GString *actual)
 {
@@ -182,6 +194,8 @@
 	} else if (strcmp(w[0], "pause") == 0) {
 		free_mirror(t);
 		make_mirror(t, strtoll(w[1], NULL, 10));
+	} else if (strcmp(w[0], "followed") == 0) {
+		tell_followed(t);
 	} else if (strcmp(w[0], "get") == 0) {
 		item = mir_get(t->mir, w[1]);
 		if (item == NULL)
