Keep cancels in the store before they are acknowledged

Cause: two agents that held the cancel in memory were enough for the answer; the store was written only when agents did not answer.

Change: a cancel is confirmed when the store has it, and enough agents know it or are late (400 ms). Cancels that come during a write go together into the next one; an item of the store takes up to 16 of its writer's. cancelstore has the items, which jobcancel had. An entry is not ready, and refuses jobs with 503, until it has read the cancels.

--- a/sim/store.c
+++ b/sim/store.c
@@ -1,7 +1,7 @@
 #include <glib.h>
 #include <string.h>
 
-#include "process/jobcancel.h"
+#include "process/cancelstore.h"
 #include "sim/store.h"
 #include "sim/worker.h"
 
@@ -245,7 +245,7 @@
 
 	call->write_fn = fn;
 	if (!call->failed &&
-	    !(store.deaf && g_str_has_prefix(key, JCN_PREFIX))) {
+	    !(store.deaf && g_str_has_prefix(key, CST_PREFIX))) {
 		set_item(key, value, len);
 		answer_watches();
 	}
--- a/src/process/jobcancel.c
+++ b/src/process/jobcancel.c
@@ -1,31 +1,18 @@
 #include <glib.h>
 #include <string.h>
 
+#include "process/cancelstore.h"
 #include "process/clock.h"
-#include "process/entryconfig.h"
 #include "process/events.h"
 #include "process/jobcancel.h"
 #include "request/cancelled.h"
 #include "request/confirm.h"
 #include "version/formerroutes.h"
-#include "version/mirror.h"
-
-/* Pause between watches of the store, so that one answer holds many cancels. */
-#define WATCH_PAUSE_MS 100
-/* Old keys in the store are looked for at this interval. */
-#define CLEAN_INTERVAL_MS 10000
-/*
- * Any entry removes a key, which may outlive its writer; each waits for another
- * time, so that mostly one does.
- */
-#define CLEAN_JITTER_MS 60000
+
 /* Cancelled jobs that a restarted agent is told by each entry. */
 #define MAX_TAUGHT_ROWS 1024
 /* After a refused cancel. */
 #define CANCEL_RETRY_MS 1000
-#define KEY_DIGITS	16
-
-static const char value[] = "{}";
 
 struct jcn {
 	struct jcn_options opts;
@@ -34,18 +21,12 @@
 	struct frt *former_routes;
 	struct ccl *cancelled;
 	struct cfm *confirm;
-	struct mir *stored;
+	struct cst *store;
 	GHashTable *keys; /* id of an open job to its key (uint64_t *) */
 	GHashTable *jobs; /* key to the id of an open job, owned by keys */
-	GHashTable *seen; /* key in the store to struct seen */
-	int64_t clean_at_ms;
 	int64_t *confirmed, *refused, *n_stored, *n_cancelled;
 };
 
-struct seen {
-	int64_t remove_ms; /* when this entry removes the key */
-};
-
 /* A call that waits for the confirmation of its cancel. */
 struct waiter {
 	struct jcn *jcn;
@@ -55,12 +36,6 @@
 	void *ctx;
 };
 
-/* A write to the store. */
-struct write {
-	struct jcn *jcn;
-	uint64_t key;
-};
-
 /* Keys of the tables are numbers of 64 bits, cast to pointers. */
 static gpointer
 pointer_of(uint64_t key)
@@ -104,31 +79,35 @@
 }
 
 static void
-on_written(const struct status *st, void *ctx)
+on_write(const uint64_t *keys, size_t n, void *ctx)
 {
-	struct write *write = ctx;
-
-	if (st->code != ST_OK)
-		evt_write("cancel", evt_uint("key", write->key),
-		    evt_text("to", "store"), evt_text("reason", st->message));
-	cfm_stored(
-	    write->jcn->confirm, write->key, st->code == ST_OK, clk_now_ms());
-	g_free(write);
+	struct jcn *jcn = ctx;
+
+	G_STATIC_ASSERT(CFM_WRITE_MAX <= CST_WRITE_MAX);
+	++*jcn->n_stored;
+	cst_write(jcn->store, keys, n);
 }
 
 static void
-on_write(uint64_t key, void *ctx)
+on_written(bool ok, void *ctx)
 {
 	struct jcn *jcn = ctx;
-	const struct ks *ks = jcn->opts.ks;
-	struct write *write = g_new0(struct write, 1);
-	g_autofree char *name =
-	    g_strdup_printf(JCN_PREFIX "%016" G_GINT64_MODIFIER "x", key);
 
-	write->jcn = jcn;
-	write->key = key;
-	++*jcn->n_stored;
-	ks->put(ks->store, name, value, strlen(value), on_written, write);
+	cfm_stored(jcn->confirm, ok, clk_now_ms());
+}
+
+static void
+on_stored(uint64_t key, void *ctx)
+{
+	record(ctx, key, clk_now_ms(), "store");
+}
+
+static void
+on_loaded(void *ctx)
+{
+	struct jcn *jcn = ctx;
+
+	jcn->opts.loaded(jcn->opts.ctx);
 }
 
 static void
@@ -154,97 +133,10 @@
 	    evt_text("from", "client"), evt_bool("confirmed", confirmed),
 	    evt_int("ms", clk_now_ms() - waiter->since_ms));
 	answer(waiter->fn, waiter->ctx, confirmed,
-	    confirmed ? "cancelled" : "not all entries can be told now");
+	    confirmed ? "cancelled" : "the cancel can't be stored now");
 	waiter_free(waiter);
 }
 
-/* Returns 0 if the key of the store names no job. */
-static uint64_t
-parse_key(const char *name)
-{
-	const char *digits = name + strlen(JCN_PREFIX);
-
-	if (strlen(digits) != KEY_DIGITS ||
-	    strspn(digits, "0123456789abcdef") != KEY_DIGITS)
-		return 0;
-	return g_ascii_strtoull(digits, NULL, 16);
-}
-
-static void
-take_stored(struct jcn *jcn, const char *name)
-{
-	uint64_t key = parse_key(name);
-	struct seen *seen;
-
-	if (g_hash_table_contains(jcn->seen, name))
-		return;
-	seen = g_new0(struct seen, 1);
-	seen->remove_ms =
-	    clk_now_ms() + CCL_KEEP_MS + g_random_int_range(0, CLEAN_JITTER_MS);
-	g_hash_table_insert(jcn->seen, g_strdup(name), seen);
-	if (key != 0)
-		record(jcn, key, clk_now_ms(), "store");
-}
-
-static gboolean
-is_gone(gpointer name, gpointer seen, gpointer items)
-{
-	(void)seen;
-	return !g_hash_table_contains(items, name);
-}
-
-static void
-on_stored(struct mir *mir, void *ctx)
-{
-	g_autoptr(GPtrArray) names = g_ptr_array_new_with_free_func(g_free);
-	struct jcn *jcn = ctx;
-	GHashTableIter iter;
-	gpointer name;
-	guint i;
-
-	g_hash_table_iter_init(&iter, mir_items(mir));
-	while (g_hash_table_iter_next(&iter, &name, NULL))
-		g_ptr_array_add(names, g_strdup(name));
-	for (i = 0; i < names->len; i++)
-		take_stored(jcn, names->pdata[i]);
-	g_hash_table_foreach_remove(jcn->seen, is_gone, mir_items(mir));
-}
-
-static void
-on_reachable(
-    struct mir *mir, bool reachable, const struct status *st, void *ctx)
-{
-	(void)ctx;
-	ecf_log_store("cancels", reachable, st, mir_revision(mir));
-}
-
-/* Another entry may have removed the key, or will. */
-static void
-on_removed(const struct status *st, void *ctx)
-{
-	(void)st;
-	(void)ctx;
-}
-
-static void
-clean(struct jcn *jcn, int64_t now_ms)
-{
-	const struct ks *ks = jcn->opts.ks;
-	GHashTableIter iter;
-	gpointer name, value_of;
-
-	jcn->clean_at_ms = now_ms + CLEAN_INTERVAL_MS;
-	g_hash_table_iter_init(&iter, jcn->seen);
-	while (g_hash_table_iter_next(&iter, &name, &value_of)) {
-		const struct mir_item *item = mir_get(jcn->stored, name);
-		const struct seen *seen = value_of;
-
-		if (item != NULL && now_ms >= seen->remove_ms)
-			ks->remove(
-			    ks->store, name, item->revision, on_removed, NULL);
-	}
-}
-
 static void
 make_counters(struct jcn *jcn)
 {
@@ -256,8 +148,7 @@
 	jcn->refused =
 	    ctr_counter(reg, "sp_cancels_total{answer=\"refused\"}", help);
 	jcn->n_stored = ctr_counter(reg, "sp_cancels_stored_total",
-	    "Writes of cancels to the store, since agents did not pass them "
-	    "on.");
+	    "Writes of cancels to the store, of several cancels each.");
 	jcn->n_cancelled = ctr_gauge(
 	    reg, "sp_jobs_cancelled", "Cancelled jobs that are remembered.");
 }
@@ -273,13 +164,11 @@
 	    .drop = waiter_free,
 	    .ctx = jcn,
 	};
-	struct mir_options stored = {
+	struct cst_options store = {
 	    .ks = opts->ks,
-	    .prefix = JCN_PREFIX,
-	    .wait_ms = ECF_STORE_WATCH_MS,
-	    .pause_ms = WATCH_PAUSE_MS,
-	    .changed = on_stored,
-	    .reachable = on_reachable,
+	    .written = on_written,
+	    .cancelled = on_stored,
+	    .loaded = on_loaded,
 	    .ctx = jcn,
 	};
 
@@ -290,10 +179,8 @@
 	jcn->keys =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	jcn->jobs = g_hash_table_new(NULL, NULL);
-	jcn->seen =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	make_counters(jcn);
-	jcn->stored = mir_new(&stored);
+	jcn->store = cst_new(&store);
 	return jcn;
 }
 
@@ -302,14 +189,13 @@
 {
 	if (jcn == NULL)
 		return;
-	mir_free(jcn->stored);
+	cst_free(jcn->store);
 	cfm_free(jcn->confirm);
 	ccl_free(jcn->cancelled);
 	frt_free(jcn->former_routes);
 	rts_unref(jcn->routes);
 	g_hash_table_unref(jcn->jobs);
 	g_hash_table_unref(jcn->keys);
-	g_hash_table_unref(jcn->seen);
 	g_free(jcn);
 }
 
@@ -320,8 +206,7 @@
 
 	cfm_set_agents(jcn->confirm, agp_n_agents(jcn->agents));
 	cfm_tick(jcn->confirm, now_ms);
-	if (now_ms >= jcn->clean_at_ms)
-		clean(jcn, now_ms);
+	cst_tick(jcn->store);
 }
 
 void
@@ -358,6 +243,12 @@
 	return jcn_key_of(jcn, job) == key;
 }
 
+bool
+jcn_is_loaded(const struct jcn *jcn)
+{
+	return cst_is_loaded(jcn->store);
+}
+
 bool
 jcn_is_cancelled(const struct jcn *jcn, uint64_t key)
 {
--- a/src/process/jobcancel.h
+++ b/src/process/jobcancel.h
@@ -13,19 +13,19 @@
 /*
  * Cancelled jobs at an entry: which jobs are open under which key, which are
  * cancelled, and whether all other entries learn of a cancel, by the agents or
- * by the store.  Keys are those of request/cancelled.h.
+ * by the store, and the store outlives them.  Keys are those of
+ * request/cancelled.h.
  */
 struct jcn;
 
-/* Keys of the store that hold cancels which agents could not pass on. */
-#define JCN_PREFIX "sequoiaplank/cancelled/"
-
 struct jcn_options {
 	const struct ks *ks;	       /* borrowed */
 	struct ctr_registry *counters; /* borrowed */
 	uint32_t max_jobs; /* that are remembered, as in ccl_new() */
 	/* Ends a job that is open here, and answers its caller. */
 	void (*cancel_open)(const char *job, void *ctx);
+	/* Runs once, when jcn_is_loaded() becomes true. */
+	void (*loaded)(void *ctx);
 	void *ctx;
 };
 
@@ -45,6 +45,9 @@
 uint64_t jcn_key_of(const struct jcn *jcn, const char *job);
 /* Whether the job is open here under this key, not under that of another path. */
 bool jcn_is_open(const struct jcn *jcn, uint64_t key, const char *job);
+/* Whether the jobs that were cancelled before this process began are known. */
+bool jcn_is_loaded(const struct jcn *jcn);
+/* Certain only with jcn_is_loaded(). */
 bool jcn_is_cancelled(const struct jcn *jcn, uint64_t key);
 
 /* The configuration has changed; routes may be NULL. */
@@ -56,7 +59,7 @@
 /*
  * A caller cancels the job, which ends at once if it is open here.  Answers
  * JE_RUNNING when no entry that is in touch goes on with it or accepts it again,
- * else JE_REFUSED.
+ * also after all processes have ended, else JE_REFUSED.
  */
 void jcn_cancel(
     struct jcn *jcn, uint64_t key, const char *job, je_answer_fn fn, void *ctx);
--- a/src/process/jobentry.c
+++ b/src/process/jobentry.c
@@ -314,13 +314,30 @@
 	schedule_placement(je);
 }
 
+/*
+ * Callers may come when the configuration is known, and the jobs that were
+ * cancelled before this process began.
+ */
+static void
+open_if_known(struct je *je)
+{
+	if (ecf_routes(je->config) != NULL && jcn_is_loaded(je->cancels))
+		je->opts.configured(je->opts.ctx);
+}
+
+static void
+on_cancels_loaded(void *ctx)
+{
+	open_if_known(ctx);
+}
+
 static void
 on_config_changed(bool first, void *ctx)
 {
 	struct je *je = ctx;
 
 	if (first)
-		je->opts.configured(je->opts.ctx);
+		open_if_known(je);
 	jcn_routes_changed(je->cancels, ecf_routes(je->config));
 	agp_domains_changed(je->agents);
 	schedule_placement(je);
@@ -525,6 +542,7 @@
 	    .counters = opts->counters,
 	    .max_jobs = opts->cancelled_jobs,
 	    .cancel_open = cancel_open_job,
+	    .loaded = on_cancels_loaded,
 	    .ctx = je,
 	});
 	je->agents = make_agents(je);
@@ -554,7 +572,8 @@
 bool
 je_is_ready(const struct je *je)
 {
-	return ecf_routes(je->config) != NULL && !je->drain.active;
+	return ecf_routes(je->config) != NULL && jcn_is_loaded(je->cancels) &&
+	       !je->drain.active;
 }
 
 bool
@@ -726,6 +745,12 @@
 		wk_job_free(job);
 		return 0;
 	}
+	if (!jcn_is_loaded(je->cancels)) {
+		answer_now(fn, ctx, JE_NOT_READY,
+		    "cancelled jobs are not known yet", RETRY_AFTER_MIN_MS);
+		wk_job_free(job);
+		return 0;
+	}
 	if (je->drain.active &&
 	    !drn_accepts(
 		&je->drain, wk_job_critical_path_ms(job), clk_now_ms())) {
--- a/src/process/jobentry.h
+++ b/src/process/jobentry.h
@@ -63,7 +63,7 @@
 	int64_t lease_ms;	       /* longest lease that a worker grants */
 	int64_t drain_ms;	       /* longest time of a graceful shutdown */
 	struct ctr_registry *counters; /* borrowed */
-	/* Runs once, when the first valid configuration was read. */
+	/* Runs once, when a valid configuration and the cancelled jobs were read. */
 	void (*configured)(void *ctx);
 	/* Runs once, when the shutdown begun by je_drain() is complete. */
 	void (*drained)(void *ctx);
--- a/src/request/confirm.c
+++ b/src/request/confirm.c
@@ -19,8 +19,8 @@
 	GPtrArray *waiters;
 	GHashTable *asked; /* set of relays */
 	GHashTable *known; /* set of relays that have answered */
-	bool writing;
-	int64_t write_at_ms;
+	bool stored;
+	int64_t write_at_ms; /* not before this time */
 };
 
 struct cfm {
@@ -29,6 +29,7 @@
 	uint32_t n_agents;
 	GHashTable *pending; /* key to struct pending */
 	GQueue order;	     /* struct pending, the oldest first */
+	GArray *written;     /* uint64_t, keys of the write in progress */
 	int64_t next_write_ms;
 };
 
@@ -59,6 +60,7 @@
 	cfm->relays = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	cfm->pending = g_hash_table_new_full(NULL, NULL, NULL, pending_free);
 	g_queue_init(&cfm->order);
+	cfm->written = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	return cfm;
 }
 
@@ -79,6 +81,7 @@
 		g_ptr_array_foreach(p->waiters, drop_waiter, cfm);
 	g_hash_table_unref(cfm->pending);
 	g_array_unref(cfm->relays);
+	g_array_unref(cfm->written);
 	g_free(cfm);
 }
 
@@ -186,15 +189,35 @@
 	return needed > 0 && g_hash_table_size(p->known) >= needed;
 }
 
+/* Without enough relays, or when they are late, the store suffices. */
+static bool
+may_confirm(const struct cfm *cfm, const struct pending *p, int64_t now_ms)
+{
+	return p->stored && (is_known(cfm, p) || cfm_needed(cfm) == 0 ||
+				now_ms - p->since_ms >= CFM_STORE_MS);
+}
+
+/* Writes all that wait for it, unless a write is in progress. */
 static void
-write_if_due(struct cfm *cfm, struct pending *p, int64_t now_ms)
+write_if_due(struct cfm *cfm, int64_t now_ms)
 {
-	if (p->writing || now_ms < p->write_at_ms ||
-	    now_ms < cfm->next_write_ms)
+	GArray *keys = cfm->written;
+	const GList *link;
+
+	if (keys->len > 0 || now_ms < cfm->next_write_ms)
+		return;
+	for (link = cfm->order.head; link != NULL && keys->len < CFM_WRITE_MAX;
+	     link = link->next) {
+		const struct pending *p = link->data;
+
+		if (!p->stored && now_ms >= p->write_at_ms)
+			g_array_append_val(keys, p->key);
+	}
+	if (keys->len == 0)
 		return;
 	cfm->next_write_ms = now_ms + WRITE_PAUSE_MS;
-	p->writing = true;
-	cfm->opts.write(p->key, cfm->opts.ctx);
+	cfm->opts.write(
+	    (const uint64_t *)(void *)keys->data, keys->len, cfm->opts.ctx);
 }
 
 void
@@ -210,7 +233,7 @@
 	p = g_new0(struct pending, 1);
 	p->key = key;
 	p->since_ms = now_ms;
-	p->write_at_ms = now_ms + (needed == 0 ? 0 : CFM_STORE_MS);
+	p->write_at_ms = now_ms;
 	p->waiters = g_ptr_array_new();
 	p->asked = g_hash_table_new(NULL, NULL);
 	p->known = g_hash_table_new(NULL, NULL);
@@ -218,6 +241,7 @@
 	g_hash_table_insert(cfm->pending, pointer_of(key), p);
 	g_queue_push_tail(&cfm->order, p);
 	ask_some(cfm, p, needed == 0 ? UINT32_MAX : needed + SPARE_RELAYS);
+	write_if_due(cfm, now_ms);
 }
 
 void
@@ -228,21 +252,29 @@
 	if (p == NULL)
 		return;
 	g_hash_table_add(p->known, pointer_of(relay));
-	if (is_known(cfm, p))
+	if (p->stored && is_known(cfm, p))
 		decide(cfm, p, true);
 }
 
+/* Some may have been refused meanwhile. */
 void
-cfm_stored(struct cfm *cfm, uint64_t key, bool ok, int64_t now_ms)
+cfm_stored(struct cfm *cfm, bool ok, int64_t now_ms)
 {
-	struct pending *p = find(cfm, key);
+	g_autoptr(GArray) keys = cfm->written;
+	guint i;
 
-	if (p == NULL)
-		return;
-	p->writing = false;
-	p->write_at_ms = now_ms + WRITE_RETRY_MS;
-	if (ok)
-		decide(cfm, p, true);
+	cfm->written = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	for (i = 0; i < keys->len; i++) {
+		struct pending *p = find(cfm, g_array_index(keys, uint64_t, i));
+
+		if (p == NULL)
+			continue;
+		p->stored = p->stored || ok;
+		p->write_at_ms = now_ms + WRITE_RETRY_MS;
+		if (may_confirm(cfm, p, now_ms))
+			decide(cfm, p, true);
+	}
+	write_if_due(cfm, now_ms);
 }
 
 static void
@@ -250,13 +282,12 @@
 {
 	int64_t age_ms = now_ms - p->since_ms;
 
-	if (age_ms >= CFM_GIVE_UP_MS) {
+	if (may_confirm(cfm, p, now_ms))
+		decide(cfm, p, true);
+	else if (age_ms >= CFM_GIVE_UP_MS)
 		decide(cfm, p, false);
-		return;
-	}
-	if (age_ms >= CFM_ASK_ALL_MS)
+	else if (age_ms >= CFM_ASK_ALL_MS)
 		ask_some(cfm, p, UINT32_MAX);
-	write_if_due(cfm, p, now_ms);
 }
 
 void
@@ -270,6 +301,7 @@
 		link = link->next;
 		advance(cfm, p, now_ms);
 	}
+	write_if_due(cfm, now_ms);
 }
 
 uint32_t
--- a/tests/deployment.c
+++ b/tests/deployment.c
@@ -255,3 +255,18 @@
 			action, direction, entry),
 		    NULL);
 }
+
+void
+dpl_restart_all(struct dpl *dpl)
+{
+	int i;
+
+	for (i = 0; i < DPL_ENTRIES; i++)
+		hn_kill(dpl->entry[i]);
+	for (i = 0; i < DPL_AGENTS; i++)
+		hn_kill(dpl->agent[i]);
+	for (i = 0; i < DPL_AGENTS; i++)
+		hn_restart(dpl->agent[i]);
+	for (i = 0; i < DPL_ENTRIES; i++)
+		hn_restart(dpl->entry[i]);
+}
--- a/tests/deployment.h
+++ b/tests/deployment.h
@@ -71,6 +71,8 @@
 int64_t dpl_agent_metric(const struct dpl *dpl, const char *name);
 /* Sends jobs to entry 0, one after the other, each with a deadline of 1 s. */
 void dpl_send_jobs(const struct dpl *dpl, const char *body, int64_t for_ms);
+/* Kills all entries and agents at once, then starts them again. */
+void dpl_restart_all(struct dpl *dpl);
 /* Sets a fault proxy rule for a path; direction "" means both directions. */
 void dpl_set_fault(const struct dpl *dpl, enum dpl_path path, int index,
     const char *direction, const char *action, int ms);
--- a/tests/test_cancel_state.c
+++ b/tests/test_cancel_state.c
@@ -139,6 +139,31 @@
 }
 END_TEST
 
+/*
+ * Guards against an acknowledged cancel that is forgotten when all machines lose
+ * power, so that the job, sent again, is run (review/11).
+ */
+START_TEST(cancel_outlives_all_processes)
+{
+	int entry = _i;
+	struct dpl dpl;
+	int i;
+
+	dpl_start(&dpl, &(struct dpl_options){0});
+	post_job(&dpl, 0);
+	ck_assert(hn_wait_until(dpl_count(&dpl, "running") == 4, HN_LIMIT_MS));
+	ck_assert_int_eq(status_of(&dpl, entry, "DELETE", JOB_PATH), 200);
+	dpl_restart_all(&dpl);
+	for (i = 0; i < DPL_ENTRIES; i++) {
+		ck_assert(
+		    hn_wait_until(dpl_completes_job(&dpl, i), HN_LIMIT_MS));
+		ck_assert_int_eq(
+		    hn_http_wait(post_job(&dpl, i), HN_LIMIT_MS)->status, 410);
+	}
+	hn_finish();
+}
+END_TEST
+
 /*
  * Guards against a cancel that is lost when its entry is cut off from all agents
  * (review/8), and against a job that its own entry, cut off at that time, goes on
@@ -176,6 +201,7 @@
 	tcase_add_test(tc, job_of_another_path_is_not_meant);
 	tcase_add_loop_test(tc, job_without_a_route_is_cancelled, 0, 2);
 	tcase_add_test(tc, restarted_entry_cancels_job_without_a_route);
+	tcase_add_loop_test(tc, cancel_outlives_all_processes, 0, DPL_ENTRIES);
 	tcase_add_loop_test(tc, cut_off_entries_learn_of_cancels, 0, 2);
 	return run_tcase("cancel_state", tc, 2 * HN_LIMIT_MS / 1000.0);
 }
--- a/tests/test_confirm.c
+++ b/tests/test_confirm.c
@@ -19,11 +19,15 @@
 }
 
 static void
-on_write(uint64_t key, void *ctx)
+on_write(const uint64_t *keys, size_t n, void *ctx)
 {
 	struct test *t = ctx;
+	size_t i;
 
-	g_string_append_printf(t->out, "write#%d ", (int)key);
+	g_string_append(t->out, "write");
+	for (i = 0; i < n; i++)
+		g_string_append_printf(t->out, "#%d", (int)keys[i]);
+	g_string_append_c(t->out, ' ');
 }
 
 static void
@@ -82,7 +86,7 @@
 	else if (strcmp(w[0], "known") == 0)
 		cfm_known(t->cfm, (uint64_t)a, (uint64_t)b);
 	else if (strcmp(w[0], "stored") == 0)
-		cfm_stored(t->cfm, (uint64_t)b, strcmp(w[3], "ok") == 0, a);
+		cfm_stored(t->cfm, strcmp(w[2], "ok") == 0, a);
 	else if (strcmp(w[0], "tick") == 0)
 		cfm_tick(t->cfm, a);
 	else
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -66,21 +66,6 @@
 	    row->value);
 }
 
-static void
-restart_all(struct dpl *dpl)
-{
-	int i;
-
-	for (i = 0; i < DPL_ENTRIES; i++)
-		hn_kill(dpl->entry[i]);
-	for (i = 0; i < DPL_AGENTS; i++)
-		hn_kill(dpl->agent[i]);
-	for (i = 0; i < DPL_AGENTS; i++)
-		hn_restart(dpl->agent[i]);
-	for (i = 0; i < DPL_ENTRIES; i++)
-		hn_restart(dpl->entry[i]);
-}
-
 static void
 check_processes(struct dpl *dpl, const char *name)
 {
@@ -126,7 +111,7 @@
 		   "\"memory_mb\":4096,\"gpus\":0,\"labels\":[]}",
 		hn_json_str(worker, "id"), hn_json_int(worker, "born"),
 		(int)hn_json_int(worker, "app_port")));
-	restart_all(&dpl);
+	dpl_restart_all(&dpl);
 	hn_sleep(READ_MS);
 	check_processes(&dpl, "registration of another agent");
 	check_all_workers(&dpl, "registration of another agent");
@@ -148,7 +133,7 @@
 	for (i = 0; i < N_ODD_KEYS; i++)
 		dpl_control(&dpl, "PUT",
 		    hn_str("key?key=" AGENTS_PREFIX "nowhere-%d", i), "{}");
-	restart_all(&dpl);
+	dpl_restart_all(&dpl);
 	hn_sleep(READ_MS);
 	check_processes(&dpl, "many keys");
 	check_all_workers(&dpl, "many keys");
@@ -179,7 +164,7 @@
 	check_processes(&dpl, row->name);
 	check_all_workers(&dpl, row->name);
 	write_entry(&dpl, row);
-	restart_all(&dpl);
+	dpl_restart_all(&dpl);
 	hn_sleep(READ_MS);
 	check_processes(&dpl, row->name);
 	check_all_workers(&dpl, row->name);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -184,21 +184,6 @@
 	dpl_control(dpl, "GET", "mode?store=up", NULL);
 }
 
-static void
-all_killed(struct dpl *dpl)
-{
-	int i;
-
-	for (i = 0; i < DPL_ENTRIES; i++)
-		hn_kill(dpl->entry[i]);
-	for (i = 0; i < DPL_AGENTS; i++)
-		hn_kill(dpl->agent[i]);
-	for (i = 0; i < DPL_AGENTS; i++)
-		hn_restart(dpl->agent[i]);
-	for (i = 0; i < DPL_ENTRIES; i++)
-		hn_restart(dpl->entry[i]);
-}
-
 static void
 late_calls_and_entry_paused(struct dpl *dpl)
 {
@@ -234,7 +219,7 @@
     {"agent paused", agent_paused},
     {"agent terminated", agent_terminated},
     {"store down", store_down},
-    {"all killed", all_killed},
+    {"all killed", dpl_restart_all},
     {"late worker calls, entry paused", late_calls_and_entry_paused},
     {"late worker calls, agent killed", late_calls_and_agent_killed},
 };
