Let all simulated machines lose power beside cancels

The mutant forgotten-cancels is a store that holds no cancel over it, as when only processes hold them. The mutant no-catch-up takes both ways from an entry, the agents' first message and the store's watch; a check that is as strict, since either way alone is enough for the rule.

--- a/sim/fleet.c
+++ b/sim/fleet.c
@@ -349,27 +349,36 @@
 }
 
 static void
-restart_entry(const struct spl_fault *f)
+restart_entry(struct entry *entry, int64_t down_ms)
 {
-	struct entry *entry = &fleet.entries[f->entry];
-
 	if (entry->proc == NULL)
 		return;
 	kill_entry(entry);
-	slp_at(NULL, slp_now_ms() + RESTART_MS + f->lasts_ms, start_entry,
-	    entry, NULL);
+	slp_at(NULL, slp_now_ms() + RESTART_MS + down_ms, start_entry, entry,
+	    NULL);
 }
 
 static void
-restart_agent(const struct spl_fault *f)
+restart_agent(struct agent *agent, int64_t down_ms)
 {
-	struct agent *agent = &fleet.agents[f->agent];
-
 	if (agent->proc == NULL)
 		return;
 	kill_agent(agent);
-	slp_at(NULL, slp_now_ms() + RESTART_MS + f->lasts_ms, start_agent,
-	    agent, NULL);
+	slp_at(NULL, slp_now_ms() + RESTART_MS + down_ms, start_agent, agent,
+	    NULL);
+}
+
+static void
+restart_all(int64_t down_ms)
+{
+	uint32_t i;
+
+	for (i = 0; i < fleet.opts.n_entries; i++)
+		restart_entry(&fleet.entries[i], down_ms);
+	for (i = 0; i < fleet.opts.n_agents; i++)
+		restart_agent(&fleet.agents[i], down_ms);
+	if (fleet.opts.mutant == SOP_FORGOTTEN_CANCELS)
+		sst_forget_cancels();
 }
 
 static void
@@ -432,10 +441,10 @@
 		pause_agent(&fleet.agents[f->agent], f->lasts_ms);
 		return;
 	case SPL_KILL_ENTRY:
-		restart_entry(f);
+		restart_entry(&fleet.entries[f->entry], f->lasts_ms);
 		return;
 	case SPL_KILL_AGENT:
-		restart_agent(f);
+		restart_agent(&fleet.agents[f->agent], f->lasts_ms);
 		return;
 	case SPL_SLOW_ENTRY:
 	case SPL_SLOW_AGENT:
@@ -468,6 +477,9 @@
 	case SPL_STORE_DOWN:
 		sst_stop(slp_now_ms() + f->lasts_ms);
 		return;
+	case SPL_POWER_LOSS:
+		restart_all(f->lasts_ms);
+		return;
 	default:
 		apply_worker_fault(f);
 	}
@@ -565,7 +577,7 @@
 	slp_reset();
 	sck_reset(recording);
 	snt_reset(&network);
-	sst_reset(opts->mutant == SOP_DEAF_STORE);
+	sst_reset(opts->mutant);
 	swk_reset(opts, send_heartbeat);
 	scl_reset(opts);
 	make_fleet();
--- a/sim/options.c
+++ b/sim/options.c
@@ -15,6 +15,7 @@
 	    [SOP_FAST_AGENTS] = "fast-agents",
 	    [SOP_NO_CATCH_UP] = "no-catch-up",
 	    [SOP_DEAF_STORE] = "deaf-store",
+	    [SOP_FORGOTTEN_CANCELS] = "forgotten-cancels",
 	};
 
 	return names[mutant];
--- a/sim/options.h
+++ b/sim/options.h
@@ -16,8 +16,11 @@
 	SOP_REFUSE_SENT,  /* callers see a 502 as a 503 */
 	SOP_FAST_AGENTS,  /* agents' clocks are 30% fast */
 	/* With cancels only: */
-	SOP_NO_CATCH_UP, /* entries do not get the cancels that they missed */
-	SOP_DEAF_STORE,	 /* the store hides cancels from all but their writer */
+	/* neither agents nor the store tell entries the cancels they missed */
+	SOP_NO_CATCH_UP,
+	SOP_DEAF_STORE, /* the store hides cancels from all but their writer */
+	/* the store does not hold cancels when all machines lose power */
+	SOP_FORGOTTEN_CANCELS,
 	SOP_N_MUTANTS
 };
 
--- a/sim/plan.c
+++ b/sim/plan.c
@@ -45,7 +45,9 @@
 static uint32_t
 n_kinds(const struct sop *opts)
 {
-	return opts->rooms || opts->cancels ? SPL_N_KINDS : SPL_SHRINK_WORKER;
+	if (opts->cancels)
+		return SPL_N_KINDS;
+	return opts->rooms ? SPL_POWER_LOSS : SPL_SHRINK_WORKER;
 }
 
 static struct theme
@@ -141,6 +143,7 @@
 	    [SPL_CALLERS_LEAVE] = "callers leave entry",
 	    [SPL_SHRINK_WORKER] = "shrinking of worker",
 	    [SPL_STORE_DOWN] = "outage of the store",
+	    [SPL_POWER_LOSS] = "loss of power of all",
 	};
 
 	return g_strdup_printf("%s (entry %u, agent %u, for %d ms, variant %u)",
--- a/sim/plan.h
+++ b/sim/plan.h
@@ -32,9 +32,11 @@
 	SPL_CRASH_WORKER,
 	SPL_LATE_HEARTBEAT,
 	SPL_CALLERS_LEAVE, /* all callers of an entry leave */
-	/* Only with sop.rooms: */
+	/* Only with sop.rooms or sop.cancels: */
 	SPL_SHRINK_WORKER,
 	SPL_STORE_DOWN,
+	/* Only with sop.cancels: */
+	SPL_POWER_LOSS, /* of all entries and agents */
 	SPL_N_KINDS
 };
 
--- a/sim/store.c
+++ b/sim/store.c
@@ -35,6 +35,7 @@
 	void *ctx;
 	bool answered;
 	bool failed; /* the store was down when it arrived */
+	bool silent; /* is answered without changes */
 	int refs;
 };
 
@@ -43,7 +44,7 @@
 	int64_t revision;
 	GPtrArray *watches; /* struct call that waits for a change */
 	int64_t down_until_ms;
-	bool deaf;
+	enum sop_mutant mutant;
 } store;
 
 static void
@@ -98,7 +99,7 @@
 }
 
 void
-sst_reset(bool deaf)
+sst_reset(enum sop_mutant mutant)
 {
 	if (store.items == NULL) {
 		store.items = g_ptr_array_new_with_free_func(item_free);
@@ -108,10 +109,25 @@
 	g_ptr_array_set_size(store.watches, 0);
 	store.revision = 0;
 	store.down_until_ms = 0;
-	store.deaf = deaf;
+	store.mutant = mutant;
 	set_item("op/config", CONFIGURATION, strlen(CONFIGURATION));
 }
 
+void
+sst_forget_cancels(void)
+{
+	guint i = 0;
+
+	while (i < store.items->len) {
+		const struct item *item = store.items->pdata[i];
+
+		if (g_str_has_prefix(item->key, CST_PREFIX))
+			g_ptr_array_remove_index(store.items, i);
+		else
+			i++;
+	}
+}
+
 /* Answers with the items of the prefix that changed after the revision. */
 static void
 on_answer(void *data)
@@ -134,7 +150,8 @@
 		call->write_fn(st, call->ctx);
 		return;
 	}
-	for (i = 0; i < store.items->len && !call->failed; i++) {
+	for (i = 0; i < store.items->len && !call->failed && !call->silent;
+	     i++) {
 		const struct item *item = store.items->pdata[i];
 		struct ks_item row = {
 		    .key = item->key,
@@ -210,7 +227,9 @@
 
 	call->after = after;
 	call->page_fn = fn;
-	if (call->failed || has_changed(call)) {
+	call->silent =
+	    store.mutant == SOP_NO_CATCH_UP && strcmp(prefix, CST_PREFIX) == 0;
+	if (call->failed || (has_changed(call) && !call->silent)) {
 		answer_in(call, ANSWER_MS);
 	} else {
 		answer_in(call, wait_ms);
@@ -244,8 +263,8 @@
 	struct call *call = call_new(data, key, ctx);
 
 	call->write_fn = fn;
-	if (!call->failed &&
-	    !(store.deaf && g_str_has_prefix(key, CST_PREFIX))) {
+	if (!call->failed && !(store.mutant == SOP_DEAF_STORE &&
+				 g_str_has_prefix(key, CST_PREFIX))) {
 		set_item(key, value, len);
 		answer_watches();
 	}
--- a/sim/store.h
+++ b/sim/store.h
@@ -1,9 +1,8 @@
 #ifndef SIM_STORE_H
 #define SIM_STORE_H
 
-#include <stdbool.h>
-
 #include "sim/loop.h"
+#include "sim/options.h"
 #include "version/keyspace.h"
 
 /*
@@ -16,10 +15,11 @@
 #define SST_HOST   "sim.example"
 #define SST_PREFIX "/q/"
 
-/* deaf: the mutant deaf-store. */
-void sst_reset(bool deaf);
+void sst_reset(enum sop_mutant mutant);
 /* Calls that arrive until then fail and have no effect. */
 void sst_stop(int64_t until_ms);
+/* The mutant forgotten-cancels. */
+void sst_forget_cancels(void);
 /* The store as one process calls it; freed by sst_client_free(). */
 struct ks *sst_client_new(struct slp_proc *proc);
 /* Calls in progress fail; to be called before what made them is freed. */
