Let the soak lose all power and send cancelled jobs again

Change: from seed 10000 on all entries and agents may end at once, jobs are cancelled more often and sent again after a 502, and a job that is sent after its cancel was acknowledged must not be answered 200. These runs take 12 s.

--- a/tests/soak.h
+++ b/tests/soak.h
@@ -23,6 +23,8 @@
 	int tries;
 	int entry; /* of the latest submission */
 	bool cancelled;
+	struct hn_http *cancel; /* its DELETE; NULL: none */
+	bool cancel_known; /* was acknowledged before the latest submission */
 	int64_t first_ms;
 	int64_t resend_at_ms; /* 0: an answer is outstanding */
 };
@@ -51,12 +53,14 @@
 	bool odd_specs;
 	bool late;
 	bool rooms;
+	bool power;
 	int version;
 	int64_t start_ms;
 	struct soak_fault faults[SOAK_MAX_FAULTS];
 	int n_faults;
-	/* By process number: stopped or not running. */
+	/* By process number: stopped or not running, and that for a loss of power. */
 	bool unavailable[DPL_ENTRIES + DPL_AGENTS];
+	bool without_power[DPL_ENTRIES + DPL_AGENTS];
 };
 
 /* Sets a mode of the stand-in platform. */
--- a/tests/soakfaults.c
+++ b/tests/soakfaults.c
@@ -6,13 +6,15 @@
 #include "oddheartbeat.h"
 #include "soak.h"
 
-#define N_NARROW_FAULTS	  15
-#define N_WIDE_FAULTS	  16
-#define N_LATE_FAULTS	  24
-#define LATE_FAULT_ONE_IN 2
-#define ROOM_FAULT_ONE_IN 4
-#define SMALL_MILLI	  1000
-#define LATE_STOP_STEP_MS 500
+#define N_NARROW_FAULTS	   15
+#define N_WIDE_FAULTS	   16
+#define N_LATE_FAULTS	   24
+#define N_ROOM_FAULTS	   27
+#define LATE_FAULT_ONE_IN  2
+#define ROOM_FAULT_ONE_IN  4
+#define POWER_FAULT_ONE_IN 3
+#define SMALL_MILLI	   1000
+#define LATE_STOP_STEP_MS  500
 /* Faults whose effect takes longer than a session last this much longer. */
 #define LONG_FAULT_FACTOR    3
 #define DELAY_GROWTH_DIVISOR 2 /* a delay grows by 1 ms in this many ms */
@@ -76,6 +78,34 @@
 	return true;
 }
 
+static void
+restore_power(struct soak *soak, int target)
+{
+	int i;
+
+	(void)target;
+	for (i = 0; i < DPL_ENTRIES + DPL_AGENTS; i++) {
+		if (soak->without_power[i])
+			restart_process(soak, i);
+		soak->without_power[i] = false;
+	}
+}
+
+/* All entries and agents end at once. */
+static bool
+lose_power(struct soak *soak, int target)
+{
+	bool any = false;
+	int i;
+
+	(void)target;
+	for (i = 0; i < DPL_ENTRIES + DPL_AGENTS; i++) {
+		if (kill_process(soak, i))
+			any = soak->without_power[i] = true;
+	}
+	return any;
+}
+
 static bool
 reload_settings(struct soak *soak, int target)
 {
@@ -284,7 +314,7 @@
 	if (oldest == NULL)
 		return false;
 	oldest->cancelled = true;
-	hn_http_start("DELETE",
+	oldest->cancel = hn_http_start("DELETE",
 	    dpl_url(&soak->dpl, (oldest->entry + 1) % DPL_ENTRIES,
 		hn_str("/q/%s", oldest->id)),
 	    NULL, NULL);
@@ -475,6 +505,9 @@
     {"no heartbeats", stop_heartbeats, restore_heartbeats, NULL, true},
     {"capacity changed during an outage", shrink_during_outage,
 	restart_agent_with_store, NULL, true},
+    {"all lose power", lose_power, restore_power, NULL, false},
+    {"cancel", cancel_elsewhere, NULL, NULL, false},
+    {"another cancel", cancel_elsewhere, NULL, NULL, false},
 };
 
 static size_t
@@ -482,10 +515,14 @@
 {
 	int n_others = soak->wide ? N_WIDE_FAULTS : N_NARROW_FAULTS;
 
+	if (soak->power &&
+	    g_rand_int_range(soak->rand, 0, POWER_FAULT_ONE_IN) == 0)
+		return (size_t)g_rand_int_range(
+		    soak->rand, N_ROOM_FAULTS, (int)G_N_ELEMENTS(fault_kinds));
 	if (soak->rooms &&
 	    g_rand_int_range(soak->rand, 0, ROOM_FAULT_ONE_IN) == 0)
 		return (size_t)g_rand_int_range(
-		    soak->rand, N_LATE_FAULTS, (int)G_N_ELEMENTS(fault_kinds));
+		    soak->rand, N_LATE_FAULTS, N_ROOM_FAULTS);
 	if (soak->late &&
 	    g_rand_int_range(soak->rand, 0, LATE_FAULT_ONE_IN) == 0)
 		return (size_t)g_rand_int_range(
--- a/tests/test_soak.c
+++ b/tests/test_soak.c
@@ -7,8 +7,9 @@
  * them and cancel them.
  *
  * Checks that no worker is given more than its capacity, no task runs twice at
- * the same time, no task of a refused job has run, every job gets a final
- * answer, and all entries complete jobs again soon after the last fault.
+ * the same time, no task of a refused job has run, no job is run that is sent
+ * after its cancel was acknowledged, every job gets a final answer, and all
+ * entries complete jobs again soon after the last fault.
  *
  * SOAK_SEED=FIRST and SOAK_SEEDS=COUNT select other seeds than those below.
  */
@@ -22,6 +23,7 @@
 #include "soak.h"
 
 #define RUN_MS		     7000
+#define POWER_RUN_MS	     12000 /* all are away for a part of it */
 #define SETTLE_MS	     20000
 #define LOOP_INTERVAL_MS     10
 #define MAX_OPEN_JOBS	     12
@@ -36,8 +38,8 @@
  * 7012: a lease outlived the silence of the entry whose runs it was for; and
  * 9008: an agent that was restarted took its worker's capacity from its key.
  */
-static const uint32_t fixed_seeds[] = {
-    1, 2, 3, 122, 126, 143, 145, 147, 1001, 1002, 4001, 4002, 7007, 7012, 9008};
+static const uint32_t fixed_seeds[] = {1, 2, 3, 122, 126, 143, 145, 147, 1001,
+    1002, 4001, 4002, 7007, 7012, 9008, 10001};
 /*
  * From this seed on, some jobs crash their workers and capacities change.
  * Earlier seeds stay as they are, since some are regression tests.
@@ -59,7 +61,12 @@
  * And from this one on, capacities change for good, also while an agent can't
  * write to the store, and heartbeats stop.
  */
-#define ROOM_SEED	   9000
+#define ROOM_SEED 9000
+/*
+ * And from this one on, all entries and agents lose power at once, and jobs are
+ * sent again also after they were cancelled.
+ */
+#define POWER_SEED	   10000
 #define LONG_RUN_ONE_IN	   2
 #define LONG_RUN_MIN_MS	   1500
 #define LONG_RUN_MAX_MS	   3000
@@ -129,6 +136,7 @@
 	job->tries++;
 	job->entry = entry;
 	job->resend_at_ms = 0;
+	job->cancel_known = job->cancel != NULL && job->cancel->status == 200;
 	job->http = hn_http_start("POST",
 	    dpl_url(&soak->dpl, entry, hn_str("/q/%s", job->id)),
 	    chunked ? headers : plain_headers, job->body);
@@ -193,6 +201,9 @@
 		return true;
 	}
 	if (status == 200) {
+		ck_assert_msg(!job->cancel_known,
+		    "job %s was run after its cancel was acknowledged",
+		    job->id);
 		if (strcmp(hn_json_str(job->http, "state"), "completed") == 0)
 			soak->completed++;
 		else
@@ -204,7 +215,7 @@
 		soak->refused++;
 		return true;
 	}
-	if (job->cancelled) {
+	if (job->cancelled && (!soak->power || status == 410)) {
 		ck_assert_msg(status == 0 || status == 410 || status == 502 ||
 				  status == 504,
 		    "cancelled job %s: status %d", job->id, status);
@@ -256,7 +267,8 @@
 static void
 run_workload(struct soak *soak)
 {
-	int64_t end_ms = (soak->start_ms = hn_now_ms()) + RUN_MS;
+	int64_t run_ms = soak->power ? POWER_RUN_MS : RUN_MS;
+	int64_t end_ms = (soak->start_ms = hn_now_ms()) + run_ms;
 	int64_t fault_ms = hn_now_ms() + SOAK_FAULT_MIN_MS;
 	int64_t job_ms = hn_now_ms();
 
@@ -298,7 +310,8 @@
 	    .wide = seed >= WIDE_SEED,
 	    .odd_specs = seed >= ODD_SPEC_SEED,
 	    .late = seed >= LATE_SEED,
-	    .rooms = seed >= ROOM_SEED};
+	    .rooms = seed >= ROOM_SEED,
+	    .power = seed >= POWER_SEED};
 	int i;
 
 	printf("soak seed %u\n", seed);
