Compare the end of a write in test_confirm with a missing word

Cause: clang-tidy takes the second word of a trace's "stored" command for one that may be missing.

Change: the comparison allows that.

--- a/tests/test_confirm.c
+++ b/tests/test_confirm.c
@@ -86,7 +86,7 @@
 	else if (strcmp(w[0], "known") == 0)
 		cfm_known(t->cfm, (uint64_t)a, (uint64_t)b);
 	else if (strcmp(w[0], "stored") == 0)
-		cfm_stored(t->cfm, strcmp(w[2], "ok") == 0, a);
+		cfm_stored(t->cfm, g_strcmp0(w[2], "ok") == 0, a);
 	else if (strcmp(w[0], "tick") == 0)
 		cfm_tick(t->cfm, a);
 	else
