--- a/tests/soakfaults.c
+++ b/tests/soakfaults.c
@@ -506,6 +506,7 @@
     {"capacity changed during an outage", shrink_during_outage,
 	restart_agent_with_store, NULL, true},
     {"all lose power", lose_power, restore_power, NULL, false},
+    /* Twice, so that cancels come more often than losses of power. */
     {"cancel", cancel_elsewhere, NULL, NULL, false},
     {"another cancel", cancel_elsewhere, NULL, NULL, false},
 };
